Lay the foundation: build, checks, base modules and the headers between modules

Cause: the parts can be written side by side only over fixed headers. Change: build, lint and check scripts; allocation, buffer, status, log, event queue and job rules with their first tests; headers of the document, the scheduler, the clients, the links and the API; the interfaces' page. Ruled out: several files for one clang-tidy process, which reports va_list faults that a process for each file does not.

--- /dev/null
+++ b/src/process/alloc.c
@@ -0,0 +1,127 @@
+#include <stdint.h>
+#include <stdlib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "ibistrestle.h"
+#include "process/alloc.h"
+
+static void
+die_without_memory(void)
+{
+	fputs("event=out_of_memory\n", stderr);
+	abort();
+}
+
+static void *
+S_calloc(size_t count, size_t bytes)
+{
+	void *memory = calloc(count, bytes);
+
+	if (memory == NULL)
+		die_without_memory();
+	return memory;
+}
+
+static void *
+S_realloc(void *memory, size_t bytes)
+{
+	void *moved = realloc(memory, bytes);
+
+	if (moved == NULL && bytes > 0)
+		die_without_memory();
+	return moved;
+}
+
+static struct ibis_allocator current = {
+    .calloc = S_calloc,
+    .realloc = S_realloc,
+    .free = free,
+};
+
+void
+ibis_set_allocator(const struct ibis_allocator *allocator)
+{
+	current = *allocator;
+}
+
+const struct ibis_allocator *
+ibis_allocator(void)
+{
+	return &current;
+}
+
+void *
+mem_calloc(size_t count, size_t bytes)
+{
+	/* calloc(0) may return NULL, which callers need not expect. */
+	return current.calloc(count > 0 ? count : 1, bytes > 0 ? bytes : 1);
+}
+
+void *
+mem_realloc(void *memory, size_t bytes)
+{
+	return current.realloc(memory, bytes);
+}
+
+void
+mem_free(void *memory)
+{
+	current.free(memory);
+}
+
+char *
+mem_strndup(const char *bytes, size_t length)
+{
+	char *copy = mem_calloc(length + 1, 1);
+
+	if (length > 0)
+		memcpy(copy, bytes, length);
+	return copy;
+}
+
+char *
+mem_strdup(const char *string)
+{
+	if (string == NULL)
+		return NULL;
+	return mem_strndup(string, strlen(string));
+}
+
+void
+mem_free_string(char **string)
+{
+	mem_free(*string);
+	*string = NULL;
+}
+
+void *
+mem_grow(void *array, size_t *capacity, size_t needed, size_t bytes)
+{
+	size_t grown = *capacity;
+
+	if (needed <= grown)
+		return array;
+	if (grown == 0)
+		grown = 8;
+	while (grown < needed)
+		grown *= 2;
+	array = mem_realloc(array, grown * bytes);
+	memset(
+	    (char *)array + *capacity * bytes, 0, (grown - *capacity) * bytes);
+	*capacity = grown;
+	return array;
+}
+
+void
+string_copy(char *target, size_t bytes, const char *string)
+{
+	size_t length;
+
+	if (bytes == 0)
+		return;
+	length = string == NULL ? 0 : strnlen(string, bytes - 1);
+	if (length > 0)
+		memcpy(target, string, length);
+	target[length] = '\0';
+}
--- /dev/null
+++ b/src/process/clock.c
@@ -0,0 +1,22 @@
+#include <time.h>
+
+#include "process/clock.h"
+
+#define US_PER_SECOND 1000000
+#define NS_PER_US     1000
+#define US_PER_MS     1000
+
+int64_t
+clock_now_us(void)
+{
+	struct timespec now;
+
+	(void)clock_gettime(CLOCK_MONOTONIC, &now);
+	return (int64_t)now.tv_sec * US_PER_SECOND + now.tv_nsec / NS_PER_US;
+}
+
+int64_t
+clock_now_ms(void)
+{
+	return clock_now_us() / US_PER_MS;
+}
--- /dev/null
+++ b/src/process/clock.h
@@ -0,0 +1,21 @@
+/* The monotonic clock, shared by all processes of one machine. */
+#ifndef IBIS_CLOCK_H
+#define IBIS_CLOCK_H
+
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Returns milliseconds of the monotonic clock. */
+int64_t clock_now_ms(void);
+
+/* Returns microseconds of the monotonic clock. */
+int64_t clock_now_us(void);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/process/log.c
@@ -0,0 +1,173 @@
+#include <ctype.h>
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "process/alloc.h"
+#include "process/buffer.h"
+#include "process/clock.h"
+#include "process/log.h"
+
+#define REPEAT_SLOTS	 64
+#define REPEAT_WINDOW_MS 1000
+#define REPEAT_LINES	 50
+#define NUMBER_BUFFERS	 16
+#define NUMBER_BYTES	 24
+#define NAME_BYTES	 64
+
+/* How often an event was written in the running window. */
+struct repeat {
+	char event[NAME_BYTES];
+	int64_t window_start_ms;
+	uint32_t written;
+	uint32_t suppressed;
+};
+
+static enum log_level lowest_level = LOG_INFO;
+static char instance_name[NAME_BYTES];
+static struct repeat repeats[REPEAT_SLOTS];
+static pthread_mutex_t repeat_lock = PTHREAD_MUTEX_INITIALIZER;
+
+void
+log_configure(enum log_level lowest, const char *name)
+{
+	lowest_level = lowest;
+	STRING_COPY(instance_name, name);
+}
+
+static const char *
+level_name(enum log_level level)
+{
+	switch (level) {
+	case LOG_DEBUG:
+		return "debug";
+	case LOG_INFO:
+		return "info";
+	case LOG_WARN:
+		return "warn";
+	case LOG_ERROR:
+		return "error";
+	}
+	return "error";
+}
+
+static struct repeat *
+find_repeat(const char *event)
+{
+	uint32_t hash = 2166136261U;
+
+	for (const char *c = event; *c != '\0'; c++)
+		hash = (hash ^ (unsigned char)*c) * 16777619U;
+	return &repeats[hash % REPEAT_SLOTS];
+}
+
+/* Tells whether a line may be written; *suppressed gets the lines left out
+ * since the last one written. */
+static bool
+allow_line(const char *event, uint32_t *suppressed)
+{
+	struct repeat *repeat = find_repeat(event);
+	int64_t now_ms = clock_now_ms();
+	bool allowed;
+
+	(void)pthread_mutex_lock(&repeat_lock);
+	if (strcmp(repeat->event, event) != 0) {
+		*repeat = (struct repeat){.window_start_ms = now_ms};
+		STRING_COPY(repeat->event, event);
+	}
+	if (now_ms - repeat->window_start_ms >= REPEAT_WINDOW_MS) {
+		repeat->window_start_ms = now_ms;
+		repeat->written = 0;
+	}
+	allowed = repeat->written < REPEAT_LINES;
+	if (allowed) {
+		repeat->written++;
+		*suppressed = repeat->suppressed;
+		repeat->suppressed = 0;
+	} else {
+		repeat->suppressed++;
+	}
+	(void)pthread_mutex_unlock(&repeat_lock);
+	return allowed;
+}
+
+static bool
+needs_quotes(const char *value)
+{
+	if (*value == '\0')
+		return true;
+	for (const char *c = value; *c != '\0'; c++) {
+		if (!isgraph((unsigned char)*c) || *c == '"' || *c == '=' ||
+		    *c == '\\')
+			return true;
+	}
+	return false;
+}
+
+static void
+append_value(struct buffer *line, const char *value)
+{
+	if (value == NULL)
+		value = "";
+	if (!needs_quotes(value)) {
+		buffer_puts(line, value);
+		return;
+	}
+	buffer_puts(line, "\"");
+	for (const char *c = value; *c != '\0'; c++) {
+		unsigned char byte = (unsigned char)*c;
+
+		if (byte == '"' || byte == '\\')
+			buffer_printf(line, "\\%c", byte);
+		else if (byte < ' ' || byte == 0x7f)
+			buffer_printf(line, "\\x%02x", byte);
+		else
+			buffer_append(line, c, 1);
+	}
+	buffer_puts(line, "\"");
+}
+
+void
+log_event(enum log_level level, const char *event, ...)
+{
+	CLEANUP(buffer_free) struct buffer line = {0};
+	uint32_t suppressed = 0;
+	const char *key;
+	va_list pairs;
+
+	if (level < lowest_level || !allow_line(event, &suppressed))
+		return;
+	buffer_printf(&line, "t_ms=%" PRId64 " level=%s event=%s",
+	    clock_now_ms(), level_name(level), event);
+	if (instance_name[0] != '\0') {
+		buffer_puts(&line, " instance=");
+		append_value(&line, instance_name);
+	}
+	va_start(pairs, event);
+	while ((key = va_arg(pairs, const char *)) != NULL) {
+		buffer_printf(&line, " %s=", key);
+		append_value(&line, va_arg(pairs, const char *));
+	}
+	va_end(pairs);
+	if (suppressed > 0)
+		buffer_printf(&line, " repeated=%" PRIu32, suppressed);
+	buffer_puts(&line, "\n");
+	/* One write keeps lines of several threads apart. */
+	if (write(STDERR_FILENO, line.data, line.length) < 0)
+		return;
+}
+
+const char *
+log_number(int64_t number)
+{
+	static _Thread_local char texts[NUMBER_BUFFERS][NUMBER_BYTES];
+	static _Thread_local unsigned int next;
+	char *text = texts[next++ % NUMBER_BUFFERS];
+
+	(void)snprintf(text, NUMBER_BYTES, "%" PRId64, number);
+	return text;
+}
--- /dev/null
+++ b/src/process/settings.h
@@ -0,0 +1,54 @@
+/* One instance's settings. Private view of struct ibis_settings. */
+#ifndef IBIS_SETTINGS_H
+#define IBIS_SETTINGS_H
+
+#include <stdint.h>
+
+#include "ibistrestle.h"
+#include "process/log.h"
+
+enum {
+	SETTINGS_TEXT_BYTES = 128
+};
+
+enum settings_policy {
+	POLICY_GUARANTEED,
+	POLICY_FIRST_FIT
+};
+
+/* Each field is a key of the same name. Limits and meanings stand in the key
+ * table of settings.c, which also prints the commented defaults. */
+struct ibis_settings {
+	char name[SETTINGS_TEXT_BYTES];
+	char availability_zone[SETTINGS_TEXT_BYTES];
+	char pool[SETTINGS_TEXT_BYTES];		  /* "main" */
+	char caller_address[SETTINGS_TEXT_BYTES]; /* IP:PORT; port 0 any */
+	char peer_address[SETTINGS_TEXT_BYTES];	  /* IP:PORT; port 0 any */
+	char store_address[SETTINGS_TEXT_BYTES];  /* IP:PORT */
+	enum log_level log_level;
+	enum settings_policy policy;
+	int32_t segments;		/* 16 */
+	int32_t lead_lease_ms;		/* 3000 */
+	int32_t heartbeat_interval_ms;	/* 250 */
+	int32_t peer_timeout_ms;	/* 1000 */
+	int32_t store_timeout_ms;	/* 1000 */
+	int32_t freshness_ms;		/* 1500 */
+	int32_t reservation_ms;		/* 1200 */
+	int32_t first_lease_ms;		/* 2000 */
+	int32_t task_lease_ms;		/* 10000 */
+	int32_t worker_poll_ms;		/* 200 */
+	int32_t worker_timeout_ms;	/* 700 */
+	int32_t worker_lost_ms;		/* 5000 */
+	int32_t drain_ms;		/* 30000 */
+	int32_t tombstone_retention_ms; /* 86400000 */
+	int32_t max_wait_ms;		/* 120000 */
+	int32_t max_body_bytes;		/* 262144 */
+	int32_t max_answer_bytes;	/* 524288 */
+	int32_t max_connections;	/* 4000 */
+	int32_t max_queued_jobs;	/* 20000 */
+	int32_t reclaim_bound_ms;	/* 4200 */
+	int32_t zone_return_ramp_ms;	/* 10000 */
+	int32_t max_attempts;		/* 5 */
+};
+
+#endif
