Add the HTTP clients of the store and the workers, and fake-platform

Cause: the daemon needs both clients and a stand-in for the platform. Change: http_client over neon, a connection a call, nothing resent; a pool of threads for blocking calls that stops promptly; store_client with a lane a key hash and watches apart; worker_client with a second lane for failing workers, over a pure codec that sets wrong answers apart; fake-platform. Tried by hand with curl: swap, conflict, watch, lease, list, lost answer.

--- /dev/null
+++ b/fakes/common/fake_log.c
@@ -0,0 +1,52 @@
+#include <fcntl.h>
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#include "common/fake_log.h"
+#include "process/clock.h"
+
+#define LINE_BYTES 1024
+#define LOG_MODE   0644
+
+static int log_fd = STDOUT_FILENO;
+
+bool
+fake_log_open(const char *path)
+{
+	int fd;
+
+	if (path == NULL)
+		return true;
+	fd = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, LOG_MODE);
+	if (fd < 0) {
+		perror(path);
+		return false;
+	}
+	log_fd = fd;
+	return true;
+}
+
+void
+fake_log(const char *format, ...)
+{
+	char line[LINE_BYTES];
+	va_list arguments;
+	int used;
+	int length;
+
+	used =
+	    snprintf(line, sizeof(line), "t_ms=%" PRId64 " ", clock_now_ms());
+	va_start(arguments, format);
+	length = vsnprintf(
+	    line + used, sizeof(line) - (size_t)used, format, arguments);
+	va_end(arguments);
+	length += used;
+	if (length > LINE_BYTES - 1)
+		length = LINE_BYTES - 1;
+	line[length] = '\n';
+	/* One write keeps lines of several threads apart. */
+	if (write(log_fd, line, (size_t)length + 1) < 0)
+		return;
+}
--- /dev/null
+++ b/src/connection/call_pool.c
@@ -0,0 +1,194 @@
+#include <pthread.h>
+#include <time.h>
+
+#include "connection/call_pool.h"
+#include "process/alloc.h"
+
+#define STOP_WAIT_MS  100
+#define NS_PER_MS     1000000L
+#define NS_PER_SECOND 1000000000L
+
+struct queued_call {
+	struct queued_call *next;
+	void *call;
+};
+
+struct call_pool {
+	struct call_pool_config config;
+	pthread_mutex_t lock;
+	pthread_cond_t queued; /* a call was queued, or stopping */
+	pthread_cond_t ended;  /* a thread has ended */
+	struct queued_call *first;
+	struct queued_call **last;
+	uint32_t waiting; /* calls in the queue */
+	uint32_t threads;
+	uint32_t idle_threads;
+	bool stopping;
+	bool abandoned; /* the last thread frees the pool */
+};
+
+struct call_pool *
+call_pool_new(const struct call_pool_config *config)
+{
+	struct call_pool *pool = mem_calloc(1, sizeof(*pool));
+	pthread_condattr_t attributes;
+
+	pool->config = *config;
+	pool->last = &pool->first;
+	(void)pthread_mutex_init(&pool->lock, NULL);
+	(void)pthread_condattr_init(&attributes);
+	(void)pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+	(void)pthread_cond_init(&pool->queued, NULL);
+	(void)pthread_cond_init(&pool->ended, &attributes);
+	(void)pthread_condattr_destroy(&attributes);
+	return pool;
+}
+
+static void
+free_pool(struct call_pool *pool)
+{
+	(void)pthread_cond_destroy(&pool->ended);
+	(void)pthread_cond_destroy(&pool->queued);
+	(void)pthread_mutex_destroy(&pool->lock);
+	mem_free(pool);
+}
+
+/* With the lock held. */
+static void *
+take_call(struct call_pool *pool)
+{
+	struct queued_call *taken = pool->first;
+	void *call = taken->call;
+
+	pool->first = taken->next;
+	if (pool->first == NULL)
+		pool->last = &pool->first;
+	pool->waiting--;
+	mem_free(taken);
+	return call;
+}
+
+/* With the lock held, so that nothing is posted after the stop. */
+static void
+post(struct call_pool *pool, struct event *event)
+{
+	if (pool->abandoned)
+		pool->config.drop(event);
+	else
+		event_queue_post(pool->config.events, event);
+}
+
+/* With the lock held, which it gives up during the call. */
+static void
+run_next(struct call_pool *pool)
+{
+	void *call = take_call(pool);
+	bool cancelled = pool->stopping;
+	struct event event = {0};
+	bool posts;
+
+	(void)pthread_mutex_unlock(&pool->lock);
+	posts = pool->config.run(call, cancelled, &event);
+	(void)pthread_mutex_lock(&pool->lock);
+	if (posts)
+		post(pool, &event);
+}
+
+static void *
+S_run_thread(void *context)
+{
+	struct call_pool *pool = context;
+	bool last_of_abandoned;
+
+	(void)pthread_mutex_lock(&pool->lock);
+	for (;;) {
+		while (pool->first == NULL && !pool->stopping) {
+			pool->idle_threads++;
+			(void)pthread_cond_wait(&pool->queued, &pool->lock);
+			pool->idle_threads--;
+		}
+		if (pool->first == NULL)
+			break;
+		run_next(pool);
+	}
+	pool->threads--;
+	last_of_abandoned = pool->abandoned && pool->threads == 0;
+	(void)pthread_cond_broadcast(&pool->ended);
+	(void)pthread_mutex_unlock(&pool->lock);
+	if (last_of_abandoned)
+		free_pool(pool);
+	return NULL;
+}
+
+/* With the lock held. */
+static void
+start_thread(struct call_pool *pool)
+{
+	pthread_attr_t attributes;
+	pthread_t thread;
+
+	(void)pthread_attr_init(&attributes);
+	(void)pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED);
+	if (pthread_create(&thread, &attributes, S_run_thread, pool) == 0)
+		pool->threads++;
+	(void)pthread_attr_destroy(&attributes);
+}
+
+void
+call_pool_add(struct call_pool *pool, void *call)
+{
+	struct queued_call *added = mem_calloc(1, sizeof(*added));
+
+	added->call = call;
+	(void)pthread_mutex_lock(&pool->lock);
+	*pool->last = added;
+	pool->last = &added->next;
+	pool->waiting++;
+	if (pool->waiting > pool->idle_threads &&
+	    pool->threads < pool->config.max_threads)
+		start_thread(pool);
+	(void)pthread_cond_signal(&pool->queued);
+	(void)pthread_mutex_unlock(&pool->lock);
+}
+
+/* With the lock held. */
+static void
+wait_for_threads(struct call_pool *pool)
+{
+	struct timespec until;
+
+	(void)clock_gettime(CLOCK_MONOTONIC, &until);
+	until.tv_nsec += STOP_WAIT_MS * NS_PER_MS;
+	until.tv_sec += until.tv_nsec / NS_PER_SECOND;
+	until.tv_nsec %= NS_PER_SECOND;
+	while (pool->threads > 0) {
+		if (pthread_cond_timedwait(&pool->ended, &pool->lock, &until) !=
+		    0)
+			return;
+	}
+}
+
+/* With the lock held: ends the calls that no thread will take. */
+static void
+cancel_queued(struct call_pool *pool)
+{
+	while (pool->first != NULL)
+		run_next(pool);
+}
+
+void
+call_pool_stop(struct call_pool *pool)
+{
+	bool unused;
+
+	(void)pthread_mutex_lock(&pool->lock);
+	pool->stopping = true;
+	cancel_queued(pool);
+	(void)pthread_cond_broadcast(&pool->queued);
+	wait_for_threads(pool);
+	pool->abandoned = true;
+	unused = pool->threads == 0;
+	(void)pthread_mutex_unlock(&pool->lock);
+	if (unused)
+		free_pool(pool);
+}
--- /dev/null
+++ b/src/connection/store_client.c
@@ -0,0 +1,269 @@
+#include <inttypes.h>
+#include <neon/ne_alloc.h>
+#include <neon/ne_uri.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "connection/call_pool.h"
+#include "connection/http_client.h"
+#include "connection/store_client.h"
+#include "process/alloc.h"
+#include "process/clock.h"
+
+#define ADDRESS_BYTES	64
+#define PATH_BYTES	(3 * STORE_KEY_BYTES + 64)
+#define REVISION_BYTES	32
+#define CALL_LANES	8
+#define MAX_WATCHES	16
+#define HTTP_OK		200
+#define HTTP_NOT_FOUND	404
+#define HTTP_CONFLICT	412
+#define HTTP_TOO_LARGE	413
+#define HTTP_SERVER_ERR 500
+
+/* One thread a lane: calls on one key are carried out in the order given, but
+ * for watches, which have threads of their own. */
+struct store_client {
+	char address[ADDRESS_BYTES];
+	int32_t timeout_ms;
+	struct call_pool *lanes[CALL_LANES];
+	struct call_pool *watches;
+};
+
+/* One call with what it needs after the client is gone. */
+struct pending_call {
+	struct store_call call;
+	char address[ADDRESS_BYTES];
+	int32_t timeout_ms;
+};
+
+void
+store_result_free(struct store_result *result)
+{
+	if (result == NULL)
+		return;
+	buffer_free(&result->value);
+	mem_free(result);
+}
+
+static const char *
+op_method(enum store_op op)
+{
+	switch (op) {
+	case STORE_SWAP:
+		return "PUT";
+	case STORE_DELETE:
+		return "DELETE";
+	case STORE_GET:
+	case STORE_WATCH:
+	case STORE_LIST:
+		return "GET";
+	}
+	return "GET";
+}
+
+static const char *
+op_name(enum store_op op)
+{
+	switch (op) {
+	case STORE_GET:
+		return "store_get";
+	case STORE_SWAP:
+		return "store_swap";
+	case STORE_DELETE:
+		return "store_delete";
+	case STORE_WATCH:
+		return "store_watch";
+	case STORE_LIST:
+		return "store_list";
+	}
+	return "store";
+}
+
+static void
+format_path(const struct store_call *call, char path[PATH_BYTES])
+{
+	char *key = ne_path_escape(call->key);
+
+	if (call->op == STORE_LIST)
+		(void)snprintf(path, PATH_BYTES, "/v1/list");
+	else if (call->op == STORE_WATCH)
+		(void)snprintf(path, PATH_BYTES,
+		    "/v1/kv/%s?watch=%" PRIu64 "&wait_ms=%" PRId32, key,
+		    call->expected_revision, call->wait_ms);
+	else if (call->op == STORE_SWAP && call->lease_ms > 0)
+		(void)snprintf(path, PATH_BYTES, "/v1/kv/%s?lease_ms=%" PRId32,
+		    key, call->lease_ms);
+	else
+		(void)snprintf(path, PATH_BYTES, "/v1/kv/%s", key);
+	ne_free(key);
+}
+
+static bool
+changes_store(enum store_op op)
+{
+	return op == STORE_SWAP || op == STORE_DELETE;
+}
+
+static enum ibis_code
+code_of_status(const struct store_call *call, int32_t status)
+{
+	if (status == HTTP_OK)
+		return IBIS_OK;
+	if (status == HTTP_NOT_FOUND)
+		return IBIS_NOT_FOUND;
+	if (status == HTTP_CONFLICT)
+		return IBIS_CONFLICT;
+	if (status == HTTP_TOO_LARGE)
+		return IBIS_INVALID;
+	/* The service doesn't say that an error left nothing done. */
+	if (status >= HTTP_SERVER_ERR && changes_store(call->op))
+		return IBIS_UNKNOWN;
+	return status >= HTTP_SERVER_ERR ? IBIS_UNAVAILABLE : IBIS_INVALID;
+}
+
+static enum ibis_code
+judge(const struct store_call *call, struct http_response *response,
+    struct store_result *result)
+{
+	enum ibis_code code = code_of_status(call, response->status);
+
+	if (code == IBIS_OK && call->op != STORE_LIST &&
+	    call->op != STORE_DELETE && response->etag == 0)
+		code =
+		    changes_store(call->op) ? IBIS_UNKNOWN : IBIS_UNAVAILABLE;
+	if (code != IBIS_OK)
+		(void)ibis_status_set(&result->status, code, op_name(call->op),
+		    result->status.peer, "%s: HTTP status %" PRId32, call->key,
+		    response->status);
+	result->revision = response->etag;
+	result->value = response->body;
+	response->body = (struct buffer){0};
+	if (code == IBIS_NOT_FOUND)
+		buffer_clear(&result->value);
+	return code;
+}
+
+static void
+carry_out(const struct pending_call *pending, struct store_result *result)
+{
+	const struct store_call *call = &pending->call;
+	int32_t timeout_ms =
+	    pending->timeout_ms + (call->op == STORE_WATCH ? call->wait_ms : 0);
+	struct http_client *http =
+	    http_client_new(pending->address, timeout_ms);
+	char path[PATH_BYTES];
+	char revision[REVISION_BYTES];
+	struct http_header if_match = {"If-Match", revision};
+	struct http_request request = {
+	    .method = op_method(call->op),
+	    .path = path,
+	    .headers = &if_match,
+	    .headers_count = changes_store(call->op) ? 1 : 0,
+	    .body = call->value.data,
+	    .body_length = call->op == STORE_SWAP ? call->value.length : 0,
+	};
+	struct http_response response;
+
+	format_path(call, path);
+	(void)snprintf(revision, sizeof(revision), "\"%" PRIu64 "\"",
+	    call->expected_revision);
+	result->code =
+	    http_client_call(http, &request, &response, &result->status);
+	if (result->code == IBIS_OK)
+		result->code = judge(call, &response, result);
+	/* What only reads has changed nothing, whatever became of it. */
+	else if (!changes_store(call->op))
+		result->code = IBIS_UNAVAILABLE;
+	http_client_free(http);
+}
+
+static bool
+S_run_call(void *context, bool cancelled, struct event *event)
+{
+	struct pending_call *pending = context;
+	struct store_result *result = mem_calloc(1, sizeof(*result));
+
+	result->op = pending->call.op;
+	STRING_COPY(result->key, pending->call.key);
+	result->owner = pending->call.owner;
+	result->token = pending->call.token;
+	STRING_COPY(result->status.peer, pending->address);
+	result->sent_ms = clock_now_ms();
+	if (cancelled)
+		result->code = ibis_status_set(&result->status,
+		    IBIS_UNAVAILABLE, op_name(result->op), pending->address,
+		    "%s: the client has stopped", result->key);
+	else
+		carry_out(pending, result);
+	result->received_ms = clock_now_ms();
+	buffer_free(&pending->call.value);
+	mem_free(pending);
+	event->kind = EVENT_STORE;
+	event->store = result;
+	return true;
+}
+
+static void
+S_drop_result(struct event *event)
+{
+	store_result_free(event->store);
+}
+
+struct store_client *
+store_client_start(const char *address, int32_t timeout_ms,
+    struct event_queue *events, struct ibis_status *status)
+{
+	struct call_pool_config config = {
+	    .max_threads = 1,
+	    .events = events,
+	    .run = S_run_call,
+	    .drop = S_drop_result,
+	};
+	struct store_client *client;
+
+	if (timeout_ms <= 0) {
+		(void)ibis_status_set(status, IBIS_INVALID, "store_start",
+		    address, "timeout_ms must be positive");
+		return NULL;
+	}
+	client = mem_calloc(1, sizeof(*client));
+	STRING_COPY(client->address, address);
+	client->timeout_ms = timeout_ms;
+	for (size_t i = 0; i < CALL_LANES; i++)
+		client->lanes[i] = call_pool_new(&config);
+	config.max_threads = MAX_WATCHES;
+	client->watches = call_pool_new(&config);
+	return client;
+}
+
+void
+store_client_call(struct store_client *client, struct store_call *call)
+{
+	struct pending_call *pending = mem_calloc(1, sizeof(*pending));
+	uint64_t hash;
+
+	pending->call = *call;
+	call->value = (struct buffer){0};
+	STRING_COPY(pending->address, client->address);
+	pending->timeout_ms = client->timeout_ms;
+	if (pending->call.op == STORE_WATCH) {
+		call_pool_add(client->watches, pending);
+		return;
+	}
+	hash = XXH64(pending->call.key, strlen(pending->call.key), 0);
+	call_pool_add(client->lanes[hash % CALL_LANES], pending);
+}
+
+void
+store_client_stop(struct store_client *client)
+{
+	if (client == NULL)
+		return;
+	call_pool_stop(client->watches);
+	for (size_t i = 0; i < CALL_LANES; i++)
+		call_pool_stop(client->lanes[i]);
+	mem_free(client);
+}
