--- a/proto/ibistrestle.pb-c.c
+++ b/proto/ibistrestle.pb-c.c
@@ -1300,7 +1300,7 @@
   (ProtobufCMessageInit) ibis__job_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ibis__job_record__field_descriptors[14] =
+static const ProtobufCFieldDescriptor ibis__job_record__field_descriptors[15] =
 {
   {
     "id",
@@ -1470,6 +1470,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fingerprint",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobRecord, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ibis__job_record__field_indices_by_name[] = {
   6,   /* field[6] = accepted_at_ms */
@@ -1479,6 +1491,7 @@
   9,   /* field[9] = cancel_requested */
   13,   /* field[13] = checkpoints */
   8,   /* field[8] = ended_at_ms */
+  14,   /* field[14] = fingerprint */
   0,   /* field[0] = id */
   5,   /* field[5] = reason */
   1,   /* field[1] = spec */
@@ -1490,7 +1503,7 @@
 static const ProtobufCIntRange ibis__job_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor ibis__job_record__descriptor =
 {
@@ -1500,7 +1513,7 @@
   "Ibis__JobRecord",
   "ibis",
   sizeof(Ibis__JobRecord),
-  14,
+  15,
   ibis__job_record__field_descriptors,
   ibis__job_record__field_indices_by_name,
   1,  ibis__job_record__number_ranges,
--- a/proto/ibistrestle.pb-c.h
+++ b/proto/ibistrestle.pb-c.h
@@ -201,10 +201,14 @@
    */
   size_t n_checkpoints;
   char **checkpoints;
+  /*
+   * of the specification, kept when it is cut down
+   */
+  uint64_t fingerprint;
 };
 #define IBIS__JOB_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ibis__job_record__descriptor) \
-    , (char *)protobuf_c_empty_string, NULL, IBIS__JOB_STATE__JOB_ACCEPTED, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, NULL, IBIS__JOB_STATE__JOB_ACCEPTED, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
--- /dev/null
+++ b/src/process/lead_lease.c
@@ -0,0 +1,239 @@
+#include <string.h>
+
+#include "ibistrestle.pb-c.h"
+#include "process/alloc.h"
+#include "process/lead_lease.h"
+#include "process/proto_memory.h"
+
+#define RENEWALS_PER_LEASE 4
+#define RETRY_MS	   150
+
+enum lead_action
+lead_next(struct lead_lease *lease, int64_t now_ms)
+{
+	if (lease->busy || now_ms < lease->next_ms)
+		return LEAD_NOTHING;
+	switch (lease->role) {
+	case LEAD_FOLLOWER:
+		lease->busy = true;
+		if (lease->revision == 0 && *lease->holder == '\0' &&
+		    lease->absence_seen)
+			return LEAD_SWAP;
+		return LEAD_READ;
+	case LEAD_RECOVERING:
+	case LEAD_LEADING:
+		lease->busy = true;
+		return lease->swap_unknown ? LEAD_READ : LEAD_SWAP;
+	case LEAD_RELEASING:
+		if (lease->revision == 0)
+			return LEAD_NOTHING;
+		lease->busy = true;
+		return lease->swap_unknown ? LEAD_READ : LEAD_DELETE;
+	}
+	return LEAD_NOTHING;
+}
+
+void
+lead_value(const struct lead_lease *lease, struct buffer *value)
+{
+	Ibis__LeadLease message = IBIS__LEAD_LEASE__INIT;
+	char name[JOB_NAME_BYTES];
+
+	STRING_COPY(name, lease->name);
+	message.holder = name;
+	message.incarnation = lease->incarnation;
+	message.epoch = lease->epoch;
+	proto_pack(&message.base, value);
+}
+
+/* Notes who holds the lease by the key's value; true when it is us. */
+static bool
+note_holder(
+    struct lead_lease *lease, uint64_t revision, const struct buffer *value)
+{
+	Ibis__LeadLease *message = (Ibis__LeadLease *)proto_unpack(
+	    &ibis__lead_lease__descriptor, value->data, value->length);
+	bool ours;
+
+	lease->revision = revision;
+	lease->absence_seen = false;
+	if (message == NULL) {
+		/* A damaged value is held by nobody; it is overwritten. */
+		lease->holder[0] = '\0';
+		return false;
+	}
+	STRING_COPY(lease->holder, message->holder);
+	lease->holder_epoch = message->epoch;
+	ours = strcmp(message->holder, lease->name) == 0 &&
+	    message->incarnation == lease->incarnation;
+	proto_free(&message->base);
+	return ours;
+}
+
+static void
+become_follower(struct lead_lease *lease, int64_t now_ms)
+{
+	if (lease->role != LEAD_RELEASING)
+		lease->role = LEAD_FOLLOWER;
+	lease->valid_until_ms = 0;
+	lease->next_ms = now_ms + lease->poll_ms;
+}
+
+static void
+note_absent(struct lead_lease *lease, int64_t now_ms)
+{
+	lease->revision = 0;
+	lease->holder[0] = '\0';
+	lease->absence_seen = true;
+	lease->next_ms = now_ms + lease->jitter_ms;
+}
+
+static bool
+follower_read(struct lead_lease *lease, enum ibis_code code, uint64_t revision,
+    const struct buffer *value, int64_t now_ms)
+{
+	if (code == IBIS_NOT_FOUND) {
+		note_absent(lease, now_ms);
+		return false;
+	}
+	lease->next_ms = now_ms + lease->poll_ms;
+	if (code != IBIS_OK || !note_holder(lease, revision, value))
+		return false;
+	/* A swap of ours whose answer was lost had been done. */
+	lease->role = LEAD_RECOVERING;
+	lease->epoch = revision;
+	lease->next_ms = now_ms;
+	return true;
+}
+
+bool
+lead_read_result(struct lead_lease *lease, enum ibis_code code,
+    uint64_t revision, const struct buffer *value, int64_t now_ms)
+{
+	lease->busy = false;
+	if (lease->role == LEAD_FOLLOWER)
+		return follower_read(lease, code, revision, value, now_ms);
+	lease->next_ms = now_ms + RETRY_MS;
+	if (code == IBIS_NOT_FOUND) {
+		/* It lapsed; nobody has taken it, so it can be taken again. */
+		lease->swap_unknown = false;
+		lease->revision = 0;
+		lease->next_ms = now_ms;
+		return false;
+	}
+	if (code != IBIS_OK)
+		return false;
+	lease->swap_unknown = false;
+	lease->next_ms = now_ms;
+	if (note_holder(lease, revision, value))
+		return false;
+	become_follower(lease, now_ms);
+	return true;
+}
+
+static bool
+swap_done(struct lead_lease *lease, uint64_t revision, int64_t sent_ms)
+{
+	lease->revision = revision;
+	lease->valid_until_ms = sent_ms + lease->lease_ms;
+	lease->next_ms = sent_ms + lease->lease_ms / RENEWALS_PER_LEASE;
+	STRING_COPY(lease->holder, lease->name);
+	if (lease->role != LEAD_FOLLOWER)
+		return false;
+	lease->role = LEAD_RECOVERING;
+	lease->epoch = revision;
+	lease->holder_epoch = revision;
+	return true;
+}
+
+bool
+lead_swap_result(struct lead_lease *lease, enum ibis_code code,
+    uint64_t revision, const struct buffer *value, int64_t sent_ms,
+    int64_t now_ms)
+{
+	lease->busy = false;
+	lease->next_ms = now_ms + RETRY_MS;
+	if (lease->role == LEAD_RELEASING) {
+		/* The key was deleted, or is not ours to delete. */
+		if (code == IBIS_OK || code == IBIS_NOT_FOUND ||
+		    code == IBIS_CONFLICT)
+			lease->revision = 0;
+		return false;
+	}
+	switch (code) {
+	case IBIS_OK:
+		return swap_done(lease, revision, sent_ms);
+	case IBIS_CONFLICT:
+		if (revision == 0) {
+			note_absent(lease, now_ms);
+			return false;
+		}
+		if (note_holder(lease, revision, value)) {
+			lease->next_ms = now_ms;
+			if (lease->role != LEAD_FOLLOWER)
+				return false;
+			return follower_read(
+			    lease, IBIS_OK, revision, value, now_ms);
+		}
+		if (lease->role == LEAD_FOLLOWER) {
+			lease->next_ms = now_ms + lease->poll_ms;
+			return false;
+		}
+		become_follower(lease, now_ms);
+		return true;
+	case IBIS_UNKNOWN:
+		lease->swap_unknown = lease->role != LEAD_FOLLOWER;
+		lease->absence_seen = false;
+		return false;
+	default:
+		return false;
+	}
+}
+
+void
+lead_recovered(struct lead_lease *lease)
+{
+	if (lease->role == LEAD_RECOVERING)
+		lease->role = LEAD_LEADING;
+}
+
+void
+lead_step_down(struct lead_lease *lease, int64_t now_ms)
+{
+	become_follower(lease, now_ms);
+	lease->holder[0] = '\0';
+	lease->absence_seen = false;
+	lease->next_ms = now_ms;
+}
+
+void
+lead_release(struct lead_lease *lease, int64_t now_ms)
+{
+	bool held =
+	    lease->role == LEAD_LEADING || lease->role == LEAD_RECOVERING;
+
+	if (lease->role == LEAD_RELEASING)
+		return;
+	lease->role = LEAD_RELEASING;
+	lease->valid_until_ms = 0;
+	lease->next_ms = now_ms;
+	if (!held)
+		lease->revision = 0;
+}
+
+void
+lead_hint(struct lead_lease *lease, int64_t now_ms)
+{
+	if (lease->role != LEAD_FOLLOWER)
+		return;
+	lease->absence_seen = false;
+	lease->next_ms = now_ms;
+}
+
+bool
+lead_valid(const struct lead_lease *lease, int64_t now_ms)
+{
+	return (lease->role == LEAD_LEADING ||
+		   lease->role == LEAD_RECOVERING) &&
+	    now_ms < lease->valid_until_ms;
+}
--- /dev/null
+++ b/src/process/segment.c
@@ -0,0 +1,180 @@
+#include <string.h>
+
+#include "process/alloc.h"
+#include "process/segment.h"
+
+#define FIRST_RETRY_MS	   50
+#define LONGEST_RETRY_MS   1000
+#define MAX_RETRY_DOUBLING 5
+
+void
+segment_change(struct segment *segment, struct job_id job,
+    enum segment_step step, uint32_t attempt)
+{
+	segment->dirty = true;
+	if (step == STEP_NOTED)
+		return;
+	segment->waiting =
+	    mem_grow(segment->waiting, &segment->waiting_capacity,
+		segment->waiting_count + 1, sizeof(*segment->waiting));
+	segment->waiting[segment->waiting_count++] = (struct segment_entry){
+	    .job = job,
+	    .step = step,
+	    .attempt = attempt,
+	};
+}
+
+enum segment_action
+segment_next(struct segment *segment, int64_t now_ms)
+{
+	switch (segment->state) {
+	case SEGMENT_CLEAN:
+		return segment->dirty ? SEGMENT_BUILD_SWAP : SEGMENT_NOTHING;
+	case SEGMENT_WAITING:
+		if (now_ms < segment->retry_ms)
+			return SEGMENT_NOTHING;
+		if (segment->unsent) {
+			segment->state = SEGMENT_SWAPPING;
+			return SEGMENT_SEND_SWAP;
+		}
+		segment->state = SEGMENT_READING;
+		return SEGMENT_SEND_READ;
+	case SEGMENT_SWAPPING:
+	case SEGMENT_READING:
+	case SEGMENT_LOST:
+		break;
+	}
+	return SEGMENT_NOTHING;
+}
+
+void
+segment_swapping(struct segment *segment, struct buffer *value)
+{
+	struct segment_entry *entries = segment->flying;
+	size_t capacity = segment->flying_capacity;
+
+	buffer_free(&segment->in_flight);
+	segment->in_flight = *value;
+	*value = (struct buffer){0};
+	segment->flying = segment->waiting;
+	segment->flying_count = segment->waiting_count;
+	segment->flying_capacity = segment->waiting_capacity;
+	segment->waiting = entries;
+	segment->waiting_count = 0;
+	segment->waiting_capacity = capacity;
+	segment->dirty = false;
+	segment->unsent = true;
+	segment->state = SEGMENT_SWAPPING;
+}
+
+static bool
+settle_done(struct segment *segment, uint64_t revision)
+{
+	segment->revision = revision;
+	segment->state = SEGMENT_CLEAN;
+	segment->failures = 0;
+	return true;
+}
+
+static void
+retry_later(struct segment *segment, int64_t now_ms)
+{
+	uint32_t doublings = segment->failures;
+	int64_t delay_ms;
+
+	if (doublings > MAX_RETRY_DOUBLING)
+		doublings = MAX_RETRY_DOUBLING;
+	delay_ms = (int64_t)FIRST_RETRY_MS << doublings;
+	if (delay_ms > LONGEST_RETRY_MS)
+		delay_ms = LONGEST_RETRY_MS;
+	segment->failures++;
+	segment->retry_ms = now_ms + delay_ms;
+	segment->state = SEGMENT_WAITING;
+}
+
+bool
+segment_swap_result(struct segment *segment, enum ibis_code code,
+    uint64_t revision, int64_t now_ms)
+{
+	if (segment->state != SEGMENT_SWAPPING)
+		return false;
+	switch (code) {
+	case IBIS_OK:
+		return settle_done(segment, revision);
+	case IBIS_CONFLICT:
+		/* An earlier try of the same bytes may have won. */
+		segment->unsent = false;
+		segment->retry_ms = now_ms;
+		segment->state = SEGMENT_WAITING;
+		return false;
+	case IBIS_UNAVAILABLE:
+		retry_later(segment, now_ms);
+		return false;
+	default:
+		segment->unsent = false;
+		retry_later(segment, now_ms);
+		return false;
+	}
+}
+
+static bool
+same_bytes(const struct buffer *left, const struct buffer *right)
+{
+	return left->length == right->length &&
+	    (left->length == 0 ||
+		memcmp(left->data, right->data, left->length) == 0);
+}
+
+bool
+segment_read_result(struct segment *segment, enum ibis_code code,
+    uint64_t revision, const struct buffer *value, int64_t now_ms)
+{
+	if (segment->state != SEGMENT_READING)
+		return false;
+	if (code == IBIS_NOT_FOUND)
+		revision = 0;
+	else if (code != IBIS_OK) {
+		retry_later(segment, now_ms);
+		return false;
+	}
+	if (revision == segment->revision) {
+		/* Not done so far; the identical bytes go out again. */
+		segment->unsent = true;
+		segment->retry_ms = now_ms;
+		segment->state = SEGMENT_WAITING;
+		return false;
+	}
+	if (revision != 0 && same_bytes(value, &segment->in_flight))
+		return settle_done(segment, revision);
+	segment->state = SEGMENT_LOST;
+	return false;
+}
+
+void
+segment_settled(struct segment *segment)
+{
+	segment->flying_count = 0;
+	buffer_free(&segment->in_flight);
+}
+
+void
+segment_reset(struct segment *segment, uint64_t revision, uint64_t sequence)
+{
+	buffer_free(&segment->in_flight);
+	segment->state = SEGMENT_CLEAN;
+	segment->revision = revision;
+	segment->sequence = sequence;
+	segment->dirty = false;
+	segment->waiting_count = 0;
+	segment->flying_count = 0;
+	segment->failures = 0;
+}
+
+void
+segment_free(struct segment *segment)
+{
+	buffer_free(&segment->in_flight);
+	mem_free(segment->waiting);
+	mem_free(segment->flying);
+	*segment = (struct segment){0};
+}
--- /dev/null
+++ b/src/request/gang.c
@@ -0,0 +1,649 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "process/alloc.h"
+#include "request/gang.h"
+
+/* Longest time from handing a command over to its arrival at the worker. */
+#define COMMAND_DELAY_MS   1500
+#define RENEWALS_PER_LEASE 4
+
+static bool
+member_over(const struct gang_member *member)
+{
+	return member->phase >= MEMBER_DONE;
+}
+
+static bool
+member_unused(const struct gang_member *member)
+{
+	return member->phase == MEMBER_IDLE;
+}
+
+static uint32_t
+count_phase(const struct gang *gang, enum member_phase phase)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < gang->count; i++)
+		count += gang->members[i].phase == phase ? 1 : 0;
+	return count;
+}
+
+static void
+send_command(struct gang *gang, struct gang_member *member,
+    struct worker_command command, const struct gang_sink *sink)
+{
+	STRING_COPY(command.task, member->task);
+	member->expect_token =
+	    sink->command(sink->context, member->worker, &command);
+	(void)gang;
+}
+
+static void
+send_reserve(struct gang *gang, struct gang_member *member,
+    const struct gang_sink *sink, int64_t now_ms)
+{
+	struct worker_command command = {
+	    .verb = VERB_RESERVE,
+	    .accelerators = gang->record->spec->accelerators_per_task,
+	    .ttl_ms = gang->config.reservation_ms,
+	};
+
+	member->phase = MEMBER_RESERVING;
+	member->hold_until_ms =
+	    now_ms + gang->config.reservation_ms + COMMAND_DELAY_MS;
+	send_command(gang, member, command, sink);
+}
+
+static void
+send_stage(struct gang *gang, uint32_t index, const struct gang_sink *sink)
+{
+	const Ibis__JobSpec *spec = gang->record->spec;
+	struct worker_command command = {
+	    .verb = VERB_STAGE,
+	    .run_time_ms = spec->run_time_ms,
+	    .index = index,
+	    .tasks = gang->count,
+	    .payload = mem_strdup(spec->payload),
+	};
+
+	if (index < gang->record->n_checkpoints &&
+	    *gang->record->checkpoints[index] != '\0')
+		command.checkpoint =
+		    mem_strdup(gang->record->checkpoints[index]);
+	gang->members[index].phase = MEMBER_STAGING;
+	send_command(gang, &gang->members[index], command, sink);
+}
+
+static void
+send_go(struct gang *gang, struct gang_member *member,
+    const struct gang_sink *sink, int64_t now_ms)
+{
+	struct worker_command command = {
+	    .verb = VERB_GO,
+	    .ttl_ms = gang->config.first_lease_ms,
+	};
+
+	gang->go_sent = true;
+	member->phase = MEMBER_GOING;
+	member->hold_until_ms =
+	    now_ms + gang->config.first_lease_ms + COMMAND_DELAY_MS;
+	send_command(gang, member, command, sink);
+}
+
+static void
+send_renew(struct gang *gang, struct gang_member *member,
+    const struct gang_sink *sink, int64_t now_ms)
+{
+	struct worker_command command = {
+	    .verb = VERB_RENEW,
+	    .ttl_ms = gang->config.task_lease_ms,
+	};
+
+	member->hold_until_ms =
+	    now_ms + gang->config.task_lease_ms + COMMAND_DELAY_MS;
+	send_command(gang, member, command, sink);
+}
+
+static void
+send_verb(struct gang *gang, struct gang_member *member, enum worker_verb verb,
+    const struct gang_sink *sink)
+{
+	struct worker_command command = {.verb = verb};
+
+	send_command(gang, member, command, sink);
+}
+
+static void
+set_phase(struct gang *gang, enum gang_phase phase, int64_t now_ms)
+{
+	gang->phase = phase;
+	gang->phase_since_ms = now_ms;
+}
+
+static void
+send_stops(struct gang *gang, const struct gang_sink *sink)
+{
+	for (uint32_t i = 0; i < gang->count; i++) {
+		struct gang_member *member = &gang->members[i];
+
+		if (member_over(member) || member_unused(member))
+			continue;
+		member->stop_sent = true;
+		send_verb(gang, member, VERB_STOP, sink);
+	}
+}
+
+/* The first cause decides the result; later ones are its consequences. */
+static void
+begin_stop(struct gang *gang, enum gang_result result, const char *culprit,
+    const char *reason, const struct gang_sink *sink, int64_t now_ms)
+{
+	if (gang->phase == GANG_STOP || gang->phase == GANG_OVER)
+		return;
+	gang->result = result;
+	STRING_COPY(gang->culprit, culprit);
+	STRING_COPY(gang->reason, reason);
+	set_phase(gang, GANG_STOP, now_ms);
+	send_stops(gang, sink);
+}
+
+/* What a stopped attempt turned out to be, once every member has ended. */
+static enum gang_result
+settle_result(const struct gang *gang)
+{
+	if (count_phase(gang, MEMBER_DONE) == gang->count)
+		return GANG_FINISHED;
+	if (gang->result == GANG_CANCELLED || gang->result == GANG_FAILED)
+		return gang->result;
+	if (!gang_may_have_started(gang))
+		return GANG_NOT_STARTED;
+	if (gang->result == GANG_EVICTED)
+		return GANG_EVICTED;
+	return GANG_LOST;
+}
+
+static void
+finish_if_over(struct gang *gang, int64_t now_ms)
+{
+	if (gang->phase != GANG_STOP)
+		return;
+	for (uint32_t i = 0; i < gang->count; i++) {
+		const struct gang_member *member = &gang->members[i];
+
+		if (!member_over(member) && !member_unused(member))
+			return;
+	}
+	gang->result = settle_result(gang);
+	set_phase(gang, GANG_OVER, now_ms);
+}
+
+static void
+enter_stage(struct gang *gang, const struct gang_sink *sink, int64_t now_ms)
+{
+	set_phase(gang, GANG_STAGE, now_ms);
+	for (uint32_t i = 0; i < gang->count; i++)
+		send_stage(gang, i, sink);
+}
+
+static void
+enter_run(struct gang *gang, const struct gang_sink *sink, int64_t now_ms)
+{
+	set_phase(gang, GANG_RUN, now_ms);
+	gang->last_renew_ms = now_ms;
+	for (uint32_t i = 0; i < gang->count; i++) {
+		if (gang->members[i].phase == MEMBER_RUNNING)
+			send_renew(gang, &gang->members[i], sink, now_ms);
+	}
+}
+
+/* Moves to the next phase when every member is ready for it. */
+static void
+advance(struct gang *gang, const struct gang_sink *sink, int64_t now_ms)
+{
+	uint32_t done = count_phase(gang, MEMBER_DONE);
+
+	switch (gang->phase) {
+	case GANG_RESERVE:
+		if (count_phase(gang, MEMBER_RESERVED) == gang->count)
+			enter_stage(gang, sink, now_ms);
+		break;
+	case GANG_STAGE:
+		if (count_phase(gang, MEMBER_STAGED) == gang->count)
+			set_phase(gang, GANG_INTENT, now_ms);
+		break;
+	case GANG_GO:
+		if (count_phase(gang, MEMBER_RUNNING) + done != gang->count)
+			break;
+		enter_run(gang, sink, now_ms);
+		/* FALLTHROUGH */
+	case GANG_RUN:
+		if (done != gang->count)
+			break;
+		gang->result = GANG_FINISHED;
+		set_phase(gang, GANG_OVER, now_ms);
+		break;
+	case GANG_INTENT:
+	case GANG_STOP:
+	case GANG_OVER:
+		break;
+	}
+	finish_if_over(gang, now_ms);
+}
+
+static void
+replace_string(char **field, const char *value)
+{
+	if (value == NULL || *field != NULL)
+		return;
+	*field = mem_strdup(value);
+}
+
+/* Takes in the facts of a report. */
+static void
+note_task(struct gang_member *member, const struct worker_task *task)
+{
+	member->started = member->started || task->started;
+	member->run_ms = task->run_ms;
+	member->used_share = task->used_share;
+	replace_string(&member->answer, task->answer);
+	replace_string(&member->checkpoint, task->checkpoint);
+}
+
+static enum member_phase
+ended_phase(enum task_state state)
+{
+	switch (state) {
+	case TASK_DONE:
+		return MEMBER_DONE;
+	case TASK_FAILED:
+		return MEMBER_FAILED;
+	case TASK_STOPPED:
+		return MEMBER_STOPPED;
+	case TASK_CHECKPOINTED:
+		return MEMBER_CHECKPOINTED;
+	case TASK_LAPSED:
+		return MEMBER_LAPSED;
+	case TASK_RESERVED:
+	case TASK_STAGED:
+	case TASK_RUNNING:
+		break;
+	}
+	return MEMBER_IDLE;
+}
+
+static void
+member_ended(struct gang *gang, struct gang_member *member,
+    const struct worker_task *task, const struct gang_sink *sink,
+    int64_t now_ms)
+{
+	const char *message = task->message == NULL ? "" : task->message;
+
+	member->phase = ended_phase(task->state);
+	member->known = true;
+	if (member->phase == MEMBER_DONE)
+		return;
+	if (member->phase == MEMBER_FAILED && member->started)
+		begin_stop(gang, GANG_FAILED, member->worker,
+		    *message == '\0' ? "task failed" : message, sink, now_ms);
+	else if (member->started)
+		begin_stop(gang, GANG_LOST, member->worker,
+		    "task stopped on its worker", sink, now_ms);
+	else
+		begin_stop(gang, GANG_NOT_STARTED, member->worker,
+		    *message == '\0' ? "worker refused" : message, sink,
+		    now_ms);
+}
+
+/* The worker's inventory lacks the task although it has seen our command. */
+static void
+member_absent(struct gang *gang, uint32_t index, const struct gang_sink *sink,
+    int64_t now_ms)
+{
+	struct gang_member *member = &gang->members[index];
+
+	if (member->phase == MEMBER_RESERVING && gang->phase == GANG_RESERVE) {
+		/* The call that carried the command did not arrive. */
+		send_reserve(gang, member, sink, now_ms);
+		return;
+	}
+	member->phase = MEMBER_LAPSED;
+	/* A worker that has forgotten a task that may have started can't
+	 * tell any more whether it did. */
+	member->known = !gang->go_sent;
+	begin_stop(gang, gang->go_sent ? GANG_LOST : GANG_NOT_STARTED,
+	    member->worker, "worker no longer has the task", sink, now_ms);
+}
+
+static void
+observe_live(struct gang *gang, uint32_t index, enum task_state state,
+    const struct gang_sink *sink, int64_t now_ms)
+{
+	struct gang_member *member = &gang->members[index];
+
+	if (gang->phase == GANG_STOP) {
+		if (!gang->checkpointing)
+			send_verb(gang, member, VERB_STOP, sink);
+		return;
+	}
+	switch (state) {
+	case TASK_RESERVED:
+		if (member->phase == MEMBER_RESERVING)
+			member->phase = MEMBER_RESERVED;
+		else if (member->phase == MEMBER_STAGING)
+			send_stage(gang, index, sink);
+		else if (gang->adopted)
+			member->phase = MEMBER_RESERVED;
+		break;
+	case TASK_STAGED:
+		if (member->phase == MEMBER_STAGING ||
+		    member->phase == MEMBER_GOING)
+			member->phase = MEMBER_STAGED;
+		break;
+	case TASK_RUNNING:
+		if (member->phase == MEMBER_GOING)
+			member->phase = MEMBER_RUNNING;
+		break;
+	default:
+		break;
+	}
+	if (gang->adopted && gang->phase == GANG_GO &&
+	    (state == TASK_RESERVED || state == TASK_STAGED))
+		begin_stop(gang, GANG_NOT_STARTED, NULL,
+		    "taken over before its start", sink, now_ms);
+}
+
+void
+gang_observe(struct gang *gang, uint32_t index, const struct worker_task *task,
+    uint64_t token, const struct gang_sink *sink, int64_t now_ms)
+{
+	struct gang_member *member = &gang->members[index];
+
+	if (gang->phase == GANG_OVER || member_over(member))
+		return;
+	if (task != NULL)
+		note_task(member, task);
+	if (task != NULL && ended_phase(task->state) != MEMBER_IDLE)
+		member_ended(gang, member, task, sink, now_ms);
+	else if (token < member->expect_token)
+		return;
+	else if (task == NULL)
+		member_absent(gang, index, sink, now_ms);
+	else
+		observe_live(gang, index, task->state, sink, now_ms);
+	advance(gang, sink, now_ms);
+}
+
+void
+gang_worker_lost(struct gang *gang, const char *worker,
+    const struct gang_sink *sink, int64_t now_ms)
+{
+	bool any = false;
+
+	for (uint32_t i = 0; i < gang->count; i++) {
+		struct gang_member *member = &gang->members[i];
+
+		if (member_over(member) || strcmp(member->worker, worker) != 0)
+			continue;
+		member->phase = MEMBER_SILENT;
+		member->known = !gang->go_sent;
+		any = true;
+	}
+	if (!any)
+		return;
+	begin_stop(gang, gang->go_sent ? GANG_LOST : GANG_NOT_STARTED, worker,
+	    "worker is silent", sink, now_ms);
+	finish_if_over(gang, now_ms);
+}
+
+void
+gang_permit(struct gang *gang, const struct gang_sink *sink, int64_t now_ms)
+{
+	if (!gang_wants_permit(gang))
+		return;
+	if (gang->phase == GANG_INTENT)
+		set_phase(gang, GANG_GO, now_ms);
+	for (uint32_t i = 0; i < gang->count; i++) {
+		if (gang->members[i].phase == MEMBER_STAGED)
+			send_go(gang, &gang->members[i], sink, now_ms);
+	}
+}
+
+bool
+gang_wants_permit(const struct gang *gang)
+{
+	if (gang->phase == GANG_INTENT)
+		return true;
+	return gang->phase == GANG_GO && !gang->adopted &&
+	    count_phase(gang, MEMBER_STAGED) > 0;
+}
+
+static void
+send_checkpoints(struct gang *gang, const struct gang_sink *sink)
+{
+	for (uint32_t i = 0; i < gang->count; i++) {
+		if (!member_over(&gang->members[i]))
+			send_verb(
+			    gang, &gang->members[i], VERB_CHECKPOINT, sink);
+	}
+}
+
+void
+gang_stop(struct gang *gang, enum gang_result result, bool checkpoint,
+    const char *reason, const struct gang_sink *sink, int64_t now_ms)
+{
+	if (gang->phase == GANG_STOP || gang->phase == GANG_OVER)
+		return;
+	if (!checkpoint || gang->phase != GANG_RUN) {
+		begin_stop(gang, result, NULL, reason, sink, now_ms);
+		finish_if_over(gang, now_ms);
+		return;
+	}
+	gang->result = result;
+	gang->checkpointing = true;
+	gang->stop_deadline_ms = now_ms + gang->config.checkpoint_grace_ms;
+	STRING_COPY(gang->reason, reason);
+	set_phase(gang, GANG_STOP, now_ms);
+	send_checkpoints(gang, sink);
+}
+
+void
+gang_throttle(struct gang *gang, const struct gang_sink *sink, int64_t now_ms)
+{
+	(void)now_ms;
+	if (gang->phase != GANG_RUN || gang->throttled)
+		return;
+	gang->throttled = true;
+	for (uint32_t i = 0; i < gang->count; i++) {
+		if (gang->members[i].phase == MEMBER_RUNNING)
+			send_verb(gang, &gang->members[i], VERB_THROTTLE, sink);
+	}
+}
+
+static void
+renew_leases(struct gang *gang, const struct gang_sink *sink, int64_t now_ms)
+{
+	if (now_ms - gang->last_renew_ms <
+	    gang->config.task_lease_ms / RENEWALS_PER_LEASE)
+		return;
+	gang->last_renew_ms = now_ms;
+	for (uint32_t i = 0; i < gang->count; i++) {
+		if (!member_over(&gang->members[i]))
+			send_renew(gang, &gang->members[i], sink, now_ms);
+	}
+}
+
+/* A member whose last hold has run out without a report has ended. */
+static void
+expire_holds(struct gang *gang, int64_t now_ms)
+{
+	for (uint32_t i = 0; i < gang->count; i++) {
+		struct gang_member *member = &gang->members[i];
+
+		if (member_over(member) || member_unused(member) ||
+		    now_ms < member->hold_until_ms)
+			continue;
+		member->phase = MEMBER_SILENT;
+		member->known = !gang->go_sent;
+	}
+}
+
+static void
+tick_stop(struct gang *gang, const struct gang_sink *sink, int64_t now_ms)
+{
+	if (gang->checkpointing && now_ms >= gang->stop_deadline_ms) {
+		gang->checkpointing = false;
+		send_stops(gang, sink);
+	} else if (gang->checkpointing) {
+		/* Its state is worth keeping the lease for. */
+		renew_leases(gang, sink, now_ms);
+	}
+	expire_holds(gang, now_ms);
+	finish_if_over(gang, now_ms);
+}
+
+static void
+tick_start(struct gang *gang, int32_t timeout_ms, int64_t since_ms,
+    const struct gang_sink *sink, int64_t now_ms)
+{
+	const char *culprit = NULL;
+
+	if (now_ms - since_ms < timeout_ms)
+		return;
+	for (uint32_t i = 0; i < gang->count && culprit == NULL; i++) {
+		enum member_phase phase = gang->members[i].phase;
+
+		if (phase == MEMBER_RESERVING || phase == MEMBER_STAGING ||
+		    phase == MEMBER_GOING)
+			culprit = gang->members[i].worker;
+	}
+	begin_stop(gang, gang->go_sent ? GANG_LOST : GANG_NOT_STARTED, culprit,
+	    "start timed out", sink, now_ms);
+	finish_if_over(gang, now_ms);
+}
+
+void
+gang_tick(struct gang *gang, const struct gang_sink *sink, int64_t now_ms)
+{
+	switch (gang->phase) {
+	case GANG_RESERVE:
+	case GANG_STAGE:
+	case GANG_INTENT:
+		tick_start(gang, gang->config.reservation_ms, gang->started_ms,
+		    sink, now_ms);
+		break;
+	case GANG_GO:
+		tick_start(gang, gang->config.first_lease_ms,
+		    gang->phase_since_ms, sink, now_ms);
+		break;
+	case GANG_RUN:
+		renew_leases(gang, sink, now_ms);
+		break;
+	case GANG_STOP:
+		tick_stop(gang, sink, now_ms);
+		break;
+	case GANG_OVER:
+		break;
+	}
+}
+
+bool
+gang_may_have_started(const struct gang *gang)
+{
+	for (uint32_t i = 0; i < gang->count; i++) {
+		const struct gang_member *member = &gang->members[i];
+
+		if (member->started || (gang->go_sent && !member->known))
+			return true;
+	}
+	return false;
+}
+
+bool
+gang_uncertain(const struct gang *gang)
+{
+	if (!gang->go_sent)
+		return false;
+	for (uint32_t i = 0; i < gang->count; i++) {
+		if (!gang->members[i].known)
+			return true;
+	}
+	return false;
+}
+
+struct gang *
+gang_new(struct job_id job, const Ibis__JobRecord *record, uint32_t attempt,
+    const char *const *workers, const struct gang_config *config)
+{
+	struct gang *gang = mem_calloc(1, sizeof(*gang));
+
+	gang->job = job;
+	gang->attempt = attempt;
+	gang->record = record;
+	gang->config = *config;
+	gang->count = record->spec->tasks;
+	gang->members = mem_calloc(gang->count, sizeof(*gang->members));
+	for (uint32_t i = 0; i < gang->count; i++) {
+		struct gang_member *member = &gang->members[i];
+
+		STRING_COPY(member->worker, workers[i]);
+		(void)snprintf(member->task, sizeof(member->task),
+		    "%s.%" PRIu32 ".%" PRIu32, record->id, attempt, i);
+	}
+	return gang;
+}
+
+void
+gang_free(struct gang *gang)
+{
+	if (gang == NULL)
+		return;
+	for (uint32_t i = 0; i < gang->count; i++) {
+		mem_free(gang->members[i].answer);
+		mem_free(gang->members[i].checkpoint);
+	}
+	mem_free(gang->members);
+	mem_free(gang);
+}
+
+void
+gang_start(struct gang *gang, const struct gang_sink *sink, int64_t now_ms)
+{
+	gang->started_ms = now_ms;
+	set_phase(gang, GANG_RESERVE, now_ms);
+	for (uint32_t i = 0; i < gang->count; i++)
+		send_reserve(gang, &gang->members[i], sink, now_ms);
+}
+
+void
+gang_adopt(struct gang *gang, int64_t now_ms)
+{
+	gang->started_ms = now_ms;
+	gang->adopted = true;
+	gang->go_sent = true;
+	set_phase(gang, GANG_GO, now_ms);
+	for (uint32_t i = 0; i < gang->count; i++) {
+		struct gang_member *member = &gang->members[i];
+
+		member->phase = MEMBER_GOING;
+		/* The earlier lead may have renewed just before it ended. */
+		member->hold_until_ms =
+		    now_ms + gang->config.task_lease_ms + COMMAND_DELAY_MS;
+	}
+}
+
+bool
+gang_parse_task(
+    const char *text, struct job_id *job, uint32_t *attempt, uint32_t *index)
+{
+	char id[JOB_ID_BYTES];
+	int used = 0;
+
+	if (sscanf(text, "%32[0-9a-f].%" SCNu32 ".%" SCNu32 "%n", id, attempt,
+		index, &used) != 3)
+		return false;
+	return text[used] == '\0' && job_id_parse(id, job);
+}
