--- /dev/null
+++ b/src/connection/address.c
@@ -0,0 +1,97 @@
+#include <errno.h>
+#include <netdb.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "connection/address.h"
+#include "process/alloc.h"
+
+#define STEP "listen"
+
+/* Splits "IP:PORT" or "[IP]:PORT"; returns false when there is no port. */
+static bool
+split(const char *text, char host[ADDRESS_TEXT_BYTES], const char **port)
+{
+	const char *colon = strrchr(text, ':');
+	size_t length;
+
+	if (colon == NULL || colon == text || colon[1] == '\0')
+		return false;
+	length = (size_t)(colon - text);
+	if (text[0] == '[' && colon[-1] == ']') {
+		text++;
+		length -= 2;
+	}
+	if (length == 0 || length >= ADDRESS_TEXT_BYTES)
+		return false;
+	string_copy(host, length + 1, text);
+	*port = colon + 1;
+	return true;
+}
+
+enum ibis_code
+address_parse(const char *text, struct sockaddr_storage *address,
+    socklen_t *length, struct ibis_status *status)
+{
+	struct addrinfo hints = {
+	    .ai_family = AF_UNSPEC,
+	    .ai_socktype = SOCK_STREAM,
+	    .ai_flags = AI_NUMERICHOST | AI_NUMERICSERV,
+	};
+	struct addrinfo *found = NULL;
+	char host[ADDRESS_TEXT_BYTES];
+	const char *port;
+
+	if (!split(text, host, &port) ||
+	    getaddrinfo(host, port, &hints, &found) != 0)
+		return ibis_status_set(status, IBIS_INVALID, "address", text,
+		    "address \"%s\"; expected IP:PORT", text);
+	memcpy(address, found->ai_addr, found->ai_addrlen);
+	*length = found->ai_addrlen;
+	freeaddrinfo(found);
+	return IBIS_OK;
+}
+
+int
+address_listen(const char *text, int backlog, struct ibis_status *status)
+{
+	struct sockaddr_storage address;
+	socklen_t length;
+	int one = 1;
+	int fd;
+
+	if (address_parse(text, &address, &length, status) != IBIS_OK)
+		return -1;
+	fd = socket(
+	    address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd >= 0 &&
+	    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) == 0 &&
+	    bind(fd, (struct sockaddr *)&address, length) == 0 &&
+	    listen(fd, backlog) == 0)
+		return fd;
+	(void)ibis_status_set(
+	    status, IBIS_UNAVAILABLE, STEP, text, "%s", strerrordesc_np(errno));
+	if (fd >= 0)
+		(void)close(fd);
+	return -1;
+}
+
+void
+address_of_socket(int fd, char text[ADDRESS_TEXT_BYTES])
+{
+	struct sockaddr_storage address = {0};
+	socklen_t length = sizeof(address);
+	char host[ADDRESS_TEXT_BYTES];
+	char port[sizeof("65535")];
+
+	text[0] = '\0';
+	if (getsockname(fd, (struct sockaddr *)&address, &length) != 0 ||
+	    getnameinfo((struct sockaddr *)&address, length, host, sizeof(host),
+		port, sizeof(port), NI_NUMERICHOST | NI_NUMERICSERV) != 0)
+		return;
+	(void)snprintf(text, ADDRESS_TEXT_BYTES,
+	    address.ss_family == AF_INET6 ? "[%.50s]:%s" : "%.50s:%s", host,
+	    port);
+}
