--- a/src/connection/api.h
+++ b/src/connection/api.h
@@ -12,6 +12,10 @@
 #include "ibistrestle.pb-c.h"
 #include "process/buffer.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 /* One HTTP request as it came in. Strings may be NULL when absent. */
 struct api_input {
 	const char *method;
@@ -28,7 +32,8 @@
 /*
  * Parses a request. Returns NULL and fills status (IBIS_INVALID or
  * IBIS_NOT_FOUND), naming the field and what was expected. A submission
- * without a key gets a fresh one. Free with ibis__request__free_unpacked.
+ * without a key gets a fresh one. Free with ibis__request__free_unpacked and
+ * proto_allocator.
  */
 Ibis__Request *api_parse(
     const struct api_input *input, struct ibis_status *status);
@@ -39,11 +44,25 @@
 	const char *content_type;
 	int64_t retry_after_ms; /* 0: no Retry-After header */
 	uint64_t etag;		/* 0: no ETag header */
-	uint64_t content_hash;	/* xxhash of the body; sent with an answer */
+	uint64_t
+	    content_hash; /* XXH64 of the body; 0: no X-Answer-Hash header */
 	struct buffer body;
 };
 
+/*
+ * Renders the reply to a request. The parts of a finished job's answer are
+ * shown only if their joined length and hash match the job's record. An
+ * IBIS_INVALID of another step than "submit" on a submission gives 422.
+ */
 void api_render(const Ibis__Request *request, const Ibis__Reply *reply,
     struct api_output *output);
 
+/* Renders an error met before the request did anything. */
+void api_render_error(const struct ibis_status *status, int32_t http_status,
+    int64_t retry_after_ms, struct api_output *output);
+
+#ifdef __cplusplus
+}
+#endif
+
 #endif
--- a/src/connection/frame.c
+++ b/src/connection/frame.c
@@ -2,34 +2,10 @@
 
 #include "connection/frame.h"
 #include "process/alloc.h"
+#include "process/proto_memory.h"
 
 #define STEP "frame"
 
-static void *
-message_alloc(void *context, size_t bytes)
-{
-	(void)context;
-	return mem_calloc(bytes, 1);
-}
-
-static void
-message_free(void *context, void *memory)
-{
-	(void)context;
-	mem_free(memory);
-}
-
-ProtobufCAllocator *
-protobuf_allocator(void)
-{
-	static ProtobufCAllocator allocator = {
-	    .alloc = message_alloc,
-	    .free = message_free,
-	};
-
-	return &allocator;
-}
-
 static void
 put_length(uint32_t length, unsigned char header[FRAME_HEADER_BYTES])
 {
@@ -50,7 +26,6 @@
 frame_encode(const Ibis__Frame *frame, uint32_t max_frame_bytes,
     struct buffer *bytes, struct ibis_status *status)
 {
-	CLEANUP(buffer_free) struct buffer packed = {0};
 	unsigned char header[FRAME_HEADER_BYTES];
 	size_t length = ibis__frame__get_packed_size(frame);
 
@@ -58,11 +33,9 @@
 		return ibis_status_set(status, IBIS_INVALID, STEP, NULL,
 		    "frame of %zu bytes; expected 1 to %" PRIu32, length,
 		    max_frame_bytes);
-	packed.data = mem_calloc(length, 1);
-	(void)ibis__frame__pack(frame, (uint8_t *)packed.data);
 	put_length((uint32_t)length, header);
 	buffer_append(bytes, header, sizeof(header));
-	buffer_append(bytes, packed.data, length);
+	proto_pack(&frame->base, bytes);
 	return IBIS_OK;
 }
 
@@ -84,7 +57,7 @@
 		    body_length, max_frame_bytes);
 	if (length - FRAME_HEADER_BYTES < body_length)
 		return IBIS_OK;
-	*frame = ibis__frame__unpack(protobuf_allocator(), body_length, body);
+	*frame = ibis__frame__unpack(proto_allocator(), body_length, body);
 	if (*frame == NULL)
 		return ibis_status_set(status, IBIS_INVALID, STEP, NULL,
 		    "frame of %" PRIu32 " bytes is not a message", body_length);
@@ -102,5 +75,5 @@
 frame_free(Ibis__Frame *frame)
 {
 	if (frame != NULL)
-		ibis__frame__free_unpacked(frame, protobuf_allocator());
+		ibis__frame__free_unpacked(frame, proto_allocator());
 }
--- a/src/connection/frame.h
+++ b/src/connection/frame.h
@@ -20,9 +20,6 @@
 	FRAME_HEADER_BYTES = 4
 };
 
-/* Allocator for protobuf-c messages over the library's own. */
-ProtobufCAllocator *protobuf_allocator(void);
-
 /*
  * Appends an encoded frame. IBIS_INVALID: it is empty, or longer than
  * max_frame_bytes without its header; nothing was appended.
