Add the client of the API and the commands of the command line

Callers and operators need one program over any of several instances.

Nothing has been run against an instance yet.

--- /dev/null
+++ b/src/request/cli_document.c
@@ -0,0 +1,330 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "process/alloc.h"
+#include "request/cli.h"
+#include "version/document.h"
+
+#define DOCUMENT_PATH "/v1/document"
+
+static const struct cli_option accept_options[] = {
+    {"if-version", "N",
+	"version that was edited; default the one in force now"},
+    {"dry-run", NULL, "check and show the difference only"},
+};
+
+static const struct cli_option edit_options[] = {
+    {"if-revision", "N",
+	"revision that was edited, 0 for a new section; default the one now"},
+    {"dry-run", NULL, "check and show the difference only"},
+};
+
+/* Sections of a document and what they parse to. */
+struct parsed {
+	struct document_source *sources;
+	int count;
+	struct document *document;
+};
+
+static void
+parsed_free(struct parsed *parsed)
+{
+	if (parsed->document != NULL)
+		document_free(parsed->document);
+	if (parsed->sources != NULL)
+		document_sources_free(parsed->sources, (size_t)parsed->count);
+	*parsed = (struct parsed){0};
+}
+
+/* Reads and checks a document's file; prints its warnings. */
+static enum ibis_code
+parse_file(const char *path, struct buffer *text, struct parsed *parsed,
+    struct ibis_status *status)
+{
+	CLEANUP(buffer_free) struct buffer warnings = {0};
+	enum ibis_code code = cli_read_file(path, text, status);
+
+	if (code != IBIS_OK)
+		return code;
+	parsed->count = document_split(text->data, &parsed->sources, status);
+	if (parsed->count < 0)
+		return status->code;
+	parsed->document = document_parse(
+	    parsed->sources, (size_t)parsed->count, &warnings, status);
+	if (parsed->document == NULL)
+		return status->code;
+	if (warnings.length > 0)
+		(void)fprintf(stderr, "warning: %s", buffer_string(&warnings));
+	return IBIS_OK;
+}
+
+/* Parses the document that an instance has sent. */
+static enum ibis_code
+parse_answer(struct json_object *answer, struct parsed *parsed,
+    struct ibis_status *status)
+{
+	struct json_object *sections;
+	size_t count;
+	size_t next = 0;
+
+	if (!json_object_object_get_ex(answer, "sections", &sections) ||
+	    !json_object_is_type(sections, json_type_object))
+		return ibis_status_set(status, IBIS_INTERNAL, "read document",
+		    NULL, "the answer has no sections");
+	count = (size_t)json_object_object_length(sections);
+	parsed->sources = mem_calloc(count, sizeof(*parsed->sources));
+	parsed->count = (int)count;
+	json_object_object_foreach(sections, name, section)
+	{
+		struct document_source *source = &parsed->sources[next++];
+
+		STRING_COPY(source->name, name);
+		source->text = mem_strdup(client_string(section, "text", ""));
+		source->revision =
+		    (uint64_t)client_integer(section, "revision", 0);
+	}
+	parsed->document = document_parse(parsed->sources, count, NULL, status);
+	return parsed->document == NULL ? status->code : IBIS_OK;
+}
+
+/*
+ * Reads the accepted document, empty before the first. *version gets its
+ * version.
+ */
+static enum ibis_code
+get_accepted(struct cli *cli, struct parsed *parsed, uint64_t *version,
+    struct ibis_status *status)
+{
+	CLEANUP(client_answer_free) struct client_answer answer = {0};
+	enum ibis_code code;
+
+	*version = 0;
+	code = client_get(cli->client, DOCUMENT_PATH, &answer, status);
+	if (code == IBIS_NOT_FOUND)
+		return IBIS_OK;
+	if (code != IBIS_OK)
+		return code;
+	*version = (uint64_t)client_integer(answer.json, "version", 0);
+	if (*version == 0)
+		return IBIS_OK;
+	return parse_answer(answer.json, parsed, status);
+}
+
+static void
+print_difference(const struct parsed *from, const struct parsed *to)
+{
+	CLEANUP(buffer_free) struct buffer lines = {0};
+	const struct document empty = {0};
+
+	document_diff(from->document == NULL ? &empty : from->document,
+	    to->document, &lines);
+	if (lines.length == 0)
+		buffer_puts(&lines, "no difference\n");
+	(void)fputs(buffer_string(&lines), stdout);
+}
+
+static int
+run_check(struct cli *cli)
+{
+	CLEANUP(parsed_free) struct parsed parsed = {0};
+	CLEANUP(buffer_free) struct buffer text = {0};
+	struct ibis_status status = {0};
+	enum ibis_code code;
+
+	code = parse_file(cli->arguments[0], &text, &parsed, &status);
+	if (code != IBIS_OK)
+		return cli_fail(code, &status);
+	(void)printf("%s: correct; %zu availability zones, %zu workers, "
+		     "%zu workspaces, %zu request classes\n",
+	    cli->arguments[0], parsed.document->zones_count,
+	    parsed.document->workers_count, parsed.document->workspaces_count,
+	    parsed.document->classes_count);
+	return CLI_OK;
+}
+
+/* A file's document beside the accepted one. */
+struct change {
+	struct buffer text;
+	struct parsed edited;
+	struct parsed accepted;
+	uint64_t version; /* of the accepted one */
+};
+
+static void
+change_free(struct change *change)
+{
+	buffer_free(&change->text);
+	parsed_free(&change->edited);
+	parsed_free(&change->accepted);
+}
+
+static enum ibis_code
+read_change(struct cli *cli, struct change *change, struct ibis_status *status)
+{
+	enum ibis_code code;
+
+	code = parse_file(
+	    cli->arguments[0], &change->text, &change->edited, status);
+	if (code != IBIS_OK)
+		return code;
+	return get_accepted(cli, &change->accepted, &change->version, status);
+}
+
+static int
+run_diff(struct cli *cli)
+{
+	CLEANUP(change_free) struct change change = {0};
+	struct ibis_status status = {0};
+
+	if (read_change(cli, &change, &status) != IBIS_OK)
+		return cli_fail(status.code, &status);
+	print_difference(&change.accepted, &change.edited);
+	return CLI_OK;
+}
+
+/* Puts a text; prints the answer. */
+static int
+put_text(struct cli *cli, const char *path, const char *text, uint64_t if_match)
+{
+	CLEANUP(buffer_free) struct buffer full = {0};
+	/* A second try of a swap that was done would look like a lost race. */
+	struct client_call call = {
+	    .method = "PUT",
+	    .body = text,
+	    .if_match = if_match,
+	    .has_if_match = true,
+	    .repeatable = false,
+	};
+
+	buffer_puts(&full, path);
+	if (cli_value(cli, "dry-run") != NULL)
+		buffer_puts(&full, "?dry_run=1");
+	call.path = full.data;
+	return cli_call(cli, &call);
+}
+
+static int
+run_accept(struct cli *cli)
+{
+	CLEANUP(change_free) struct change change = {0};
+	struct ibis_status status = {0};
+	int64_t if_version;
+
+	if (read_change(cli, &change, &status) != IBIS_OK)
+		return cli_fail(status.code, &status);
+	if_version = (int64_t)change.version;
+	if (!cli_number(cli, "if-version", 0, INT64_MAX, &if_version))
+		return CLI_USAGE;
+	if (!cli->json)
+		print_difference(&change.accepted, &change.edited);
+	return put_text(
+	    cli, DOCUMENT_PATH, change.text.data, (uint64_t)if_version);
+}
+
+static void
+append_section_path(struct buffer *path, const char *section)
+{
+	buffer_puts(path, DOCUMENT_PATH "/sections/");
+	client_escape(path, section);
+}
+
+static int
+run_edit(struct cli *cli)
+{
+	CLEANUP(client_answer_free) struct client_answer present = {0};
+	CLEANUP(buffer_free) struct buffer path = {0};
+	CLEANUP(buffer_free) struct buffer text = {0};
+	struct ibis_status status = {0};
+	int64_t revision = -1;
+	enum ibis_code code;
+
+	if (!cli_number(cli, "if-revision", 0, INT64_MAX, &revision))
+		return CLI_USAGE;
+	append_section_path(&path, cli->arguments[0]);
+	code = cli_read_file(cli->arguments[1], &text, &status);
+	if (code == IBIS_OK && revision < 0) {
+		code = client_get(cli->client, path.data, &present, &status);
+		if (code == IBIS_NOT_FOUND)
+			code = IBIS_OK;
+		revision = (int64_t)present.etag;
+	}
+	if (code != IBIS_OK)
+		return cli_fail(code, &status);
+	return put_text(cli, path.data, text.data, (uint64_t)revision);
+}
+
+static int
+print_section(struct cli *cli)
+{
+	CLEANUP(client_answer_free) struct client_answer answer = {0};
+	CLEANUP(buffer_free) struct buffer path = {0};
+	struct ibis_status status = {0};
+	enum ibis_code code;
+
+	append_section_path(&path, cli->arguments[0]);
+	code = client_get(cli->client, path.data, &answer, &status);
+	if (code != IBIS_OK)
+		return cli_fail(code, &status);
+	(void)fwrite(
+	    buffer_string(&answer.body), 1, answer.body.length, stdout);
+	(void)fprintf(stderr, "revision %" PRIu64 "\n", answer.etag);
+	return CLI_OK;
+}
+
+static int
+run_get(struct cli *cli)
+{
+	if (cli->arguments_count > 0)
+		return print_section(cli);
+	return cli_show(cli);
+}
+
+const struct cli_command cli_document_commands[] = {
+    {.group = "document",
+	.name = "check",
+	.arguments = "FILE",
+	.summary = "Checks a document's file without any instance.",
+	.min_arguments = 1,
+	.max_arguments = 1,
+	.run = run_check},
+    {.group = "document",
+	.name = "diff",
+	.arguments = "FILE",
+	.summary = "Shows what a file would change.",
+	.min_arguments = 1,
+	.max_arguments = 1,
+	.run = run_diff},
+    {.group = "document",
+	.name = "accept",
+	.arguments = "FILE",
+	.summary = "Checks a file, shows the difference, accepts it.",
+	.min_arguments = 1,
+	.max_arguments = 1,
+	.options = accept_options,
+	.options_count = COUNT_OF(accept_options),
+	.run = run_accept},
+    {.group = "document",
+	.name = "edit",
+	.arguments = "SECTION FILE",
+	.summary = "Replaces one section.",
+	.min_arguments = 2,
+	.max_arguments = 2,
+	.options = edit_options,
+	.options_count = COUNT_OF(edit_options),
+	.run = run_edit},
+    {.group = "document",
+	.name = "get",
+	.arguments = "[SECTION]",
+	.summary = "Shows the accepted document or one section.",
+	.max_arguments = 1,
+	.run = run_get,
+	.path = DOCUMENT_PATH},
+    {.group = "document",
+	.name = "status",
+	.arguments = "",
+	.summary = "Shows where which version is in force.",
+	.run = cli_show,
+	.path = DOCUMENT_PATH "/status"},
+};
+const size_t cli_document_commands_count = COUNT_OF(cli_document_commands);
