Add the control thread and the daemon, not yet whole

Cause: the whole path needs one thread that owns all control state. Not yet built with the modules it rests on.

--- a/include/ibistrestle.h
+++ b/include/ibistrestle.h
@@ -113,6 +113,11 @@
 struct ibis_daemon *ibis_daemon_start(
     const struct ibis_settings *settings, struct ibis_status *status);
 
+/* The addresses listened on, IP:PORT with the real ports; owned by the
+ * daemon. */
+const char *ibis_daemon_caller_address(const struct ibis_daemon *daemon);
+const char *ibis_daemon_peer_address(const struct ibis_daemon *daemon);
+
 /* Asks for a planned stop. Safe in a signal handler. */
 void ibis_daemon_stop(struct ibis_daemon *daemon);
 
--- /dev/null
+++ b/src/main/ibistrestled.c
@@ -0,0 +1,127 @@
+#include <getopt.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "ibistrestle.h"
+
+#define MAX_OVERRIDES 64
+
+static const struct option options[] = {
+	{ "settings", required_argument, NULL, 's' },
+	{ "set", required_argument, NULL, 'o' },
+	{ "check-settings", required_argument, NULL, 'c' },
+	{ "print-defaults", no_argument, NULL, 'p' },
+	{ "help", no_argument, NULL, 'h' },
+	{ NULL, 0, NULL, 0 },
+};
+
+static void
+usage(FILE *stream)
+{
+	(void)fputs(
+	    "usage: ibistrestled --settings FILE [--set KEY=VALUE ...]\n"
+	    "       ibistrestled --check-settings FILE\n"
+	    "       ibistrestled --print-defaults\n"
+	    "\n"
+	    "Runs one entry instance until SIGTERM or SIGINT, which make it\n"
+	    "finish what it has begun, hand over and exit.\n"
+	    "\n"
+	    "Exit codes: 0 stopped as asked, 1 could not start,\n"
+	    "2 wrong usage or settings.\n",
+	    stream);
+}
+
+static int
+fail(const struct ibis_status *status, int code)
+{
+	(void)fprintf(stderr, "ibistrestled: %s: %s%s%s\n", status->step,
+	    status->peer, *status->peer == '\0' ? "" : ": ",
+	    status->message);
+	return code;
+}
+
+/* Waits for a signal to stop, which all threads but this one block. */
+static void
+wait_for_stop(const sigset_t *signals)
+{
+	int signal_number;
+
+	while (sigwait(signals, &signal_number) != 0)
+		continue;
+}
+
+static int
+run(const struct ibis_settings *settings)
+{
+	struct ibis_status status = { 0 };
+	struct ibis_daemon *daemon;
+	sigset_t signals;
+
+	(void)signal(SIGPIPE, SIG_IGN);
+	(void)sigemptyset(&signals);
+	(void)sigaddset(&signals, SIGTERM);
+	(void)sigaddset(&signals, SIGINT);
+	(void)pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	daemon = ibis_daemon_start(settings, &status);
+	if (daemon == NULL)
+		return fail(&status, 1);
+	(void)printf("ready caller=%s peer=%s\n",
+	    ibis_daemon_caller_address(daemon),
+	    ibis_daemon_peer_address(daemon));
+	(void)fflush(stdout);
+	wait_for_stop(&signals);
+	ibis_daemon_stop(daemon);
+	ibis_daemon_join(daemon);
+	return 0;
+}
+
+int
+main(int argc, char **argv)
+{
+	const char *overrides[MAX_OVERRIDES];
+	struct ibis_status status = { 0 };
+	struct ibis_settings *settings;
+	const char *path = NULL;
+	bool check_only = false;
+	size_t count = 0;
+	int option;
+	int code = 0;
+
+	while ((option = getopt_long(argc, argv, "h", options, NULL)) != -1) {
+		switch (option) {
+		case 's':
+			path = optarg;
+			break;
+		case 'o':
+			if (count < MAX_OVERRIDES)
+				overrides[count++] = optarg;
+			break;
+		case 'c':
+			path = optarg;
+			check_only = true;
+			break;
+		case 'p':
+			ibis_settings_print_defaults();
+			return 0;
+		case 'h':
+			usage(stdout);
+			return 0;
+		default:
+			usage(stderr);
+			return 2;
+		}
+	}
+	if (path == NULL || optind != argc) {
+		usage(stderr);
+		return 2;
+	}
+	settings = ibis_settings_read(path, overrides, count, &status);
+	if (settings == NULL)
+		return fail(&status, 2);
+	if (!check_only)
+		code = run(settings);
+	ibis_settings_free(settings);
+	return code;
+}
--- /dev/null
+++ b/src/process/control_pool.c
@@ -0,0 +1,438 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "process/alloc.h"
+#include "process/control.h"
+#include "process/log.h"
+#include "process/proto_memory.h"
+
+#define REIGN_SHIFT 32
+#define RECOVERY_RETRY_MS 200
+
+static void
+lead_key(const struct control *control, char key[STORE_KEY_BYTES])
+{
+	(void)snprintf(
+	    key, STORE_KEY_BYTES, "pool/%s/lead", control->settings->pool);
+}
+
+static void
+segment_key(
+    const struct control *control, uint32_t index, char key[STORE_KEY_BYTES])
+{
+	(void)snprintf(key, STORE_KEY_BYTES, "pool/%s/segments/%" PRIu32,
+	    control->settings->pool, index);
+}
+
+static uint64_t
+segment_token(const struct control *control, uint32_t index)
+{
+	return (uint64_t)control->reign << REIGN_SHIFT | index;
+}
+
+/* ---- Recovery -------------------------------------------------------- */
+
+static void
+read_segment(struct control *control, uint32_t index)
+{
+	struct store_call call = {
+		.op = STORE_GET,
+		.owner = OWNER_RECOVERY,
+		.token = segment_token(control, index),
+	};
+
+	segment_key(control, index, call.key);
+	store_client_call(control->store, &call);
+}
+
+static struct scheduler *
+new_scheduler(struct control *control)
+{
+	const struct ibis_settings *settings = control->settings;
+	struct scheduler_config config = {
+		.policy = settings->policy,
+		.reclaim_bound_ms = settings->reclaim_bound_ms,
+		.zone_return_ramp_ms = settings->zone_return_ramp_ms,
+		.max_queued_jobs = (uint32_t)settings->max_queued_jobs,
+		.max_attempts = (uint32_t)settings->max_attempts,
+		.seed = control->incarnation,
+	};
+
+	return scheduler_new(&config);
+}
+
+static void
+forget_pool(struct control *control)
+{
+	control->reign++;
+	control_job_drop_waiters(control);
+	CDS_INIT_LIST_HEAD(&control->active);
+	job_table_clear(control->jobs);
+	for (uint32_t i = 0; i < control->segments_count; i++)
+		segment_reset(&control->segments[i], 0, 0);
+	worker_table_reset(&control->workers, control->now_ms);
+	scheduler_free(control->scheduler);
+	control->scheduler = new_scheduler(control);
+}
+
+static void
+begin_recovery(struct control *control)
+{
+	log_event(LOG_INFO, "lead_taken", "epoch",
+	    log_number((int64_t)control->lease.epoch), NULL);
+	forget_pool(control);
+	control->segments_to_read = control->segments_count;
+	for (uint32_t i = 0; i < control->segments_count; i++)
+		read_segment(control, i);
+}
+
+static void
+take_in_record(struct control *control, Ibis__JobRecord *record)
+{
+	struct job_id id;
+	struct job *job;
+
+	if (record->spec == NULL || !job_id_parse(record->id, &id) ||
+	    job_table_find(control->jobs, id) != NULL) {
+		proto_free(&record->base);
+		return;
+	}
+	job = job_table_add(control->jobs, id, record);
+	job->admitted = true;
+	job->recovered = true;
+	job->ended_durable = job_state_final(record->state);
+	/* An idempotent job's start is not always noted before it. */
+	if (record->spec->idempotent && !job->ended_durable)
+		record->started = true;
+}
+
+static void
+recovery_result(struct control *control, const struct store_result *result)
+{
+	uint32_t index = (uint32_t)result->token;
+	Ibis__Segment *message;
+
+	if (result->token != segment_token(control, index) ||
+	    control->lease.role != LEAD_RECOVERING)
+		return;
+	if (result->code == IBIS_NOT_FOUND) {
+		segment_reset(&control->segments[index], 0, 0);
+		control->segments_to_read--;
+		return;
+	}
+	if (result->code != IBIS_OK) {
+		read_segment(control, index);
+		return;
+	}
+	message = (Ibis__Segment *)proto_unpack(&ibis__segment__descriptor,
+	    result->value.data, result->value.length);
+	if (message == NULL) {
+		log_event(
+		    LOG_ERROR, "segment_damaged", "key", result->key, NULL);
+		control_pool_lost(control, "a segment is damaged");
+		return;
+	}
+	segment_reset(&control->segments[index], result->revision,
+	    message->sequence);
+	control->segments[index].size_bytes = result->value.length;
+	for (size_t i = 0; i < message->n_jobs; i++)
+		take_in_record(control, message->jobs[i]);
+	message->n_jobs = 0;
+	mem_free(message->jobs);
+	message->jobs = NULL;
+	proto_free(&message->base);
+	control->segments_to_read--;
+}
+
+/* Gives a job back to the scheduler, with its workers when it has any. */
+static void
+restore_job(struct control *control, struct job *job)
+{
+	Ibis__JobRecord *record = job->record;
+	struct scheduler_job view;
+	const char *const *workers = NULL;
+
+	if (job_state_final(record->state))
+		return;
+	if (record->state != IBIS__JOB_STATE__JOB_ACCEPTED)
+		control_gang_adopt(control, job);
+	if (job->gang != NULL)
+		workers = (const char *const *)record->workers;
+	control_scheduler_job(control, job, &view);
+	job->accepted_ms = view.accepted_ms;
+	scheduler_restore(
+	    control->scheduler, &view, workers, control->now_ms);
+	if (record->cancel_requested)
+		control_gang_cancel(control, job);
+}
+
+static void
+finish_recovery(struct control *control)
+{
+	struct job *job;
+
+	scheduler_set_document(
+	    control->scheduler, control->document, control->now_ms);
+	for (size_t i = 0; i < control->document->zones_count; i++) {
+		const char *zone = control->document->zones[i].name;
+
+		scheduler_set_zone(control->scheduler, zone,
+		    control_zone_open(control, zone), control->now_ms);
+	}
+	for (uint32_t i = 0; i < control->segments_count; i++) {
+		job = job_table_first(control->jobs, i);
+		for (; job != NULL; job = job->next_in_segment)
+			restore_job(control, job);
+	}
+	lead_recovered(&control->lease);
+	control->decide_due = true;
+	control->next_heartbeat_ms = control->now_ms;
+	log_event(LOG_INFO, "lead_ready", "epoch",
+	    log_number((int64_t)control->lease.epoch), "jobs",
+	    log_number((int64_t)job_table_count(control->jobs)), NULL);
+}
+
+/* ---- Group commit ---------------------------------------------------- */
+
+static void
+build_segment(
+    struct control *control, uint32_t index, struct buffer *value)
+{
+	Ibis__Segment message = IBIS__SEGMENT__INIT;
+	struct segment *segment = &control->segments[index];
+	struct job *job = job_table_first(control->jobs, index);
+	CLEANUP(buffer_free) struct buffer records = { 0 };
+	char writer[JOB_NAME_BYTES + 32];
+
+	for (; job != NULL; job = job->next_in_segment) {
+		if (!job->withdrawn)
+			buffer_append(
+			    &records, &job->record, sizeof(job->record));
+	}
+	(void)snprintf(writer, sizeof(writer), "%s/%" PRIu64,
+	    control->settings->name, control->incarnation);
+	message.epoch = control->lease.epoch;
+	message.writer = writer;
+	message.sequence = ++segment->sequence;
+	message.n_jobs = records.length / sizeof(job->record);
+	message.jobs = (Ibis__JobRecord **)(void *)records.data;
+	proto_pack(&message.base, value);
+}
+
+static void
+send_segment(struct control *control, uint32_t index, enum store_op op)
+{
+	struct segment *segment = &control->segments[index];
+	struct store_call call = {
+		.op = op,
+		.owner = OWNER_SEGMENT,
+		.token = segment_token(control, index),
+		.expected_revision = segment->revision,
+	};
+
+	segment_key(control, index, call.key);
+	if (op == STORE_SWAP)
+		buffer_append(&call.value, segment->in_flight.data,
+		    segment->in_flight.length);
+	store_client_call(control->store, &call);
+}
+
+static void
+commit_segment(struct control *control, uint32_t index)
+{
+	struct segment *segment = &control->segments[index];
+	struct buffer value = { 0 };
+
+	switch (segment_next(segment, control->now_ms)) {
+	case SEGMENT_NOTHING:
+		break;
+	case SEGMENT_BUILD_SWAP:
+		build_segment(control, index, &value);
+		segment_swapping(segment, &value);
+		send_segment(control, index, STORE_SWAP);
+		break;
+	case SEGMENT_SEND_SWAP:
+		send_segment(control, index, STORE_SWAP);
+		break;
+	case SEGMENT_SEND_READ:
+		send_segment(control, index, STORE_GET);
+		break;
+	}
+}
+
+static void
+commit_segments(struct control *control)
+{
+	/* While the store is down its return is noticed by other calls. */
+	if (control->store_down)
+		return;
+	for (uint32_t i = 0; i < control->segments_count; i++)
+		commit_segment(control, i);
+}
+
+static void
+segment_done(struct control *control, struct segment *segment)
+{
+	struct segment_entry *entries = segment->flying;
+	size_t count = segment->flying_count;
+
+	/* The steps may add to the segment; so it is settled first. */
+	segment->flying = NULL;
+	segment->flying_capacity = 0;
+	segment_settled(segment);
+	for (size_t i = 0; i < count; i++)
+		control_job_step(control, &entries[i]);
+	mem_free(entries);
+}
+
+static void
+segment_result(struct control *control, const struct store_result *result)
+{
+	uint32_t index = (uint32_t)result->token;
+	struct segment *segment;
+	bool done;
+
+	if (result->token != segment_token(control, index) ||
+	    control->lease.role == LEAD_FOLLOWER)
+		return;
+	segment = &control->segments[index];
+	if (result->op == STORE_SWAP)
+		done = segment_swap_result(segment, result->code,
+		    result->revision, control->now_ms);
+	else
+		done = segment_read_result(segment, result->code,
+		    result->revision, &result->value, control->now_ms);
+	if (done)
+		segment_done(control, segment);
+	else if (segment->state == SEGMENT_LOST)
+		control_pool_lost(
+		    control, "another instance has written the records");
+}
+
+/* ---- The lease ------------------------------------------------------- */
+
+void
+control_pool_lost(struct control *control, const char *why)
+{
+	log_event(LOG_WARN, "lead_lost", "reason", why, "epoch",
+	    log_number((int64_t)control->lease.epoch), NULL);
+	lead_step_down(&control->lease, control->now_ms);
+	forget_pool(control);
+}
+
+static void
+call_lead(struct control *control, enum store_op op)
+{
+	struct store_call call = {
+		.op = op,
+		.owner = OWNER_LEAD,
+		.token = control->reign,
+		.expected_revision = control->lease.revision,
+	};
+
+	lead_key(control, call.key);
+	if (op == STORE_SWAP) {
+		lead_value(&control->lease, &call.value);
+		call.lease_ms = control->lease.lease_ms;
+	}
+	store_client_call(control->store, &call);
+}
+
+static void
+lead_result(struct control *control, const struct store_result *result)
+{
+	struct lead_lease *lease = &control->lease;
+	bool led = lease->role == LEAD_LEADING ||
+	    lease->role == LEAD_RECOVERING;
+	bool changed;
+
+	if (result->op == STORE_GET)
+		changed = lead_read_result(lease, result->code,
+		    result->revision, &result->value, control->now_ms);
+	else
+		changed = lead_swap_result(lease, result->code,
+		    result->revision, &result->value, result->sent_ms,
+		    control->now_ms);
+	if (!changed)
+		return;
+	if (lease->role == LEAD_RECOVERING) {
+		begin_recovery(control);
+	} else if (led) {
+		log_event(LOG_WARN, "lead_lost", "reason",
+		    "another instance holds the lease", "holder",
+		    lease->holder, NULL);
+		forget_pool(control);
+	}
+}
+
+void
+control_pool_store_result(struct control *control, struct store_result *result)
+{
+	switch ((enum store_owner)result->owner) {
+	case OWNER_LEAD:
+		lead_result(control, result);
+		break;
+	case OWNER_RECOVERY:
+		recovery_result(control, result);
+		break;
+	default:
+		segment_result(control, result);
+		break;
+	}
+}
+
+/* Tells whether every change is in the store. */
+static bool
+all_committed(const struct control *control)
+{
+	for (uint32_t i = 0; i < control->segments_count; i++) {
+		const struct segment *segment = &control->segments[i];
+
+		if (segment->state != SEGMENT_CLEAN || segment->dirty)
+			return false;
+	}
+	return true;
+}
+
+/* Before a planned stop: gives the lease back once all is committed. */
+void
+control_pool_release(struct control *control)
+{
+	struct lead_lease *lease = &control->lease;
+	bool led = lease->role == LEAD_LEADING;
+
+	if (lease->role == LEAD_RELEASING)
+		return;
+	if (led && !control->store_down && !all_committed(control))
+		return;
+	lead_release(lease, control->now_ms);
+	if (!led)
+		return;
+	log_event(LOG_INFO, "lead_released", "epoch",
+	    log_number((int64_t)lease->epoch), NULL);
+	forget_pool(control);
+}
+
+void
+control_pool_tick(struct control *control)
+{
+	switch (lead_next(&control->lease, control->now_ms)) {
+	case LEAD_NOTHING:
+		break;
+	case LEAD_READ:
+		call_lead(control, STORE_GET);
+		break;
+	case LEAD_SWAP:
+		call_lead(control, STORE_SWAP);
+		break;
+	case LEAD_DELETE:
+		call_lead(control, STORE_DELETE);
+		break;
+	}
+	if (control->lease.role == LEAD_RECOVERING &&
+	    control->segments_to_read == 0 && control->document != NULL)
+		finish_recovery(control);
+	if (control_leading(control))
+		commit_segments(control);
+}
--- /dev/null
+++ b/src/process/control_requests.c
@@ -0,0 +1,333 @@
+#include <string.h>
+
+#include "process/alloc.h"
+#include "process/control.h"
+#include "process/log.h"
+#include "process/proto_memory.h"
+
+#define FORWARD_RETRY_MS    100
+#define NO_LEAD_PATIENCE_MS 6000
+#define ANSWER_PATIENCE_MS  10000
+#define NO_LEAD_RETRY_AFTER_MS 2000
+
+/* Tells whether the pool's lead serves a kind of request. */
+static bool
+lead_serves(Ibis__RequestKind kind)
+{
+	switch (kind) {
+	case IBIS__REQUEST_KIND__REQUEST_SUBMIT:
+	case IBIS__REQUEST_KIND__REQUEST_JOB:
+	case IBIS__REQUEST_KIND__REQUEST_ANSWER:
+	case IBIS__REQUEST_KIND__REQUEST_CANCEL:
+	case IBIS__REQUEST_KIND__REQUEST_JOBS:
+	case IBIS__REQUEST_KIND__REQUEST_ENDPOINTS:
+		return true;
+	default:
+		return false;
+	}
+}
+
+static void
+endpoint_json(const struct worker_session *session, struct buffer *json)
+{
+	buffer_printf(json,
+	    "{\"name\": \"%s\", \"condition\": \"%s\", \"address\": \"%s\", "
+	    "\"free_accelerators\": %u, \"tasks\": %zu}",
+	    session->name,
+	    session->condition == WORKER_SERVING      ? "serving"
+		: session->condition == WORKER_LEAVING ? "leaving"
+						       : "lost",
+	    session->address, session->free_accelerators,
+	    session->members_count);
+}
+
+static void
+request_endpoints(struct control *control, const struct origin *origin)
+{
+	CLEANUP(buffer_free) struct buffer json = { 0 };
+
+	buffer_puts(&json, "{\"endpoints\": [");
+	for (size_t i = 0; i < control->workers.count; i++) {
+		if (i > 0)
+			buffer_puts(&json, ", ");
+		endpoint_json(&control->workers.sessions[i], &json);
+	}
+	buffer_puts(&json, "]}");
+	control_reply_json(control, origin, buffer_string(&json));
+}
+
+/* Serves a request that needs the lead; only the lead may be here. */
+static void
+serve_as_lead(struct control *control, const struct origin *origin,
+    const Ibis__Request *request)
+{
+	if (!control_leading(control)) {
+		control_refuse(control, origin, IBIS_UNAVAILABLE, "lead",
+		    "this instance does not lead", true, 0);
+		return;
+	}
+	if (request->kind == IBIS__REQUEST_KIND__REQUEST_ENDPOINTS)
+		request_endpoints(control, origin);
+	else
+		control_job_request(control, origin, request);
+}
+
+/* ---- Forwards -------------------------------------------------------- */
+
+static void
+free_forward(struct forward *forward)
+{
+	cds_list_del(&forward->node);
+	mem_free(forward);
+}
+
+/* Sends a request on to the lead, which may be this instance itself. */
+static void
+send_forward(struct control *control, struct forward *forward)
+{
+	const char *lead = control_lead_name(control);
+	Ibis__ForwardRequest message = IBIS__FORWARD_REQUEST__INIT;
+	Ibis__Frame frame = IBIS__FRAME__INIT;
+	struct origin origin = { .call = forward->call };
+
+	forward->retry_ms = control->now_ms + FORWARD_RETRY_MS;
+	if (lead == NULL)
+		return;
+	STRING_COPY(forward->peer, lead);
+	if (strcmp(lead, control->settings->name) == 0) {
+		STRING_COPY(origin.peer, lead);
+		forward->sent_once = true;
+		serve_as_lead(control, &origin, forward->caller->request);
+		return;
+	}
+	message.call = forward->call;
+	message.request = forward->caller->request;
+	frame.body_case = IBIS__FRAME__BODY_REQUEST;
+	frame.request = &message;
+	if (peer_links_send(control->links, lead, &frame))
+		forward->sent_once = true;
+	else
+		forward->peer[0] = '\0';
+}
+
+static void
+forward_request(struct control *control, struct caller_request *caller)
+{
+	struct forward *forward = mem_calloc(1, sizeof(*forward));
+
+	forward->call = ++control->next_call;
+	forward->caller = caller;
+	forward->received_ms = control->now_ms;
+	forward->give_up_ms = control->now_ms + caller->request->wait_ms +
+	    ANSWER_PATIENCE_MS;
+	cds_list_add_tail(&forward->node, &control->forwards);
+	send_forward(control, forward);
+}
+
+static struct forward *
+find_forward(struct control *control, uint64_t call)
+{
+	struct forward *forward;
+
+	cds_list_for_each_entry(forward, &control->forwards, node) {
+		if (forward->call == call)
+			return forward;
+	}
+	return NULL;
+}
+
+static bool
+is_submission(const struct forward *forward)
+{
+	return forward->caller->request->kind ==
+	    IBIS__REQUEST_KIND__REQUEST_SUBMIT;
+}
+
+/* Tells whether a reply is about the job that was asked for. */
+static bool
+reply_matches(const struct forward *forward, const Ibis__Reply *reply)
+{
+	const Ibis__Request *request = forward->caller->request;
+	char id[JOB_ID_BYTES];
+
+	if (reply->job == NULL || reply->job->record == NULL)
+		return true;
+	if (is_submission(forward))
+		job_id_format(job_id_from_key(request->spec->workspace,
+				  request->spec->idempotency_key),
+		    id);
+	else
+		STRING_COPY(id, request->job);
+	return strcmp(id, reply->job->record->id) == 0;
+}
+
+static bool
+is_not_leading(const Ibis__Reply *reply)
+{
+	return reply->code == IBIS__CODE__CODE_UNAVAILABLE &&
+	    strcmp(reply->step, "lead") == 0;
+}
+
+void
+control_forward_reply(struct control *control, const char *peer,
+    const Ibis__ForwardReply *reply)
+{
+	struct forward *forward = find_forward(control, reply->call);
+
+	/* A late reply of an earlier lead is not the one waited for. */
+	if (forward == NULL || reply->reply == NULL ||
+	    strcmp(forward->peer, peer) != 0)
+		return;
+	if (is_not_leading(reply->reply) ||
+	    !reply_matches(forward, reply->reply)) {
+		forward->peer[0] = '\0';
+		return;
+	}
+	caller_server_reply(
+	    control->callers, forward->caller, reply->reply);
+	free_forward(forward);
+}
+
+void
+control_forward_peer_down(struct control *control, const char *peer)
+{
+	struct forward *forward;
+
+	cds_list_for_each_entry(forward, &control->forwards, node) {
+		if (strcmp(forward->peer, peer) != 0)
+			continue;
+		forward->peer[0] = '\0';
+		forward->retry_ms = control->now_ms;
+	}
+}
+
+static void
+give_up_forward(struct control *control, struct forward *forward)
+{
+	struct origin origin = { .caller = forward->caller };
+	bool not_run = is_submission(forward) && !forward->sent_once;
+
+	if (not_run || !is_submission(forward))
+		control_refuse(control, &origin, IBIS_UNAVAILABLE, "forward",
+		    "no instance leads the pool now", not_run,
+		    NO_LEAD_RETRY_AFTER_MS);
+	else
+		control_refuse(control, &origin, IBIS_UNKNOWN, "forward",
+		    "the pool's lead has not answered; ask for the job by its "
+		    "id or submit again with the same key",
+		    false, NO_LEAD_RETRY_AFTER_MS);
+	free_forward(forward);
+}
+
+void
+control_forward_tick(struct control *control)
+{
+	struct forward *forward;
+	struct forward *next;
+
+	cds_list_for_each_entry_safe(
+	    forward, next, &control->forwards, node) {
+		bool waiting = *forward->peer == '\0';
+
+		if (control->now_ms >= forward->give_up_ms ||
+		    (waiting && !forward->sent_once &&
+			control->now_ms - forward->received_ms >
+			    NO_LEAD_PATIENCE_MS))
+			give_up_forward(control, forward);
+		else if (waiting && control->now_ms >= forward->retry_ms)
+			send_forward(control, forward);
+	}
+}
+
+bool
+control_forwards_open(const struct control *control)
+{
+	return !cds_list_empty(&control->forwards);
+}
+
+/* ---- Requests served by any instance --------------------------------- */
+
+static void
+request_status(struct control *control, const struct origin *origin)
+{
+	CLEANUP(buffer_free) struct buffer json = { 0 };
+
+	control_status_json(control, &json);
+	control_reply_json(control, origin, buffer_string(&json));
+}
+
+static void
+request_instances(struct control *control, const struct origin *origin)
+{
+	CLEANUP(buffer_free) struct buffer json = { 0 };
+
+	control_peers_json(control, &json);
+	control_reply_json(control, origin, buffer_string(&json));
+}
+
+static void
+request_ready(struct control *control, const struct origin *origin)
+{
+	if (control->state == IBIS__INSTANCE_STATE__INSTANCE_SERVING)
+		control_reply_json(control, origin, "{\"ready\": true}");
+	else
+		control_refuse(control, origin, IBIS_UNAVAILABLE, "ready",
+		    control->state ==
+			    IBIS__INSTANCE_STATE__INSTANCE_LEAVING
+			? "the instance is leaving"
+			: "the instance is starting",
+		    false, 0);
+}
+
+static void
+serve_here(struct control *control, const struct origin *origin,
+    const Ibis__Request *request)
+{
+	switch (request->kind) {
+	case IBIS__REQUEST_KIND__REQUEST_LIVE:
+		control_reply_json(control, origin, "{\"live\": true}");
+		break;
+	case IBIS__REQUEST_KIND__REQUEST_READY:
+		request_ready(control, origin);
+		break;
+	case IBIS__REQUEST_KIND__REQUEST_INSTANCES:
+		request_instances(control, origin);
+		break;
+	case IBIS__REQUEST_KIND__REQUEST_STATUS:
+		request_status(control, origin);
+		break;
+	case IBIS__REQUEST_KIND__REQUEST_METRICS:
+	case IBIS__REQUEST_KIND__REQUEST_SLO_BURN:
+		control_metrics_request(control, origin, request);
+		break;
+	default:
+		control_document_request(control, origin, request);
+		break;
+	}
+}
+
+void
+control_caller_request(struct control *control, struct caller_request *caller)
+{
+	struct origin origin = { .caller = caller };
+
+	if (lead_serves(caller->request->kind))
+		forward_request(control, caller);
+	else
+		serve_here(control, &origin, caller->request);
+}
+
+void
+control_forwarded_request(struct control *control, const char *peer,
+    const Ibis__ForwardRequest *forward)
+{
+	struct origin origin = { .call = forward->call };
+
+	STRING_COPY(origin.peer, peer);
+	if (forward->request == NULL)
+		return;
+	if (lead_serves(forward->request->kind))
+		serve_as_lead(control, &origin, forward->request);
+	else
+		serve_here(control, &origin, forward->request);
+}
--- a/src/process/job_table.h
+++ b/src/process/job_table.h
@@ -43,9 +43,14 @@
 	Ibis__JobRecord *record;
 	struct gang *gang; /* the running attempt, or NULL */
 	struct cds_list_head waiters;
+	struct cds_list_head in_active; /* while there is a gang */
 	Ibis__Answer *answer; /* once finished, while it is kept in memory */
 	int64_t answer_used_ms;
 	bool answer_loading;
+	int64_t answer_retry_ms; /* its put failed; 0: none due */
+	bool withdrawn; /* never durable and told so; goes when its gang ends */
+	bool started_before; /* some attempt before this one started */
+	bool recovered; /* taken over from an earlier lead */
 	bool admitted;	     /* may start: durable, or taken without */
 	bool undurable;	     /* taken while the store was down */
 	bool intent_sent;    /* the intent of this attempt is being written */
--- a/src/process/segment.c
+++ b/src/process/segment.c
@@ -55,6 +55,7 @@
 
 	buffer_free(&segment->in_flight);
 	segment->in_flight = *value;
+	segment->size_bytes = value->length;
 	*value = (struct buffer){0};
 	segment->flying = segment->waiting;
 	segment->flying_count = segment->waiting_count;
@@ -157,6 +158,29 @@
 	buffer_free(&segment->in_flight);
 }
 
+void
+segment_unfly(struct segment *segment)
+{
+	size_t total = segment->flying_count + segment->waiting_count;
+
+	segment->flying = mem_grow(segment->flying, &segment->flying_capacity,
+	    total, sizeof(*segment->flying));
+	if (segment->waiting_count > 0)
+		memcpy(&segment->flying[segment->flying_count],
+		    segment->waiting,
+		    segment->waiting_count * sizeof(*segment->waiting));
+	mem_free(segment->waiting);
+	segment->waiting = segment->flying;
+	segment->waiting_count = total;
+	segment->waiting_capacity = segment->flying_capacity;
+	segment->flying = NULL;
+	segment->flying_count = 0;
+	segment->flying_capacity = 0;
+	buffer_free(&segment->in_flight);
+	segment->dirty = true;
+	segment->state = SEGMENT_CLEAN;
+}
+
 void
 segment_reset(struct segment *segment, uint64_t revision, uint64_t sequence)
 {
--- a/src/process/segment.h
+++ b/src/process/segment.h
@@ -45,6 +45,7 @@
 	enum segment_state state;
 	uint64_t revision; /* of the value in the store; 0: absent */
 	uint64_t sequence;
+	size_t size_bytes;	 /* of the last value built or read */
 	struct buffer in_flight; /* bytes of the swap not yet settled */
 	int64_t retry_ms;
 	uint32_t failures;
@@ -89,6 +90,9 @@
 
 void segment_settled(struct segment *segment);
 
+/* Takes back a swap that surely had no effect, so that it is built anew. */
+void segment_unfly(struct segment *segment);
+
 /* Sets what a recovery has read. Drops everything else. */
 void segment_reset(
     struct segment *segment, uint64_t revision, uint64_t sequence);
