Read and check the document, the head, zone holds and settings

The control thread needs a parsed document, a head to swap, holds and settings before anything else can be wired.

The head remembers replaced orders beside ended ones. Otherwise two orders out for one zone would take turns: each one's writer would find its own order unknown and write it again.

document.h gains document_layout_json, settings.h settings_parse and settings_write_defaults, head.h the rule for removal of a section.

--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -2,11 +2,17 @@
 #ifndef IBIS_SETTINGS_H
 #define IBIS_SETTINGS_H
 
+#include <stddef.h>
 #include <stdint.h>
 
 #include "ibistrestle.h"
+#include "process/buffer.h"
 #include "process/log.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 enum {
 	SETTINGS_TEXT_BYTES = 128
 };
@@ -51,4 +57,15 @@
 	int32_t max_attempts;		/* 5 */
 };
 
+/* As ibis_settings_read, from a text; source names it in errors. */
+struct ibis_settings *settings_parse(const char *text, const char *source,
+    const char *const *overrides, size_t count, struct ibis_status *status);
+
+/* Writes the commented defaults; the keys without one get an example. */
+void settings_write_defaults(struct buffer *text);
+
+#ifdef __cplusplus
+}
+#endif
+
 #endif
--- a/src/version/document.h
+++ b/src/version/document.h
@@ -117,6 +117,10 @@
 int document_find_workspace(const struct document *document, const char *name);
 int document_find_class(const struct document *document, const char *name);
 
+/* Writes the workers as a JSON array of objects with the keys name,
+ * availability_zone, rack and accelerators. */
+void document_layout_json(const struct document *document, struct buffer *text);
+
 /* Writes the difference between two documents, a line a change. */
 void document_diff(const struct document *from, const struct document *to,
     struct buffer *lines);
--- a/src/version/head.h
+++ b/src/version/head.h
@@ -20,7 +20,7 @@
 
 enum {
 	HEAD_ORDER_BYTES = 96,
-	HEAD_CLEARED_ORDERS = 16
+	HEAD_CLEARED_ORDERS = 16 /* remembered of each zone */
 };
 
 struct head_section {
@@ -32,7 +32,7 @@
 	char name[JOB_NAME_BYTES];
 	bool out;
 	char order[HEAD_ORDER_BYTES]; /* the order that set it last */
-	/* orders that a later return has put an end to, newest first */
+	/* orders that a later one has replaced or ended, newest first */
 	char cleared[HEAD_CLEARED_ORDERS][HEAD_ORDER_BYTES];
 };
 
@@ -55,22 +55,24 @@
 uint64_t head_section_revision(const struct head *head, const char *name);
 
 /*
- * Sets a section's revision to new_revision when expected is its present one;
- * otherwise IBIS_CONFLICT, whose message names the revision that stands.
+ * Sets a section's revision to new_revision, 0 to remove it, when expected is
+ * its present one; otherwise IBIS_CONFLICT, whose message names the revision
+ * that stands. As below, raising the version is left to the caller.
  */
 enum ibis_code head_set_section(struct head *head, const char *name,
     uint64_t expected, uint64_t new_revision, struct ibis_status *status);
 
-/* Takes a zone out by an order. */
+/* Takes a zone out by an order; nothing changes when the order is known. */
 void head_zone_out(struct head *head, const char *zone, const char *order);
 
-/* Returns a zone to service, ending the orders named in cleared. */
+/* Returns a zone to service by an order, ending the one in force and those
+ * named in cleared. Nothing changes when the order is known. */
 void head_zone_in(struct head *head, const char *zone, const char *order,
     const char *const *cleared, size_t count);
 
 bool head_zone_is_out(const struct head *head, const char *zone);
 
-/* Tells whether the head knows of an order: in force or ended. */
+/* Tells whether the head knows of an order: in force, replaced or ended. */
 bool head_knows_order(
     const struct head *head, const char *zone, const char *order);
 
--- a/src/version/holds.h
+++ b/src/version/holds.h
@@ -34,7 +34,8 @@
 bool holds_add(struct holds *holds, const char *zone, const char *order,
     uint64_t settled_version, int64_t now_ms);
 
-/* Drops the holds that a head accounts for: their order is known to it. */
+/* Drops the holds that a head accounts for: their order is known to it, or
+ * they were settled by a version that is not newer. */
 void holds_apply_head(struct holds *holds, const struct head *head);
 
 /* Tells whether a hold forbids starts in a zone. */
--- /dev/null
+++ b/tests/test_head.c
@@ -0,0 +1,138 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "common_cunit.h"
+#include "process/alloc.h"
+#include "version/head.h"
+
+static struct head *
+parse(const char *text, struct ibis_status *status)
+{
+	return head_parse(text, strlen(text), status);
+}
+
+static struct head *
+empty_head(void)
+{
+	return parse("{\"version\": 1, \"sections\": {}, \"zones\": {}}", NULL);
+}
+
+static void
+test_round_trip(void)
+{
+	const char *cleared[] = {"o0"};
+	CLEANUP(buffer_free) struct buffer first = {0};
+	CLEANUP(buffer_free) struct buffer second = {0};
+	struct head *head = empty_head();
+	struct head *copy;
+
+	head->version = 7;
+	CU_ASSERT_EQUAL(head_set_section(head, "records", 0, 3, NULL), IBIS_OK);
+	head_zone_in(head, "north", "o1", cleared, 1);
+	head_zone_out(head, "north", "o2");
+	head_write(head, &first);
+	copy = head_parse(first.data, first.length, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(copy);
+	head_write(copy, &second);
+	CU_ASSERT_STRING_EQUAL(first.data, second.data);
+	CU_ASSERT_EQUAL(head_section_revision(copy, "records"), 3);
+	CU_ASSERT_TRUE(head_zone_is_out(copy, "north"));
+	CU_ASSERT_TRUE(head_knows_order(copy, "north", "o0"));
+	head_free(copy);
+	head_free(head);
+}
+
+static void
+test_conflict_names_what_stands(void)
+{
+	struct ibis_status status = {0};
+	struct head *head = empty_head();
+
+	(void)head_set_section(head, "records", 0, 3, NULL);
+	CU_ASSERT_EQUAL(
+	    head_set_section(head, "records", 2, 4, &status), IBIS_CONFLICT);
+	CU_ASSERT_STRING_EQUAL(status.message,
+	    "section records: revision 3 stands; the edit is of revision 2");
+	CU_ASSERT_EQUAL(head_section_revision(head, "records"), 3);
+	CU_ASSERT_EQUAL(head_set_section(head, "records", 3, 0, NULL), IBIS_OK);
+	CU_ASSERT_EQUAL(head->sections_count, 0);
+	head_free(head);
+}
+
+static void
+test_known_order_changes_nothing(void)
+{
+	struct head *head = empty_head();
+
+	head_zone_out(head, "north", "o1");
+	head_zone_in(head, "north", "o2", NULL, 0);
+	CU_ASSERT_FALSE(head_zone_is_out(head, "north"));
+	head_zone_out(head, "north", "o1");
+	CU_ASSERT_FALSE(head_zone_is_out(head, "north"));
+	CU_ASSERT_TRUE(head_knows_order(head, "north", "o1"));
+	CU_ASSERT_FALSE(head_knows_order(head, "south", "o1"));
+	head_free(head);
+}
+
+static void
+test_two_orders_out_are_both_known(void)
+{
+	struct head *head = empty_head();
+
+	head_zone_out(head, "north", "o1");
+	head_zone_out(head, "north", "o2");
+	CU_ASSERT_TRUE(head_knows_order(head, "north", "o1"));
+	CU_ASSERT_TRUE(head_knows_order(head, "north", "o2"));
+	CU_ASSERT_TRUE(head_zone_is_out(head, "north"));
+	head_free(head);
+}
+
+static void
+test_remembers_so_many(void)
+{
+	struct head *head = empty_head();
+	char order[HEAD_ORDER_BYTES];
+
+	for (int i = 0; i < HEAD_CLEARED_ORDERS + 2; i++) {
+		(void)snprintf(order, sizeof(order), "o%d", i);
+		head_zone_out(head, "north", order);
+	}
+	CU_ASSERT_FALSE(head_knows_order(head, "north", "o0"));
+	CU_ASSERT_TRUE(head_knows_order(head, "north", "o1"));
+	head_free(head);
+}
+
+static void
+test_refuses_bad_text(void)
+{
+	const char *texts[] = {"", "{}", "[]",
+	    "{\"version\": -1, \"sections\": {}, \"zones\": {}}",
+	    "{\"version\": 1, \"sections\": {\"a\": \"b\"}, \"zones\": {}}",
+	    "{\"version\": 1, \"sections\": {}, \"zones\": {\"a\": {}}}",
+	    "{\"version\": 1, \"sections\": {}, \"zones\": {}, \"x\": 1}"};
+
+	for (size_t i = 0; i < COUNT_OF(texts); i++) {
+		struct ibis_status status = {0};
+
+		CU_ASSERT_PTR_NULL(parse(texts[i], &status));
+		CU_ASSERT_EQUAL(status.code, IBIS_INVALID);
+	}
+	CU_ASSERT_PTR_NULL(head_parse("{}\0", 3, NULL));
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"round trip", test_round_trip},
+	    {"conflict names what stands", test_conflict_names_what_stands},
+	    {"known order changes nothing", test_known_order_changes_nothing},
+	    {"two orders out are both known",
+		test_two_orders_out_are_both_known},
+	    {"remembers so many", test_remembers_so_many},
+	    {"refuses bad text", test_refuses_bad_text},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("head", tests);
+}
