--- /dev/null
+++ b/src/process/cluster.c
@@ -0,0 +1,353 @@
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "process/alloc.h"
+#include "process/cluster.h"
+#include "process/job_entry.h"
+
+static uint32_t
+max_u32(uint32_t left, uint32_t right)
+{
+	return left > right ? left : right;
+}
+
+static size_t
+name_slot(const struct cluster *cluster, const char *name)
+{
+	size_t mask = cluster->by_name_count - 1;
+	size_t slot = XXH3_64bits(name, strlen(name)) & mask;
+
+	while (cluster->by_name[slot] != NO_INDEX &&
+	    strcmp(cluster->names[cluster->by_name[slot]], name) != 0)
+		slot = (slot + 1) & mask;
+	return slot;
+}
+
+static void
+index_names(struct cluster *cluster)
+{
+	cluster->by_name_count = 16;
+	while (cluster->by_name_count < cluster->workers_count * 2)
+		cluster->by_name_count *= 2;
+	cluster->by_name =
+	    mem_calloc(cluster->by_name_count, sizeof(*cluster->by_name));
+	for (size_t i = 0; i < cluster->by_name_count; i++)
+		cluster->by_name[i] = NO_INDEX;
+	for (size_t i = 0; i < cluster->workers_count; i++)
+		cluster->by_name[name_slot(cluster, cluster->names[i])] =
+		    (uint32_t)i;
+}
+
+static void
+build_zones(struct cluster *cluster, const struct document *document)
+{
+	cluster->zones_count = document->zones_count;
+	cluster->zones =
+	    mem_calloc(cluster->zones_count, sizeof(*cluster->zones));
+	for (size_t i = 0; i < cluster->zones_count; i++) {
+		struct cluster_zone *zone = &cluster->zones[i];
+
+		STRING_COPY(zone->name, document->zones[i].name);
+		zone->in_service = document->zones[i].in_service;
+		zone->leave_deadline_ms = document->zones[i].leave_deadline_ms;
+		zone->left_ms = INT64_MIN;
+		zone->returned_ms = INT64_MIN;
+	}
+}
+
+static void
+build_racks(struct cluster *cluster, const struct document *document)
+{
+	cluster->racks_count = document->racks_count;
+	cluster->racks =
+	    mem_calloc(cluster->racks_count, sizeof(*cluster->racks));
+	for (size_t i = 0; i < cluster->racks_count; i++) {
+		const struct document_rack *from = &document->racks[i];
+		struct cluster_rack *rack = &cluster->racks[i];
+
+		STRING_COPY(rack->name, from->name);
+		rack->zone = from->zone;
+		rack->first_worker = from->first_worker;
+		rack->workers_count = from->workers_count;
+		rack->accelerators_per_worker = from->accelerators_per_worker;
+	}
+}
+
+static void
+build_workers(struct cluster *cluster, const struct document *document)
+{
+	cluster->workers_count = document->workers_count;
+	cluster->workers =
+	    mem_calloc(cluster->workers_count, sizeof(*cluster->workers));
+	cluster->names =
+	    mem_calloc(cluster->workers_count, sizeof(*cluster->names));
+	for (size_t i = 0; i < cluster->workers_count; i++) {
+		struct cluster_worker *worker = &cluster->workers[i];
+		uint32_t rack = document->workers[i].rack;
+
+		worker->rack = rack;
+		worker->zone = document->racks[rack].zone;
+		worker->capacity =
+		    document->racks[rack].accelerators_per_worker;
+		worker->condition = WORKER_LOST;
+		worker->holder = NO_INDEX;
+		STRING_COPY(cluster->names[i], document->workers[i].name);
+	}
+}
+
+void
+cluster_build(struct cluster *cluster, const struct document *document)
+{
+	*cluster = (struct cluster){0};
+	build_zones(cluster, document);
+	build_racks(cluster, document);
+	build_workers(cluster, document);
+	cluster->shares_per_worker = document->workspaces_count + 1;
+	cluster->shares =
+	    mem_calloc(cluster->workers_count * cluster->shares_per_worker,
+		sizeof(*cluster->shares));
+	index_names(cluster);
+}
+
+void
+cluster_clear(struct cluster *cluster)
+{
+	for (size_t i = 0; i < cluster->workers_count; i++)
+		mem_free(cluster->workers[i].jobs);
+	mem_free(cluster->zones);
+	mem_free(cluster->racks);
+	mem_free(cluster->workers);
+	mem_free(cluster->names);
+	mem_free(cluster->shares);
+	mem_free(cluster->by_name);
+	*cluster = (struct cluster){0};
+}
+
+uint32_t
+cluster_find_worker(const struct cluster *cluster, const char *name)
+{
+	if (cluster->by_name_count == 0)
+		return NO_INDEX;
+	return cluster->by_name[name_slot(cluster, name)];
+}
+
+uint32_t
+cluster_find_zone(const struct cluster *cluster, const char *name)
+{
+	for (size_t i = 0; i < cluster->zones_count; i++) {
+		if (strcmp(cluster->zones[i].name, name) == 0)
+			return (uint32_t)i;
+	}
+	return NO_INDEX;
+}
+
+/* Brings a rack's sums up to date after one of its workers has changed. */
+static void
+refresh_rack(struct cluster *cluster, uint32_t index)
+{
+	struct cluster_rack *rack = &cluster->racks[index];
+
+	rack->free = 0;
+	rack->max_free = 0;
+	for (uint32_t i = 0; i < rack->workers_count; i++) {
+		uint32_t free = cluster_free(cluster, rack->first_worker + i);
+
+		rack->free += free;
+		rack->max_free = max_u32(rack->max_free, free);
+	}
+}
+
+static void
+refresh_usable(struct cluster *cluster, uint32_t index)
+{
+	struct cluster_worker *worker = &cluster->workers[index];
+	struct cluster_zone *zone = &cluster->zones[worker->zone];
+	bool usable = worker->condition == WORKER_SERVING &&
+	    !worker->quarantined && zone->in_service;
+
+	if (usable == worker->usable)
+		return;
+	worker->usable = usable;
+	if (usable) {
+		zone->usable_accelerators += worker->capacity;
+		zone->used += worker->used;
+	} else {
+		zone->usable_accelerators -= worker->capacity;
+		zone->used -= worker->used;
+	}
+	refresh_rack(cluster, worker->rack);
+}
+
+void
+cluster_set_condition(
+    struct cluster *cluster, uint32_t worker, enum worker_condition condition)
+{
+	cluster->workers[worker].condition = condition;
+	refresh_usable(cluster, worker);
+}
+
+void
+cluster_set_quarantined(
+    struct cluster *cluster, uint32_t worker, bool quarantined)
+{
+	cluster->workers[worker].quarantined = quarantined;
+	refresh_usable(cluster, worker);
+}
+
+void
+cluster_set_zone(struct cluster *cluster, uint32_t zone, bool in_service)
+{
+	cluster->zones[zone].in_service = in_service;
+	for (size_t i = 0; i < cluster->workers_count; i++) {
+		if (cluster->workers[i].zone == zone)
+			refresh_usable(cluster, (uint32_t)i);
+	}
+}
+
+struct cluster_share *
+cluster_share(
+    const struct cluster *cluster, uint32_t worker, uint32_t workspace)
+{
+	size_t last = cluster->shares_per_worker - 1;
+	size_t column = workspace < last ? workspace : last;
+
+	return &cluster->shares[worker * cluster->shares_per_worker + column];
+}
+
+/* Changes one share and the worker's sums over the shares. */
+static void
+change_share(struct cluster *cluster, uint32_t index, uint32_t workspace,
+    struct cluster_share to)
+{
+	struct cluster_worker *worker = &cluster->workers[index];
+	struct cluster_share *share = cluster_share(cluster, index, workspace);
+
+	worker->committed -= max_u32(share->claim, share->firm);
+	worker->owed -= max_u32(share->claim, share->used);
+	*share = to;
+	worker->committed += max_u32(share->claim, share->firm);
+	worker->owed += max_u32(share->claim, share->used);
+}
+
+void
+cluster_take(struct cluster *cluster, uint32_t index, struct job_entry *entry,
+    int64_t now_ms)
+{
+	struct cluster_worker *worker = &cluster->workers[index];
+	uint32_t amount = entry->job.accelerators_per_task;
+	struct cluster_share share =
+	    *cluster_share(cluster, index, entry->workspace);
+
+	(void)now_ms;
+	share.used = (uint16_t)(share.used + amount);
+	if (job_entry_is_firm(entry))
+		share.firm = (uint16_t)(share.firm + amount);
+	change_share(cluster, index, entry->workspace, share);
+	worker->jobs = mem_grow(worker->jobs, &worker->jobs_capacity,
+	    worker->jobs_count + 1, sizeof(struct job_entry *));
+	worker->jobs[worker->jobs_count++] = entry;
+	worker->used += amount;
+	if (worker->usable)
+		cluster->zones[worker->zone].used += amount;
+	if (entry->expected_end_ms > worker->drained_ms)
+		worker->drained_ms = entry->expected_end_ms;
+	refresh_rack(cluster, worker->rack);
+}
+
+static void
+forget_task(struct cluster_worker *worker, const struct job_entry *entry)
+{
+	for (size_t i = 0; i < worker->jobs_count; i++) {
+		if (worker->jobs[i] != entry)
+			continue;
+		worker->jobs[i] = worker->jobs[--worker->jobs_count];
+		return;
+	}
+}
+
+static void
+refresh_drained(struct cluster_worker *worker, int64_t now_ms)
+{
+	worker->drained_ms = now_ms;
+	for (size_t i = 0; i < worker->jobs_count; i++) {
+		if (worker->jobs[i]->expected_end_ms > worker->drained_ms)
+			worker->drained_ms = worker->jobs[i]->expected_end_ms;
+	}
+}
+
+void
+cluster_release(struct cluster *cluster, uint32_t index,
+    struct job_entry *entry, int64_t now_ms)
+{
+	struct cluster_worker *worker = &cluster->workers[index];
+	uint32_t amount = entry->job.accelerators_per_task;
+	struct cluster_share share =
+	    *cluster_share(cluster, index, entry->workspace);
+
+	share.used = (uint16_t)(share.used - amount);
+	if (job_entry_is_firm(entry))
+		share.firm = (uint16_t)(share.firm - amount);
+	change_share(cluster, index, entry->workspace, share);
+	forget_task(worker, entry);
+	worker->used -= amount;
+	if (worker->usable)
+		cluster->zones[worker->zone].used -= amount;
+	refresh_drained(worker, now_ms);
+	refresh_rack(cluster, worker->rack);
+}
+
+void
+cluster_claim(struct cluster *cluster, uint32_t worker, uint32_t workspace,
+    int32_t accelerators)
+{
+	struct cluster_share share = *cluster_share(cluster, worker, workspace);
+
+	share.claim = (uint16_t)(share.claim + accelerators);
+	change_share(cluster, worker, workspace, share);
+}
+
+uint32_t
+cluster_free(const struct cluster *cluster, uint32_t index)
+{
+	const struct cluster_worker *worker = &cluster->workers[index];
+
+	if (!worker->usable || worker->used >= worker->capacity)
+		return 0;
+	return worker->capacity - worker->used;
+}
+
+/* What is left beside others' parts of a worker, less what is held already. */
+static uint32_t
+room(uint32_t capacity, uint32_t all_parts, uint32_t own_part, uint32_t held)
+{
+	uint32_t others = all_parts - own_part;
+
+	if (others + held >= capacity)
+		return 0;
+	return capacity - others - held;
+}
+
+uint32_t
+cluster_firm_room(
+    const struct cluster *cluster, uint32_t index, uint32_t workspace)
+{
+	const struct cluster_worker *worker = &cluster->workers[index];
+	const struct cluster_share *share =
+	    cluster_share(cluster, index, workspace);
+
+	return room(worker->capacity, worker->committed,
+	    max_u32(share->claim, share->firm), share->firm);
+}
+
+uint32_t
+cluster_unborrowed_room(
+    const struct cluster *cluster, uint32_t index, uint32_t workspace)
+{
+	const struct cluster_worker *worker = &cluster->workers[index];
+	const struct cluster_share *share =
+	    cluster_share(cluster, index, workspace);
+
+	return room(worker->capacity, worker->owed,
+	    max_u32(share->claim, share->used), share->used);
+}
