--- a/src/connection/api.h
+++ b/src/connection/api.h
@@ -57,7 +57,8 @@
 void api_render(const Ibis__Request *request, const Ibis__Reply *reply,
     struct api_output *output);
 
-/* Renders an error met before the request did anything. */
+/* Renders an error met outside the control thread. not_run is said unless the
+ * code is IBIS_UNKNOWN. */
 void api_render_error(const struct ibis_status *status, int32_t http_status,
     int64_t retry_after_ms, struct api_output *output);
 
--- a/src/connection/api_render.c
+++ b/src/connection/api_render.c
@@ -403,7 +403,7 @@
 	    .step = status->step,
 	    .peer = status->peer,
 	    .message = status->message,
-	    .not_run = true,
+	    .not_run = status->code != IBIS_UNKNOWN,
 	    .retry_after_ms = retry_after_ms,
 	};
 
