--- a/src/connection/peer_connection.h
+++ b/src/connection/peer_connection.h
@@ -23,6 +23,7 @@
 	bool wants_write;  /* registered for writability */
 	int64_t received_ms;
 	char name[JOB_NAME_BYTES]; /* accepted: from Hello */
+	uint64_t incarnation;	   /* accepted: from Hello */
 	struct buffer in;
 	struct buffer out;
 	size_t out_sent; /* bytes at the front of out already written */
