--- a/src/connection/api.c
+++ b/src/connection/api.c
@@ -357,6 +357,33 @@
 	json_tokener_free(*tokener);
 }
 
+/* Finds a single quote outside strings, which the parser takes for a double
+ * one. Returns length when there is none. */
+static size_t
+find_single_quote(const char *text, size_t length)
+{
+	bool inside = false;
+
+	for (size_t i = 0; i < length; i++) {
+		if (inside && text[i] == '\\')
+			i++;
+		else if (text[i] == '"')
+			inside = !inside;
+		else if (!inside && text[i] == '\'')
+			return i;
+	}
+	return length;
+}
+
+static enum ibis_code
+wrong_body(const char *what, size_t position, size_t length,
+    struct ibis_status *status)
+{
+	return ibis_status_set(status, IBIS_INVALID, SUBMIT_STEP, NULL,
+	    "body: %s at byte %zu of %zu; expected one JSON object", what,
+	    position, length);
+}
+
 /* Parses a body that is one JSON object and nothing else. */
 static struct json_object *
 parse_object(const char *text, size_t length, struct ibis_status *status)
@@ -365,8 +392,13 @@
 	struct json_tokener *tokener = json_tokener_new_ex(JSON_DEPTH);
 	struct json_object *object;
 	enum json_tokener_error error;
-	size_t end;
+	const char *what;
+	size_t end = find_single_quote(text, length);
 
+	if (end < length) {
+		(void)wrong_body("a single quote", end, length, status);
+		return NULL;
+	}
 	json_tokener_set_flags(tokener, PARSE_FLAGS);
 	object = json_tokener_parse_ex(tokener, text, (int)length);
 	error = json_tokener_get_error(tokener);
@@ -377,13 +409,13 @@
 	if (json_object_is_type(object, json_type_object) && end == length)
 		return object;
 	(void)json_object_put(object);
-	(void)ibis_status_set(status, IBIS_INVALID, SUBMIT_STEP, NULL,
-	    "body: %s at byte %zu of %zu; expected one JSON object",
-	    error == json_tokener_continue ? "ends too early"
-		: error == json_tokener_success
-		? "other text"
-		: json_tokener_error_desc(error),
-	    end, length);
+	if (error == json_tokener_success)
+		what = "other text";
+	else if (error == json_tokener_continue)
+		what = "ends too early";
+	else
+		what = json_tokener_error_desc(error);
+	(void)wrong_body(what, end, length, status);
 	return NULL;
 }
 
--- a/src/connection/api_render.c
+++ b/src/connection/api_render.c
@@ -7,6 +7,7 @@
 
 #include "connection/api.h"
 #include "process/alloc.h"
+#include "process/utf8.h"
 #include "request/job.h"
 
 #define JSON_TYPE	       "application/json"
@@ -95,6 +96,16 @@
 	    object, key, json_object_new_string(value == NULL ? "" : value));
 }
 
+/* Adds a text that may hold what a caller sent. */
+static void
+add_foreign(struct json_object *object, const char *key, const char *value)
+{
+	CLEANUP(buffer_free) struct buffer text = {0};
+
+	utf8_append(&text, value == NULL ? "" : value);
+	add_string(object, key, buffer_string(&text));
+}
+
 static void
 add_int(struct json_object *object, const char *key, int64_t value)
 {
@@ -131,8 +142,8 @@
 		retry_after_ms = DEFAULT_RETRY_AFTER_MS;
 	add_string(inner, "code", error->code);
 	add_string(inner, "step", error->step);
-	add_string(inner, "peer", error->peer);
-	add_string(inner, "message", error->message);
+	add_foreign(inner, "peer", error->peer);
+	add_foreign(inner, "message", error->message);
 	(void)json_object_object_add(body, "error", inner);
 	add_bool(body, "not_run", error->not_run);
 	if (error->job != NULL && error->job[0] != '\0')
