--- a/src/main/ibistrestled.c
+++ b/src/main/ibistrestled.c
@@ -9,12 +9,12 @@
 #define MAX_OVERRIDES 64
 
 static const struct option options[] = {
-	{ "settings", required_argument, NULL, 's' },
-	{ "set", required_argument, NULL, 'o' },
-	{ "check-settings", required_argument, NULL, 'c' },
-	{ "print-defaults", no_argument, NULL, 'p' },
-	{ "help", no_argument, NULL, 'h' },
-	{ NULL, 0, NULL, 0 },
+    {"settings", required_argument, NULL, 's'},
+    {"set", required_argument, NULL, 'o'},
+    {"check-settings", required_argument, NULL, 'c'},
+    {"print-defaults", no_argument, NULL, 'p'},
+    {"help", no_argument, NULL, 'h'},
+    {NULL, 0, NULL, 0},
 };
 
 static void
@@ -37,8 +37,7 @@
 fail(const struct ibis_status *status, int code)
 {
 	(void)fprintf(stderr, "ibistrestled: %s: %s%s%s\n", status->step,
-	    status->peer, *status->peer == '\0' ? "" : ": ",
-	    status->message);
+	    status->peer, *status->peer == '\0' ? "" : ": ", status->message);
 	return code;
 }
 
@@ -55,7 +54,7 @@
 static int
 run(const struct ibis_settings *settings)
 {
-	struct ibis_status status = { 0 };
+	struct ibis_status status = {0};
 	struct ibis_daemon *daemon;
 	sigset_t signals;
 
@@ -81,7 +80,7 @@
 main(int argc, char **argv)
 {
 	const char *overrides[MAX_OVERRIDES];
-	struct ibis_status status = { 0 };
+	struct ibis_status status = {0};
 	struct ibis_settings *settings;
 	const char *path = NULL;
 	bool check_only = false;
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -7,14 +7,14 @@
 #include "process/log.h"
 #include "process/proto_memory.h"
 
-#define TICK_MS		  20
-#define EVENTS_PER_ROUND  512
-#define MS_PER_SECOND	  1000
-#define NS_PER_MS	  1000000
-#define STORE_DOWN_MS	  600
-#define LEAD_POLL_MS	  500
-#define LEAD_JITTER_MS	  150
-#define RELEASE_GRACE_MS  3000
+#define TICK_MS		 20
+#define EVENTS_PER_ROUND 512
+#define MS_PER_SECOND	 1000
+#define NS_PER_MS	 1000000
+#define STORE_DOWN_MS	 600
+#define LEAD_POLL_MS	 500
+#define LEAD_JITTER_MS	 150
+#define RELEASE_GRACE_MS 3000
 
 int64_t
 control_wall_ms(void)
@@ -47,21 +47,21 @@
 {
 	const struct ibis_settings *settings = control->settings;
 	struct scheduler_config config = {
-		.policy = settings->policy,
-		.max_queued_jobs = (uint32_t)settings->max_queued_jobs,
-		.max_attempts = (uint32_t)settings->max_attempts,
+	    .policy = settings->policy,
+	    .max_queued_jobs = (uint32_t)settings->max_queued_jobs,
+	    .max_attempts = (uint32_t)settings->max_attempts,
 	};
 
 	control->segments_count = (uint32_t)settings->segments;
 	control->segments =
 	    mem_calloc(control->segments_count, sizeof(*control->segments));
-	control->jobs = job_table_new(control->segments_count);
+	control->jobs = job_map_new(control->segments_count);
 	control->scheduler = scheduler_new(&config);
 	control->lease = (struct lead_lease){
-		.incarnation = control->incarnation,
-		.lease_ms = settings->lead_lease_ms,
-		.poll_ms = LEAD_POLL_MS,
-		.jitter_ms = control_random(control, LEAD_JITTER_MS),
+	    .incarnation = control->incarnation,
+	    .lease_ms = settings->lead_lease_ms,
+	    .poll_ms = LEAD_POLL_MS,
+	    .jitter_ms = control_random(control, LEAD_JITTER_MS),
 	};
 	STRING_COPY(control->lease.name, settings->name);
 	control->workers.poll_ms = settings->worker_poll_ms;
@@ -95,7 +95,7 @@
 {
 	control_job_drop_waiters(control);
 	control_document_free(control);
-	job_table_free(control->jobs);
+	job_map_free(control->jobs);
 	scheduler_free(control->scheduler);
 	worker_table_free(&control->workers);
 	for (uint32_t i = 0; i < control->segments_count; i++)
@@ -122,8 +122,8 @@
 static void
 note_store_result(struct control *control, const struct store_result *result)
 {
-	bool failed = result->code == IBIS_UNAVAILABLE ||
-	    result->code == IBIS_UNKNOWN;
+	bool failed =
+	    result->code == IBIS_UNAVAILABLE || result->code == IBIS_UNKNOWN;
 
 	if (result->op == STORE_WATCH)
 		return;
@@ -236,8 +236,8 @@
 	if (control->state != IBIS__INSTANCE_STATE__INSTANCE_LEAVING)
 		return;
 	control_pool_release(control);
-	if (control->lease.role != LEAD_RELEASING ||
-	    control->handed_over || control->lease.revision != 0)
+	if (control->lease.role != LEAD_RELEASING || control->handed_over ||
+	    control->lease.revision != 0)
 		return;
 	/* The key is gone: the others need not wait for it to lapse. */
 	control->handed_over = true;
@@ -290,8 +290,7 @@
 
 		control->now_ms = clock_now_ms();
 		for (int i = 0; i < EVENTS_PER_ROUND; i++) {
-			if (!event_queue_take(
-				control->events, wait_ms, &event))
+			if (!event_queue_take(control->events, wait_ms, &event))
 				break;
 			wait_ms = 0;
 			control->now_ms = clock_now_ms();
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -18,7 +18,7 @@
 #include "connection/worker_client.h"
 #include "process/event.h"
 #include "process/freshness.h"
-#include "process/job_table.h"
+#include "process/job_map.h"
 #include "process/lead_lease.h"
 #include "process/scheduler.h"
 #include "process/segment.h"
@@ -112,7 +112,7 @@
 	uint32_t segments_count;
 	uint32_t reign; /* tells results of an earlier lead's calls */
 	uint32_t segments_to_read;
-	struct job_table *jobs;
+	struct job_map *jobs;
 	struct cds_list_head waiters;
 	struct cds_list_head active; /* jobs that have a gang */
 	struct scheduler *scheduler;
@@ -153,11 +153,11 @@
     struct control *control, struct caller_request *caller);
 void control_forwarded_request(struct control *control, const char *peer,
     const Ibis__ForwardRequest *forward);
-void control_forward_reply(struct control *control, const char *peer,
-    const Ibis__ForwardReply *reply);
+void control_forward_reply(
+    struct control *control, const char *peer, const Ibis__ForwardReply *reply);
 void control_forward_peer_down(struct control *control, const char *peer);
 void control_forward_tick(struct control *control);
-bool control_forwards_open(const struct control *control);
+bool control_forwards_open(struct control *control);
 
 /* control_metrics.c */
 void control_metrics_request(struct control *control,
@@ -180,8 +180,8 @@
 void control_job_sweep(struct control *control);
 void control_job_drop_waiters(struct control *control);
 void control_job_release_waiters(struct control *control);
-void control_scheduler_job(const struct control *control,
-    const struct job *job, struct scheduler_job *out);
+void control_scheduler_job(const struct control *control, const struct job *job,
+    struct scheduler_job *out);
 
 /* control_gangs.c: attempts on the workers */
 void control_decide(struct control *control);
@@ -224,13 +224,11 @@
 void control_peers_list(struct control *control, struct store_result *result);
 void control_peers_frame(
     struct control *control, const char *peer, Ibis__Frame *frame);
-void control_peers_link(
-    struct control *control, const char *peer, bool up);
+void control_peers_link(struct control *control, const char *peer, bool up);
 struct peer *control_peer_find(struct control *control, const char *name);
 /* Name of the instance that leads, as far as known; NULL when unknown. */
 const char *control_lead_name(const struct control *control);
-void control_peers_broadcast(
-    struct control *control, const Ibis__Frame *frame);
+void control_peers_broadcast(struct control *control, const Ibis__Frame *frame);
 void control_peers_json(const struct control *control, struct buffer *json);
 void control_status_json(struct control *control, struct buffer *json);
 
--- a/src/process/control_document.c
+++ b/src/process/control_document.c
@@ -8,9 +8,9 @@
 #include "process/control.h"
 #include "process/log.h"
 
-#define HEAD_KEY	 "document/head"
-#define POLL_MS		 400
-#define RETRY_AFTER_MS	 2000
+#define HEAD_KEY       "document/head"
+#define POLL_MS	       400
+#define RETRY_AFTER_MS 2000
 
 /* An operator's change on its way into the store. */
 struct edit {
@@ -87,10 +87,9 @@
 apply(struct control *control)
 {
 	struct document_part *part = control->documents;
-	struct ibis_status status = { 0 };
-	struct document *document =
-	    document_parse(part->fetched, part->coming->sections_count, NULL,
-		&status);
+	struct ibis_status status = {0};
+	struct document *document = document_parse(
+	    part->fetched, part->coming->sections_count, NULL, &status);
 
 	if (document == NULL) {
 		log_event(LOG_ERROR, "document_rejected", "reason",
@@ -115,8 +114,7 @@
 	    log_number((int64_t)part->head->version), NULL);
 	if (!control_leading(control))
 		return;
-	scheduler_set_document(
-	    control->scheduler, document, control->now_ms);
+	scheduler_set_document(control->scheduler, document, control->now_ms);
 	for (size_t i = 0; i < document->zones_count; i++)
 		scheduler_set_zone(control->scheduler, document->zones[i].name,
 		    control_zone_open(control, document->zones[i].name),
@@ -127,9 +125,9 @@
 get_key(struct control *control, const char *key, uint64_t token)
 {
 	struct store_call call = {
-		.op = STORE_GET,
-		.owner = OWNER_DOCUMENT,
-		.token = token,
+	    .op = STORE_GET,
+	    .owner = OWNER_DOCUMENT,
+	    .token = token,
 	};
 
 	STRING_COPY(call.key, key);
@@ -139,8 +137,8 @@
 static void
 section_key(const char *name, uint64_t revision, char key[STORE_KEY_BYTES])
 {
-	(void)snprintf(key, STORE_KEY_BYTES,
-	    "document/sections/%s/%" PRIu64, name, revision);
+	(void)snprintf(key, STORE_KEY_BYTES, "document/sections/%s/%" PRIu64,
+	    name, revision);
 }
 
 static void
@@ -149,12 +147,11 @@
 	struct document_part *part = control->documents;
 	char key[STORE_KEY_BYTES];
 
-	part->fetched = mem_calloc(
-	    part->coming->sections_count, sizeof(*part->fetched));
+	part->fetched =
+	    mem_calloc(part->coming->sections_count, sizeof(*part->fetched));
 	part->to_fetch = part->coming->sections_count;
 	for (size_t i = 0; i < part->coming->sections_count; i++) {
-		const struct head_section *section =
-		    &part->coming->sections[i];
+		const struct head_section *section = &part->coming->sections[i];
 
 		STRING_COPY(part->fetched[i].name, section->name);
 		part->fetched[i].revision = section->revision;
@@ -167,7 +164,7 @@
 head_read(struct control *control, struct store_result *result)
 {
 	struct document_part *part = control->documents;
-	struct ibis_status status = { 0 };
+	struct ibis_status status = {0};
 
 	part->polling = false;
 	part->next_poll_ms = control->now_ms + POLL_MS;
@@ -177,11 +174,11 @@
 	if (result->code != IBIS_OK || part->coming != NULL ||
 	    result->revision <= part->head_revision)
 		return;
-	part->coming = head_parse(
-	    result->value.data, result->value.length, &status);
+	part->coming =
+	    head_parse(result->value.data, result->value.length, &status);
 	if (part->coming == NULL) {
-		log_event(LOG_ERROR, "head_malformed", "reason",
-		    status.message, NULL);
+		log_event(LOG_ERROR, "head_malformed", "reason", status.message,
+		    NULL);
 		return;
 	}
 	part->coming_revision = result->revision;
@@ -223,9 +220,9 @@
 {
 	struct document_part *part = control->documents;
 	struct store_call call = {
-		.op = STORE_SWAP,
-		.owner = OWNER_DOCUMENT,
-		.expected_revision = part->head_revision,
+	    .op = STORE_SWAP,
+	    .owner = OWNER_DOCUMENT,
+	    .expected_revision = part->head_revision,
 	};
 
 	edit->next = part->head == NULL ? mem_calloc(1, sizeof(*edit->next))
@@ -249,11 +246,11 @@
 head_swapped(struct control *control, struct store_result *result)
 {
 	struct document_part *part = control->documents;
-	CLEANUP(buffer_free) struct buffer json = { 0 };
+	CLEANUP(buffer_free) struct buffer json = {0};
 	struct edit *edit = NULL;
 	struct edit *each;
 
-	cds_list_for_each_entry(each, &part->edits, node) {
+	cds_list_for_each_entry (each, &part->edits, node) {
 		if (each->swapping)
 			edit = each;
 	}
@@ -280,7 +277,7 @@
 {
 	struct edit *edit;
 
-	cds_list_for_each_entry(edit, &control->documents->edits, node) {
+	cds_list_for_each_entry (edit, &control->documents->edits, node) {
 		if (edit->to_write > 0 && --edit->to_write == 0) {
 			swap_head(control, edit);
 			return;
@@ -293,15 +290,14 @@
 {
 	for (size_t i = 0; i < edit->sources_count; i++) {
 		struct store_call call = {
-			.op = STORE_SWAP,
-			.owner = OWNER_DOCUMENT,
-			.token = 1,
+		    .op = STORE_SWAP,
+		    .owner = OWNER_DOCUMENT,
+		    .token = 1,
 		};
 
-		edit->sources[i].revision =
-		    (uint64_t)control_wall_ms() + i;
-		section_key(edit->sources[i].name, edit->sources[i].revision,
-		    call.key);
+		edit->sources[i].revision = (uint64_t)control_wall_ms() + i;
+		section_key(
+		    edit->sources[i].name, edit->sources[i].revision, call.key);
 		buffer_puts(&call.value, edit->sources[i].text);
 		store_client_call(control->store, &call);
 	}
@@ -309,11 +305,11 @@
 }
 
 void
-control_document_request(struct control *control,
-    const struct origin *origin, const Ibis__Request *request)
+control_document_request(struct control *control, const struct origin *origin,
+    const Ibis__Request *request)
 {
 	struct document_part *part = control->documents;
-	struct ibis_status status = { 0 };
+	struct ibis_status status = {0};
 	struct edit *edit;
 	struct document *checked;
 	int count;
@@ -328,7 +324,7 @@
 	edit->origin = *origin;
 	edit->kind = request->kind;
 	STRING_COPY(edit->zone, request->name);
-	(void)snprintf(edit->order, sizeof(edit->order), "%s-%" PRIu64,
+	(void)snprintf(edit->order, sizeof(edit->order), "%.64s-%" PRIu64,
 	    control->settings->name, ++part->next_order);
 	cds_list_add_tail(&edit->node, &part->edits);
 	if (request->kind != IBIS__REQUEST_KIND__REQUEST_PUT_DOCUMENT) {
@@ -337,9 +333,9 @@
 	}
 	count = document_split(request->body, &edit->sources, &status);
 	edit->sources_count = count < 0 ? 0 : (size_t)count;
-	checked = count < 0 ? NULL
-			    : document_parse(edit->sources,
-				  edit->sources_count, NULL, &status);
+	checked = count < 0
+	    ? NULL
+	    : document_parse(edit->sources, edit->sources_count, NULL, &status);
 	if (checked == NULL) {
 		control_refuse(control, origin, IBIS_INVALID, "check",
 		    status.message, false, 0);
--- a/src/process/control_gangs.c
+++ b/src/process/control_gangs.c
@@ -15,8 +15,7 @@
 /* ---- Commands -------------------------------------------------------- */
 
 static uint64_t
-sink_command(
-    void *context, const char *worker, struct worker_command *command)
+sink_command(void *context, const char *worker, struct worker_command *command)
 {
 	struct control *control = context;
 	struct worker_session *session =
@@ -33,8 +32,8 @@
 sink_of(struct control *control)
 {
 	return (struct gang_sink){
-		.command = sink_command,
-		.context = control,
+	    .command = sink_command,
+	    .context = control,
 	};
 }
 
@@ -44,10 +43,10 @@
 	const struct ibis_settings *settings = control->settings;
 
 	return (struct gang_config){
-		.reservation_ms = settings->reservation_ms,
-		.first_lease_ms = settings->first_lease_ms,
-		.task_lease_ms = settings->task_lease_ms,
-		.checkpoint_grace_ms = CHECKPOINT_GRACE_MS,
+	    .reservation_ms = settings->reservation_ms,
+	    .first_lease_ms = settings->first_lease_ms,
+	    .task_lease_ms = settings->task_lease_ms,
+	    .checkpoint_grace_ms = CHECKPOINT_GRACE_MS,
 	};
 }
 
@@ -76,8 +75,7 @@
 }
 
 static void
-set_workers(
-    Ibis__JobRecord *record, const char *const *workers, uint32_t count)
+set_workers(Ibis__JobRecord *record, const char *const *workers, uint32_t count)
 {
 	for (size_t i = 0; i < record->n_workers; i++)
 		mem_free(record->workers[i]);
@@ -91,26 +89,25 @@
 /* ---- Ends of an attempt ---------------------------------------------- */
 
 static void
-back_to_queue(struct control *control, struct job *job,
-    enum scheduler_end end, const char *culprit, int64_t run_ms)
+back_to_queue(struct control *control, struct job *job, enum scheduler_end end,
+    const char *culprit, int64_t run_ms)
 {
 	if (job->record->state != IBIS__JOB_STATE__JOB_ACCEPTED) {
 		job->record->state = IBIS__JOB_STATE__JOB_ACCEPTED;
 		control_job_note(control, job);
 	}
-	scheduler_end(control->scheduler, job->id, end, culprit, run_ms,
-	    control->now_ms);
-	log_event(LOG_INFO, "attempt_ended", "job", job->record->id,
-	    "attempt", log_number(job->record->attempt), "reason",
-	    job->gang->reason, "worker", culprit, NULL);
+	scheduler_end(
+	    control->scheduler, job->id, end, culprit, run_ms, control->now_ms);
+	log_event(LOG_INFO, "attempt_ended", "job", job->record->id, "attempt",
+	    log_number(job->record->attempt), "reason", job->gang->reason,
+	    "worker", culprit, NULL);
 }
 
 static void
 close_job(struct control *control, struct job *job, Ibis__JobState state,
     enum scheduler_end end, const char *reason)
 {
-	CLEANUP(mem_free_string) char *culprit =
-	    mem_strdup(job->gang->culprit);
+	CLEANUP(mem_free_string) char *culprit = mem_strdup(job->gang->culprit);
 
 	scheduler_end(control->scheduler, job->id, end,
 	    *culprit == '\0' ? NULL : culprit, 0, control->now_ms);
@@ -149,8 +146,7 @@
 
 /* It ran and stopped before its end, for a reason outside of it. */
 static void
-interrupted(
-    struct control *control, struct job *job, enum scheduler_end end)
+interrupted(struct control *control, struct job *job, enum scheduler_end end)
 {
 	struct gang *gang = job->gang;
 	const char *culprit = *gang->culprit == '\0' ? NULL : gang->culprit;
@@ -166,8 +162,8 @@
 		close_job(control, job, IBIS__JOB_STATE__JOB_UNKNOWN,
 		    END_CLOSED, gang->reason);
 	} else {
-		close_job(control, job, IBIS__JOB_STATE__JOB_FAILED,
-		    END_CLOSED, gang->reason);
+		close_job(control, job, IBIS__JOB_STATE__JOB_FAILED, END_CLOSED,
+		    gang->reason);
 	}
 }
 
@@ -175,13 +171,12 @@
 task_failed(struct control *control, struct job *job)
 {
 	job->failures++;
-	if (job->record->spec->idempotent &&
-	    job->failures < MAX_TASK_FAILURES)
+	if (job->record->spec->idempotent && job->failures < MAX_TASK_FAILURES)
 		back_to_queue(control, job, END_LOST, job->gang->culprit,
 		    run_time(control, job));
 	else
-		close_job(control, job, IBIS__JOB_STATE__JOB_FAILED,
-		    END_FAILED, job->gang->reason);
+		close_job(control, job, IBIS__JOB_STATE__JOB_FAILED, END_FAILED,
+		    job->gang->reason);
 }
 
 static void
@@ -357,10 +352,9 @@
 	struct gang_sink sink = sink_of(control);
 
 	if (job->gang == NULL) {
-		scheduler_end(control->scheduler, job->id, END_CLOSED, NULL,
-		    0, control->now_ms);
-		control_job_end(control, job,
-		    IBIS__JOB_STATE__JOB_CANCELLED,
+		scheduler_end(control->scheduler, job->id, END_CLOSED, NULL, 0,
+		    control->now_ms);
+		control_job_end(control, job, IBIS__JOB_STATE__JOB_CANCELLED,
 		    "cancelled while it waited");
 		return;
 	}
@@ -377,8 +371,7 @@
 {
 	struct gang_sink sink = sink_of(control);
 
-	set_workers(
-	    job->record, action->start.workers, action->start.tasks);
+	set_workers(job->record, action->start.workers, action->start.tasks);
 	job->record->attempt++;
 	gang_start(make_gang(control, job), &sink, control->now_ms);
 }
@@ -415,12 +408,12 @@
 static void
 perform(struct control *control, const struct scheduler_action *action)
 {
-	struct job *job = job_table_find(control->jobs, action->job);
+	struct job *job = job_map_find(control->jobs, action->job);
 	struct gang_sink sink = sink_of(control);
 
 	if (job == NULL) {
-		scheduler_end(control->scheduler, action->job, END_CLOSED,
-		    NULL, 0, control->now_ms);
+		scheduler_end(control->scheduler, action->job, END_CLOSED, NULL,
+		    0, control->now_ms);
 		return;
 	}
 	switch (action->kind) {
@@ -448,8 +441,7 @@
 perform_all(struct control *control, const struct scheduler_action *actions,
     size_t count)
 {
-	struct scheduler_action *copies =
-	    mem_calloc(count, sizeof(*copies));
+	struct scheduler_action *copies = mem_calloc(count, sizeof(*copies));
 
 	for (size_t i = 0; i < count; i++) {
 		copies[i] = actions[i];
@@ -489,8 +481,7 @@
 	if (!freshness_holds(&control->freshness, control->now_ms))
 		return;
 	control->decide_due = false;
-	count = scheduler_decide(
-	    control->scheduler, control->now_ms, &actions);
+	count = scheduler_decide(control->scheduler, control->now_ms, &actions);
 	if (count > 0)
 		perform_all(control, actions, count);
 }
@@ -514,22 +505,21 @@
 	struct gang_sink sink = sink_of(control);
 	/* Progress may take members off the list while it is walked. */
 	size_t count = session->members_count;
-	CLEANUP(buffer_free) struct buffer copy = { 0 };
+	CLEANUP(buffer_free) struct buffer copy = {0};
 	const struct worker_member *members;
 
-	buffer_append(&copy, session->members,
-	    count * sizeof(*session->members));
+	buffer_append(
+	    &copy, session->members, count * sizeof(*session->members));
 	members = (const struct worker_member *)(void *)copy.data;
 	for (size_t i = 0; i < count; i++) {
-		struct job *job =
-		    job_table_find(control->jobs, members[i].job);
+		struct job *job = job_map_find(control->jobs, members[i].job);
 		struct gang *gang = job == NULL ? NULL : job->gang;
 
 		if (gang == NULL)
 			continue;
 		gang_observe(gang, members[i].index,
-		    find_task(&result->report,
-			gang->members[members[i].index].task),
+		    find_task(
+			&result->report, gang->members[members[i].index].task),
 		    result->token, &sink, control->now_ms);
 		control_gang_progress(control, job);
 	}
@@ -547,9 +537,8 @@
 
 	if (!gang_parse_task(task->id, &id, &attempt, &index))
 		return false;
-	job = job_table_find(control->jobs, id);
-	if (job != NULL && job->gang != NULL &&
-	    job->gang->attempt == attempt)
+	job = job_map_find(control->jobs, id);
+	if (job != NULL && job->gang != NULL && job->gang->attempt == attempt)
 		return false;
 	if (task->state <= TASK_RUNNING) {
 		*verb = VERB_STOP;
@@ -573,7 +562,7 @@
 
 	for (size_t i = 0; i < report->tasks_count; i++) {
 		const struct worker_task *task = &report->tasks[i];
-		struct worker_command command = { 0 };
+		struct worker_command command = {0};
 
 		if (!stray_verb(control, task, &command.verb))
 			continue;
@@ -595,8 +584,8 @@
 	if (condition == session->condition)
 		return;
 	session->condition = condition;
-	scheduler_set_worker(control->scheduler, session->name, condition,
-	    control->now_ms);
+	scheduler_set_worker(
+	    control->scheduler, session->name, condition, control->now_ms);
 	control->decide_due = true;
 	log_event(LOG_INFO, "worker_condition", "worker", session->name,
 	    "condition",
@@ -636,17 +625,16 @@
 {
 	struct gang_sink sink = sink_of(control);
 	size_t count = session->members_count;
-	CLEANUP(buffer_free) struct buffer copy = { 0 };
+	CLEANUP(buffer_free) struct buffer copy = {0};
 	const struct worker_member *members;
 
 	session->lost = true;
 	log_event(LOG_WARN, "worker_lost", "worker", session->name, NULL);
-	buffer_append(&copy, session->members,
-	    count * sizeof(*session->members));
+	buffer_append(
+	    &copy, session->members, count * sizeof(*session->members));
 	members = (const struct worker_member *)(void *)copy.data;
 	for (size_t i = 0; i < count; i++) {
-		struct job *job =
-		    job_table_find(control->jobs, members[i].job);
+		struct job *job = job_map_find(control->jobs, members[i].job);
 
 		if (job == NULL || job->gang == NULL)
 			continue;
@@ -664,8 +652,7 @@
 	struct job *next;
 
 	for (size_t i = 0; i < control->workers.count; i++) {
-		struct worker_session *session =
-		    &control->workers.sessions[i];
+		struct worker_session *session = &control->workers.sessions[i];
 
 		/* Only a report brings a lost worker back. */
 		if (session->condition != WORKER_LOST)
@@ -675,7 +662,7 @@
 			session, &control->workers, control->now_ms))
 			worker_lost(control, session);
 	}
-	cds_list_for_each_entry_safe(job, next, &control->active, in_active) {
+	cds_list_for_each_entry_safe (job, next, &control->active, in_active) {
 		gang_tick(job->gang, &sink, control->now_ms);
 		control_gang_progress(control, job);
 	}
@@ -686,6 +673,5 @@
 {
 	for (size_t i = 0; i < control->workers.count; i++)
 		worker_session_flush(&control->workers.sessions[i],
-		    &control->workers, control->worker_client,
-		    control->now_ms);
+		    &control->workers, control->worker_client, control->now_ms);
 }
--- a/src/process/control_jobs.c
+++ b/src/process/control_jobs.c
@@ -10,12 +10,12 @@
 #include "process/log.h"
 #include "process/proto_memory.h"
 
-#define STORE_RETRY_AFTER_MS  2000
+#define STORE_RETRY_AFTER_MS   2000
 #define EXPIRED_RETRY_AFTER_MS 5000
-#define SEGMENT_FULL_BYTES    900000
-#define ANSWER_KEPT_MS	      60000
-#define MAX_LISTED_JOBS	      1000
-#define SWEEP_INTERVAL_MS     500
+#define SEGMENT_FULL_BYTES     900000
+#define ANSWER_KEPT_MS	       60000
+#define MAX_LISTED_JOBS	       1000
+#define SWEEP_INTERVAL_MS      500
 
 /* ---- Waiters --------------------------------------------------------- */
 
@@ -48,8 +48,7 @@
 {
 	struct job *job = waiter->job;
 
-	control_reply_job(
-	    control, &waiter->origin, job, waiter->wants_answer);
+	control_reply_job(control, &waiter->origin, job, waiter->wants_answer);
 	free_waiter(waiter);
 }
 
@@ -60,7 +59,7 @@
 	struct waiter *waiter;
 	struct waiter *next;
 
-	cds_list_for_each_entry_safe(waiter, next, &job->waiters, in_job) {
+	cds_list_for_each_entry_safe (waiter, next, &job->waiters, in_job) {
 		if (everybody || !waiter->wants_end)
 			answer_waiter(control, waiter);
 	}
@@ -73,7 +72,7 @@
 	struct waiter *waiter;
 	struct waiter *next;
 
-	cds_list_for_each_entry_safe(waiter, next, &job->waiters, in_job) {
+	cds_list_for_each_entry_safe (waiter, next, &job->waiters, in_job) {
 		control_refuse(control, &waiter->origin, code, "accept",
 		    message, not_run, STORE_RETRY_AFTER_MS);
 		free_waiter(waiter);
@@ -86,7 +85,7 @@
 	struct waiter *waiter;
 	struct waiter *next;
 
-	cds_list_for_each_entry_safe(waiter, next, &control->waiters, in_all) {
+	cds_list_for_each_entry_safe (waiter, next, &control->waiters, in_all) {
 		if (waiter->wants_end &&
 		    control->now_ms >= waiter->deadline_ms &&
 		    waiter->job->admitted)
@@ -102,7 +101,7 @@
 	struct waiter *waiter;
 	struct waiter *next;
 
-	cds_list_for_each_entry_safe(waiter, next, &control->waiters, in_all) {
+	cds_list_for_each_entry_safe (waiter, next, &control->waiters, in_all) {
 		control_refuse(control, &waiter->origin, IBIS_UNAVAILABLE,
 		    "lead", "no longer the lead", false, 0);
 		free_waiter(waiter);
@@ -132,14 +131,14 @@
 	int64_t age_ms = control_wall_ms() - job->record->accepted_at_ms;
 
 	*out = (struct scheduler_job){
-		.id = job->id,
-		.tasks = spec->tasks,
-		.accelerators_per_task = spec->accelerators_per_task,
-		.adjacency = spec->adjacency,
-		.idempotent = spec->idempotent,
-		.checkpointable = spec->checkpointable,
-		.run_time_ms = spec->run_time_ms,
-		.accepted_ms = control->now_ms - age_ms,
+	    .id = job->id,
+	    .tasks = spec->tasks,
+	    .accelerators_per_task = spec->accelerators_per_task,
+	    .adjacency = spec->adjacency,
+	    .idempotent = spec->idempotent,
+	    .checkpointable = spec->checkpointable,
+	    .run_time_ms = spec->run_time_ms,
+	    .accepted_ms = control->now_ms - age_ms,
 	};
 	if (spec->deadline_ms > 0)
 		out->deadline_ms = out->accepted_ms + spec->deadline_ms;
@@ -160,8 +159,8 @@
 }
 
 void
-control_job_end(struct control *control, struct job *job,
-    Ibis__JobState state, const char *reason)
+control_job_end(struct control *control, struct job *job, Ibis__JobState state,
+    const char *reason)
 {
 	Ibis__JobRecord *record = job->record;
 
@@ -175,8 +174,8 @@
 	cut_down(record);
 	log_event(LOG_INFO, "job_ended", "job", record->id, "outcome",
 	    job_state_name(state), "reason", reason, "attempt",
-	    log_number(record->attempt), "class",
-	    record->spec->request_class, NULL);
+	    log_number(record->attempt), "class", record->spec->request_class,
+	    NULL);
 	change(control, job, STEP_ENDED);
 	if (control->store_down)
 		answer_waiters(control, job, true);
@@ -203,9 +202,9 @@
     enum store_owner owner)
 {
 	struct store_call call = {
-		.op = op,
-		.owner = owner,
-		.token = answer_token(control, job),
+	    .op = op,
+	    .owner = owner,
+	    .token = answer_token(control, job),
 	};
 
 	answer_key(control, job, call.key);
@@ -224,7 +223,7 @@
 
 	if (text == NULL || !job_id_parse(text + 1, &id))
 		return NULL;
-	job = job_table_find(control->jobs, id);
+	job = job_map_find(control->jobs, id);
 	if (job == NULL || result->token != answer_token(control, job))
 		return NULL;
 	return job;
@@ -252,7 +251,7 @@
 static void
 measure_answer(Ibis__JobRecord *record, const Ibis__Answer *answer)
 {
-	CLEANUP(buffer_free) struct buffer joined = { 0 };
+	CLEANUP(buffer_free) struct buffer joined = {0};
 
 	for (size_t i = 0; i < answer->n_parts; i++)
 		buffer_puts(&joined, answer->parts[i]);
@@ -308,9 +307,9 @@
 {
 	job->answer_loading = false;
 	if (result->code == IBIS_OK && job->answer == NULL)
-		job->answer = (Ibis__Answer *)proto_unpack(
-		    &ibis__answer__descriptor, result->value.data,
-		    result->value.length);
+		job->answer =
+		    (Ibis__Answer *)proto_unpack(&ibis__answer__descriptor,
+			result->value.data, result->value.length);
 	job->answer_used_ms = control->now_ms;
 	if (job->answer == NULL)
 		refuse_waiters(control, job, IBIS_UNAVAILABLE,
@@ -324,9 +323,9 @@
 drop_answer(struct control *control, const struct store_result *result)
 {
 	struct store_call call = {
-		.op = STORE_DELETE,
-		.owner = OWNER_ANSWER_DROP,
-		.expected_revision = result->revision,
+	    .op = STORE_DELETE,
+	    .owner = OWNER_ANSWER_DROP,
+	    .expected_revision = result->revision,
 	};
 
 	if (result->op != STORE_GET || result->code != IBIS_OK)
@@ -380,8 +379,7 @@
 serve_job(struct control *control, const struct origin *origin,
     const Ibis__Request *request, struct job *job)
 {
-	bool finished =
-	    job->record->state == IBIS__JOB_STATE__JOB_FINISHED;
+	bool finished = job->record->state == IBIS__JOB_STATE__JOB_FINISHED;
 	bool ended = has_ended(control, job);
 
 	if (ended && finished && job->answer == NULL) {
@@ -405,7 +403,7 @@
 	struct job *job = NULL;
 
 	if (job_id_parse(request->job, &id))
-		job = job_table_find(control->jobs, id);
+		job = job_map_find(control->jobs, id);
 	if (job == NULL)
 		control_refuse(control, origin, IBIS_NOT_FOUND, "job",
 		    "no such job", false, 0);
@@ -450,20 +448,19 @@
 	struct json_object *item = json_object_new_object();
 	const Ibis__JobRecord *record = job->record;
 
-	json_object_object_add(
-	    item, "job", json_object_new_string(record->id));
+	json_object_object_add(item, "job", json_object_new_string(record->id));
 	json_object_object_add(item, "state",
 	    json_object_new_string(job_state_name(record->state)));
-	json_object_object_add(item, "workspace",
-	    json_object_new_string(record->spec->workspace));
-	json_object_object_add(item, "class",
-	    json_object_new_string(record->spec->request_class));
-	json_object_object_add(item, "tasks",
-	    json_object_new_int64(record->spec->tasks));
+	json_object_object_add(
+	    item, "workspace", json_object_new_string(record->spec->workspace));
+	json_object_object_add(
+	    item, "class", json_object_new_string(record->spec->request_class));
+	json_object_object_add(
+	    item, "tasks", json_object_new_int64(record->spec->tasks));
 	json_object_object_add(item, "accepted_at_ms",
 	    json_object_new_int64(record->accepted_at_ms));
-	json_object_object_add(item, "attempt",
-	    json_object_new_int64(record->attempt));
+	json_object_object_add(
+	    item, "attempt", json_object_new_int64(record->attempt));
 	json_object_array_add(list, item);
 }
 
@@ -474,7 +471,7 @@
 	struct json_object *list = json_object_new_array();
 
 	for (uint32_t i = 0; i < control->segments_count; i++) {
-		struct job *job = job_table_first(control->jobs, i);
+		struct job *job = job_map_first(control->jobs, i);
 
 		for (; job != NULL; job = job->next_in_segment) {
 			if (json_object_array_length(list) >= MAX_LISTED_JOBS)
@@ -523,7 +520,7 @@
     const Ibis__Request *request, struct job_id id)
 {
 	const struct segment *segment =
-	    &control->segments[job_table_segment(control->jobs, id)];
+	    &control->segments[job_map_segment(control->jobs, id)];
 
 	if (control->document == NULL) {
 		control_refuse(control, origin, IBIS_UNAVAILABLE, "submit",
@@ -554,8 +551,8 @@
 {
 	struct job_id id = job_id_from_key(
 	    request->spec->workspace, request->spec->idempotency_key);
-	struct job *job = job_table_find(control->jobs, id);
-	struct ibis_status status = { 0 };
+	struct job *job = job_map_find(control->jobs, id);
+	struct ibis_status status = {0};
 	struct scheduler_job view;
 	int64_t retry_after_ms = 0;
 	enum ibis_code code;
@@ -565,21 +562,20 @@
 		    job_spec_fingerprint(request->spec))
 			serve_job(control, origin, request, job);
 		else
-			control_refuse(control, origin, IBIS_CONFLICT,
-			    "submit",
+			control_refuse(control, origin, IBIS_CONFLICT, "submit",
 			    "Idempotency-Key: used before with another body",
 			    true, 0);
 		return;
 	}
 	if (refuse_early(control, origin, request, id))
 		return;
-	job = job_table_add(control->jobs, id, make_record(request, id));
+	job = job_map_add(control->jobs, id, make_record(request, id));
 	job->accepted_ms = control->now_ms;
 	control_scheduler_job(control, job, &view);
 	code = scheduler_submit(control->scheduler, &view, control->now_ms,
 	    &retry_after_ms, &status);
 	if (code != IBIS_OK) {
-		job_table_remove(control->jobs, job);
+		job_map_remove(control->jobs, job);
 		control_refuse(control, origin, code, status.step,
 		    status.message, true, retry_after_ms);
 		return;
@@ -647,7 +643,7 @@
 void
 control_job_step(struct control *control, const struct segment_entry *entry)
 {
-	struct job *job = job_table_find(control->jobs, entry->job);
+	struct job *job = job_map_find(control->jobs, entry->job);
 
 	if (job == NULL)
 		return;
@@ -674,9 +670,9 @@
 void
 control_job_remove(struct control *control, struct job *job)
 {
-	scheduler_end(control->scheduler, job->id, END_CLOSED, NULL, 0,
-	    control->now_ms);
-	job_table_remove(control->jobs, job);
+	scheduler_end(
+	    control->scheduler, job->id, END_CLOSED, NULL, 0, control->now_ms);
+	job_map_remove(control->jobs, job);
 }
 
 /* The job's acceptance surely never reached the store. */
@@ -693,10 +689,10 @@
 }
 
 static void
-settle_entry(struct control *control, const struct segment_entry *entry,
-    bool surely_not)
+settle_entry(
+    struct control *control, const struct segment_entry *entry, bool surely_not)
 {
-	struct job *job = job_table_find(control->jobs, entry->job);
+	struct job *job = job_map_find(control->jobs, entry->job);
 
 	if (job == NULL)
 		return;
@@ -734,7 +730,7 @@
 /* ---- Housekeeping ---------------------------------------------------- */
 
 static bool
-is_expired(const struct control *control, const struct job *job)
+is_expired(const struct control *control, struct job *job)
 {
 	return job->ended_durable && cds_list_empty(&job->waiters) &&
 	    job->gang == NULL &&
@@ -745,8 +741,8 @@
 static void
 sweep_job(struct control *control, struct job *job)
 {
-	bool waiting_for_put = job->answer != NULL &&
-	    !job_state_final(job->record->state);
+	bool waiting_for_put =
+	    job->answer != NULL && !job_state_final(job->record->state);
 
 	if (waiting_for_put && job->answer_retry_ms > 0 &&
 	    control->now_ms >= job->answer_retry_ms) {
@@ -764,7 +760,7 @@
 	if (job->record->state == IBIS__JOB_STATE__JOB_FINISHED)
 		call_answer(control, job, STORE_GET, OWNER_ANSWER_DROP);
 	control->segments[job->segment].dirty = true;
-	job_table_remove(control->jobs, job);
+	job_map_remove(control->jobs, job);
 }
 
 /* Looks over one segment at a time, so that each pass stays short. */
@@ -779,7 +775,7 @@
 	    control->now_ms + SWEEP_INTERVAL_MS / control->segments_count;
 	control->sweep_segment =
 	    (control->sweep_segment + 1) % control->segments_count;
-	job = job_table_first(control->jobs, control->sweep_segment);
+	job = job_map_first(control->jobs, control->sweep_segment);
 	while (job != NULL) {
 		struct job *next = job->next_in_segment;
 
--- a/src/process/control_peers.c
+++ b/src/process/control_peers.c
@@ -32,7 +32,7 @@
 	control->peers = mem_grow(control->peers, &control->peers_capacity,
 	    control->peers_count + 1, sizeof(*control->peers));
 	peer = &control->peers[control->peers_count++];
-	*peer = (struct peer){ 0 };
+	*peer = (struct peer){0};
 	STRING_COPY(peer->name, name);
 	return peer;
 }
@@ -56,8 +56,7 @@
 	for (size_t i = 0; i < control->peers_count; i++) {
 		const struct peer *peer = &control->peers[i];
 
-		if (!peer->leading || !peer->linked ||
-		    !is_heard(control, peer))
+		if (!peer->leading || !peer->linked || !is_heard(control, peer))
 			continue;
 		if (best == NULL || peer->lead_epoch > best->lead_epoch)
 			best = peer;
@@ -121,8 +120,7 @@
 		control->peers[i].listed = false;
 	control->instances_listed = 0;
 	for (size_t i = 0; i < count; i++)
-		take_in_instance(
-		    control, json_object_array_get_idx(list, i));
+		take_in_instance(control, json_object_array_get_idx(list, i));
 	if (control->instances_listed == 0)
 		control->instances_listed = 1;
 	dial_listed(control);
@@ -136,11 +134,9 @@
 	for (size_t i = 0; i < control->workers.count; i++)
 		control->workers.sessions[i].listed_leaving = true;
 	for (size_t i = 0; i < count; i++) {
-		struct json_object *item =
-		    json_object_array_get_idx(list, i);
-		struct worker_session *session =
-		    worker_table_add(&control->workers, text_of(item, "name"),
-			control->now_ms);
+		struct json_object *item = json_object_array_get_idx(list, i);
+		struct worker_session *session = worker_table_add(
+		    &control->workers, text_of(item, "name"), control->now_ms);
 
 		session->listed_leaving =
 		    strcmp(text_of(item, "state"), "leaving") == 0;
@@ -175,7 +171,7 @@
 static void
 ask_for_list(struct control *control)
 {
-	struct store_call call = { .op = STORE_LIST, .owner = OWNER_LIST };
+	struct store_call call = {.op = STORE_LIST, .owner = OWNER_LIST};
 
 	if (control->listing || control->now_ms < control->next_list_ms)
 		return;
@@ -191,8 +187,8 @@
 {
 	for (size_t i = 0; i < control->peers_count; i++) {
 		if (control->peers[i].linked)
-			(void)peer_links_send(control->links,
-			    control->peers[i].name, frame);
+			(void)peer_links_send(
+			    control->links, control->peers[i].name, frame);
 	}
 }
 
@@ -202,14 +198,14 @@
 	Ibis__Heartbeat heartbeat = IBIS__HEARTBEAT__INIT;
 	Ibis__Frame frame = IBIS__FRAME__INIT;
 	const char *lead = control_lead_name(control);
-	CLEANUP(mem_free_string) char *lead_copy =
-	    mem_strdup(lead == NULL ? "" : lead);
-	CLEANUP(mem_free_string) char *name =
-	    mem_strdup(control->settings->name);
-	CLEANUP(mem_free_string) char *zone =
-	    mem_strdup(control->settings->availability_zone);
-	CLEANUP(mem_free_string) char *address =
-	    mem_strdup(caller_server_address(control->callers));
+	CLEANUP(mem_free_string)
+	char *lead_copy = mem_strdup(lead == NULL ? "" : lead);
+	CLEANUP(mem_free_string)
+	char *name = mem_strdup(control->settings->name);
+	CLEANUP(mem_free_string)
+	char *zone = mem_strdup(control->settings->availability_zone);
+	CLEANUP(mem_free_string)
+	char *address = mem_strdup(caller_server_address(control->callers));
 
 	if (control->now_ms < control->next_heartbeat_ms)
 		return;
@@ -233,8 +229,8 @@
 }
 
 static void
-take_in_heartbeat(struct control *control, const char *name,
-    const Ibis__Heartbeat *heartbeat)
+take_in_heartbeat(
+    struct control *control, const char *name, const Ibis__Heartbeat *heartbeat)
 {
 	struct peer *peer = add_peer(control, name);
 
@@ -291,11 +287,9 @@
 	control_document_heartbeat(control, &heartbeat);
 	/* One that reaches the store may know of what this one can't. */
 	if (confirmation->store_reachable ||
-	    confirmation->document_version >
-		control_document_version(control))
+	    confirmation->document_version > control_document_version(control))
 		return;
-	freshness_confirm(
-	    &control->freshness, confirmation->sequence, peer);
+	freshness_confirm(&control->freshness, confirmation->sequence, peer);
 }
 
 static void
@@ -308,8 +302,8 @@
 	    control->now_ms < control->next_round_ms)
 		return;
 	control->next_round_ms = control->now_ms + CONFIRM_INTERVAL_MS;
-	confirm.sequence = freshness_begin_round(&control->freshness,
-	    control->instances_listed, control->now_ms);
+	confirm.sequence = freshness_begin_round(
+	    &control->freshness, control->instances_listed, control->now_ms);
 	confirm.document_version = control_document_version(control);
 	frame.body_case = IBIS__FRAME__BODY_CONFIRM;
 	frame.confirm = &confirm;
@@ -387,8 +381,8 @@
 }
 
 static void
-peer_json(const struct control *control, const struct peer *peer,
-    struct buffer *json)
+peer_json(
+    const struct control *control, const struct peer *peer, struct buffer *json)
 {
 	buffer_printf(json,
 	    ", {\"name\": \"%s\", \"availability_zone\": \"%s\", "
@@ -424,7 +418,7 @@
 control_status_json(struct control *control, struct buffer *json)
 {
 	const char *lead = control_lead_name(control);
-	struct scheduler_usage usage = { 0 };
+	struct scheduler_usage usage = {0};
 
 	if (control_leading(control))
 		scheduler_usage(control->scheduler, &usage);
--- a/src/process/control_pool.c
+++ b/src/process/control_pool.c
@@ -7,7 +7,7 @@
 #include "process/log.h"
 #include "process/proto_memory.h"
 
-#define REIGN_SHIFT 32
+#define REIGN_SHIFT	  32
 #define RECOVERY_RETRY_MS 200
 
 static void
@@ -37,9 +37,9 @@
 read_segment(struct control *control, uint32_t index)
 {
 	struct store_call call = {
-		.op = STORE_GET,
-		.owner = OWNER_RECOVERY,
-		.token = segment_token(control, index),
+	    .op = STORE_GET,
+	    .owner = OWNER_RECOVERY,
+	    .token = segment_token(control, index),
 	};
 
 	segment_key(control, index, call.key);
@@ -51,12 +51,12 @@
 {
 	const struct ibis_settings *settings = control->settings;
 	struct scheduler_config config = {
-		.policy = settings->policy,
-		.reclaim_bound_ms = settings->reclaim_bound_ms,
-		.zone_return_ramp_ms = settings->zone_return_ramp_ms,
-		.max_queued_jobs = (uint32_t)settings->max_queued_jobs,
-		.max_attempts = (uint32_t)settings->max_attempts,
-		.seed = control->incarnation,
+	    .policy = settings->policy,
+	    .reclaim_bound_ms = settings->reclaim_bound_ms,
+	    .zone_return_ramp_ms = settings->zone_return_ramp_ms,
+	    .max_queued_jobs = (uint32_t)settings->max_queued_jobs,
+	    .max_attempts = (uint32_t)settings->max_attempts,
+	    .seed = control->incarnation,
 	};
 
 	return scheduler_new(&config);
@@ -68,7 +68,7 @@
 	control->reign++;
 	control_job_drop_waiters(control);
 	CDS_INIT_LIST_HEAD(&control->active);
-	job_table_clear(control->jobs);
+	job_map_clear(control->jobs);
 	for (uint32_t i = 0; i < control->segments_count; i++)
 		segment_reset(&control->segments[i], 0, 0);
 	worker_table_reset(&control->workers, control->now_ms);
@@ -94,11 +94,11 @@
 	struct job *job;
 
 	if (record->spec == NULL || !job_id_parse(record->id, &id) ||
-	    job_table_find(control->jobs, id) != NULL) {
+	    job_map_find(control->jobs, id) != NULL) {
 		proto_free(&record->base);
 		return;
 	}
-	job = job_table_add(control->jobs, id, record);
+	job = job_map_add(control->jobs, id, record);
 	job->admitted = true;
 	job->recovered = true;
 	job->ended_durable = job_state_final(record->state);
@@ -133,8 +133,8 @@
 		control_pool_lost(control, "a segment is damaged");
 		return;
 	}
-	segment_reset(&control->segments[index], result->revision,
-	    message->sequence);
+	segment_reset(
+	    &control->segments[index], result->revision, message->sequence);
 	control->segments[index].size_bytes = result->value.length;
 	for (size_t i = 0; i < message->n_jobs; i++)
 		take_in_record(control, message->jobs[i]);
@@ -161,8 +161,7 @@
 		workers = (const char *const *)record->workers;
 	control_scheduler_job(control, job, &view);
 	job->accepted_ms = view.accepted_ms;
-	scheduler_restore(
-	    control->scheduler, &view, workers, control->now_ms);
+	scheduler_restore(control->scheduler, &view, workers, control->now_ms);
 	if (record->cancel_requested)
 		control_gang_cancel(control, job);
 }
@@ -181,7 +180,7 @@
 		    control_zone_open(control, zone), control->now_ms);
 	}
 	for (uint32_t i = 0; i < control->segments_count; i++) {
-		job = job_table_first(control->jobs, i);
+		job = job_map_first(control->jobs, i);
 		for (; job != NULL; job = job->next_in_segment)
 			restore_job(control, job);
 	}
@@ -190,20 +189,19 @@
 	control->next_heartbeat_ms = control->now_ms;
 	log_event(LOG_INFO, "lead_ready", "epoch",
 	    log_number((int64_t)control->lease.epoch), "jobs",
-	    log_number((int64_t)job_table_count(control->jobs)), NULL);
+	    log_number((int64_t)job_map_count(control->jobs)), NULL);
 }
 
 /* ---- Group commit ---------------------------------------------------- */
 
 static void
-build_segment(
-    struct control *control, uint32_t index, struct buffer *value)
+build_segment(struct control *control, uint32_t index, struct buffer *value)
 {
 	Ibis__Segment message = IBIS__SEGMENT__INIT;
 	struct segment *segment = &control->segments[index];
-	struct job *job = job_table_first(control->jobs, index);
-	CLEANUP(buffer_free) struct buffer records = { 0 };
-	char writer[JOB_NAME_BYTES + 32];
+	struct job *job = job_map_first(control->jobs, index);
+	CLEANUP(buffer_free) struct buffer records = {0};
+	char writer[SETTINGS_TEXT_BYTES + 32];
 
 	for (; job != NULL; job = job->next_in_segment) {
 		if (!job->withdrawn)
@@ -225,10 +223,10 @@
 {
 	struct segment *segment = &control->segments[index];
 	struct store_call call = {
-		.op = op,
-		.owner = OWNER_SEGMENT,
-		.token = segment_token(control, index),
-		.expected_revision = segment->revision,
+	    .op = op,
+	    .owner = OWNER_SEGMENT,
+	    .token = segment_token(control, index),
+	    .expected_revision = segment->revision,
 	};
 
 	segment_key(control, index, call.key);
@@ -242,7 +240,7 @@
 commit_segment(struct control *control, uint32_t index)
 {
 	struct segment *segment = &control->segments[index];
-	struct buffer value = { 0 };
+	struct buffer value = {0};
 
 	switch (segment_next(segment, control->now_ms)) {
 	case SEGMENT_NOTHING:
@@ -298,8 +296,8 @@
 		return;
 	segment = &control->segments[index];
 	if (result->op == STORE_SWAP)
-		done = segment_swap_result(segment, result->code,
-		    result->revision, control->now_ms);
+		done = segment_swap_result(
+		    segment, result->code, result->revision, control->now_ms);
 	else
 		done = segment_read_result(segment, result->code,
 		    result->revision, &result->value, control->now_ms);
@@ -325,10 +323,10 @@
 call_lead(struct control *control, enum store_op op)
 {
 	struct store_call call = {
-		.op = op,
-		.owner = OWNER_LEAD,
-		.token = control->reign,
-		.expected_revision = control->lease.revision,
+	    .op = op,
+	    .owner = OWNER_LEAD,
+	    .token = control->reign,
+	    .expected_revision = control->lease.revision,
 	};
 
 	lead_key(control, call.key);
@@ -343,25 +341,25 @@
 lead_result(struct control *control, const struct store_result *result)
 {
 	struct lead_lease *lease = &control->lease;
-	bool led = lease->role == LEAD_LEADING ||
-	    lease->role == LEAD_RECOVERING;
+	bool led =
+	    lease->role == LEAD_LEADING || lease->role == LEAD_RECOVERING;
 	bool changed;
 
 	if (result->op == STORE_GET)
 		changed = lead_read_result(lease, result->code,
 		    result->revision, &result->value, control->now_ms);
 	else
-		changed = lead_swap_result(lease, result->code,
-		    result->revision, &result->value, result->sent_ms,
-		    control->now_ms);
+		changed =
+		    lead_swap_result(lease, result->code, result->revision,
+			&result->value, result->sent_ms, control->now_ms);
 	if (!changed)
 		return;
 	if (lease->role == LEAD_RECOVERING) {
 		begin_recovery(control);
 	} else if (led) {
 		log_event(LOG_WARN, "lead_lost", "reason",
-		    "another instance holds the lease", "holder",
-		    lease->holder, NULL);
+		    "another instance holds the lease", "holder", lease->holder,
+		    NULL);
 		forget_pool(control);
 	}
 }
--- a/src/process/control_reply.c
+++ b/src/process/control_reply.c
@@ -62,8 +62,8 @@
 	Ibis__Reply reply = IBIS__REPLY__INIT;
 	CLEANUP(mem_free_string) char *step_copy = mem_strdup(step);
 	CLEANUP(mem_free_string) char *message_copy = mem_strdup(message);
-	CLEANUP(mem_free_string) char *name =
-	    mem_strdup(control->settings->name);
+	CLEANUP(mem_free_string)
+	char *name = mem_strdup(control->settings->name);
 
 	reply.code = code_on_wire(code);
 	reply.step = step_copy;
@@ -101,8 +101,7 @@
 	    (!job_state_final(record.state) || job->ended_durable);
 	if (with_answer)
 		view.answer = job->answer;
-	reply.not_run =
-	    job->record->state == IBIS__JOB_STATE__JOB_NOT_RUN;
+	reply.not_run = job->record->state == IBIS__JOB_STATE__JOB_NOT_RUN;
 	reply.job = &view;
 	control_reply(control, origin, &reply);
 }
--- a/src/process/control_requests.c
+++ b/src/process/control_requests.c
@@ -5,9 +5,9 @@
 #include "process/log.h"
 #include "process/proto_memory.h"
 
-#define FORWARD_RETRY_MS    100
-#define NO_LEAD_PATIENCE_MS 6000
-#define ANSWER_PATIENCE_MS  10000
+#define FORWARD_RETRY_MS       100
+#define NO_LEAD_PATIENCE_MS    6000
+#define ANSWER_PATIENCE_MS     10000
 #define NO_LEAD_RETRY_AFTER_MS 2000
 
 /* Tells whether the pool's lead serves a kind of request. */
@@ -34,7 +34,7 @@
 	    "{\"name\": \"%s\", \"condition\": \"%s\", \"address\": \"%s\", "
 	    "\"free_accelerators\": %u, \"tasks\": %zu}",
 	    session->name,
-	    session->condition == WORKER_SERVING      ? "serving"
+	    session->condition == WORKER_SERVING       ? "serving"
 		: session->condition == WORKER_LEAVING ? "leaving"
 						       : "lost",
 	    session->address, session->free_accelerators,
@@ -44,7 +44,7 @@
 static void
 request_endpoints(struct control *control, const struct origin *origin)
 {
-	CLEANUP(buffer_free) struct buffer json = { 0 };
+	CLEANUP(buffer_free) struct buffer json = {0};
 
 	buffer_puts(&json, "{\"endpoints\": [");
 	for (size_t i = 0; i < control->workers.count; i++) {
@@ -88,7 +88,7 @@
 	const char *lead = control_lead_name(control);
 	Ibis__ForwardRequest message = IBIS__FORWARD_REQUEST__INIT;
 	Ibis__Frame frame = IBIS__FRAME__INIT;
-	struct origin origin = { .call = forward->call };
+	struct origin origin = {.call = forward->call};
 
 	forward->retry_ms = control->now_ms + FORWARD_RETRY_MS;
 	if (lead == NULL)
@@ -118,8 +118,8 @@
 	forward->call = ++control->next_call;
 	forward->caller = caller;
 	forward->received_ms = control->now_ms;
-	forward->give_up_ms = control->now_ms + caller->request->wait_ms +
-	    ANSWER_PATIENCE_MS;
+	forward->give_up_ms =
+	    control->now_ms + caller->request->wait_ms + ANSWER_PATIENCE_MS;
 	cds_list_add_tail(&forward->node, &control->forwards);
 	send_forward(control, forward);
 }
@@ -129,7 +129,7 @@
 {
 	struct forward *forward;
 
-	cds_list_for_each_entry(forward, &control->forwards, node) {
+	cds_list_for_each_entry (forward, &control->forwards, node) {
 		if (forward->call == call)
 			return forward;
 	}
@@ -169,8 +169,8 @@
 }
 
 void
-control_forward_reply(struct control *control, const char *peer,
-    const Ibis__ForwardReply *reply)
+control_forward_reply(
+    struct control *control, const char *peer, const Ibis__ForwardReply *reply)
 {
 	struct forward *forward = find_forward(control, reply->call);
 
@@ -183,8 +183,7 @@
 		forward->peer[0] = '\0';
 		return;
 	}
-	caller_server_reply(
-	    control->callers, forward->caller, reply->reply);
+	caller_server_reply(control->callers, forward->caller, reply->reply);
 	free_forward(forward);
 }
 
@@ -193,7 +192,7 @@
 {
 	struct forward *forward;
 
-	cds_list_for_each_entry(forward, &control->forwards, node) {
+	cds_list_for_each_entry (forward, &control->forwards, node) {
 		if (strcmp(forward->peer, peer) != 0)
 			continue;
 		forward->peer[0] = '\0';
@@ -204,7 +203,7 @@
 static void
 give_up_forward(struct control *control, struct forward *forward)
 {
-	struct origin origin = { .caller = forward->caller };
+	struct origin origin = {.caller = forward->caller};
 	bool not_run = is_submission(forward) && !forward->sent_once;
 
 	if (not_run || !is_submission(forward))
@@ -225,8 +224,7 @@
 	struct forward *forward;
 	struct forward *next;
 
-	cds_list_for_each_entry_safe(
-	    forward, next, &control->forwards, node) {
+	cds_list_for_each_entry_safe (forward, next, &control->forwards, node) {
 		bool waiting = *forward->peer == '\0';
 
 		if (control->now_ms >= forward->give_up_ms ||
@@ -240,7 +238,7 @@
 }
 
 bool
-control_forwards_open(const struct control *control)
+control_forwards_open(struct control *control)
 {
 	return !cds_list_empty(&control->forwards);
 }
@@ -250,7 +248,7 @@
 static void
 request_status(struct control *control, const struct origin *origin)
 {
-	CLEANUP(buffer_free) struct buffer json = { 0 };
+	CLEANUP(buffer_free) struct buffer json = {0};
 
 	control_status_json(control, &json);
 	control_reply_json(control, origin, buffer_string(&json));
@@ -259,7 +257,7 @@
 static void
 request_instances(struct control *control, const struct origin *origin)
 {
-	CLEANUP(buffer_free) struct buffer json = { 0 };
+	CLEANUP(buffer_free) struct buffer json = {0};
 
 	control_peers_json(control, &json);
 	control_reply_json(control, origin, buffer_string(&json));
@@ -272,8 +270,7 @@
 		control_reply_json(control, origin, "{\"ready\": true}");
 	else
 		control_refuse(control, origin, IBIS_UNAVAILABLE, "ready",
-		    control->state ==
-			    IBIS__INSTANCE_STATE__INSTANCE_LEAVING
+		    control->state == IBIS__INSTANCE_STATE__INSTANCE_LEAVING
 			? "the instance is leaving"
 			: "the instance is starting",
 		    false, 0);
@@ -309,7 +306,7 @@
 void
 control_caller_request(struct control *control, struct caller_request *caller)
 {
-	struct origin origin = { .caller = caller };
+	struct origin origin = {.caller = caller};
 
 	if (lead_serves(caller->request->kind))
 		forward_request(control, caller);
@@ -321,7 +318,7 @@
 control_forwarded_request(struct control *control, const char *peer,
     const Ibis__ForwardRequest *forward)
 {
-	struct origin origin = { .call = forward->call };
+	struct origin origin = {.call = forward->call};
 
 	STRING_COPY(origin.peer, peer);
 	if (forward->request == NULL)
--- a/src/process/daemon.c
+++ b/src/process/daemon.c
@@ -23,26 +23,26 @@
 {
 	const struct ibis_settings *settings = control->settings;
 	struct peer_links_config links = {
-		.listen_address = settings->peer_address,
-		.name = settings->name,
-		.incarnation = control->incarnation,
-		.heartbeat_interval_ms = settings->heartbeat_interval_ms,
-		.timeout_ms = settings->peer_timeout_ms,
-		.max_frame_bytes = MAX_FRAME_BYTES,
+	    .listen_address = settings->peer_address,
+	    .name = settings->name,
+	    .incarnation = control->incarnation,
+	    .heartbeat_interval_ms = settings->heartbeat_interval_ms,
+	    .timeout_ms = settings->peer_timeout_ms,
+	    .max_frame_bytes = MAX_FRAME_BYTES,
 	};
 	struct caller_server_config callers = {
-		.address = settings->caller_address,
-		.max_body_bytes = settings->max_body_bytes,
-		.max_connections = settings->max_connections,
-		.max_wait_ms = settings->max_wait_ms,
+	    .address = settings->caller_address,
+	    .max_body_bytes = settings->max_body_bytes,
+	    .max_connections = settings->max_connections,
+	    .max_wait_ms = settings->max_wait_ms,
 	};
 
 	control->store = store_client_start(settings->store_address,
 	    settings->store_timeout_ms, events, status);
 	if (control->store == NULL)
 		return status->code;
-	control->worker_client = worker_client_start(
-	    settings->worker_timeout_ms, events, status);
+	control->worker_client =
+	    worker_client_start(settings->worker_timeout_ms, events, status);
 	if (control->worker_client == NULL)
 		return status->code;
 	control->links = peer_links_start(&links, events, status);
@@ -105,12 +105,11 @@
 		mem_free(daemon);
 		return NULL;
 	}
-	daemon->control = control_new(
-	    settings, daemon->events, (uint64_t)control_wall_ms());
-	if (start_traffic(daemon->control, daemon->events, status) !=
-		IBIS_OK ||
-	    pthread_create(&daemon->thread, NULL, control_run,
-		daemon->control) != 0) {
+	daemon->control =
+	    control_new(settings, daemon->events, (uint64_t)control_wall_ms());
+	if (start_traffic(daemon->control, daemon->events, status) != IBIS_OK ||
+	    pthread_create(
+		&daemon->thread, NULL, control_run, daemon->control) != 0) {
 		daemon_free(daemon);
 		return NULL;
 	}
--- a/src/process/job_table.c
+++ b/src/process/job_map.c
@@ -1,10 +1,10 @@
 #include "process/alloc.h"
-#include "process/job_table.h"
+#include "process/job_map.h"
 #include "process/proto_memory.h"
 
 #define FIRST_BUCKETS 1024
 
-struct job_table {
+struct job_map {
 	struct job **buckets;
 	size_t buckets_count; /* a power of two */
 	size_t count;
@@ -12,10 +12,10 @@
 	uint32_t segments_count;
 };
 
-struct job_table *
-job_table_new(uint32_t segments)
+struct job_map *
+job_map_new(uint32_t segments)
 {
-	struct job_table *table = mem_calloc(1, sizeof(*table));
+	struct job_map *table = mem_calloc(1, sizeof(*table));
 
 	table->buckets_count = FIRST_BUCKETS;
 	table->buckets =
@@ -37,13 +37,13 @@
 }
 
 static struct job **
-bucket_of(const struct job_table *table, struct job_id id)
+bucket_of(const struct job_map *table, struct job_id id)
 {
 	return &table->buckets[id.low & (table->buckets_count - 1)];
 }
 
 struct job *
-job_table_find(const struct job_table *table, struct job_id id)
+job_map_find(const struct job_map *table, struct job_id id)
 {
 	struct job *job = *bucket_of(table, id);
 
@@ -53,7 +53,7 @@
 }
 
 static void
-insert_into_bucket(struct job_table *table, struct job *job)
+insert_into_bucket(struct job_map *table, struct job *job)
 {
 	struct job **bucket = bucket_of(table, job->id);
 
@@ -62,7 +62,7 @@
 }
 
 static void
-double_buckets(struct job_table *table)
+double_buckets(struct job_map *table)
 {
 	struct job **old = table->buckets;
 	size_t old_count = table->buckets_count;
@@ -84,14 +84,13 @@
 }
 
 uint32_t
-job_table_segment(const struct job_table *table, struct job_id id)
+job_map_segment(const struct job_map *table, struct job_id id)
 {
 	return (uint32_t)(id.high % table->segments_count);
 }
 
 struct job *
-job_table_add(
-    struct job_table *table, struct job_id id, Ibis__JobRecord *record)
+job_map_add(struct job_map *table, struct job_id id, Ibis__JobRecord *record)
 {
 	struct job *job = mem_calloc(1, sizeof(*job));
 	struct job **first;
@@ -101,7 +100,7 @@
 	job->id = id;
 	job->record = record;
 	CDS_INIT_LIST_HEAD(&job->waiters);
-	job->segment = job_table_segment(table, id);
+	job->segment = job_map_segment(table, id);
 	insert_into_bucket(table, job);
 	first = &table->segments[job->segment];
 	job->next_in_segment = *first;
@@ -113,7 +112,7 @@
 }
 
 static void
-unlink_from_bucket(struct job_table *table, struct job *job)
+unlink_from_bucket(struct job_map *table, struct job *job)
 {
 	struct job **link = bucket_of(table, job->id);
 
@@ -123,7 +122,7 @@
 }
 
 static void
-unlink_from_segment(struct job_table *table, struct job *job)
+unlink_from_segment(struct job_map *table, struct job *job)
 {
 	if (job->previous_in_segment == NULL)
 		table->segments[job->segment] = job->next_in_segment;
@@ -136,7 +135,7 @@
 }
 
 void
-job_table_remove(struct job_table *table, struct job *job)
+job_map_remove(struct job_map *table, struct job *job)
 {
 	unlink_from_bucket(table, job);
 	unlink_from_segment(table, job);
@@ -145,33 +144,33 @@
 }
 
 void
-job_table_clear(struct job_table *table)
+job_map_clear(struct job_map *table)
 {
 	for (uint32_t i = 0; i < table->segments_count; i++) {
 		while (table->segments[i] != NULL)
-			job_table_remove(table, table->segments[i]);
+			job_map_remove(table, table->segments[i]);
 	}
 }
 
 void
-job_table_free(struct job_table *table)
+job_map_free(struct job_map *table)
 {
 	if (table == NULL)
 		return;
-	job_table_clear(table);
+	job_map_clear(table);
 	mem_free(table->segments);
 	mem_free(table->buckets);
 	mem_free(table);
 }
 
 size_t
-job_table_count(const struct job_table *table)
+job_map_count(const struct job_map *table)
 {
 	return table->count;
 }
 
 struct job *
-job_table_first(const struct job_table *table, uint32_t segment)
+job_map_first(const struct job_map *table, uint32_t segment)
 {
 	return table->segments[segment];
 }
--- a/src/process/job_table.h
+++ b/src/process/job_map.h
@@ -2,8 +2,8 @@
  * The jobs that the lead knows, by id and by segment. Owned by the control
  * thread.
  */
-#ifndef IBIS_JOB_TABLE_H
-#define IBIS_JOB_TABLE_H
+#ifndef IBIS_JOB_MAP_H
+#define IBIS_JOB_MAP_H
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -50,7 +50,7 @@
 	int64_t answer_retry_ms; /* its put failed; 0: none due */
 	bool withdrawn; /* never durable and told so; goes when its gang ends */
 	bool started_before; /* some attempt before this one started */
-	bool recovered; /* taken over from an earlier lead */
+	bool recovered;	     /* taken over from an earlier lead */
 	bool admitted;	     /* may start: durable, or taken without */
 	bool undurable;	     /* taken while the store was down */
 	bool intent_sent;    /* the intent of this attempt is being written */
@@ -62,28 +62,28 @@
 	int64_t running_ms;  /* of the attempt; 0: not yet */
 };
 
-struct job_table;
+struct job_map;
 
 /* segments is the number of segments that jobs spread over. */
-struct job_table *job_table_new(uint32_t segments);
-void job_table_free(struct job_table *table);
+struct job_map *job_map_new(uint32_t segments);
+void job_map_free(struct job_map *table);
 
-struct job *job_table_find(const struct job_table *table, struct job_id id);
+struct job *job_map_find(const struct job_map *table, struct job_id id);
 
 /* Adds a job; its record becomes the table's. */
-struct job *job_table_add(
-    struct job_table *table, struct job_id id, Ibis__JobRecord *record);
+struct job *job_map_add(
+    struct job_map *table, struct job_id id, Ibis__JobRecord *record);
 
 /* Removes and frees a job, which must have no waiters. */
-void job_table_remove(struct job_table *table, struct job *job);
+void job_map_remove(struct job_map *table, struct job *job);
 
 /* Removes all jobs. */
-void job_table_clear(struct job_table *table);
+void job_map_clear(struct job_map *table);
 
-size_t job_table_count(const struct job_table *table);
-uint32_t job_table_segment(const struct job_table *table, struct job_id id);
+size_t job_map_count(const struct job_map *table);
+uint32_t job_map_segment(const struct job_map *table, struct job_id id);
 
 /* First job of a segment; follow next_in_segment. */
-struct job *job_table_first(const struct job_table *table, uint32_t segment);
+struct job *job_map_first(const struct job_map *table, uint32_t segment);
 
 #endif
