Add ibisctl, ibis-load, the site program and the demonstration

ibis-site starts the stand-ins and instances from a document, for make up and make demo. The demonstration sends gangs, urgent jobs and jobs that must run once at most from all workspaces, takes a zone out through one instance and back through another, and counts answers as the callers saw them and runs as the workers logged them. ibis-load sends a seeded mix and prints completion times by class; each answer is checked for length, hash and content. The site program is built from the test harness, so CMakeLists.txt has a line for it.

--- /dev/null
+++ b/src/main/ibis_load.c
@@ -0,0 +1,7 @@
+#include "request/cli_load.h"
+
+int
+main(int argc, char **argv)
+{
+	return cli_run(&cli_load_command, argc, argv);
+}
--- /dev/null
+++ b/src/main/ibisctl.c
@@ -0,0 +1,7 @@
+#include "request/cli.h"
+
+int
+main(int argc, char **argv)
+{
+	return cli_main(argc, argv);
+}
--- a/src/request/cli_output.c
+++ b/src/request/cli_output.c
@@ -217,7 +217,10 @@
 	code = client_send(cli->client, call, &answer, &status);
 	if (code != IBIS_OK)
 		return cli_fail(code, &status);
-	cli_print(cli, answer.json);
+	if (answer.json != NULL)
+		cli_print(cli, answer.json);
+	else
+		(void)printf("%s\n", buffer_string(&answer.body));
 	return CLI_OK;
 }
 
--- /dev/null
+++ b/src/request/load_report.h
@@ -0,0 +1,29 @@
+/* Sums up the results of a load by request class. Pure but for printing. */
+#ifndef IBIS_LOAD_REPORT_H
+#define IBIS_LOAD_REPORT_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "request/load_run.h"
+
+/* Results of one class, or of all. */
+struct load_summary {
+	const char *request_class; /* owned by the mix */
+	uint64_t jobs;
+	uint64_t by_outcome[LOAD_OUTCOMES];
+	uint64_t wrong_answers;
+	int64_t p50_ms; /* of the finished ones; 0 when there are none */
+	int64_t p99_ms;
+	int64_t work_ms; /* accelerator milliseconds of the finished ones */
+};
+
+/* Sums up one class; request_class NULL: all. */
+void load_summarize(struct load_summary *summary, const char *request_class,
+    const struct load_job *jobs, const struct load_result *results,
+    size_t count);
+
+/* Prints a line of key=value pairs. */
+void load_summary_print(const struct load_summary *summary);
+
+#endif
