Make the daemon's files clean for the linters

Cause: cppcheck does not know the list macros of liburcu, and takes NULL for a plain 0; sscanf hides overflow. Change: a cppcheck description of the macros, task ids read with strtoul. Ruled out: switching uninitvar off.

--- a/src/process/control.h
+++ b/src/process/control.h
@@ -129,7 +129,7 @@
 struct control *control_new(const struct ibis_settings *settings,
     struct event_queue *events, uint64_t incarnation);
 void control_free(struct control *control);
-void *control_run(void *control);
+void *control_run(void *argument);
 uint32_t control_random(struct control *control, uint32_t bound);
 int64_t control_wall_ms(void);
 
@@ -224,7 +224,7 @@
 void control_peers_list(struct control *control, struct store_result *result);
 void control_peers_frame(
     struct control *control, const char *peer, Ibis__Frame *frame);
-void control_peers_link(struct control *control, const char *peer, bool up);
+void control_peers_link(struct control *control, const char *name, bool up);
 struct peer *control_peer_find(struct control *control, const char *name);
 /* Name of the instance that leads, as far as known; NULL when unknown. */
 const char *control_lead_name(const struct control *control);
--- a/src/request/gang.c
+++ b/src/request/gang.c
@@ -635,15 +635,31 @@
 	}
 }
 
+/* Parses a decimal number that must be followed by a given character. */
+static const char *
+parse_number(const char *text, char end, uint32_t *number)
+{
+	char *rest;
+	unsigned long value;
+
+	if (*text < '0' || *text > '9')
+		return NULL;
+	value = strtoul(text, &rest, 10);
+	if (*rest != end || value > UINT32_MAX)
+		return NULL;
+	*number = (uint32_t)value;
+	return rest + 1;
+}
+
 bool
 gang_parse_task(
     const char *text, struct job_id *job, uint32_t *attempt, uint32_t *index)
 {
 	char id[JOB_ID_BYTES];
-	int used = 0;
 
-	if (sscanf(text, "%32[0-9a-f].%" SCNu32 ".%" SCNu32 "%n", id, attempt,
-		index, &used) != 3)
+	STRING_COPY(id, text);
+	if (!job_id_parse(id, job) || text[JOB_ID_BYTES - 1] != '.')
 		return false;
-	return text[used] == '\0' && job_id_parse(id, job);
+	text = parse_number(text + JOB_ID_BYTES, '.', attempt);
+	return text != NULL && parse_number(text, '\0', index) != NULL;
 }
--- a/src/request/gang.h
+++ b/src/request/gang.h
@@ -128,10 +128,10 @@
 void gang_adopt(struct gang *gang, int64_t now_ms);
 
 /*
- * A worker's report on a member. task is NULL when its inventory does not hold
- * it. token is that of the call that the report answers.
+ * A worker's report on the member at index. task is NULL when its inventory
+ * does not hold it. token is that of the call that the report answers.
  */
-void gang_observe(struct gang *gang, uint32_t member,
+void gang_observe(struct gang *gang, uint32_t index,
     const struct worker_task *task, uint64_t token,
     const struct gang_sink *sink, int64_t now_ms);
 
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -6,7 +6,7 @@
 tools/sources.sh | grep '\.c$' | grep -v '^fuzz/' |
 	xargs -P "${JOBS:-4}" -n 1 clang-tidy -quiet -p "${BUILD:-build}" \
 	2>/dev/null || failed=1
-cppcheck -q -j "${JOBS:-4}" --std=c11 --enable=warning,performance,portability \
+cppcheck -q --library=tools/urcu.cfg -j "${JOBS:-4}" --std=c11 --enable=warning,performance,portability \
 	--inline-suppr --suppress=missingIncludeSystem --error-exitcode=1 \
 	--suppress=normalCheckLevelMaxBranches -D_GNU_SOURCE \
 	-Iinclude -Isrc -Ifakes src fakes bench || failed=1
