--- a/src/connection/address.c
+++ b/src/connection/address.c
@@ -41,8 +41,8 @@
 	    .ai_flags = AI_NUMERICHOST | AI_NUMERICSERV,
 	};
 	struct addrinfo *found = NULL;
-	char host[ADDRESS_TEXT_BYTES];
-	const char *port;
+	char host[ADDRESS_TEXT_BYTES] = "";
+	const char *port = NULL;
 
 	if (!split(text, host, &port) ||
 	    getaddrinfo(host, port, &hints, &found) != 0)
@@ -57,7 +57,7 @@
 int
 address_listen(const char *text, int backlog, struct ibis_status *status)
 {
-	struct sockaddr_storage address;
+	struct sockaddr_storage address = {0};
 	socklen_t length;
 	int one = 1;
 	int fd;
--- a/src/connection/caller_http.c
+++ b/src/connection/caller_http.c
@@ -78,33 +78,31 @@
 	    &status, http_status, retry_after_ms, &exchange->output);
 }
 
-static void
-add_number_header(struct MHD_Response *response, const char *name,
-    const char *format, uint64_t number)
-{
-	char text[HEADER_BYTES];
-
-	(void)snprintf(text, sizeof(text), format, number);
-	(void)MHD_add_response_header(response, name, text);
-}
-
 static void
 add_headers(const struct caller_server *server, const struct api_output *output,
     struct MHD_Response *response, bool close)
 {
+	char text[HEADER_BYTES];
+
 	(void)MHD_add_response_header(
 	    response, MHD_HTTP_HEADER_CONTENT_TYPE, output->content_type);
-	if (output->retry_after_ms > 0)
-		add_number_header(response, MHD_HTTP_HEADER_RETRY_AFTER,
-		    "%" PRIu64,
-		    ((uint64_t)output->retry_after_ms + MS_PER_S - 1) /
-			MS_PER_S);
-	if (output->etag != 0)
-		add_number_header(response, MHD_HTTP_HEADER_ETAG,
-		    "\"%" PRIu64 "\"", output->etag);
-	if (output->content_hash != 0)
-		add_number_header(response, "X-Answer-Hash", "%016" PRIx64,
-		    output->content_hash);
+	if (output->retry_after_ms > 0) {
+		(void)snprintf(text, sizeof(text), "%" PRId64,
+		    (output->retry_after_ms + MS_PER_S - 1) / MS_PER_S);
+		(void)MHD_add_response_header(
+		    response, MHD_HTTP_HEADER_RETRY_AFTER, text);
+	}
+	if (output->etag != 0) {
+		(void)snprintf(
+		    text, sizeof(text), "\"%" PRIu64 "\"", output->etag);
+		(void)MHD_add_response_header(
+		    response, MHD_HTTP_HEADER_ETAG, text);
+	}
+	if (output->content_hash != 0) {
+		(void)snprintf(
+		    text, sizeof(text), "%016" PRIx64, output->content_hash);
+		(void)MHD_add_response_header(response, "X-Answer-Hash", text);
+	}
 	if (close || atomic_load(&server->draining))
 		(void)MHD_add_response_header(
 		    response, MHD_HTTP_HEADER_CONNECTION, "close");
--- a/src/connection/peer_connection.c
+++ b/src/connection/peer_connection.c
@@ -31,21 +31,21 @@
 }
 
 struct peer_connection *
-peer_connection_dial(const char *text, struct ibis_status *status)
+peer_connection_dial(const char *address, struct ibis_status *status)
 {
-	struct sockaddr_storage address;
+	struct sockaddr_storage storage = {0};
 	struct peer_connection *connection;
 	socklen_t length;
 	int fd;
 
-	if (address_parse(text, &address, &length, status) != IBIS_OK)
+	if (address_parse(address, &storage, &length, status) != IBIS_OK)
 		return NULL;
 	fd = socket(
-	    address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	    storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0 ||
-	    (connect(fd, (struct sockaddr *)&address, length) < 0 &&
+	    (connect(fd, (struct sockaddr *)&storage, length) < 0 &&
 		errno != EINPROGRESS)) {
-		(void)ibis_status_set(status, IBIS_UNAVAILABLE, "dial", text,
+		(void)ibis_status_set(status, IBIS_UNAVAILABLE, "dial", address,
 		    "%s", strerrordesc_np(errno));
 		if (fd >= 0)
 			(void)close(fd);
--- a/tests/test_api.c
+++ b/tests/test_api.c
@@ -1,3 +1,5 @@
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <json-c/json.h>
@@ -31,6 +33,19 @@
 	return api_parse(&input, status);
 }
 
+static Ibis__Request *
+parse_good(const char *method, const char *path, const char *body)
+{
+	struct ibis_status status = {0};
+	Ibis__Request *request = parse(method, path, body, &status);
+
+	if (request == NULL) {
+		(void)printf("%s\n", status.message);
+		abort();
+	}
+	return request;
+}
+
 static void
 free_request(Ibis__Request *request)
 {
@@ -41,14 +56,9 @@
 static void
 test_submission(void)
 {
-	struct ibis_status status = {0};
-	Ibis__Request *request;
-	Ibis__Request *other;
+	Ibis__Request *request = parse_good("POST", "/v1/jobs", WHOLE "\n");
+	Ibis__Request *other = parse_good("POST", "/v1/jobs", WHOLE);
 
-	request = parse("POST", "/v1/jobs", WHOLE "\n", &status);
-	other = parse("POST", "/v1/jobs", WHOLE, &status);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(request);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(other);
 	CU_ASSERT_EQUAL(request->kind, IBIS__REQUEST_KIND__REQUEST_SUBMIT);
 	CU_ASSERT_EQUAL(request->wait_ms, 500);
 	CU_ASSERT_STRING_EQUAL(request->spec->workspace, "rounds");
@@ -145,20 +155,19 @@
 	};
 	Ibis__Request *request = api_parse(&input, &status);
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(request);
+	if (request == NULL)
+		abort();
 	CU_ASSERT_EQUAL(request->kind, IBIS__REQUEST_KIND__REQUEST_PUT_SECTION);
 	CU_ASSERT_STRING_EQUAL(request->name, "records");
 	CU_ASSERT_STRING_EQUAL(request->body, "{}");
 	CU_ASSERT_EQUAL(request->if_match, 12);
 	CU_ASSERT_TRUE(request->dry_run);
 	free_request(request);
-	request = parse("POST", "/v1/availability-zones/a/out", NULL, &status);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(request);
+	request = parse_good("POST", "/v1/availability-zones/a/out", NULL);
 	CU_ASSERT_EQUAL(request->kind, IBIS__REQUEST_KIND__REQUEST_ZONE_OUT);
 	CU_ASSERT_STRING_EQUAL(request->name, "a");
 	free_request(request);
-	request = parse("GET", "/v1/jobs/" JOB_ID "/answer", NULL, &status);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(request);
+	request = parse_good("GET", "/v1/jobs/" JOB_ID "/answer", NULL);
 	CU_ASSERT_EQUAL(request->kind, IBIS__REQUEST_KIND__REQUEST_ANSWER);
 	CU_ASSERT_STRING_EQUAL(request->job, JOB_ID);
 	free_request(request);
@@ -267,30 +276,28 @@
 }
 
 struct code_case {
-	Ibis__Code code;
 	const char *step;
+	Ibis__Code code;
 	int32_t http_status;
 };
 
 static const struct code_case code_cases[] = {
-    {IBIS__CODE__CODE_INVALID, "submit", 400},
-    {IBIS__CODE__CODE_INVALID, "admit", 422},
-    {IBIS__CODE__CODE_CONFLICT, "admit", 409},
-    {IBIS__CODE__CODE_NOT_FOUND, "find", 404},
-    {IBIS__CODE__CODE_LIMIT, "admit", 429},
-    {IBIS__CODE__CODE_UNAVAILABLE, "forward", 503},
-    {IBIS__CODE__CODE_UNKNOWN, "forward", 504},
-    {IBIS__CODE__CODE_INTERNAL, "admit", 500},
+    {"submit", IBIS__CODE__CODE_INVALID, 400},
+    {"admit", IBIS__CODE__CODE_INVALID, 422},
+    {"admit", IBIS__CODE__CODE_CONFLICT, 409},
+    {"find", IBIS__CODE__CODE_NOT_FOUND, 404},
+    {"admit", IBIS__CODE__CODE_LIMIT, 429},
+    {"forward", IBIS__CODE__CODE_UNAVAILABLE, 503},
+    {"forward", IBIS__CODE__CODE_UNKNOWN, 504},
+    {"admit", IBIS__CODE__CODE_INTERNAL, 500},
 };
 
 static void
 test_error_form(void)
 {
-	struct ibis_status status = {0};
-	Ibis__Request *request = parse("POST", "/v1/jobs", WHOLE, &status);
+	Ibis__Request *request = parse_good("POST", "/v1/jobs", WHOLE);
 	struct api_output output;
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(request);
 	for (size_t i = 0; i < COUNT_OF(code_cases); i++) {
 		Ibis__Reply reply = IBIS__REPLY__INIT;
 		char step[IBIS_STEP_BYTES];
--- a/tests/test_frame.c
+++ b/tests/test_frame.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include "common_cunit.h"
@@ -34,7 +35,8 @@
 		CU_ASSERT_EQUAL(frame_decode(bytes.data, bytes.length,
 				    MAX_BYTES, &frame, &consumed, &status),
 		    IBIS_OK);
-		CU_ASSERT_PTR_NOT_NULL_FATAL(frame);
+		if (frame == NULL)
+			abort();
 		CU_ASSERT_EQUAL(frame->body_case, IBIS__FRAME__BODY_HELLO);
 		CU_ASSERT_STRING_EQUAL(frame->hello->name, "entry-1");
 		CU_ASSERT_EQUAL(frame->hello->incarnation, 7);
