Share the traffic of failure tests and the demonstration

Tests need the same callers in the background and the same judgements over the logs: runs of a job, false 'not run', partial gangs.

--- a/tests/common_deployment.c
+++ b/tests/common_deployment.c
@@ -15,7 +15,8 @@
 #define SERVING_TIMEOUT_MS 15000
 #define CALL_TIMEOUT_MS	   8000
 #define LIST_LAG_MS	   200
-#define STEP_MS		   20
+#define STEP_MS		   5
+#define SOURCE_VARIABLE	   "IBIS_SOURCE"
 #define TEXT_BYTES	   32
 #define ANY_PORT	   "127.0.0.1:0"
 
@@ -41,6 +42,53 @@
 	return true;
 }
 
+/* What a wait for events looks for. */
+struct events_wait {
+	const char *path;
+	const char *event;
+	size_t count;
+};
+
+static bool
+S_has_events(void *context)
+{
+	CLEANUP(log_free) struct log log = {0};
+	const struct events_wait *wait = context;
+	size_t count = 0;
+
+	if (!log_read(&log, wait->path))
+		return false;
+	for (size_t i = 0; i < log.count; i++) {
+		if (strcmp(log.records[i].event, wait->event) == 0)
+			count++;
+	}
+	return count >= wait->count;
+}
+
+bool
+deployment_wait_events(
+    const char *log_path, const char *event, size_t count, int32_t timeout_ms)
+{
+	struct events_wait wait = {
+	    .path = log_path,
+	    .event = event,
+	    .count = count,
+	};
+
+	return deployment_wait(S_has_events, &wait, timeout_ms);
+}
+
+const char *
+deployment_source_path(const char *file)
+{
+	static char path[DEPLOYMENT_PATH_BYTES];
+	const char *folder = getenv(SOURCE_VARIABLE);
+
+	(void)snprintf(path, sizeof(path), "%.160s/%.80s",
+	    folder == NULL ? "." : folder, file);
+	return path;
+}
+
 /* Sends one request to an address, once. */
 static enum ibis_code
 send_to(const char *address, const struct client_call *call,
--- a/tests/common_deployment.h
+++ b/tests/common_deployment.h
@@ -104,4 +104,11 @@
 bool deployment_wait(
     deployment_condition *condition, void *context, int32_t timeout_ms);
 
+/* Waits until a log has count events of a name. */
+bool deployment_wait_events(
+    const char *log_path, const char *event, size_t count, int32_t timeout_ms);
+
+/* Path of a file in the source tree; static, until the next call. */
+const char *deployment_source_path(const char *file);
+
 #endif
