--- a/fakes/workers/site.c
+++ b/fakes/workers/site.c
@@ -476,12 +476,16 @@
     size_t count, enum report_fault fault, struct fake_reply *reply)
 {
 	int64_t now_ms = clock_now_ms();
+	size_t answers;
 
 	fake_worker_advance(&worker->model, now_ms);
 	for (size_t i = 0; i < count; i++)
 		fake_worker_command(&worker->model, &commands[i], now_ms);
 	pull_trigger(worker, commands, count, true);
-	sync_report(&worker->model, fault, now_ms, &reply->body);
+	answers = sync_report(&worker->model, fault, now_ms, &reply->body);
+	if (fault != REPORT_SOUND)
+		fake_log("event=spoil worker=%s answers=%zu",
+		    worker->model.name, answers);
 	reply->cut = worker->model.condition == WORKER_DEAD;
 }
 
--- a/fakes/workers/sync.c
+++ b/fakes/workers/sync.c
@@ -198,12 +198,13 @@
 	return object;
 }
 
-void
+size_t
 sync_report(const struct fake_worker *worker, enum report_fault fault,
     int64_t now_ms, struct buffer *body)
 {
 	struct json_object *root = json_object_new_object();
 	struct json_object *tasks = json_object_new_array();
+	size_t answers = 0;
 
 	put(root, "worker", json_object_new_string(worker->name));
 	put(root, "incarnation", json_object_new_uint64(worker->incarnation));
@@ -212,12 +213,17 @@
 	put(root, "free_accelerators",
 	    json_object_new_int64(fake_worker_free(worker)));
 	for (size_t i = 0; i < worker->tasks_count; i++) {
-		if (!worker->tasks[i]->forgotten)
-			json_object_array_add(tasks,
-			    report_task(worker->tasks[i], fault, now_ms));
+		const struct fake_task *task = worker->tasks[i];
+
+		if (task->forgotten)
+			continue;
+		json_object_array_add(tasks, report_task(task, fault, now_ms));
+		if (task->state == TASK_DONE)
+			answers++;
 	}
 	put(root, "tasks", tasks);
 	fake_json_append(body, root);
 	if (fault == REPORT_TRUNCATE)
 		body->length /= 2;
+	return answers;
 }
--- a/fakes/workers/sync.h
+++ b/fakes/workers/sync.h
@@ -28,8 +28,8 @@
 
 void sync_free_commands(struct worker_command *commands, size_t count);
 
-/* Appends the inventory. */
-void sync_report(const struct fake_worker *worker, enum report_fault fault,
+/* Appends the inventory; returns the number of answers in it. */
+size_t sync_report(const struct fake_worker *worker, enum report_fault fault,
     int64_t now_ms, struct buffer *body);
 
 #endif
--- /dev/null
+++ b/tests/fail_answers.c
@@ -0,0 +1,295 @@
+/*
+ * Every caller gets the whole answer to its own request: reports are crossed,
+ * cut, changed, doubled and late; answers are large; the entry instance dies
+ * while a caller waits; thousands wait at once.
+ */
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/task_answer.h"
+#include "common_cunit.h"
+#include "common_failure.h"
+#include "common_jobs.h"
+#include "process/alloc.h"
+#include "request/answer_check.h"
+
+#define INSTANCES	 3
+#define SEED		 20261203
+#define TIME_SCALE	 2
+#define JOBS		 120
+#define CALLERS		 40
+#define JOBS_PER_S	 30
+#define RUN_MS		 400
+#define MANY_JOBS	 2000
+#define MANY_RUN_MS	 400
+#define RETRY_MS	 20000
+#define TRAFFIC_MS	 45000
+#define DONE_STEP	 15
+#define POINT_TIMEOUT_MS 20000
+#define END_MS		 30000
+#define PARTS		 4
+#define PART_BYTES	 60000
+#define MIN_SPOILED	 20
+#define PATH_BYTES	 96
+
+static void
+fill_traffic(
+    struct traffic *traffic, struct deployment *deployment, const char *prefix)
+{
+	struct load_kind *gang;
+
+	*traffic = (struct traffic){
+	    .deployment = deployment,
+	    .mix = {.jobs = JOBS, .jobs_per_s = JOBS_PER_S, .seed = SEED},
+	    .callers = CALLERS,
+	    .retry_ms = RETRY_MS,
+	    .max_run_ms = TRAFFIC_MS,
+	};
+	STRING_COPY(traffic->mix.key_prefix, prefix);
+	(void)traffic_add_kind(traffic, "one", "plan", RUN_MS);
+	gang = traffic_add_kind(traffic, "two", "plan", RUN_MS);
+	gang->tasks = 3;
+	gang->accelerators_per_task = 2;
+	gang->idempotent = true;
+}
+
+/* Number of answers in spoiled reports. */
+static int64_t
+count_spoiled(const char *log_path)
+{
+	CLEANUP(log_free) struct log log = {0};
+	int64_t answers = 0;
+
+	if (!log_read(&log, log_path))
+		return 0;
+	for (size_t i = 0; i < log.count; i++) {
+		if (strcmp(log.records[i].event, "spoil") == 0)
+			answers += strtoll(
+			    log_value(&log.records[i], "answers"), NULL, 10);
+	}
+	return answers;
+}
+
+static void
+test_spoiled_reports(void)
+{
+	static const char *const faults[] = {
+	    "{\"mode\": \"crossed\", \"count\": 4}",
+	    "{\"mode\": \"truncate\", \"count\": 2}",
+	    "{\"mode\": \"corrupt\", \"count\": 4}",
+	    "{\"mode\": \"doubled\", \"count\": 4}",
+	    "{\"mode\": \"late\", \"delay_ms\": 400, \"count\": 4}",
+	    "{\"mode\": \"crossed\", \"count\": 4}",
+	};
+	struct deployment deployment;
+	struct traffic traffic;
+
+	failure_start(&deployment, INSTANCES, TIME_SCALE, SEED);
+	fill_traffic(&traffic, &deployment, "spoiled");
+	CU_ASSERT_TRUE_FATAL(traffic_start(&traffic));
+	for (size_t i = 0; i < COUNT_OF(faults); i++) {
+		CU_ASSERT_TRUE(deployment_wait_events(deployment.workers_log,
+		    "done", (i + 1) * DONE_STEP, POINT_TIMEOUT_MS));
+		CU_ASSERT_TRUE(
+		    deployment_fault_worker(&deployment, "*", faults[i]));
+	}
+	failure_judge(&traffic, 0);
+	CU_ASSERT(count_spoiled(deployment.workers_log) >= MIN_SPOILED);
+	failure_stop(&deployment);
+}
+
+/* What the whole answer must be. */
+static void
+expect_answer(const char *payload, struct buffer *answer)
+{
+	for (uint32_t i = 0; i < PARTS; i++)
+		task_answer(payload, i, answer);
+}
+
+static void
+check_large(struct deployment *deployment, uint32_t number, const char *fault)
+{
+	CLEANUP(client_answer_free) struct client_answer answer = {0};
+	CLEANUP(buffer_free) struct buffer expected = {0};
+	char payload[2 * PATH_BYTES];
+	char key[PATH_BYTES];
+	char path[PATH_BYTES];
+	char id[JOB_ID_BYTES];
+	char outcome[JOB_NAME_BYTES];
+	struct job_plan plan = {
+	    .workspace = "one",
+	    .request_class = "plan",
+	    .key = key,
+	    .payload = payload,
+	    .tasks = PARTS,
+	    .accelerators = 1,
+	    .run_time_ms = RUN_MS,
+	    .idempotent = number % 2 == 0,
+	};
+
+	(void)snprintf(key, sizeof(key), "large-%u", (unsigned int)number);
+	(void)snprintf(payload, sizeof(payload), "%s answer_bytes=%d", key,
+	    PART_BYTES + (int)number);
+	CU_ASSERT_EQUAL_FATAL(
+	    job_submit(deployment, number % INSTANCES, &plan, id), IBIS_OK);
+	CU_ASSERT_TRUE(deployment_fault_worker(deployment, "*", fault));
+	job_wait(deployment, id, END_MS, outcome);
+	CU_ASSERT_STRING_EQUAL_FATAL(outcome, "finished");
+	(void)snprintf(path, sizeof(path), "/v1/jobs/%s/answer", id);
+	CU_ASSERT_EQUAL(
+	    deployment_get(deployment, (number + 1) % INSTANCES, path, &answer),
+	    IBIS_OK);
+	expect_answer(payload, &expected);
+	CU_ASSERT_EQUAL_FATAL(answer.body.length, expected.length);
+	CU_ASSERT_EQUAL(
+	    memcmp(answer.body.data, expected.data, expected.length), 0);
+}
+
+static void
+test_large_answers(void)
+{
+	static const char *const faults[] = {
+	    "{\"mode\": \"none\"}",
+	    "{\"mode\": \"truncate\", \"count\": 5}",
+	    "{\"mode\": \"crossed\", \"count\": 10}",
+	    "{\"mode\": \"corrupt\", \"count\": 10}",
+	};
+	struct deployment deployment;
+
+	failure_start(&deployment, INSTANCES, TIME_SCALE, SEED);
+	for (uint32_t i = 0; i < COUNT_OF(faults); i++)
+		check_large(&deployment, i, faults[i]);
+	failure_stop(&deployment);
+}
+
+/* A caller that waits at one instance. */
+struct waiting {
+	struct deployment *deployment;
+	uint32_t instance;
+	const char *id;
+	pthread_t thread;
+};
+
+static void *
+S_wait_for_job(void *argument)
+{
+	CLEANUP(client_answer_free) struct client_answer answer = {0};
+	struct waiting *waiting = argument;
+	char path[PATH_BYTES];
+
+	(void)snprintf(
+	    path, sizeof(path), "/v1/jobs/%s?wait_ms=6000", waiting->id);
+	(void)deployment_get(
+	    waiting->deployment, waiting->instance, path, &answer);
+	return NULL;
+}
+
+/* Tells whether another instance gives the whole answer to a job. */
+static void
+check_asked_elsewhere(
+    struct deployment *deployment, uint32_t instance, const char *id)
+{
+	CLEANUP(client_answer_free) struct client_answer answer = {0};
+	struct json_object *parts = NULL;
+	struct ibis_status status = {0};
+	char path[PATH_BYTES];
+	char outcome[JOB_NAME_BYTES];
+
+	job_wait(deployment, id, END_MS, outcome);
+	CU_ASSERT_STRING_EQUAL_FATAL(outcome, "finished");
+	(void)snprintf(path, sizeof(path), "/v1/jobs/%s", id);
+	CU_ASSERT_EQUAL_FATAL(
+	    deployment_get(deployment, instance, path, &answer), IBIS_OK);
+	CU_ASSERT_EQUAL(answer_check_parts(answer.json, &status), IBIS_OK);
+	(void)json_object_object_get_ex(answer.json, "answers", &parts);
+	CU_ASSERT_EQUAL_FATAL(json_object_array_length(parts), 2);
+	CU_ASSERT_STRING_EQUAL(
+	    json_object_get_string(json_object_array_get_idx(parts, 1)),
+	    "1:whole");
+}
+
+static void
+kill_entry(struct deployment *deployment, bool kill_lead)
+{
+	int lead = deployment_wait_lead(deployment, -1, END_MS);
+	uint32_t entry =
+	    kill_lead ? (uint32_t)lead : ((uint32_t)lead + 1) % INSTANCES;
+	uint32_t other = (entry + 1) % INSTANCES;
+	struct job_plan plan = {
+	    .workspace = "two",
+	    .request_class = "plan",
+	    .key = kill_lead ? "entry-is-lead" : "entry",
+	    .payload = "whole",
+	    .tasks = 2,
+	    .accelerators = 1,
+	    .run_time_ms = 4000,
+	    .idempotent = false,
+	};
+	CLEANUP(log_free) struct log log = {0};
+	char id[JOB_ID_BYTES];
+	struct waiting waiting = {
+	    .deployment = deployment, .instance = entry, .id = id};
+
+	CU_ASSERT_TRUE_FATAL(lead >= 0);
+	CU_ASSERT_EQUAL_FATAL(
+	    job_submit(deployment, entry, &plan, id), IBIS_OK);
+	CU_ASSERT_EQUAL_FATAL(
+	    pthread_create(&waiting.thread, NULL, S_wait_for_job, &waiting), 0);
+	CU_ASSERT_TRUE(deployment_wait_events(deployment->workers_log, "start",
+	    kill_lead ? 4 : 2, POINT_TIMEOUT_MS));
+	deployment_kill(deployment, entry);
+	(void)pthread_join(waiting.thread, NULL);
+	check_asked_elsewhere(deployment, other, id);
+	CU_ASSERT_TRUE_FATAL(log_read(&log, deployment->workers_log));
+	CU_ASSERT_EQUAL(log_runs(&log, id), 1);
+	CU_ASSERT_TRUE(deployment_restart(deployment, entry));
+}
+
+static void
+test_entry_killed_while_waiting(void)
+{
+	struct deployment deployment;
+
+	failure_start(&deployment, INSTANCES, TIME_SCALE, SEED);
+	kill_entry(&deployment, false);
+	kill_entry(&deployment, true);
+	failure_stop(&deployment);
+}
+
+static void
+test_many_waiting_callers(void)
+{
+	struct deployment deployment;
+	struct traffic traffic;
+
+	failure_start(&deployment, INSTANCES, TIME_SCALE, SEED);
+	fill_traffic(&traffic, &deployment, "many");
+	traffic.mix.jobs = MANY_JOBS;
+	traffic.mix.jobs_per_s = 0;
+	traffic.callers = MANY_JOBS;
+	for (size_t i = 0; i < traffic.mix.kinds_count; i++) {
+		traffic.mix.kinds[i].tasks = 1;
+		traffic.mix.kinds[i].accelerators_per_task = 1;
+		traffic.mix.kinds[i].run_time_ms = MANY_RUN_MS;
+	}
+	CU_ASSERT_TRUE_FATAL(traffic_start(&traffic));
+	failure_judge(&traffic, 0);
+	failure_stop(&deployment);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"spoiled reports", test_spoiled_reports},
+	    {"large answers", test_large_answers},
+	    {"entry killed while a caller waits",
+		test_entry_killed_while_waiting},
+	    {"many waiting callers", test_many_waiting_callers},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("answers", tests);
+}
--- /dev/null
+++ b/tests/fail_leaving.c
@@ -0,0 +1,253 @@
+/*
+ * A leaving endpoint gets no new work 3 s after it says so: by its own report
+ * while it holds reservations, by the platform's lagging list, and by an entry
+ * of that list which flaps. When it is back, it works again.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "common_cunit.h"
+#include "common_failure.h"
+#include "common_jobs.h"
+#include "process/alloc.h"
+#include "process/clock.h"
+
+#define INSTANCES	 3
+#define SEED		 20261203
+#define LIST_LAG_MS	 1000
+#define BOUND_MS	 3000
+#define WATCH_MS	 3000
+#define JOBS		 400
+#define CALLERS		 60
+#define RUN_MS		 400
+#define RETRY_MS	 20000
+#define TRAFFIC_MS	 60000
+#define POINT_TIMEOUT_MS 20000
+#define FLAPS		 8
+#define FLAP_MS		 300
+#define PATH_BYTES	 128
+
+static struct deployment deployment;
+
+static const char *const leaving_workers[] = {"a2", "b2", "c2"};
+
+static void
+start_site(void)
+{
+	struct deployment_config config = {
+	    .document_path = deployment_source_path("tests/data/site.jsonc"),
+	    .instances = INSTANCES,
+	    .time_scale = 1,
+	    .seed = SEED,
+	    .list_lag_ms = LIST_LAG_MS,
+	};
+
+	CU_ASSERT_TRUE_FATAL(deployment_start(&deployment, &config));
+}
+
+/* More work than the workers can do at once, so that each gets some. */
+static void
+start_traffic(struct traffic *traffic, const char *prefix)
+{
+	struct load_kind *kind;
+
+	*traffic = (struct traffic){
+	    .deployment = &deployment,
+	    .mix = {.jobs = JOBS, .seed = SEED},
+	    .callers = CALLERS,
+	    .retry_ms = RETRY_MS,
+	    .max_run_ms = TRAFFIC_MS,
+	};
+	STRING_COPY(traffic->mix.key_prefix, prefix);
+	kind = traffic_add_kind(traffic, "one", "plan", RUN_MS);
+	kind->accelerators_per_task = 8;
+	kind->idempotent = true;
+	kind->checkpointable = true;
+	CU_ASSERT_TRUE_FATAL(traffic_start(traffic));
+}
+
+/* What a wait for new work looks for. */
+struct work_wait {
+	const char *worker;
+	int64_t from_ms;
+};
+
+static bool
+S_gets_work(void *context)
+{
+	CLEANUP(log_free) struct log log = {0};
+	const struct work_wait *wait = context;
+
+	return log_read(&log, deployment.workers_log) &&
+	    log_events_at(
+		&log, "start", wait->worker, wait->from_ms, INT64_MAX) > 0;
+}
+
+static void
+wait_for_work(int64_t from_ms)
+{
+	for (size_t i = 0; i < COUNT_OF(leaving_workers); i++) {
+		struct work_wait wait = {leaving_workers[i], from_ms};
+
+		CU_ASSERT_TRUE(
+		    deployment_wait(S_gets_work, &wait, POINT_TIMEOUT_MS));
+	}
+}
+
+static void
+check_no_new_work(
+    const struct log *log, const char *worker, int64_t said_ms, int64_t to_ms)
+{
+	int64_t from_ms = said_ms + BOUND_MS;
+
+	CU_ASSERT_EQUAL(
+	    log_events_at(log, "reserve", worker, from_ms, to_ms), 0);
+	CU_ASSERT_EQUAL(
+	    log_events_at(log, "refuse", worker, from_ms, to_ms), 0);
+	CU_ASSERT_EQUAL(log_events_at(log, "stage", worker, from_ms, to_ms), 0);
+	CU_ASSERT_EQUAL(log_events_at(log, "start", worker, from_ms, to_ms), 0);
+	CU_ASSERT_EQUAL(
+	    log_events_at(log, "resume", worker, from_ms, to_ms), 0);
+}
+
+/* The others went on working, so silence is not for want of work. */
+static void
+check_others_worked(const struct log *log, int64_t from_ms, int64_t to_ms)
+{
+	CU_ASSERT(log_events_at(log, "start", "a1", from_ms, to_ms) > 0);
+	CU_ASSERT(log_events_at(log, "start", "b1", from_ms, to_ms) > 0);
+}
+
+static void
+watch_until(int64_t time_ms)
+{
+	while (clock_now_ms() < time_ms)
+		process_pause(10);
+}
+
+static void
+judge_leaving(int64_t said_ms, int64_t back_ms)
+{
+	CLEANUP(log_free) struct log log = {0};
+
+	CU_ASSERT_TRUE_FATAL(log_read(&log, deployment.workers_log));
+	for (size_t i = 0; i < COUNT_OF(leaving_workers); i++)
+		check_no_new_work(&log, leaving_workers[i], said_ms, back_ms);
+	check_others_worked(&log, said_ms + BOUND_MS, back_ms);
+}
+
+static void
+fault_leaving_workers(const char *body)
+{
+	for (size_t i = 0; i < COUNT_OF(leaving_workers); i++)
+		CU_ASSERT_TRUE(deployment_fault_worker(
+		    &deployment, leaving_workers[i], body));
+}
+
+static void
+test_says_so_while_reserved(void)
+{
+	struct traffic traffic;
+	int64_t said_ms;
+	int64_t back_ms;
+
+	start_site();
+	start_traffic(&traffic, "says-so");
+	wait_for_work(0);
+	fault_leaving_workers("{\"mode\": \"leaving\", \"on\": \"reserve\", "
+			      "\"after\": 1}");
+	CU_ASSERT_TRUE(deployment_wait_events(deployment.workers_log, "fault",
+	    COUNT_OF(leaving_workers), POINT_TIMEOUT_MS));
+	said_ms = clock_now_ms();
+	watch_until(said_ms + BOUND_MS + WATCH_MS);
+	back_ms = clock_now_ms();
+	fault_leaving_workers("{\"mode\": \"none\"}");
+	wait_for_work(back_ms);
+	judge_leaving(said_ms, back_ms);
+	failure_judge(&traffic, 0);
+	failure_stop(&deployment);
+}
+
+/* Puts a worker's entry into the platform's list. */
+static void
+list_worker(const char *worker, const char *state)
+{
+	CLEANUP(client_answer_free) struct client_answer answer = {0};
+	CLEANUP(buffer_free) struct buffer body = {0};
+	const char *address = deployment.platform_address;
+	struct client_config config = {
+	    .servers = &address,
+	    .servers_count = 1,
+	    .call_timeout_ms = POINT_TIMEOUT_MS,
+	};
+	struct client *client = client_new(&config);
+	char path[PATH_BYTES];
+	struct client_call call = {.method = "PUT", .path = path};
+	struct ibis_status status = {0};
+
+	(void)snprintf(path, sizeof(path), "/admin/workers/%s", worker);
+	buffer_printf(&body,
+	    "{\"address\": \"%s/workers/%s\", \"state\": \"%s\"}",
+	    deployment.workers_address, worker, state);
+	call.body = body.data;
+	CU_ASSERT_EQUAL(client_send(client, &call, &answer, &status), IBIS_OK);
+	client_free(client);
+}
+
+static void
+list_leaving_workers(const char *state)
+{
+	for (size_t i = 0; i < COUNT_OF(leaving_workers); i++)
+		list_worker(leaving_workers[i], state);
+}
+
+static void
+leave_by_list(const char *prefix, uint32_t flaps)
+{
+	struct traffic traffic;
+	int64_t said_ms;
+	int64_t back_ms;
+
+	start_site();
+	start_traffic(&traffic, prefix);
+	wait_for_work(0);
+	for (uint32_t i = 0; i < flaps; i++) {
+		list_leaving_workers(i % 2 == 0 ? "leaving" : "live");
+		watch_until(clock_now_ms() + FLAP_MS);
+	}
+	list_leaving_workers("leaving");
+	said_ms = clock_now_ms();
+	watch_until(said_ms + BOUND_MS + WATCH_MS);
+	back_ms = clock_now_ms();
+	list_leaving_workers("live");
+	wait_for_work(back_ms);
+	judge_leaving(said_ms, back_ms);
+	failure_judge(&traffic, 0);
+	failure_stop(&deployment);
+}
+
+static void
+test_list_says_so(void)
+{
+	leave_by_list("list", 0);
+}
+
+static void
+test_list_flaps(void)
+{
+	leave_by_list("flaps", FLAPS);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"says so while it holds reservations",
+		test_says_so_while_reserved},
+	    {"the lagging list says so", test_list_says_so},
+	    {"the list's entry flaps", test_list_flaps},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("leaving", tests);
+}
