--- /dev/null
+++ b/tests/prop_segment.cc
@@ -0,0 +1,220 @@
+// Properties of a segment's group commit, against a modelled store that loses
+// answers, is down for a while, applies a lost swap late, or has another
+// writer.
+#include <rapidcheck.h>
+
+#include <set>
+#include <string>
+
+extern "C" {
+#include "process/alloc.h"
+#include "process/segment.h"
+}
+
+namespace
+{
+
+struct Store {
+	uint64_t revision = 0;
+	uint64_t next = 1;
+	std::string value;
+	bool late = false; // a swap still on its way
+	uint64_t late_expected = 0;
+	std::string late_value;
+
+	ibis_code
+	swap(uint64_t expected, const std::string &bytes)
+	{
+		if (expected != revision)
+			return IBIS_CONFLICT;
+		revision = next++;
+		value = bytes;
+		return IBIS_OK;
+	}
+};
+
+// A value is the list of the jobs noted in it.
+std::string
+list_of(const std::set<uint64_t> &jobs)
+{
+	std::string text;
+
+	for (uint64_t job : jobs)
+		text += std::to_string(job) + ",";
+	return text;
+}
+
+bool
+holds_job(const std::string &text, uint64_t job)
+{
+	return ("," + text).find("," + std::to_string(job) + ",") !=
+	    std::string::npos;
+}
+
+struct Writer {
+	Store &store;
+	segment state{};
+	std::set<uint64_t> jobs;    // in memory
+	std::set<uint64_t> durable; // told as durable
+
+	explicit Writer(Store &s) : store(s)
+	{
+	}
+	~Writer()
+	{
+		segment_free(&state);
+	}
+
+	void
+	note(uint64_t job)
+	{
+		jobs.insert(job);
+		segment_change(&state, job_id{0, job}, STEP_ACCEPTED, 0);
+	}
+
+	void
+	settle()
+	{
+		for (size_t i = 0; i < state.flying_count; i++)
+			durable.insert(state.flying[i].job.low);
+		segment_settled(&state);
+	}
+
+	// fault: 0 none, 1 answer lost after the effect, 2 lost before it,
+	// 3 refused, 4 lost and applied later.
+	void
+	step(int fault, int64_t now_ms)
+	{
+		std::string bytes;
+		buffer value{};
+
+		switch (segment_next(&state, now_ms)) {
+		case SEGMENT_BUILD_SWAP:
+			bytes = list_of(jobs);
+			buffer_append(&value, bytes.data(), bytes.size());
+			segment_swapping(&state, &value);
+			send_swap(fault, now_ms);
+			break;
+		case SEGMENT_SEND_SWAP:
+			send_swap(fault, now_ms);
+			break;
+		case SEGMENT_SEND_READ:
+			read(fault, now_ms);
+			break;
+		case SEGMENT_NOTHING:
+			break;
+		}
+	}
+
+	void
+	send_swap(int fault, int64_t now_ms)
+	{
+		std::string bytes(buffer_string(&state.in_flight));
+		uint64_t expected = state.revision;
+		ibis_code code = IBIS_UNKNOWN;
+
+		if (fault == 3)
+			code = IBIS_UNAVAILABLE;
+		else if (fault == 4 && !store.late) {
+			store.late = true;
+			store.late_expected = expected;
+			store.late_value = bytes;
+		} else if (fault < 2)
+			code = store.swap(expected, bytes);
+		if (fault == 1)
+			code = IBIS_UNKNOWN;
+		if (segment_swap_result(&state, code, store.revision, now_ms))
+			settle();
+	}
+
+	void
+	read(int fault, int64_t now_ms)
+	{
+		buffer value{};
+		ibis_code code = store.revision == 0 ? IBIS_NOT_FOUND : IBIS_OK;
+
+		if (fault > 0)
+			code = IBIS_UNAVAILABLE;
+		buffer_append(&value, store.value.data(), store.value.size());
+		if (segment_read_result(
+			&state, code, store.revision, &value, now_ms))
+			settle();
+		buffer_free(&value);
+	}
+};
+
+void
+deliver_late(Store &store)
+{
+	if (store.late)
+		(void)store.swap(store.late_expected, store.late_value);
+	store.late = false;
+}
+
+} // namespace
+
+int
+main()
+{
+	bool ok = true;
+
+	ok &= rc::check("what was told as durable is in the store", [] {
+		Store store;
+		Writer writer(store);
+		const auto faults = *rc::gen::container<std::vector<int>>(
+		    120, rc::gen::element(0, 0, 0, 1, 2, 3, 4));
+		int64_t now_ms = 0;
+
+		for (size_t i = 0; i < faults.size(); i++) {
+			if (i % 3 == 0 && i < 90)
+				writer.note(i);
+			writer.step(faults[i], now_ms);
+			if (i % 5 == 0)
+				deliver_late(store);
+			for (uint64_t job : writer.durable)
+				RC_ASSERT(holds_job(store.value, job));
+			now_ms += 200;
+		}
+		for (int i = 0; i < 40; i++) {
+			deliver_late(store);
+			writer.step(0, now_ms += 2000);
+		}
+		RC_ASSERT(writer.state.state == SEGMENT_CLEAN);
+		RC_ASSERT(writer.durable == writer.jobs);
+	});
+	ok &= rc::check("of two writers one stops, nothing told is lost", [] {
+		Store store;
+		Writer first(store);
+		Writer second(store);
+		const auto turns = *rc::gen::container<std::vector<int>>(
+		    60, rc::gen::inRange(0, 10));
+		int64_t now_ms = 0;
+		uint64_t job = 0;
+
+		first.note(++job);
+		first.step(0, 0);
+		// The second takes over from what it reads.
+		segment_reset(&second.state, store.revision, 0);
+		second.jobs = first.jobs;
+		for (int turn : turns) {
+			Writer &writer = turn % 2 == 0 ? first : second;
+
+			writer.note(++job);
+			writer.step(turn / 2, now_ms += 2000);
+			for (uint64_t told : first.durable)
+				RC_ASSERT(holds_job(store.value, told));
+			for (uint64_t told : second.durable)
+				RC_ASSERT(holds_job(store.value, told));
+		}
+		first.note(++job);
+		second.note(++job);
+		for (int i = 0; i < 20; i++) {
+			deliver_late(store);
+			first.step(0, now_ms += 2000);
+			second.step(0, now_ms += 2000);
+		}
+		RC_ASSERT((first.state.state == SEGMENT_LOST) !=
+		    (second.state.state == SEGMENT_LOST));
+	});
+	return ok ? 0 : 1;
+}
--- /dev/null
+++ b/tests/test_freshness.c
@@ -0,0 +1,53 @@
+#include "common_cunit.h"
+#include "process/freshness.h"
+
+static void
+test_store_confirms_from_asking(void)
+{
+	struct freshness freshness = {.limit_ms = 1500};
+
+	CU_ASSERT_FALSE(freshness_holds(&freshness, 1000));
+	freshness_store(&freshness, 1000);
+	CU_ASSERT_TRUE(freshness_holds(&freshness, 2500));
+	CU_ASSERT_FALSE(freshness_holds(&freshness, 2501));
+}
+
+static void
+test_more_than_half_confirm(void)
+{
+	struct freshness freshness = {.limit_ms = 1500};
+	uint64_t round = freshness_begin_round(&freshness, 7, 5000);
+
+	freshness_confirm(&freshness, round, "b");
+	freshness_confirm(&freshness, round, "b");
+	freshness_confirm(&freshness, round, "c");
+	CU_ASSERT_FALSE(freshness_holds(&freshness, 5100));
+	freshness_confirm(&freshness, round, "d");
+	CU_ASSERT_TRUE(freshness_holds(&freshness, 5100));
+	CU_ASSERT_FALSE(freshness_holds(&freshness, 6501));
+}
+
+static void
+test_earlier_round_does_not_count(void)
+{
+	struct freshness freshness = {.limit_ms = 1500};
+	uint64_t round = freshness_begin_round(&freshness, 3, 5000);
+
+	(void)freshness_begin_round(&freshness, 3, 9000);
+	freshness_confirm(&freshness, round, "b");
+	CU_ASSERT_FALSE(freshness_holds(&freshness, 9000));
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"the store confirms from asking", test_store_confirms_from_asking},
+	    {"more than half confirm", test_more_than_half_confirm},
+	    {"an earlier round does not count",
+		test_earlier_round_does_not_count},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("freshness", tests);
+}
--- /dev/null
+++ b/tests/test_lead_lease.c
@@ -0,0 +1,167 @@
+#include <string.h>
+
+#include "common_cunit.h"
+#include "process/alloc.h"
+#include "process/lead_lease.h"
+
+#define LEASE_MS 3000
+
+static void
+set_up(struct lead_lease *lease, const char *name, uint64_t incarnation)
+{
+	*lease = (struct lead_lease){
+	    .incarnation = incarnation,
+	    .lease_ms = LEASE_MS,
+	    .poll_ms = 500,
+	};
+	STRING_COPY(lease->name, name);
+}
+
+static void
+take(struct lead_lease *lease, uint64_t revision, int64_t now_ms)
+{
+	struct buffer none = {0};
+
+	CU_ASSERT_EQUAL(lead_next(lease, now_ms), LEAD_READ);
+	(void)lead_read_result(lease, IBIS_NOT_FOUND, 0, &none, now_ms);
+	CU_ASSERT_EQUAL(lead_next(lease, now_ms), LEAD_SWAP);
+	CU_ASSERT_TRUE(
+	    lead_swap_result(lease, IBIS_OK, revision, &none, now_ms, now_ms));
+}
+
+static void
+test_takes_a_free_lease(void)
+{
+	struct lead_lease lease;
+
+	set_up(&lease, "a", 1);
+	take(&lease, 7, 100);
+	CU_ASSERT_EQUAL(lease.role, LEAD_RECOVERING);
+	CU_ASSERT_EQUAL(lease.epoch, 7);
+	CU_ASSERT_TRUE(lead_valid(&lease, 100 + LEASE_MS - 1));
+	CU_ASSERT_FALSE(lead_valid(&lease, 100 + LEASE_MS));
+	lead_recovered(&lease);
+	CU_ASSERT_EQUAL(lease.role, LEAD_LEADING);
+}
+
+static void
+test_leaves_anothers_alone(void)
+{
+	struct lead_lease holder;
+	struct lead_lease other;
+	CLEANUP(buffer_free) struct buffer value = {0};
+
+	set_up(&holder, "a", 1);
+	set_up(&other, "b", 1);
+	lead_value(&holder, &value);
+	CU_ASSERT_EQUAL(lead_next(&other, 0), LEAD_READ);
+	CU_ASSERT_FALSE(lead_read_result(&other, IBIS_OK, 5, &value, 0));
+	CU_ASSERT_EQUAL(other.role, LEAD_FOLLOWER);
+	CU_ASSERT_STRING_EQUAL(other.holder, "a");
+	CU_ASSERT_EQUAL(lead_next(&other, 0), LEAD_NOTHING);
+}
+
+static void
+test_lost_answer_of_taking(void)
+{
+	struct lead_lease lease;
+	struct buffer none = {0};
+	CLEANUP(buffer_free) struct buffer value = {0};
+
+	set_up(&lease, "a", 1);
+	(void)lead_next(&lease, 0);
+	(void)lead_read_result(&lease, IBIS_NOT_FOUND, 0, &none, 0);
+	(void)lead_next(&lease, 0);
+	CU_ASSERT_FALSE(lead_swap_result(&lease, IBIS_UNKNOWN, 0, &none, 0, 0));
+	CU_ASSERT_EQUAL(lead_next(&lease, 1000), LEAD_READ);
+	lead_value(&lease, &value);
+	CU_ASSERT_TRUE(lead_read_result(&lease, IBIS_OK, 9, &value, 1000));
+	CU_ASSERT_EQUAL(lease.role, LEAD_RECOVERING);
+	/* When the swap took effect is not known: nothing rests on it. */
+	CU_ASSERT_FALSE(lead_valid(&lease, 1000));
+}
+
+static void
+test_earlier_incarnation_is_another(void)
+{
+	struct lead_lease before;
+	struct lead_lease after;
+	CLEANUP(buffer_free) struct buffer value = {0};
+
+	set_up(&before, "a", 1);
+	set_up(&after, "a", 2);
+	lead_value(&before, &value);
+	(void)lead_next(&after, 0);
+	CU_ASSERT_FALSE(lead_read_result(&after, IBIS_OK, 5, &value, 0));
+	CU_ASSERT_EQUAL(after.role, LEAD_FOLLOWER);
+}
+
+static void
+test_steps_down_when_replaced(void)
+{
+	struct lead_lease lease;
+	struct lead_lease other;
+	CLEANUP(buffer_free) struct buffer value = {0};
+
+	set_up(&lease, "a", 1);
+	set_up(&other, "b", 1);
+	take(&lease, 7, 0);
+	lead_recovered(&lease);
+	lead_value(&other, &value);
+	CU_ASSERT_EQUAL(lead_next(&lease, 5000), LEAD_SWAP);
+	CU_ASSERT_TRUE(
+	    lead_swap_result(&lease, IBIS_CONFLICT, 8, &value, 5000, 5001));
+	CU_ASSERT_EQUAL(lease.role, LEAD_FOLLOWER);
+}
+
+static void
+test_outage_keeps_the_role(void)
+{
+	struct lead_lease lease;
+	struct buffer none = {0};
+
+	set_up(&lease, "a", 1);
+	take(&lease, 7, 0);
+	lead_recovered(&lease);
+	for (int64_t now_ms = 1000; now_ms < 60000; now_ms += 1000) {
+		(void)lead_next(&lease, now_ms);
+		CU_ASSERT_FALSE(lead_swap_result(
+		    &lease, IBIS_UNAVAILABLE, 0, &none, now_ms, now_ms));
+	}
+	CU_ASSERT_EQUAL(lease.role, LEAD_LEADING);
+	CU_ASSERT_FALSE(lead_valid(&lease, 60000));
+}
+
+static void
+test_release_deletes_the_key(void)
+{
+	struct lead_lease lease;
+	struct buffer none = {0};
+
+	set_up(&lease, "a", 1);
+	take(&lease, 7, 0);
+	lead_recovered(&lease);
+	lead_release(&lease, 100);
+	CU_ASSERT_EQUAL(lead_next(&lease, 100), LEAD_DELETE);
+	(void)lead_swap_result(&lease, IBIS_OK, 0, &none, 100, 101);
+	CU_ASSERT_EQUAL(lease.revision, 0);
+	CU_ASSERT_EQUAL(lead_next(&lease, 10000), LEAD_NOTHING);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"takes a free lease", test_takes_a_free_lease},
+	    {"leaves another's alone", test_leaves_anothers_alone},
+	    {"lost answer of taking", test_lost_answer_of_taking},
+	    {"an earlier incarnation is another",
+		test_earlier_incarnation_is_another},
+	    {"steps down when replaced", test_steps_down_when_replaced},
+	    {"an outage keeps the role", test_outage_keeps_the_role},
+	    {"release deletes the key", test_release_deletes_the_key},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("lead_lease", tests);
+}
