--- a/src/connection/caller_http.c
+++ b/src/connection/caller_http.c
@@ -14,6 +14,7 @@
 #include "connection/caller_http.h"
 #include "process/alloc.h"
 #include "process/clock.h"
+#include "process/counters.h"
 #include "process/log.h"
 #include "process/proto_memory.h"
 
@@ -38,6 +39,7 @@
 	struct buffer body;
 	size_t body_bytes; /* received, kept or not */
 	uint32_t slot;
+	int64_t received_ms;
 	struct api_output output;
 };
 
@@ -108,6 +110,18 @@
 		    response, MHD_HTTP_HEADER_CONNECTION, "close");
 }
 
+static enum counter
+answer_counter(int32_t http_status)
+{
+	if (http_status == MHD_HTTP_TOO_MANY_REQUESTS)
+		return COUNTER_ANSWERS_429;
+	if (http_status >= MHD_HTTP_INTERNAL_SERVER_ERROR)
+		return COUNTER_ANSWERS_5XX;
+	if (http_status >= MHD_HTTP_BAD_REQUEST)
+		return COUNTER_ANSWERS_4XX;
+	return COUNTER_ANSWERS_2XX;
+}
+
 /* Sends the exchange's output. */
 static enum MHD_Result
 send_output(const struct caller_server *server,
@@ -124,6 +138,9 @@
 	if (response == NULL)
 		return MHD_NO;
 	add_headers(server, output, response, close);
+	counter_add(answer_counter(output->http_status), 1);
+	duration_observe(
+	    HISTOGRAM_REQUEST, clock_now_ms() - exchange->received_ms);
 	result = MHD_queue_response(exchange->connection, status, response);
 	MHD_destroy_response(response);
 	return result;
@@ -136,6 +153,7 @@
 
 	exchange->connection = connection;
 	exchange->slot = server->slots_count;
+	exchange->received_ms = clock_now_ms();
 	(void)atomic_fetch_add(&server->open_requests, 1);
 	return exchange;
 }
@@ -230,7 +248,7 @@
 
 	event.caller = mem_calloc(1, sizeof(*event.caller));
 	event.caller->request = request;
-	event.caller->received_ms = clock_now_ms();
+	event.caller->received_ms = exchange->received_ms;
 	event.caller->exchange = exchange;
 	exchange->waiting = true;
 	buffer_free(&exchange->body);
@@ -300,13 +318,14 @@
 		    0, &exchange->output);
 		return send_output(server, exchange, over_limit);
 	}
-	if (over_limit && !is_probe(request))
+	if (over_limit && !is_probe(request)) {
+		counter_add(COUNTER_CALLERS_REFUSED, 1);
 		refuse(exchange, "too many connections");
-	else if (atomic_load(&server->stopping))
+	} else if (atomic_load(&server->stopping)) {
 		refuse(exchange, "the instance is stopping");
-	else if (!take_slot(server, exchange))
+	} else if (!take_slot(server, exchange)) {
 		refuse(exchange, "too many requests");
-	else {
+	} else {
 		dispatch(server, exchange, request);
 		return MHD_YES;
 	}
--- a/src/connection/peer_loop.c
+++ b/src/connection/peer_loop.c
@@ -8,6 +8,7 @@
 #include "connection/peer_session.h"
 #include "process/alloc.h"
 #include "process/clock.h"
+#include "process/counters.h"
 #include "process/log.h"
 
 #define LISTEN_BACKLOG	256
@@ -166,6 +167,7 @@
 			peer_session_dial(loop, peer, now_ms);
 	} else if (peer->waiting_since_ms != 0 &&
 	    now_ms - peer->waiting_since_ms > loop->config.timeout_ms) {
+		counter_add(COUNTER_LINKS_SILENT, 1);
 		log_event(LOG_WARN, "link_silent", "peer", peer->address.name,
 		    "address", peer->address.address, "silent_ms",
 		    log_number(now_ms - peer->waiting_since_ms), NULL);
--- a/src/connection/peer_session.c
+++ b/src/connection/peer_session.c
@@ -5,6 +5,7 @@
 #include "connection/peer_session.h"
 #include "process/alloc.h"
 #include "process/clock.h"
+#include "process/counters.h"
 #include "process/log.h"
 
 #define FIRST_BACKOFF_MS     50
@@ -236,6 +237,7 @@
 	connection->greeted = true;
 	peer->backoff_ms = 0;
 	atomic_store(&peer->gate->up, true);
+	counter_add(COUNTER_LINKS_UP, 1);
 	post_state(loop, peer, true);
 }
 
@@ -318,6 +320,7 @@
 			connection->in.length - position,
 			loop->config.max_frame_bytes, &frame, &consumed,
 			&status) != IBIS_OK) {
+			counter_add(COUNTER_FRAMES_REFUSED, 1);
 			log_event(LOG_WARN, "frame_refused", "peer",
 			    connection->name, "message", status.message, NULL);
 			peer_session_close(loop, connection, status.message);
--- /dev/null
+++ b/src/process/counters.c
@@ -0,0 +1,256 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "process/alloc.h"
+#include "process/counters.h"
+
+#define SHARDS		 16
+#define CACHE_LINE_BYTES 64
+
+/* One metric line. Lines of one name follow each other; the first has the
+ * help text. */
+struct metric {
+	const char *name;
+	const char *labels; /* empty or like code="2xx" */
+	const char *help;
+};
+
+static const struct metric counter_metrics[COUNTERS] = {
+    [COUNTER_ANSWERS_2XX] = {"ibis_answers_total", "status=\"2xx\"",
+	"Answers to callers and operators by HTTP status."},
+    [COUNTER_ANSWERS_4XX] = {"ibis_answers_total", "status=\"4xx\"", NULL},
+    [COUNTER_ANSWERS_429] = {"ibis_answers_total", "status=\"429\"", NULL},
+    [COUNTER_ANSWERS_5XX] = {"ibis_answers_total", "status=\"5xx\"", NULL},
+    [COUNTER_CALLERS_REFUSED] = {"ibis_callers_refused_total", "",
+	"Requests refused because there were too many connections."},
+    [COUNTER_FORWARDED] = {"ibis_requests_forwarded_total", "",
+	"Requests forwarded to the lead."},
+    [COUNTER_JOBS_ACCEPTED] = {"ibis_jobs_accepted_total", "",
+	"Jobs whose record was stored."},
+    [COUNTER_JOBS_REPEATED] = {"ibis_jobs_repeated_total", "",
+	"Submissions that met the job of an earlier one."},
+    [COUNTER_JOBS_REFUSED_LIMIT] = {"ibis_jobs_refused_total",
+	"reason=\"limit\"", "Submissions refused as not run, by reason."},
+    [COUNTER_JOBS_REFUSED_INVALID] = {"ibis_jobs_refused_total",
+	"reason=\"invalid\"", NULL},
+    [COUNTER_JOBS_REFUSED_UNAVAILABLE] = {"ibis_jobs_refused_total",
+	"reason=\"unavailable\"", NULL},
+    [COUNTER_JOBS_FINISHED] = {"ibis_jobs_ended_total", "outcome=\"finished\"",
+	"Jobs that ended, by outcome."},
+    [COUNTER_JOBS_FAILED] = {"ibis_jobs_ended_total", "outcome=\"failed\"",
+	NULL},
+    [COUNTER_JOBS_CANCELLED] = {"ibis_jobs_ended_total",
+	"outcome=\"cancelled\"", NULL},
+    [COUNTER_JOBS_NOT_RUN] = {"ibis_jobs_ended_total", "outcome=\"not_run\"",
+	NULL},
+    [COUNTER_JOBS_UNKNOWN] = {"ibis_jobs_ended_total", "outcome=\"unknown\"",
+	NULL},
+    [COUNTER_ATTEMPTS_BEGUN] = {"ibis_attempts_total", "state=\"begun\"",
+	"Attempts to run a job: begun, running on all workers, or failed "
+	"before that."},
+    [COUNTER_ATTEMPTS_RUNNING] = {"ibis_attempts_total", "state=\"running\"",
+	NULL},
+    [COUNTER_ATTEMPTS_FAILED] = {"ibis_attempts_total", "state=\"failed\"",
+	NULL},
+    [COUNTER_EVICTIONS_CHECKPOINT] = {"ibis_evictions_total",
+	"manner=\"checkpoint\"", "Evictions of running jobs."},
+    [COUNTER_EVICTIONS_STOP] = {"ibis_evictions_total", "manner=\"stop\"",
+	NULL},
+    [COUNTER_THROTTLES] = {"ibis_throttles_total", "",
+	"Jobs slowed down because they overran."},
+    [COUNTER_WORKERS_LOST] = {"ibis_workers_lost_total", "",
+	"Workers that went silent."},
+    [COUNTER_STORE_OK] = {"ibis_store_calls_total", "result=\"ok\"",
+	"Calls to the platform's store by result."},
+    [COUNTER_STORE_CONFLICT] = {"ibis_store_calls_total", "result=\"conflict\"",
+	NULL},
+    [COUNTER_STORE_UNAVAILABLE] = {"ibis_store_calls_total",
+	"result=\"unavailable\"", NULL},
+    [COUNTER_STORE_UNKNOWN] = {"ibis_store_calls_total", "result=\"unknown\"",
+	NULL},
+    [COUNTER_WORKER_CALLS_OK] = {"ibis_worker_calls_total", "result=\"ok\"",
+	"Calls to workers by result."},
+    [COUNTER_WORKER_CALLS_UNAVAILABLE] = {"ibis_worker_calls_total",
+	"result=\"unavailable\"", NULL},
+    [COUNTER_WORKER_CALLS_UNKNOWN] = {"ibis_worker_calls_total",
+	"result=\"unknown\"", NULL},
+    [COUNTER_LINKS_UP] = {"ibis_links_up_total", "",
+	"Times that a link to a peer came up."},
+    [COUNTER_LINKS_SILENT] = {"ibis_links_silent_total", "",
+	"Links closed because the peer did not answer in time."},
+    [COUNTER_FRAMES_REFUSED] = {"ibis_frames_refused_total", "",
+	"Frames of peers that could not be read."},
+    [COUNTER_PEER_SENT_BYTES] = {"ibis_peer_bytes_total", "direction=\"sent\"",
+	"Bytes over the links to peers."},
+    [COUNTER_PEER_RECEIVED_BYTES] = {"ibis_peer_bytes_total",
+	"direction=\"received\"", NULL},
+    [COUNTER_LEADS_TAKEN] = {"ibis_leads_taken_total", "",
+	"Times that this instance became the pool's lead."},
+    [COUNTER_LEADS_LOST] = {"ibis_leads_lost_total", "",
+	"Times that it lost the lead without handing it over."},
+};
+
+static const struct metric gauge_metrics[GAUGES] = {
+    [GAUGE_LEADING] = {"ibis_leading", "",
+	"1 while this instance leads its pool."},
+    [GAUGE_LEAVING] = {"ibis_leaving", "", "1 once a planned stop has begun."},
+    [GAUGE_STORE_REACHABLE] = {"ibis_store_reachable", "",
+	"1 while the platform's store answers."},
+    [GAUGE_DOCUMENT_VERSION] = {"ibis_document_version", "",
+	"Version of the document in force here."},
+    [GAUGE_PEERS_ALIVE] = {"ibis_peers_alive", "",
+	"Other instances heard of within the timeout."},
+    [GAUGE_OPEN_REQUESTS] = {"ibis_open_requests", "",
+	"Requests not yet answered whole."},
+    [GAUGE_JOBS_QUEUED] = {"ibis_jobs", "state=\"queued\"",
+	"Jobs of the pool; on the lead only."},
+    [GAUGE_JOBS_RUNNING] = {"ibis_jobs", "state=\"running\"", NULL},
+    [GAUGE_ACCELERATORS] = {"ibis_accelerators", "",
+	"Accelerators in service; on the lead only."},
+    [GAUGE_ACCELERATORS_FREE] = {"ibis_accelerators_free", "",
+	"Accelerators in service and free; on the lead only."},
+    [GAUGE_ACCELERATORS_UNUSABLE_GUARANTEE] = {"ibis_accelerators_unusable",
+	"shape=\"guarantee\"",
+	"Free accelerators that the largest guaranteed shape, or a whole "
+	"rack, can't use; on the lead only."},
+    [GAUGE_ACCELERATORS_UNUSABLE_RACK] = {"ibis_accelerators_unusable",
+	"shape=\"rack\"", NULL},
+    [GAUGE_WORKERS_QUARANTINED] = {"ibis_workers_quarantined", "",
+	"Workers kept out of use because they fail more than others; on the "
+	"lead only."},
+};
+
+static const struct metric histogram_metrics[HISTOGRAMS] = {
+    [HISTOGRAM_REQUEST] = {"ibis_request_seconds", "",
+	"Time from a request's arrival to its answer."},
+    [HISTOGRAM_STORE_CALL] = {"ibis_store_call_seconds", "",
+	"Time of calls to the platform's store, watches left out."},
+    [HISTOGRAM_WORKER_CALL] = {"ibis_worker_call_seconds", "",
+	"Time of calls to workers."},
+    [HISTOGRAM_DECISION] = {"ibis_decision_seconds", "",
+	"Time of the scheduler's decisions."},
+};
+
+struct shard {
+	_Alignas(CACHE_LINE_BYTES) uint64_t values[COUNTERS];
+};
+
+static struct shard shards[SHARDS];
+static int64_t gauges[GAUGES];
+static struct histogram histograms[HISTOGRAMS];
+
+static struct shard *
+own_shard(void)
+{
+	static uint32_t threads;
+	static _Thread_local struct shard *own;
+
+	if (own == NULL)
+		own =
+		    &shards[__atomic_fetch_add(&threads, 1, __ATOMIC_RELAXED) %
+			SHARDS];
+	return own;
+}
+
+void
+counter_add(enum counter counter, uint64_t amount)
+{
+	(void)__atomic_fetch_add(
+	    &own_shard()->values[counter], amount, __ATOMIC_RELAXED);
+}
+
+uint64_t
+counter_value(enum counter counter)
+{
+	uint64_t value = 0;
+
+	for (size_t i = 0; i < SHARDS; i++)
+		value += __atomic_load_n(
+		    &shards[i].values[counter], __ATOMIC_RELAXED);
+	return value;
+}
+
+void
+counter_set(enum counter counter, uint64_t value)
+{
+	__atomic_store_n(
+	    &own_shard()->values[counter], value, __ATOMIC_RELAXED);
+}
+
+void
+gauge_set(enum gauge gauge, int64_t value)
+{
+	__atomic_store_n(&gauges[gauge], value, __ATOMIC_RELAXED);
+}
+
+void
+duration_observe(enum histogram_kind kind, int64_t duration_ms)
+{
+	histogram_observe(&histograms[kind], duration_ms);
+}
+
+enum counter
+counter_of_store(enum ibis_code code)
+{
+	switch (code) {
+	case IBIS_CONFLICT:
+		return COUNTER_STORE_CONFLICT;
+	case IBIS_UNAVAILABLE:
+		return COUNTER_STORE_UNAVAILABLE;
+	case IBIS_UNKNOWN:
+		return COUNTER_STORE_UNKNOWN;
+	default:
+		return COUNTER_STORE_OK;
+	}
+}
+
+enum counter
+counter_of_worker(enum ibis_code code)
+{
+	switch (code) {
+	case IBIS_UNAVAILABLE:
+		return COUNTER_WORKER_CALLS_UNAVAILABLE;
+	case IBIS_UNKNOWN:
+		return COUNTER_WORKER_CALLS_UNKNOWN;
+	default:
+		return COUNTER_WORKER_CALLS_OK;
+	}
+}
+
+static void
+write_header(const struct metric *metric, const char *type, struct buffer *text)
+{
+	if (metric->help != NULL)
+		buffer_printf(text, "# HELP %s %s\n# TYPE %s %s\n",
+		    metric->name, metric->help, metric->name, type);
+}
+
+static void
+write_name(const struct metric *metric, struct buffer *text)
+{
+	buffer_puts(text, metric->name);
+	if (metric->labels[0] != '\0')
+		buffer_printf(text, "{%s}", metric->labels);
+}
+
+void
+counters_write(struct buffer *text)
+{
+	for (int i = 0; i < COUNTERS; i++) {
+		write_header(&counter_metrics[i], "counter", text);
+		write_name(&counter_metrics[i], text);
+		buffer_printf(
+		    text, " %" PRIu64 "\n", counter_value((enum counter)i));
+	}
+	for (int i = 0; i < GAUGES; i++) {
+		write_header(&gauge_metrics[i], "gauge", text);
+		write_name(&gauge_metrics[i], text);
+		buffer_printf(text, " %" PRId64 "\n",
+		    __atomic_load_n(&gauges[i], __ATOMIC_RELAXED));
+	}
+	for (int i = 0; i < HISTOGRAMS; i++) {
+		write_header(&histogram_metrics[i], "histogram", text);
+		histogram_write(
+		    &histograms[i], histogram_metrics[i].name, "", text);
+	}
+}
--- /dev/null
+++ b/src/process/counters.h
@@ -0,0 +1,105 @@
+/*
+ * Counters, gauges and histograms of the process, written in the text form of
+ * Prometheus. Safe from every thread: a counter is spread over shards, of
+ * which each thread uses its own. docs/METRICS.md documents each.
+ */
+#ifndef IBIS_COUNTERS_H
+#define IBIS_COUNTERS_H
+
+#include <stdint.h>
+
+#include "ibistrestle.h"
+#include "process/buffer.h"
+#include "process/histogram.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+enum counter {
+	COUNTER_ANSWERS_2XX,
+	COUNTER_ANSWERS_4XX,
+	COUNTER_ANSWERS_429,
+	COUNTER_ANSWERS_5XX,
+	COUNTER_CALLERS_REFUSED,
+	COUNTER_FORWARDED,
+	COUNTER_JOBS_ACCEPTED,
+	COUNTER_JOBS_REPEATED,
+	COUNTER_JOBS_REFUSED_LIMIT,
+	COUNTER_JOBS_REFUSED_INVALID,
+	COUNTER_JOBS_REFUSED_UNAVAILABLE,
+	COUNTER_JOBS_FINISHED,
+	COUNTER_JOBS_FAILED,
+	COUNTER_JOBS_CANCELLED,
+	COUNTER_JOBS_NOT_RUN,
+	COUNTER_JOBS_UNKNOWN,
+	COUNTER_ATTEMPTS_BEGUN,
+	COUNTER_ATTEMPTS_RUNNING,
+	COUNTER_ATTEMPTS_FAILED,
+	COUNTER_EVICTIONS_CHECKPOINT,
+	COUNTER_EVICTIONS_STOP,
+	COUNTER_THROTTLES,
+	COUNTER_WORKERS_LOST,
+	COUNTER_STORE_OK,
+	COUNTER_STORE_CONFLICT,
+	COUNTER_STORE_UNAVAILABLE,
+	COUNTER_STORE_UNKNOWN,
+	COUNTER_WORKER_CALLS_OK,
+	COUNTER_WORKER_CALLS_UNAVAILABLE,
+	COUNTER_WORKER_CALLS_UNKNOWN,
+	COUNTER_LINKS_UP,
+	COUNTER_LINKS_SILENT,
+	COUNTER_FRAMES_REFUSED,
+	COUNTER_PEER_SENT_BYTES,
+	COUNTER_PEER_RECEIVED_BYTES,
+	COUNTER_LEADS_TAKEN,
+	COUNTER_LEADS_LOST,
+	COUNTERS
+};
+
+enum gauge {
+	GAUGE_LEADING,
+	GAUGE_LEAVING,
+	GAUGE_STORE_REACHABLE,
+	GAUGE_DOCUMENT_VERSION,
+	GAUGE_PEERS_ALIVE,
+	GAUGE_OPEN_REQUESTS,
+	GAUGE_JOBS_QUEUED,
+	GAUGE_JOBS_RUNNING,
+	GAUGE_ACCELERATORS,
+	GAUGE_ACCELERATORS_FREE,
+	GAUGE_ACCELERATORS_UNUSABLE_GUARANTEE,
+	GAUGE_ACCELERATORS_UNUSABLE_RACK,
+	GAUGE_WORKERS_QUARANTINED,
+	GAUGES
+};
+
+enum histogram_kind {
+	HISTOGRAM_REQUEST,
+	HISTOGRAM_STORE_CALL,
+	HISTOGRAM_WORKER_CALL,
+	HISTOGRAM_DECISION,
+	HISTOGRAMS
+};
+
+void counter_add(enum counter counter, uint64_t amount);
+uint64_t counter_value(enum counter counter);
+
+/* Sets a counter that is kept elsewhere; from one thread only. */
+void counter_set(enum counter counter, uint64_t value);
+
+void gauge_set(enum gauge gauge, int64_t value);
+void duration_observe(enum histogram_kind kind, int64_t duration_ms);
+
+/* The counter of a call's outcome: one of the four of a group. */
+enum counter counter_of_store(enum ibis_code code);
+enum counter counter_of_worker(enum ibis_code code);
+
+/* Writes all metrics with their HELP and TYPE. */
+void counters_write(struct buffer *text);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
