Add the membership module

What is known of the other instances was kept in the control thread's own files, without tests. It is now a pure module: the lagging list, liveness by heartbeats, incarnations, the lead with the highest epoch and the size that a majority is counted of. The control thread still has its own copy until it is wired.

--- /dev/null
+++ b/tests/test_membership.c
@@ -0,0 +1,156 @@
+#include <string.h>
+
+#include "common_cunit.h"
+#include "process/alloc.h"
+#include "process/membership.h"
+
+#define TIMEOUT_MS 1000
+#define NOW_MS	   5000
+
+static const struct membership_entry listed[] = {
+    {.name = "a", .address = "127.0.0.1:1", .zone = "z1"},
+    {.name = "b", .address = "127.0.0.1:2", .zone = "z2"},
+    {.name = "c", .address = "127.0.0.1:3", .zone = "z2"},
+};
+
+static struct membership *
+known(void)
+{
+	struct membership *membership = membership_new("a", TIMEOUT_MS);
+
+	membership_set_list(membership, listed, COUNT_OF(listed), NOW_MS);
+	return membership;
+}
+
+static bool
+beat(struct membership *membership, const char *name, uint64_t incarnation,
+    uint64_t lead_epoch, int64_t now_ms)
+{
+	Ibis__Heartbeat heartbeat = IBIS__HEARTBEAT__INIT;
+	char text[JOB_NAME_BYTES];
+
+	STRING_COPY(text, name);
+	heartbeat.name = text;
+	heartbeat.incarnation = incarnation;
+	heartbeat.state = IBIS__INSTANCE_STATE__INSTANCE_SERVING;
+	heartbeat.document_version = incarnation;
+	heartbeat.leading = lead_epoch > 0;
+	heartbeat.lead_epoch = lead_epoch;
+	return membership_heartbeat(membership, &heartbeat, now_ms);
+}
+
+static void
+test_list_counts_this_one(void)
+{
+	struct membership *membership = membership_new("a", TIMEOUT_MS);
+
+	CU_ASSERT_EQUAL(membership_listed_count(membership), 0);
+	membership_set_list(membership, listed, COUNT_OF(listed), NOW_MS);
+	CU_ASSERT_EQUAL(membership_listed_count(membership), 3);
+	CU_ASSERT_EQUAL(membership_count(membership), 2);
+	/* A list that lags behind this instance's start. */
+	membership_set_list(membership, listed + 1, 2, NOW_MS);
+	CU_ASSERT_EQUAL(membership_listed_count(membership), 3);
+	/* An empty one must not make one instance a majority. */
+	membership_set_list(membership, listed, 0, NOW_MS);
+	CU_ASSERT_EQUAL(membership_listed_count(membership), 3);
+	membership_free(membership);
+}
+
+static void
+test_alive_within_timeout(void)
+{
+	struct membership *membership = known();
+
+	CU_ASSERT_FALSE(membership_alive(membership, "b", NOW_MS));
+	CU_ASSERT_TRUE(beat(membership, "b", 1, 0, NOW_MS));
+	CU_ASSERT_TRUE(
+	    membership_alive(membership, "b", NOW_MS + TIMEOUT_MS - 1));
+	CU_ASSERT_FALSE(membership_alive(membership, "b", NOW_MS + TIMEOUT_MS));
+	CU_ASSERT_EQUAL(membership_alive_count(membership, NOW_MS), 1);
+	membership_free(membership);
+}
+
+static void
+test_older_incarnation_is_ignored(void)
+{
+	struct membership *membership = known();
+
+	CU_ASSERT_TRUE(beat(membership, "b", 5, 0, NOW_MS));
+	CU_ASSERT_FALSE(beat(membership, "b", 4, 9, NOW_MS + TIMEOUT_MS));
+	CU_ASSERT_FALSE(membership_alive(membership, "b", NOW_MS + TIMEOUT_MS));
+	CU_ASSERT_EQUAL(membership_find(membership, "b")->document_version, 5);
+	CU_ASSERT_FALSE(beat(membership, "a", 6, 0, NOW_MS));
+	CU_ASSERT_PTR_NULL(membership_find(membership, "a"));
+	membership_free(membership);
+}
+
+static void
+test_lead_is_linked_alive_and_newest(void)
+{
+	struct membership *membership = known();
+
+	(void)beat(membership, "b", 1, 3, NOW_MS);
+	(void)beat(membership, "c", 1, 4, NOW_MS);
+	CU_ASSERT_PTR_NULL(membership_lead(membership, NOW_MS));
+	membership_link(membership, "b", true);
+	membership_link(membership, "c", true);
+	CU_ASSERT_STRING_EQUAL(membership_lead(membership, NOW_MS)->name, "c");
+	membership_link(membership, "c", false);
+	membership_link(membership, "c", true);
+	CU_ASSERT_STRING_EQUAL(membership_lead(membership, NOW_MS)->name, "b");
+	CU_ASSERT_PTR_NULL(membership_lead(membership, NOW_MS + TIMEOUT_MS));
+	membership_free(membership);
+}
+
+static void
+test_gone_members_are_forgotten(void)
+{
+	struct membership *membership = known();
+
+	(void)beat(membership, "b", 1, 0, NOW_MS);
+	membership_set_list(membership, listed, 1, NOW_MS);
+	CU_ASSERT_PTR_NOT_NULL(membership_find(membership, "b"));
+	CU_ASSERT_PTR_NULL(membership_find(membership, "c"));
+	membership_set_list(membership, listed, 1, NOW_MS + TIMEOUT_MS);
+	CU_ASSERT_PTR_NULL(membership_find(membership, "b"));
+	membership_free(membership);
+}
+
+static void
+test_json(void)
+{
+	struct membership *membership = known();
+	CLEANUP(buffer_free) struct buffer json = {0};
+	struct membership_self self = {
+	    .state = IBIS__INSTANCE_STATE__INSTANCE_LEAVING,
+	    .leading = true,
+	};
+
+	(void)beat(membership, "b", 7, 0, NOW_MS);
+	membership_json(membership, &self, NOW_MS, &json);
+	CU_ASSERT_PTR_NOT_NULL(strstr(json.data,
+	    "\"state\":\"leaving\",\"document_version\":0,\"leading\":true"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(json.data,
+	    "\"peer_address\":\"127.0.0.1:2\",\"state\":\"serving\","
+	    "\"document_version\":7"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(json.data, "\"state\":\"silent\""));
+	membership_free(membership);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"list counts this one", test_list_counts_this_one},
+	    {"alive within timeout", test_alive_within_timeout},
+	    {"older incarnation is ignored", test_older_incarnation_is_ignored},
+	    {"lead is linked, alive and newest",
+		test_lead_is_linked_alive_and_newest},
+	    {"gone members are forgotten", test_gone_members_are_forgotten},
+	    {"JSON", test_json},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("membership", tests);
+}
