Wire membership, metrics and the burn report into the control thread

control_peers.c kept its own list of peers beside the tested module; it now uses the module. Heartbeats carry the burn counts; a heartbeat whose name is not its sender's is passed over.

--- a/src/process/control.c
+++ b/src/process/control.c
@@ -7,14 +7,15 @@
 #include "process/log.h"
 #include "process/proto_memory.h"
 
-#define TICK_MS		 20
-#define EVENTS_PER_ROUND 512
-#define MS_PER_SECOND	 1000
-#define NS_PER_MS	 1000000
-#define STORE_DOWN_MS	 600
-#define LEAD_POLL_MS	 500
-#define LEAD_JITTER_MS	 150
-#define RELEASE_GRACE_MS 3000
+#define TICK_MS		  20
+#define EVENTS_PER_ROUND  512
+#define MS_PER_SECOND	  1000
+#define NS_PER_MS	  1000000
+#define STORE_DOWN_MS	  600
+#define LEAD_POLL_MS	  500
+#define LEAD_JITTER_MS	  150
+#define RELEASE_GRACE_MS  3000
+#define SILENT_HEARTBEATS 8
 
 int64_t
 control_wall_ms(void)
@@ -80,7 +81,9 @@
 	control->events = events;
 	control->incarnation = incarnation;
 	control->random_state = incarnation;
-	control->instances_listed = 1;
+	control->members = membership_new(settings->name,
+	    settings->heartbeat_interval_ms * SILENT_HEARTBEATS);
+	control->burn = slo_burn_new();
 	control->now_ms = clock_now_ms();
 	CDS_INIT_LIST_HEAD(&control->forwards);
 	CDS_INIT_LIST_HEAD(&control->waiters);
@@ -101,7 +104,8 @@
 	for (uint32_t i = 0; i < control->segments_count; i++)
 		segment_free(&control->segments[i]);
 	mem_free(control->segments);
-	mem_free(control->peers);
+	membership_free(control->members);
+	slo_burn_free(control->burn);
 	mem_free(control);
 }
 
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -20,9 +20,11 @@
 #include "process/freshness.h"
 #include "process/job_map.h"
 #include "process/lead_lease.h"
+#include "process/membership.h"
 #include "process/scheduler.h"
 #include "process/segment.h"
 #include "process/settings.h"
+#include "process/slo_burn.h"
 #include "process/worker_table.h"
 #include "version/document.h"
 #include "version/head.h"
@@ -40,23 +42,6 @@
 	OWNER_LIST
 };
 
-/* An instance as this one knows it. */
-struct peer {
-	char name[JOB_NAME_BYTES];
-	char address[JOB_NAME_BYTES];
-	char caller_address[JOB_NAME_BYTES];
-	char zone[JOB_NAME_BYTES];
-	bool listed;
-	bool linked;
-	uint64_t incarnation;
-	int64_t heard_ms;
-	Ibis__InstanceState state;
-	uint64_t document_version;
-	bool store_reachable;
-	bool leading;
-	uint64_t lead_epoch;
-};
-
 /* A request of a caller here that the lead serves. */
 struct forward {
 	struct cds_list_head node;
@@ -95,10 +80,8 @@
 	int64_t store_failed_ms;
 
 	/* Other instances. */
-	struct peer *peers;
-	size_t peers_count;
-	size_t peers_capacity;
-	uint32_t instances_listed; /* this one included */
+	struct membership *members;
+	struct slo_burn *burn;
 	struct cds_list_head forwards;
 	uint64_t next_call;
 
@@ -159,9 +142,10 @@
 void control_forward_tick(struct control *control);
 bool control_forwards_open(struct control *control);
 
-/* control_metrics.c */
+/* control_metrics.c: metrics and the report on service-level burn */
 void control_metrics_request(struct control *control,
     const struct origin *origin, const Ibis__Request *request);
+void control_metrics_job_ended(struct control *control, const struct job *job);
 
 /* control_jobs.c: a job from its submission to its end */
 void control_job_request(struct control *control, const struct origin *origin,
@@ -225,7 +209,6 @@
 void control_peers_frame(
     struct control *control, const char *peer, Ibis__Frame *frame);
 void control_peers_link(struct control *control, const char *name, bool up);
-struct peer *control_peer_find(struct control *control, const char *name);
 /* Name of the instance that leads, as far as known; NULL when unknown. */
 const char *control_lead_name(const struct control *control);
 void control_peers_broadcast(struct control *control, const Ibis__Frame *frame);
--- a/src/process/control_jobs.c
+++ b/src/process/control_jobs.c
@@ -171,6 +171,7 @@
 	record->state = state;
 	record->ended_at_ms = control_wall_ms();
 	proto_set_string(&record->reason, reason);
+	control_metrics_job_ended(control, job);
 	cut_down(record);
 	log_event(LOG_INFO, "job_ended", "job", record->id, "outcome",
 	    job_state_name(state), "reason", reason, "attempt",
--- a/src/process/control_peers.c
+++ b/src/process/control_peers.c
@@ -10,58 +10,16 @@
 
 #define LIST_INTERVAL_MS    1000
 #define CONFIRM_INTERVAL_MS 300
-#define SILENT_HEARTBEATS   8
-
-struct peer *
-control_peer_find(struct control *control, const char *name)
-{
-	for (size_t i = 0; i < control->peers_count; i++) {
-		if (strcmp(control->peers[i].name, name) == 0)
-			return &control->peers[i];
-	}
-	return NULL;
-}
-
-static struct peer *
-add_peer(struct control *control, const char *name)
-{
-	struct peer *peer = control_peer_find(control, name);
-
-	if (peer != NULL)
-		return peer;
-	control->peers = mem_grow(control->peers, &control->peers_capacity,
-	    control->peers_count + 1, sizeof(*control->peers));
-	peer = &control->peers[control->peers_count++];
-	*peer = (struct peer){0};
-	STRING_COPY(peer->name, name);
-	return peer;
-}
-
-static bool
-is_heard(const struct control *control, const struct peer *peer)
-{
-	return peer->heard_ms > 0 &&
-	    control->now_ms - peer->heard_ms <
-	    (int64_t)control->settings->heartbeat_interval_ms *
-		SILENT_HEARTBEATS;
-}
 
 const char *
 control_lead_name(const struct control *control)
 {
-	const struct peer *best = NULL;
+	const struct member *lead;
 
 	if (control_leading(control))
 		return control->settings->name;
-	for (size_t i = 0; i < control->peers_count; i++) {
-		const struct peer *peer = &control->peers[i];
-
-		if (!peer->leading || !peer->linked || !is_heard(control, peer))
-			continue;
-		if (best == NULL || peer->lead_epoch > best->lead_epoch)
-			best = peer;
-	}
-	return best == NULL ? NULL : best->name;
+	lead = membership_lead(control->members, control->now_ms);
+	return lead == NULL ? NULL : lead->name;
 }
 
 /* ---- The platform's list --------------------------------------------- */
@@ -79,50 +37,41 @@
 static void
 dial_listed(struct control *control)
 {
-	struct peer_address *addresses =
-	    mem_calloc(control->peers_count, sizeof(*addresses));
+	size_t known = membership_count(control->members);
+	struct peer_address *addresses = mem_calloc(known, sizeof(*addresses));
 	size_t count = 0;
 
-	for (size_t i = 0; i < control->peers_count; i++) {
-		if (!control->peers[i].listed)
+	for (size_t i = 0; i < known; i++) {
+		const struct member *member =
+		    membership_at(control->members, i);
+
+		if (!member->listed)
 			continue;
-		STRING_COPY(addresses[count].name, control->peers[i].name);
-		STRING_COPY(
-		    addresses[count].address, control->peers[i].address);
+		STRING_COPY(addresses[count].name, member->name);
+		STRING_COPY(addresses[count].address, member->address);
 		count++;
 	}
 	peer_links_set_peers(control->links, addresses, count);
 	mem_free(addresses);
 }
 
-static void
-take_in_instance(struct control *control, struct json_object *item)
-{
-	const char *name = text_of(item, "name");
-	struct peer *peer;
-
-	control->instances_listed++;
-	if (strcmp(name, control->settings->name) == 0)
-		return;
-	peer = add_peer(control, name);
-	peer->listed = true;
-	STRING_COPY(peer->address, text_of(item, "peer"));
-	STRING_COPY(peer->caller_address, text_of(item, "caller"));
-	STRING_COPY(peer->zone, text_of(item, "availability_zone"));
-}
-
 static void
 take_in_instances(struct control *control, struct json_object *list)
 {
 	size_t count = json_object_array_length(list);
+	struct membership_entry *entries = mem_calloc(count, sizeof(*entries));
 
-	for (size_t i = 0; i < control->peers_count; i++)
-		control->peers[i].listed = false;
-	control->instances_listed = 0;
-	for (size_t i = 0; i < count; i++)
-		take_in_instance(control, json_object_array_get_idx(list, i));
-	if (control->instances_listed == 0)
-		control->instances_listed = 1;
+	for (size_t i = 0; i < count; i++) {
+		struct json_object *item = json_object_array_get_idx(list, i);
+
+		STRING_COPY(entries[i].name, text_of(item, "name"));
+		STRING_COPY(entries[i].address, text_of(item, "peer"));
+		STRING_COPY(entries[i].caller_address, text_of(item, "caller"));
+		STRING_COPY(
+		    entries[i].zone, text_of(item, "availability_zone"));
+	}
+	membership_set_list(control->members, entries, count, control->now_ms);
+	mem_free(entries);
 	dial_listed(control);
 }
 
@@ -185,10 +134,13 @@
 void
 control_peers_broadcast(struct control *control, const Ibis__Frame *frame)
 {
-	for (size_t i = 0; i < control->peers_count; i++) {
-		if (control->peers[i].linked)
+	for (size_t i = 0; i < membership_count(control->members); i++) {
+		const struct member *member =
+		    membership_at(control->members, i);
+
+		if (member->linked)
 			(void)peer_links_send(
-			    control->links, control->peers[i].name, frame);
+			    control->links, member->name, frame);
 	}
 }
 
@@ -222,29 +174,23 @@
 	heartbeat.caller_address = address;
 	heartbeat.zone = zone;
 	control_document_fill_heartbeat(control, &heartbeat);
+	slo_burn_fill_heartbeat(control->burn, &heartbeat, control->now_ms);
 	frame.body_case = IBIS__FRAME__BODY_HEARTBEAT;
 	frame.heartbeat = &heartbeat;
 	control_peers_broadcast(control, &frame);
 	control_document_clear_heartbeat(&heartbeat);
+	slo_burn_clear_heartbeat(&heartbeat);
 }
 
 static void
 take_in_heartbeat(
     struct control *control, const char *name, const Ibis__Heartbeat *heartbeat)
 {
-	struct peer *peer = add_peer(control, name);
-
-	if (heartbeat->incarnation < peer->incarnation)
+	/* A peer speaks for itself only. */
+	if (strcmp(heartbeat->name, name) != 0 ||
+	    !membership_heartbeat(control->members, heartbeat, control->now_ms))
 		return;
-	peer->incarnation = heartbeat->incarnation;
-	peer->heard_ms = control->now_ms;
-	peer->state = heartbeat->state;
-	peer->document_version = heartbeat->document_version;
-	peer->store_reachable = heartbeat->store_reachable;
-	peer->leading = heartbeat->leading;
-	peer->lead_epoch = heartbeat->lead_epoch;
-	STRING_COPY(peer->caller_address, heartbeat->caller_address);
-	STRING_COPY(peer->zone, heartbeat->zone);
+	slo_burn_merge(control->burn, heartbeat, control->now_ms);
 	control_document_heartbeat(control, heartbeat);
 	/* A later lead has taken over while this one could not know. */
 	if (heartbeat->leading && control_leading(control) &&
@@ -297,13 +243,15 @@
 {
 	Ibis__ConfirmFresh confirm = IBIS__CONFIRM_FRESH__INIT;
 	Ibis__Frame frame = IBIS__FRAME__INIT;
+	uint32_t instances = membership_listed_count(control->members);
 
-	if (!control->store_down || !control_leading(control) ||
+	if (instances == 0 || !control->store_down ||
+	    !control_leading(control) ||
 	    control->now_ms < control->next_round_ms)
 		return;
 	control->next_round_ms = control->now_ms + CONFIRM_INTERVAL_MS;
 	confirm.sequence = freshness_begin_round(
-	    &control->freshness, control->instances_listed, control->now_ms);
+	    &control->freshness, instances, control->now_ms);
 	confirm.document_version = control_document_version(control);
 	frame.body_case = IBIS__FRAME__BODY_CONFIRM;
 	frame.confirm = &confirm;
@@ -341,20 +289,20 @@
 }
 
 void
-control_peers_link(struct control *control, const char *name, bool up)
+control_peers_link(struct control *control, const char *peer, bool up)
 {
-	struct peer *peer = add_peer(control, name);
+	const struct member *member = membership_find(control->members, peer);
+	bool led = member != NULL && member->leading;
 
-	log_event(LOG_INFO, up ? "peer_up" : "peer_down", "peer", name, NULL);
-	peer->linked = up;
+	log_event(LOG_INFO, up ? "peer_up" : "peer_down", "peer", peer, NULL);
+	membership_link(control->members, peer, up);
 	if (up) {
 		control->next_heartbeat_ms = control->now_ms;
 		return;
 	}
-	control_forward_peer_down(control, name);
-	if (peer->leading)
+	control_forward_peer_down(control, peer);
+	if (led)
 		lead_hint(&control->lease, control->now_ms);
-	peer->leading = false;
 }
 
 void
@@ -367,51 +315,20 @@
 
 /* ---- Views ----------------------------------------------------------- */
 
-static const char *
-state_name(Ibis__InstanceState state)
-{
-	switch (state) {
-	case IBIS__INSTANCE_STATE__INSTANCE_SERVING:
-		return "serving";
-	case IBIS__INSTANCE_STATE__INSTANCE_LEAVING:
-		return "leaving";
-	default:
-		return "starting";
-	}
-}
-
-static void
-peer_json(
-    const struct control *control, const struct peer *peer, struct buffer *json)
-{
-	buffer_printf(json,
-	    ", {\"name\": \"%s\", \"availability_zone\": \"%s\", "
-	    "\"caller_address\": \"%s\", \"peer_address\": \"%s\", "
-	    "\"state\": \"%s\", \"document_version\": %" PRIu64
-	    ", \"leading\": %s}",
-	    peer->name, peer->zone, peer->caller_address, peer->address,
-	    is_heard(control, peer) ? state_name(peer->state) : "silent",
-	    peer->document_version, peer->leading ? "true" : "false");
-}
-
 void
 control_peers_json(const struct control *control, struct buffer *json)
 {
-	buffer_printf(json,
-	    "{\"instances\": [{\"name\": \"%s\", "
-	    "\"availability_zone\": \"%s\", \"caller_address\": \"%s\", "
-	    "\"peer_address\": \"%s\", \"state\": \"%s\", "
-	    "\"document_version\": %" PRIu64 ", \"leading\": %s}",
-	    control->settings->name, control->settings->availability_zone,
-	    caller_server_address(control->callers),
-	    peer_links_address(control->links), state_name(control->state),
-	    control_document_version(control),
-	    control_leading(control) ? "true" : "false");
-	for (size_t i = 0; i < control->peers_count; i++) {
-		if (control->peers[i].listed)
-			peer_json(control, &control->peers[i], json);
-	}
-	buffer_puts(json, "]}");
+	struct membership_self self = {
+	    .state = control->state,
+	    .document_version = control_document_version(control),
+	    .leading = control_leading(control),
+	};
+
+	STRING_COPY(
+	    self.caller_address, caller_server_address(control->callers));
+	STRING_COPY(self.peer_address, peer_links_address(control->links));
+	STRING_COPY(self.zone, control->settings->availability_zone);
+	membership_json(control->members, &self, control->now_ms, json);
 }
 
 void
@@ -429,7 +346,7 @@
 	    "\"queued_jobs\": %" PRIu64 ", \"running_jobs\": %" PRIu64
 	    ", \"accelerators\": %" PRIu64 ", \"free_accelerators\": %" PRIu64
 	    "}",
-	    control->settings->name, state_name(control->state),
+	    control->settings->name, membership_state_name(control->state),
 	    lead == NULL ? "" : lead,
 	    control_leading(control) ? "true" : "false",
 	    control_document_version(control),
--- a/src/process/membership.c
+++ b/src/process/membership.c
@@ -212,8 +212,8 @@
 	return best;
 }
 
-static const char *
-state_name(Ibis__InstanceState state)
+const char *
+membership_state_name(Ibis__InstanceState state)
 {
 	switch (state) {
 	case IBIS__INSTANCE_STATE__INSTANCE_SERVING:
@@ -259,8 +259,9 @@
 	STRING_COPY(entry.caller_address, member->caller_address);
 	STRING_COPY(entry.zone, member->zone);
 	return instance_json(&entry,
-	    is_alive(membership, member, now_ms) ? state_name(member->state)
-						 : "silent",
+	    is_alive(membership, member, now_ms)
+		? membership_state_name(member->state)
+		: "silent",
 	    member->document_version, member->leading);
 }
 
@@ -274,7 +275,7 @@
 	STRING_COPY(entry.address, self->peer_address);
 	STRING_COPY(entry.caller_address, self->caller_address);
 	STRING_COPY(entry.zone, self->zone);
-	return instance_json(&entry, state_name(self->state),
+	return instance_json(&entry, membership_state_name(self->state),
 	    self->document_version, self->leading);
 }
 
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -107,6 +107,9 @@
 const struct member *membership_lead(
     const struct membership *membership, int64_t now_ms);
 
+/* Lower-case name of a state, as in the API. */
+const char *membership_state_name(Ibis__InstanceState state);
+
 /* Writes the body of GET /v1/instances. */
 void membership_json(const struct membership *membership,
     const struct membership_self *self, int64_t now_ms, struct buffer *json);
