--- a/src/process/cluster.c
+++ b/src/process/cluster.c
@@ -231,15 +231,13 @@
 }
 
 void
-cluster_take(struct cluster *cluster, uint32_t index, struct job_entry *entry,
-    int64_t now_ms)
+cluster_take(struct cluster *cluster, uint32_t index, struct job_entry *entry)
 {
 	struct cluster_worker *worker = &cluster->workers[index];
 	uint32_t amount = entry->job.accelerators_per_task;
 	struct cluster_share share =
 	    *cluster_share(cluster, index, entry->workspace);
 
-	(void)now_ms;
 	share.used = (uint16_t)(share.used + amount);
 	if (job_entry_is_firm(entry))
 		share.firm = (uint16_t)(share.firm + amount);
--- a/src/process/cluster.h
+++ b/src/process/cluster.h
@@ -39,10 +39,11 @@
 	uint32_t owed;	    /* sum over workspaces of max(claim, used) */
 	enum worker_condition condition;
 	bool quarantined;
-	bool usable; /* serving, trusted, and its zone in service */
-	uint32_t
-	    holder; /* slot of the reservation that holds it, or NO_INDEX */
-	int64_t drained_ms;	 /* when its last job is expected to end */
+	bool usable;	    /* serving, trusted, and its zone in service */
+	bool on_probation;  /* released from quarantine for a trial */
+	uint32_t holder;    /* reservation slot that drains it, or NO_INDEX */
+	uint32_t held;	    /* accelerators kept by firm reservations */
+	int64_t drained_ms; /* when its last job is expected to end */
 	struct job_entry **jobs; /* one element a task */
 	size_t jobs_count;
 	size_t jobs_capacity;
@@ -98,8 +99,8 @@
 
 /* Gives accelerators of one worker to one task of a job, and takes them back.
  * The share is that of the entry's workspace. */
-void cluster_take(struct cluster *cluster, uint32_t index,
-    struct job_entry *entry, int64_t now_ms);
+void cluster_take(
+    struct cluster *cluster, uint32_t index, struct job_entry *entry);
 void cluster_release(struct cluster *cluster, uint32_t index,
     struct job_entry *entry, int64_t now_ms);
 
--- a/src/process/job_entry.h
+++ b/src/process/job_entry.h
@@ -32,7 +32,9 @@
 	bool has_run;		/* some attempt was running */
 	bool started;		/* some attempt was started */
 	bool throttled;
-	uint32_t failed_attempts;
+	bool chosen;		  /* mark of one eviction or zone plan */
+	uint32_t attempts;	  /* that failed, for whatever reason */
+	uint32_t failed_attempts; /* of them, those blamed on the job */
 	uint32_t evictions;
 	/* Workers that the job failed on, latest first. */
 	uint32_t avoided[ENTRY_AVOIDED_WORKERS];
@@ -47,6 +49,8 @@
 	double overuse;	 /* smoothed share of its accelerators that it uses */
 	int64_t lane_key_ms; /* place in its queue lane */
 	uint32_t lane;
+	uint32_t rank; /* 0 urgent, then by precedence */
+	uint32_t usage_reports;
 	uint32_t reservation;	/* slot, or NO_INDEX */
 	size_t active_index;	/* place among the jobs that hold workers */
 	struct job_entry *next; /* in its bucket of the table */
--- a/src/process/scheduler.c
+++ b/src/process/scheduler.c
@@ -2,11 +2,41 @@
 #include <string.h>
 
 #include "process/alloc.h"
+#include "process/job_shape.h"
 #include "process/scheduler_state.h"
 
-#define STEP		    "admit"
-#define CHECKPOINT_GRACE_MS 2000
-#define LANES		    2 /* urgent and all others */
+#define STEP		  "admit"
+#define FIRST_FIT_LANES	  2 /* urgent and all others */
+#define OVERUSE_SHARE	  1.2
+#define OVERUSE_REPORTS	  3
+#define OVERUSE_SMOOTHING 0.3
+#define LOWEST_PRECEDENCE UINT32_MAX
+
+/* One lane a class, and one for unknown classes. */
+static void
+set_class_lanes(struct scheduler *scheduler)
+{
+	size_t count = scheduler->classes_count;
+
+	job_queue_set_lanes(&scheduler->queue, count + 1);
+	for (size_t i = 0; i < count; i++) {
+		scheduler->queue.lanes[i].urgent = scheduler->classes[i].urgent;
+		scheduler->queue.lanes[i].precedence =
+		    scheduler->classes[i].precedence;
+	}
+	scheduler->queue.lanes[count].precedence = LOWEST_PRECEDENCE;
+}
+
+static void
+set_lanes(struct scheduler *scheduler)
+{
+	if (scheduler->config.policy == POLICY_GUARANTEED) {
+		set_class_lanes(scheduler);
+		return;
+	}
+	job_queue_set_lanes(&scheduler->queue, FIRST_FIT_LANES);
+	scheduler->queue.lanes[0].urgent = true;
+}
 
 struct scheduler *
 scheduler_new(const struct scheduler_config *config)
@@ -15,7 +45,9 @@
 
 	scheduler->config = *config;
 	scheduler->next_ms = INT64_MAX;
-	job_queue_set_lanes(&scheduler->queue, LANES);
+	scheduler->next_expiry_ms = INT64_MAX;
+	scheduler->quarantine.next_ms = INT64_MAX;
+	set_lanes(scheduler);
 	admission_init(
 	    &scheduler->admission, config->max_queued_jobs, config->seed);
 	return scheduler;
@@ -26,11 +58,20 @@
 {
 	if (scheduler == NULL)
 		return;
+	reservation_reset(&scheduler->reservations);
 	cluster_clear(&scheduler->cluster);
 	admission_clear(&scheduler->admission);
 	job_table_clear(&scheduler->table);
 	job_queue_clear(&scheduler->queue);
 	action_list_clear(&scheduler->actions);
+	estimate_clear(&scheduler->estimates);
+	guarantee_clear(&scheduler->guarantees);
+	quarantine_clear(&scheduler->quarantine);
+	placement_clear(&scheduler->placement);
+	draining_clear(&scheduler->draining);
+	eviction_clear(&scheduler->planner);
+	mem_free(scheduler->evicting);
+	mem_free(scheduler->overusing);
 	mem_free(scheduler->workspaces);
 	mem_free(scheduler->classes);
 	mem_free(scheduler->zones_held);
@@ -38,170 +79,6 @@
 	mem_free(scheduler);
 }
 
-const struct document_class *
-scheduler_class_of(
-    const struct scheduler *scheduler, const struct job_entry *entry)
-{
-	if (entry->request_class >= scheduler->classes_count)
-		return NULL;
-	return &scheduler->classes[entry->request_class];
-}
-
-bool
-scheduler_is_urgent(
-    const struct scheduler *scheduler, const struct job_entry *entry)
-{
-	const struct document_class *class =
-	    scheduler_class_of(scheduler, entry);
-
-	return class != NULL && class->urgent;
-}
-
-void
-scheduler_wake_at(struct scheduler *scheduler, int64_t at_ms)
-{
-	if (at_ms < scheduler->next_ms)
-		scheduler->next_ms = at_ms;
-}
-
-bool
-scheduler_quota_allows(
-    const struct scheduler *scheduler, const struct job_entry *entry)
-{
-	const struct scheduler_workspace *workspace;
-
-	if (entry->workspace >= scheduler->workspaces_count)
-		return true;
-	workspace = &scheduler->workspaces[entry->workspace];
-	return workspace->max_accelerators == 0 ||
-	    workspace->used + job_entry_accelerators(entry) <=
-	    workspace->max_accelerators;
-}
-
-/* Holds the entry's workers and counts them. */
-static void
-hold_workers(
-    struct scheduler *scheduler, struct job_entry *entry, int64_t now_ms)
-{
-	for (uint32_t i = 0; i < entry->job.tasks; i++) {
-		if (entry->workers[i] != NO_INDEX)
-			cluster_take(&scheduler->cluster, entry->workers[i],
-			    entry, now_ms);
-	}
-	if (entry->workspace < scheduler->workspaces_count)
-		scheduler->workspaces[entry->workspace].used +=
-		    job_entry_accelerators(entry);
-}
-
-static void
-release_workers(
-    struct scheduler *scheduler, struct job_entry *entry, int64_t now_ms)
-{
-	for (uint32_t i = 0; i < entry->job.tasks; i++) {
-		if (entry->workers[i] != NO_INDEX)
-			cluster_release(&scheduler->cluster, entry->workers[i],
-			    entry, now_ms);
-	}
-	if (entry->workspace < scheduler->workspaces_count)
-		scheduler->workspaces[entry->workspace].used -=
-		    job_entry_accelerators(entry);
-	mem_free(entry->workers);
-	entry->workers = NULL;
-	scheduler->capacity_freed = true;
-}
-
-static void
-add_active(struct scheduler *scheduler, struct job_entry *entry)
-{
-	scheduler->active =
-	    mem_grow(scheduler->active, &scheduler->active_capacity,
-		scheduler->active_count + 1, sizeof(struct job_entry *));
-	entry->active_index = scheduler->active_count;
-	scheduler->active[scheduler->active_count++] = entry;
-}
-
-static void
-remove_active(struct scheduler *scheduler, struct job_entry *entry)
-{
-	struct job_entry *last = scheduler->active[--scheduler->active_count];
-
-	scheduler->active[entry->active_index] = last;
-	last->active_index = entry->active_index;
-}
-
-static void
-enqueue(struct scheduler *scheduler, struct job_entry *entry, int64_t now_ms)
-{
-	const struct document_class *class =
-	    scheduler_class_of(scheduler, entry);
-	int64_t expires_ms = INT64_MAX;
-
-	entry->state = ENTRY_QUEUED;
-	entry->queued_ms = now_ms;
-	if (class != NULL && class->max_wait_ms > 0 && !entry->started)
-		expires_ms = entry->job.accepted_ms + class->max_wait_ms;
-	entry->lane = scheduler_is_urgent(scheduler, entry) ? 0 : 1;
-	job_queue_add(
-	    &scheduler->queue, entry, (int64_t)entry->sequence, expires_ms);
-	admission_enqueued(
-	    &scheduler->admission, entry->workspace, entry->request_class);
-	scheduler_wake_at(scheduler, expires_ms);
-	scheduler->queue_grew = true;
-}
-
-static void
-dequeue(struct scheduler *scheduler, struct job_entry *entry, int64_t now_ms)
-{
-	job_queue_remove(&scheduler->queue, entry);
-	admission_dequeued(&scheduler->admission, entry->workspace,
-	    entry->request_class, now_ms);
-}
-
-void
-scheduler_start(struct scheduler *scheduler, struct job_entry *entry,
-    const uint32_t *workers, int64_t now_ms)
-{
-	uint32_t tasks = entry->job.tasks;
-
-	dequeue(scheduler, entry, now_ms);
-	if (!entry->started)
-		admission_started(&scheduler->admission);
-	entry->workers = mem_calloc(tasks, sizeof(*workers));
-	memcpy(entry->workers, workers, tasks * sizeof(*workers));
-	entry->state = ENTRY_STARTING;
-	entry->started = true;
-	entry->started_ms = now_ms;
-	entry->expected_end_ms = now_ms + entry->job.run_time_ms;
-	hold_workers(scheduler, entry, now_ms);
-	add_active(scheduler, entry);
-	action_list_start(&scheduler->actions, &scheduler->cluster, entry);
-}
-
-void
-scheduler_evict(struct scheduler *scheduler, struct job_entry *entry,
-    const char *reason, int64_t now_ms)
-{
-	enum eviction_manner manner =
-	    entry->job.checkpointable ? EVICT_CHECKPOINT : EVICT_STOP;
-
-	entry->state = ENTRY_EVICTING;
-	entry->evict_reason = reason;
-	if (manner == EVICT_CHECKPOINT) {
-		entry->evict_by_ms = now_ms + CHECKPOINT_GRACE_MS;
-		scheduler_wake_at(scheduler, entry->evict_by_ms);
-	}
-	action_list_evict(&scheduler->actions, entry, manner, reason);
-}
-
-void
-scheduler_give_up(struct scheduler *scheduler, struct job_entry *entry,
-    const char *reason, int64_t now_ms)
-{
-	dequeue(scheduler, entry, now_ms);
-	action_list_give_up(&scheduler->actions, entry, reason);
-	job_table_remove(&scheduler->table, entry);
-}
-
 static uint32_t
 find_workspace(const struct scheduler *scheduler, const char *name)
 {
@@ -243,6 +120,7 @@
 		memcpy(scheduler->classes, document->classes,
 		    document->classes_count * sizeof(*scheduler->classes));
 	admission_set_document(&scheduler->admission, document);
+	estimate_set_document(&scheduler->estimates, document);
 }
 
 /* Carries the zones' state over from the cluster of the last version. */
@@ -278,7 +156,7 @@
 		zone->returned_ms = now_ms;
 	else
 		zone->left_ms = now_ms;
-	scheduler->capacity_freed = true;
+	scheduler->changed = true;
 }
 
 static void
@@ -309,6 +187,8 @@
 		    cluster, (uint32_t)i, old->workers[from].condition);
 		cluster_set_quarantined(
 		    cluster, (uint32_t)i, old->workers[from].quarantined);
+		cluster->workers[i].on_probation =
+		    old->workers[from].on_probation;
 	}
 }
 
@@ -335,8 +215,8 @@
 {
 	struct job_entry *entry;
 
-	job_queue_clear(&scheduler->queue);
-	job_queue_set_lanes(&scheduler->queue, LANES);
+	scheduler->active_count = 0;
+	set_lanes(scheduler);
 	for (size_t i = 0; i < scheduler->table.buckets_count; i++) {
 		for (entry = scheduler->table.buckets[i]; entry != NULL;
 		     entry = entry->next) {
@@ -344,15 +224,37 @@
 
 			carry_entry(scheduler, old, entry);
 			if (entry->state != ENTRY_QUEUED) {
-				hold_workers(scheduler, entry, now_ms);
+				scheduler_hold(scheduler, entry);
 				continue;
 			}
-			enqueue(scheduler, entry, now_ms);
+			scheduler_enqueue(scheduler, entry, now_ms);
 			entry->queued_ms = queued_ms;
 		}
 	}
 }
 
+static void
+carry_quarantine(struct scheduler *scheduler, const struct cluster *old)
+{
+	struct quarantine before = scheduler->quarantine;
+
+	quarantine_build(
+	    &scheduler->quarantine, &scheduler->cluster, &before, old);
+	quarantine_clear(&before);
+}
+
+/* Placed once jobs are counted in, so that claims go around firm work. */
+static void
+set_guarantees(struct scheduler *scheduler, const struct document *document)
+{
+	guarantee_clear(&scheduler->guarantees);
+	if (scheduler->config.policy != POLICY_GUARANTEED)
+		return;
+	guarantee_build(&scheduler->guarantees, document);
+	(void)guarantee_place(&scheduler->guarantees, &scheduler->cluster);
+	scheduler->claims_changed = true;
+}
+
 void
 scheduler_set_document(struct scheduler *scheduler,
     const struct document *document, int64_t now_ms)
@@ -360,14 +262,17 @@
 	struct cluster old = scheduler->cluster;
 	bool *old_held = scheduler->zones_held;
 
+	reservation_reset(&scheduler->reservations);
 	copy_limits(scheduler, document);
 	cluster_build(&scheduler->cluster, document);
 	scheduler->zones_held = mem_calloc(document->zones_count, sizeof(bool));
 	carry_zones(scheduler, &old, old_held);
 	note_zone_changes(scheduler, &old, now_ms);
 	carry_workers(scheduler, &old);
+	carry_quarantine(scheduler, &old);
 	carry_jobs(scheduler, &old, now_ms);
-	scheduler->capacity_freed = true;
+	set_guarantees(scheduler, document);
+	scheduler->changed = true;
 	cluster_clear(&old);
 	mem_free(old_held);
 }
@@ -398,70 +303,8 @@
 	    scheduler->cluster.workers[index].condition == condition)
 		return;
 	cluster_set_condition(&scheduler->cluster, index, condition);
-	scheduler->capacity_freed = true;
-}
-
-/* Tasks that a range of idle workers would hold. */
-static uint64_t
-tasks_on_idle(const struct cluster *cluster, const struct scheduler_job *job,
-    uint32_t first, uint32_t count)
-{
-	uint64_t tasks = 0;
-
-	for (uint32_t i = first; i < first + count; i++)
-		tasks +=
-		    cluster->workers[i].capacity / job->accelerators_per_task;
-	return tasks;
-}
-
-static uint64_t
-tasks_on_idle_zone(const struct cluster *cluster,
-    const struct scheduler_job *job, uint32_t zone)
-{
-	uint64_t tasks = 0;
-
-	for (size_t i = 0; i < cluster->racks_count; i++) {
-		const struct cluster_rack *rack = &cluster->racks[i];
-
-		if (rack->zone == zone)
-			tasks += tasks_on_idle(cluster, job, rack->first_worker,
-			    rack->workers_count);
-	}
-	return tasks;
-}
-
-/* The most tasks that one unit of the job's adjacency could ever hold. */
-static uint64_t
-most_tasks(const struct cluster *cluster, const struct scheduler_job *job)
-{
-	uint64_t most = 0;
-	uint64_t sum = 0;
-
-	switch (job->adjacency) {
-	case IBIS__ADJACENCY__ADJACENCY_WORKER:
-		for (uint32_t i = 0; i < cluster->workers_count; i++) {
-			sum = tasks_on_idle(cluster, job, i, 1);
-			most = sum > most ? sum : most;
-		}
-		return most;
-	case IBIS__ADJACENCY__ADJACENCY_RACK:
-		for (size_t i = 0; i < cluster->racks_count; i++) {
-			sum = tasks_on_idle(cluster, job,
-			    cluster->racks[i].first_worker,
-			    cluster->racks[i].workers_count);
-			most = sum > most ? sum : most;
-		}
-		return most;
-	case IBIS__ADJACENCY__ADJACENCY_ZONE:
-		for (uint32_t i = 0; i < cluster->zones_count; i++) {
-			sum = tasks_on_idle_zone(cluster, job, i);
-			most = sum > most ? sum : most;
-		}
-		return most;
-	default:
-		return tasks_on_idle(
-		    cluster, job, 0, (uint32_t)cluster->workers_count);
-	}
+	scheduler->claims_changed = true;
+	scheduler->changed = true;
 }
 
 /* Refuses what can never run, whatever else ends. */
@@ -482,11 +325,11 @@
 		    "accelerators: %" PRIu64 " in all; workspace %s may hold "
 		    "%" PRIu64,
 		    accelerators, job->workspace, quota);
-	most = most_tasks(&scheduler->cluster, job);
+	most = job_shape_most_tasks(&scheduler->cluster, job, workspace);
 	if (job->tasks > most)
 		return ibis_status_set(status, IBIS_INVALID, STEP, NULL,
 		    "tasks: %" PRIu32 " of %" PRIu32 " accelerators, adjacency "
-		    "%s; at most %" PRIu64 " fit even when all is free",
+		    "%s; at most %" PRIu64 " fit when all else has ended",
 		    job->tasks, job->accelerators_per_task,
 		    job_adjacency_name(job->adjacency), most);
 	return IBIS_OK;
@@ -533,7 +376,7 @@
 		    request_class, now_ms, retry_after_ms, status);
 	if (code != IBIS_OK)
 		return code;
-	enqueue(scheduler, add_entry(scheduler, job), now_ms);
+	scheduler_enqueue(scheduler, add_entry(scheduler, job), now_ms);
 	return IBIS_OK;
 }
 
@@ -547,7 +390,7 @@
 		return;
 	entry = add_entry(scheduler, job);
 	if (workers == NULL) {
-		enqueue(scheduler, entry, now_ms);
+		scheduler_enqueue(scheduler, entry, now_ms);
 		return;
 	}
 	entry->workers = mem_calloc(job->tasks, sizeof(*entry->workers));
@@ -557,9 +400,9 @@
 	entry->state = ENTRY_RUNNING;
 	entry->started = true;
 	entry->started_ms = now_ms;
-	entry->expected_end_ms = now_ms + job->run_time_ms;
-	hold_workers(scheduler, entry, now_ms);
-	add_active(scheduler, entry);
+	entry->expected_end_ms =
+	    now_ms + scheduler_remaining_ms(scheduler, entry, ESTIMATE_MIDDLE);
+	scheduler_hold(scheduler, entry);
 }
 
 void
@@ -572,42 +415,86 @@
 		entry->state = ENTRY_RUNNING;
 }
 
+/* Notes who is to blame for a failed attempt: the worker or the job. */
 static void
-avoid_worker(
-    struct scheduler *scheduler, struct job_entry *entry, const char *culprit)
+blame(struct scheduler *scheduler, struct job_entry *entry,
+    enum scheduler_end end, const char *culprit, int64_t now_ms)
 {
-	uint32_t worker;
-
-	if (culprit == NULL)
-		return;
-	worker = cluster_find_worker(&scheduler->cluster, culprit);
-	if (worker == NO_INDEX)
-		return;
-	memmove(&entry->avoided[1], &entry->avoided[0],
-	    (ENTRY_AVOIDED_WORKERS - 1) * sizeof(entry->avoided[0]));
-	entry->avoided[0] = worker;
-	if (entry->avoided_count < ENTRY_AVOIDED_WORKERS)
-		entry->avoided_count++;
+	uint32_t worker = NO_INDEX;
+	bool suspect = false;
+
+	if (culprit != NULL)
+		worker = cluster_find_worker(&scheduler->cluster, culprit);
+	if (worker != NO_INDEX) {
+		memmove(&entry->avoided[1], &entry->avoided[0],
+		    (ENTRY_AVOIDED_WORKERS - 1) * sizeof(entry->avoided[0]));
+		entry->avoided[0] = worker;
+		if (entry->avoided_count < ENTRY_AVOIDED_WORKERS)
+			entry->avoided_count++;
+	}
+	if (worker != NO_INDEX && end == END_ATTEMPT_FAILED &&
+	    scheduler->config.policy == POLICY_GUARANTEED) {
+		suspect = quarantine_failure(&scheduler->quarantine,
+		    &scheduler->cluster, worker, entry->job.id, FAULT_START,
+		    now_ms);
+		scheduler->claims_changed = true;
+	}
+	/* A worker's death is seldom the job's fault: every other one counts.
+	 */
+	if (end == END_LOST)
+		suspect = entry->attempts % 2 == 0;
+	entry->attempts++;
+	if (!suspect)
+		entry->failed_attempts++;
 }
 
 /* Puts an entry that has left its workers back into the queue. */
 static void
 requeue(struct scheduler *scheduler, struct job_entry *entry,
-    enum scheduler_end end, const char *culprit, int64_t now_ms)
+    enum scheduler_end end, const char *culprit, int64_t run_ms, int64_t now_ms)
 {
-	entry->evict_by_ms = 0;
+	bool checkpointed =
+	    entry->job.checkpointable && entry->evict_by_ms != INT64_MAX;
+
 	entry->evict_reason = NULL;
 	entry->not_before_ms = now_ms;
 	if (end == END_EVICTED) {
 		entry->evictions++;
+		if (checkpointed)
+			entry->kept_ms += run_ms;
 	} else {
-		avoid_worker(scheduler, entry, culprit);
-		entry->failed_attempts++;
+		blame(scheduler, entry, end, culprit, now_ms);
 		entry->not_before_ms += admission_retry_delay_ms(
-		    &scheduler->admission, entry->failed_attempts);
-		scheduler_wake_at(scheduler, entry->not_before_ms);
+		    &scheduler->admission, entry->attempts);
+	}
+	entry->evict_by_ms = 0;
+	scheduler_enqueue(scheduler, entry, now_ms);
+}
+
+/* Learns from the end of an entry that still has its workers. */
+static void
+observe_end(struct scheduler *scheduler, const struct job_entry *entry,
+    enum scheduler_end end, int64_t run_ms, int64_t now_ms)
+{
+	if (scheduler->config.policy != POLICY_GUARANTEED)
+		return;
+	if (end == END_FINISHED)
+		estimate_observe(&scheduler->estimates, entry->workspace,
+		    entry->request_class, entry->job.run_time_ms,
+		    entry->kept_ms + run_ms);
+	for (uint32_t i = 0; i < entry->job.tasks; i++) {
+		uint32_t worker = entry->workers[i];
+
+		if (worker == NO_INDEX)
+			continue;
+		if (end == END_FINISHED)
+			quarantine_success(&scheduler->quarantine,
+			    &scheduler->cluster, worker);
+		else if (end == END_FAILED && entry->job.tasks == 1)
+			(void)quarantine_failure(&scheduler->quarantine,
+			    &scheduler->cluster, worker, entry->job.id,
+			    FAULT_WORK, now_ms);
 	}
-	enqueue(scheduler, entry, now_ms);
 }
 
 void
@@ -618,74 +505,52 @@
 	bool final =
 	    end == END_FINISHED || end == END_FAILED || end == END_CLOSED;
 
-	(void)run_ms;
 	if (entry == NULL)
 		return;
 	if (entry->state != ENTRY_QUEUED) {
-		remove_active(scheduler, entry);
-		release_workers(scheduler, entry, now_ms);
+		observe_end(scheduler, entry, end, run_ms, now_ms);
+		scheduler_release(scheduler, entry, now_ms);
 	} else if (final) {
-		dequeue(scheduler, entry, now_ms);
+		scheduler_dequeue(scheduler, entry, now_ms);
 	} else {
 		return;
 	}
-	if (final)
-		job_table_remove(&scheduler->table, entry);
-	else
-		requeue(scheduler, entry, end, culprit, now_ms);
+	if (!final) {
+		requeue(scheduler, entry, end, culprit, run_ms, now_ms);
+		return;
+	}
+	reservation_drop(&scheduler->reservations, &scheduler->cluster, entry);
+	job_table_remove(&scheduler->table, entry);
 }
 
 void
 scheduler_usage_report(struct scheduler *scheduler, struct job_id id,
     double used_share, int64_t now_ms)
 {
-	(void)scheduler;
-	(void)id;
-	(void)used_share;
-	(void)now_ms;
-}
-
-/* Stops what has not checkpointed in time. */
-static void
-stop_overdue(struct scheduler *scheduler, int64_t now_ms)
-{
-	for (size_t i = 0; i < scheduler->active_count; i++) {
-		struct job_entry *entry = scheduler->active[i];
+	struct job_entry *entry = job_table_find(&scheduler->table, id);
 
-		if (entry->state != ENTRY_EVICTING || entry->evict_by_ms == 0)
-			continue;
-		if (entry->evict_by_ms > now_ms) {
-			scheduler_wake_at(scheduler, entry->evict_by_ms);
-			continue;
-		}
-		entry->evict_by_ms = 0;
-		action_list_evict(&scheduler->actions, entry, EVICT_STOP,
-		    entry->evict_reason);
-	}
+	if (entry == NULL || entry->state != ENTRY_RUNNING || entry->throttled)
+		return;
+	entry->usage_reports++;
+	entry->overuse += OVERUSE_SMOOTHING * (used_share - entry->overuse);
+	if (entry->usage_reports < OVERUSE_REPORTS ||
+	    entry->overuse < OVERUSE_SHARE)
+		return;
+	entry->throttled = true;
+	scheduler->overusing =
+	    mem_grow(scheduler->overusing, &scheduler->overusing_capacity,
+		scheduler->overusing_count + 1, sizeof(id));
+	scheduler->overusing[scheduler->overusing_count++] = id;
+	scheduler_wake_at(scheduler, now_ms);
 }
 
-/* Gives up what has waited too long or failed too often. */
 static void
-give_up_expired(struct scheduler *scheduler, int64_t now_ms)
-{
-	for (size_t i = 0; i < scheduler->queue.lanes_count; i++) {
-		struct job_queue_lane *lane = &scheduler->queue.lanes[i];
-
-		for (size_t at = lane->count; at-- > 0;) {
-			struct job_queue_item item = lane->items[at];
-
-			if (item.expires_ms <= now_ms)
-				scheduler_give_up(
-				    scheduler, item.entry, "max_wait", now_ms);
-			else if (scheduler->config.max_attempts > 0 &&
-			    item.entry->failed_attempts >=
-				scheduler->config.max_attempts)
-				scheduler_give_up(
-				    scheduler, item.entry, "attempts", now_ms);
-			else
-				scheduler_wake_at(scheduler, item.expires_ms);
-		}
-	}
+release_quarantined(struct scheduler *scheduler, int64_t now_ms)
+{
+	if (quarantine_release(
+		&scheduler->quarantine, &scheduler->cluster, now_ms) > 0)
+		scheduler->claims_changed = true;
+	scheduler_wake_at(scheduler, scheduler->quarantine.next_ms);
 }
 
 size_t
@@ -693,12 +558,23 @@
     const struct scheduler_action **actions)
 {
 	action_list_reset(&scheduler->actions);
+	*actions = NULL;
+	if (!scheduler->changed && now_ms < scheduler->next_ms)
+		return 0;
 	scheduler->next_ms = INT64_MAX;
-	stop_overdue(scheduler, now_ms);
-	give_up_expired(scheduler, now_ms);
-	policy_first_fit_decide(scheduler, now_ms);
-	scheduler->capacity_freed = false;
-	scheduler->queue_grew = false;
+	scheduler->changed = false;
+	scheduler_stop_overdue(scheduler, now_ms);
+	scheduler_expire(scheduler, now_ms);
+	scheduler_throttle(scheduler);
+	release_quarantined(scheduler, now_ms);
+	switch (scheduler->config.policy) {
+	case POLICY_GUARANTEED:
+		policy_guaranteed_decide(scheduler, now_ms);
+		break;
+	case POLICY_FIRST_FIT:
+		policy_first_fit_decide(scheduler, now_ms);
+		break;
+	}
 	action_list_finish(&scheduler->actions);
 	*actions = scheduler->actions.actions;
 	return scheduler->actions.count;
--- /dev/null
+++ b/src/process/scheduler_jobs.c
@@ -0,0 +1,361 @@
+/* A job's way through the scheduler: queued, started, evicted, given up. */
+#include <string.h>
+
+#include "process/alloc.h"
+#include "process/scheduler_state.h"
+
+#define EXPIRY_INTERVAL_MS    50
+#define SOFT_DEADLINE_MS      600000
+#define SOFT_DEADLINE_RUNS    4
+#define MIN_REMAINING_DIVISOR 10
+
+const struct document_class *
+scheduler_class_of(
+    const struct scheduler *scheduler, const struct job_entry *entry)
+{
+	if (entry->request_class >= scheduler->classes_count)
+		return NULL;
+	return &scheduler->classes[entry->request_class];
+}
+
+bool
+scheduler_is_urgent(
+    const struct scheduler *scheduler, const struct job_entry *entry)
+{
+	const struct document_class *class =
+	    scheduler_class_of(scheduler, entry);
+
+	return class != NULL && class->urgent;
+}
+
+int64_t
+scheduler_remaining_ms(const struct scheduler *scheduler,
+    const struct job_entry *entry, enum estimate_quantile quantile)
+{
+	int64_t run_ms =
+	    estimate_run_ms(&scheduler->estimates, entry->workspace,
+		entry->request_class, entry->job.run_time_ms, quantile);
+	int64_t least_ms = run_ms / MIN_REMAINING_DIVISOR;
+
+	if (run_ms - entry->kept_ms < least_ms)
+		return least_ms;
+	return run_ms - entry->kept_ms;
+}
+
+void
+scheduler_wake_at(struct scheduler *scheduler, int64_t at_ms)
+{
+	if (at_ms < scheduler->next_ms)
+		scheduler->next_ms = at_ms;
+}
+
+bool
+scheduler_quota_allows(
+    const struct scheduler *scheduler, const struct job_entry *entry)
+{
+	const struct scheduler_workspace *workspace;
+
+	if (entry->workspace >= scheduler->workspaces_count)
+		return true;
+	workspace = &scheduler->workspaces[entry->workspace];
+	return workspace->max_accelerators == 0 ||
+	    workspace->used + job_entry_accelerators(entry) <=
+	    workspace->max_accelerators;
+}
+
+static void
+add_active(struct scheduler *scheduler, struct job_entry *entry)
+{
+	scheduler->active =
+	    mem_grow(scheduler->active, &scheduler->active_capacity,
+		scheduler->active_count + 1, sizeof(struct job_entry *));
+	entry->active_index = scheduler->active_count;
+	scheduler->active[scheduler->active_count++] = entry;
+}
+
+void
+scheduler_hold(struct scheduler *scheduler, struct job_entry *entry)
+{
+	for (uint32_t i = 0; i < entry->job.tasks; i++) {
+		if (entry->workers[i] != NO_INDEX)
+			cluster_take(
+			    &scheduler->cluster, entry->workers[i], entry);
+	}
+	if (entry->workspace < scheduler->workspaces_count)
+		scheduler->workspaces[entry->workspace].used +=
+		    job_entry_accelerators(entry);
+	add_active(scheduler, entry);
+}
+
+static void
+forget_evicting(struct scheduler *scheduler, const struct job_entry *entry)
+{
+	for (size_t i = 0; i < scheduler->evicting_count; i++) {
+		if (scheduler->evicting[i] != entry)
+			continue;
+		scheduler->evicting[i] =
+		    scheduler->evicting[--scheduler->evicting_count];
+		return;
+	}
+}
+
+static void
+remove_active(struct scheduler *scheduler, const struct job_entry *entry)
+{
+	struct job_entry *last = scheduler->active[--scheduler->active_count];
+
+	scheduler->active[entry->active_index] = last;
+	last->active_index = entry->active_index;
+}
+
+void
+scheduler_release(
+    struct scheduler *scheduler, struct job_entry *entry, int64_t now_ms)
+{
+	if (entry->state == ENTRY_EVICTING)
+		forget_evicting(scheduler, entry);
+	remove_active(scheduler, entry);
+	for (uint32_t i = 0; i < entry->job.tasks; i++) {
+		if (entry->workers[i] != NO_INDEX)
+			cluster_release(&scheduler->cluster, entry->workers[i],
+			    entry, now_ms);
+	}
+	if (entry->workspace < scheduler->workspaces_count)
+		scheduler->workspaces[entry->workspace].used -=
+		    job_entry_accelerators(entry);
+	mem_free(entry->workers);
+	entry->workers = NULL;
+	scheduler->changed = true;
+}
+
+static bool
+has_failed_too_often(
+    const struct scheduler *scheduler, const struct job_entry *entry)
+{
+	return scheduler->config.max_attempts > 0 &&
+	    entry->failed_attempts >= scheduler->config.max_attempts;
+}
+
+/* When a queued entry is given up. What has been started is not, as it could
+ * not be said to have never run. */
+static int64_t
+expires_ms(const struct scheduler *scheduler, const struct job_entry *entry)
+{
+	const struct document_class *class =
+	    scheduler_class_of(scheduler, entry);
+	int64_t earliest_ms = INT64_MAX;
+	int64_t latest_start_ms;
+
+	if (has_failed_too_often(scheduler, entry))
+		return INT64_MIN;
+	if (entry->started)
+		return INT64_MAX;
+	if (class != NULL && class->max_wait_ms > 0)
+		earliest_ms = entry->job.accepted_ms + class->max_wait_ms;
+	if (entry->job.deadline_ms == 0)
+		return earliest_ms;
+	latest_start_ms = entry->job.deadline_ms -
+	    scheduler_remaining_ms(scheduler, entry, ESTIMATE_LOW);
+	return latest_start_ms < earliest_ms ? latest_start_ms : earliest_ms;
+}
+
+/* Key of the entry's place in its lane. */
+static int64_t
+queue_key_ms(const struct scheduler *scheduler, const struct job_entry *entry)
+{
+	const struct document_class *class =
+	    scheduler_class_of(scheduler, entry);
+	int64_t run_ms =
+	    scheduler_remaining_ms(scheduler, entry, ESTIMATE_MIDDLE);
+	int64_t soft_ms = SOFT_DEADLINE_MS;
+
+	if (scheduler->config.policy == POLICY_FIRST_FIT)
+		return 0;
+	if (entry->job.deadline_ms > 0)
+		return entry->job.deadline_ms - run_ms;
+	if (class != NULL && class->objective_ms > 0)
+		soft_ms = class->objective_ms;
+	if (soft_ms < SOFT_DEADLINE_RUNS * run_ms)
+		soft_ms = SOFT_DEADLINE_RUNS * run_ms;
+	return entry->job.accepted_ms + soft_ms - run_ms;
+}
+
+static uint32_t
+lane_of(const struct scheduler *scheduler, const struct job_entry *entry)
+{
+	uint32_t last = (uint32_t)scheduler->queue.lanes_count - 1;
+
+	if (scheduler->config.policy == POLICY_FIRST_FIT)
+		return scheduler_is_urgent(scheduler, entry) ? 0 : last;
+	return entry->request_class < last ? entry->request_class : last;
+}
+
+static uint32_t
+rank_of(const struct scheduler *scheduler, const struct job_entry *entry)
+{
+	const struct document_class *class =
+	    scheduler_class_of(scheduler, entry);
+
+	if (class == NULL)
+		return UINT32_MAX;
+	return class->urgent ? 0 : class->precedence + 1;
+}
+
+void
+scheduler_enqueue(
+    struct scheduler *scheduler, struct job_entry *entry, int64_t now_ms)
+{
+	int64_t until_ms = expires_ms(scheduler, entry);
+
+	entry->state = ENTRY_QUEUED;
+	entry->queued_ms = now_ms;
+	entry->lane = lane_of(scheduler, entry);
+	entry->rank = rank_of(scheduler, entry);
+	job_queue_add(
+	    &scheduler->queue, entry, queue_key_ms(scheduler, entry), until_ms);
+	admission_enqueued(
+	    &scheduler->admission, entry->workspace, entry->request_class);
+	if (until_ms < scheduler->next_expiry_ms)
+		scheduler->next_expiry_ms = until_ms;
+	scheduler->changed = true;
+}
+
+void
+scheduler_dequeue(
+    struct scheduler *scheduler, struct job_entry *entry, int64_t now_ms)
+{
+	job_queue_remove(&scheduler->queue, entry);
+	reservation_drop(&scheduler->reservations, &scheduler->cluster, entry);
+	admission_dequeued(&scheduler->admission, entry->workspace,
+	    entry->request_class, now_ms);
+}
+
+void
+scheduler_start(struct scheduler *scheduler, struct job_entry *entry,
+    const uint32_t *workers, int64_t now_ms)
+{
+	uint32_t tasks = entry->job.tasks;
+
+	scheduler_dequeue(scheduler, entry, now_ms);
+	if (!entry->started)
+		admission_started(&scheduler->admission);
+	entry->workers = mem_calloc(tasks, sizeof(*workers));
+	memcpy(entry->workers, workers, tasks * sizeof(*workers));
+	entry->state = ENTRY_STARTING;
+	entry->started = true;
+	entry->started_ms = now_ms;
+	entry->expected_end_ms =
+	    now_ms + scheduler_remaining_ms(scheduler, entry, ESTIMATE_MIDDLE);
+	scheduler_hold(scheduler, entry);
+	action_list_start(&scheduler->actions, &scheduler->cluster, entry);
+}
+
+void
+scheduler_evict(struct scheduler *scheduler, struct job_entry *entry,
+    const char *reason, int64_t now_ms)
+{
+	enum eviction_manner manner =
+	    entry->job.checkpointable ? EVICT_CHECKPOINT : EVICT_STOP;
+
+	entry->state = ENTRY_EVICTING;
+	entry->evict_reason = reason;
+	entry->evict_by_ms = manner == EVICT_CHECKPOINT
+	    ? now_ms + SCHEDULER_CHECKPOINT_GRACE_MS
+	    : INT64_MAX;
+	scheduler_wake_at(scheduler, entry->evict_by_ms);
+	scheduler->evicting =
+	    mem_grow(scheduler->evicting, &scheduler->evicting_capacity,
+		scheduler->evicting_count + 1, sizeof(struct job_entry *));
+	scheduler->evicting[scheduler->evicting_count++] = entry;
+	action_list_evict(&scheduler->actions, entry, manner, reason);
+}
+
+void
+scheduler_give_up(struct scheduler *scheduler, struct job_entry *entry,
+    const char *reason, int64_t now_ms)
+{
+	scheduler_dequeue(scheduler, entry, now_ms);
+	action_list_give_up(&scheduler->actions, entry, reason);
+	job_table_remove(&scheduler->table, entry);
+}
+
+void
+scheduler_stop_overdue(struct scheduler *scheduler, int64_t now_ms)
+{
+	for (size_t i = 0; i < scheduler->evicting_count; i++) {
+		struct job_entry *entry = scheduler->evicting[i];
+
+		if (entry->evict_by_ms > now_ms) {
+			scheduler_wake_at(scheduler, entry->evict_by_ms);
+			continue;
+		}
+		entry->evict_by_ms = INT64_MAX;
+		action_list_evict(&scheduler->actions, entry, EVICT_STOP,
+		    entry->evict_reason);
+	}
+}
+
+static const char *
+expiry_reason(const struct scheduler *scheduler, const struct job_entry *entry,
+    int64_t now_ms)
+{
+	const struct document_class *class =
+	    scheduler_class_of(scheduler, entry);
+
+	if (has_failed_too_often(scheduler, entry))
+		return "attempts";
+	if (class != NULL && class->max_wait_ms > 0 &&
+	    entry->job.accepted_ms + class->max_wait_ms <= now_ms)
+		return "max_wait";
+	return "deadline";
+}
+
+static int64_t
+expire_lane(struct scheduler *scheduler, const struct job_queue_lane *lane,
+    int64_t now_ms)
+{
+	int64_t next_ms = INT64_MAX;
+
+	for (size_t at = lane->count; at-- > 0;) {
+		struct job_entry *entry = lane->items[at].entry;
+
+		if (lane->items[at].expires_ms <= now_ms)
+			scheduler_give_up(scheduler, entry,
+			    expiry_reason(scheduler, entry, now_ms), now_ms);
+		else if (lane->items[at].expires_ms < next_ms)
+			next_ms = lane->items[at].expires_ms;
+	}
+	return next_ms;
+}
+
+void
+scheduler_expire(struct scheduler *scheduler, int64_t now_ms)
+{
+	int64_t next_ms = INT64_MAX;
+
+	if (now_ms >= scheduler->next_expiry_ms) {
+		for (size_t i = 0; i < scheduler->queue.lanes_count; i++) {
+			int64_t lane_ms = expire_lane(
+			    scheduler, &scheduler->queue.lanes[i], now_ms);
+
+			next_ms = lane_ms < next_ms ? lane_ms : next_ms;
+		}
+		if (next_ms < now_ms + EXPIRY_INTERVAL_MS)
+			next_ms = now_ms + EXPIRY_INTERVAL_MS;
+		scheduler->next_expiry_ms = next_ms;
+	}
+	scheduler_wake_at(scheduler, scheduler->next_expiry_ms);
+}
+
+void
+scheduler_throttle(struct scheduler *scheduler)
+{
+	for (size_t i = 0; i < scheduler->overusing_count; i++) {
+		struct job_entry *entry =
+		    job_table_find(&scheduler->table, scheduler->overusing[i]);
+
+		if (entry != NULL && entry->state == ENTRY_RUNNING)
+			action_list_throttle(&scheduler->actions, entry);
+	}
+	scheduler->overusing_count = 0;
+}
