--- /dev/null
+++ b/tests/common_callers.c
@@ -0,0 +1,344 @@
+#include <inttypes.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common_callers.h"
+#include "common_http.h"
+#include "process/alloc.h"
+#include "process/buffer.h"
+#include "process/clock.h"
+
+#define HEALTH_INTERVAL_MS 50
+#define HEALTH_TIMEOUT_MS  500
+#define LATE_MS		   15000 /* beyond wait_ms */
+#define REFUSED_PAUSE_MS   50
+#define PAYLOAD_BYTES	   64
+
+struct balancer {
+	char address[DEPLOYMENT_ADDRESS_BYTES];
+	bool ready;
+};
+
+struct callers {
+	struct callers_config config;
+	uint32_t instances;
+	pthread_mutex_t lock; /* of balancers and count */
+	struct balancer balancers[DEPLOYMENT_MAX_INSTANCES];
+	struct callers_count count;
+	uint64_t answered;
+	atomic_bool stopping;
+	pthread_t health;
+	struct caller *threads;
+};
+
+struct caller {
+	struct callers *callers;
+	pthread_t thread;
+	uint32_t index;
+	uint32_t requests;
+	uint32_t random;
+	int fd; /* -1: none */
+	uint32_t instance;
+	int64_t sent_ms;
+};
+
+static uint32_t
+next_random(struct caller *caller)
+{
+	caller->random ^= caller->random << 13;
+	caller->random ^= caller->random >> 17;
+	caller->random ^= caller->random << 5;
+	return caller->random;
+}
+
+/* ---- The balancer ---------------------------------------------------- */
+
+static void
+check_health(struct callers *callers, uint32_t instance)
+{
+	struct balancer copy;
+	bool ready;
+
+	(void)pthread_mutex_lock(&callers->lock);
+	copy = callers->balancers[instance];
+	(void)pthread_mutex_unlock(&callers->lock);
+	ready = copy.address[0] != '\0' &&
+	    http_ask(copy.address, "GET /readyz", HEALTH_TIMEOUT_MS) == 200;
+	(void)pthread_mutex_lock(&callers->lock);
+	if (strcmp(copy.address, callers->balancers[instance].address) == 0)
+		callers->balancers[instance].ready = ready;
+	(void)pthread_mutex_unlock(&callers->lock);
+}
+
+static void *
+run_health(void *argument)
+{
+	struct callers *callers = argument;
+
+	while (!atomic_load(&callers->stopping)) {
+		for (uint32_t i = 0; i < callers->instances; i++)
+			check_health(callers, i);
+		(void)poll(NULL, 0, HEALTH_INTERVAL_MS);
+	}
+	return NULL;
+}
+
+/* Connects to a ready instance, beginning at a random one. */
+static bool
+connect_caller(struct caller *caller)
+{
+	struct callers *callers = caller->callers;
+	uint32_t first = next_random(caller) % callers->instances;
+
+	for (uint32_t i = 0; i < callers->instances; i++) {
+		uint32_t instance = (first + i) % callers->instances;
+		struct balancer copy;
+
+		(void)pthread_mutex_lock(&callers->lock);
+		copy = callers->balancers[instance];
+		(void)pthread_mutex_unlock(&callers->lock);
+		if (!copy.ready)
+			continue;
+		caller->fd = http_connect(copy.address);
+		caller->instance = instance;
+		if (caller->fd >= 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+disconnect(struct caller *caller)
+{
+	if (caller->fd >= 0)
+		(void)close(caller->fd);
+	caller->fd = -1;
+}
+
+/* ---- Requests -------------------------------------------------------- */
+
+static void
+write_request(const struct caller *caller, char payload[PAYLOAD_BYTES],
+    struct buffer *request)
+{
+	const struct callers_config *config = &caller->callers->config;
+	CLEANUP(buffer_free) struct buffer body = {0};
+
+	(void)snprintf(payload, PAYLOAD_BYTES, "s%" PRIu32 "-c%" PRIu32
+		"-r%" PRIu32, config->seed, caller->index, caller->requests);
+	buffer_printf(&body,
+	    "{\"workspace\":\"%s\",\"class\":\"%s\",\"tasks\":1,"
+	    "\"accelerators_per_task\":1,\"run_time_ms\":%" PRId32
+	    ",\"idempotent\":%s,\"payload\":\"%s\"}",
+	    config->workspace, config->request_class, config->run_time_ms,
+	    caller->index % 2 == 0 ? "true" : "false", payload);
+	buffer_printf(request,
+	    "POST /v1/jobs?wait_ms=%" PRId32 " HTTP/1.1\r\nHost: x\r\n"
+	    "Idempotency-Key: %s\r\nContent-Length: %zu\r\n\r\n%s",
+	    config->wait_ms, payload, body.length, body.data);
+}
+
+static void
+count_answer(struct callers_count *count, const char *payload,
+    const struct buffer *response)
+{
+	const char *text = buffer_string(response);
+	char own[PAYLOAD_BYTES + 32];
+	int status = http_status(response);
+
+	(void)snprintf(own, sizeof(own), "\"answers\":[\"0:%s\"]", payload);
+	if (status == 200 && strstr(text, "\"state\":\"finished\"") != NULL) {
+		if (strstr(text, own) != NULL)
+			count->finished++;
+		else
+			count->wrong++;
+	} else if (status == 202) {
+		count->pending++;
+	} else if ((status == 503 || status == 429) &&
+	    strstr(text, "\"not_run\":true") != NULL) {
+		count->refused++;
+	} else if (status == 504) {
+		count->unknown++;
+	} else {
+		count->other++;
+	}
+}
+
+static uint64_t
+well(const struct callers_count *count)
+{
+	return count->finished + count->refused;
+}
+
+static void
+note_odd(struct caller *caller, const struct buffer *response)
+{
+	struct callers_count *count = &caller->callers->count;
+	const char *body = strstr(buffer_string(response), "\r\n\r\n");
+
+	if (count->first_odd[0] == '\0')
+		(void)snprintf(count->first_odd, sizeof(count->first_odd),
+		    "caller %" PRIu32 " request %" PRIu32 " instance %" PRIu32
+		    " sent at %" PRId64 " after %" PRId64 " ms: %.130s",
+		    caller->index, caller->requests, caller->instance + 1,
+		    caller->sent_ms, clock_now_ms() - caller->sent_ms,
+		    body == NULL ? "no answer" : body + 4);
+}
+
+/* Notes what became of a request; true when it was refused. */
+static bool
+note_end(struct caller *caller, enum http_end end, const char *payload,
+    const struct buffer *response)
+{
+	struct callers *callers = caller->callers;
+	struct callers_count *count = &callers->count;
+	uint64_t well_before;
+	uint64_t refused_before;
+	bool refused;
+
+	(void)pthread_mutex_lock(&callers->lock);
+	callers->answered++;
+	well_before = well(count);
+	refused_before = count->refused;
+	if (end == HTTP_WHOLE)
+		count_answer(count, payload, response);
+	else if (end == HTTP_CLOSED)
+		count->cut++;
+	else
+		count->late++;
+	refused = count->refused > refused_before;
+	if (well(count) == well_before)
+		note_odd(caller, response);
+	(void)pthread_mutex_unlock(&callers->lock);
+	return refused;
+}
+
+static void
+send_one(struct caller *caller)
+{
+	struct callers *callers = caller->callers;
+	CLEANUP(buffer_free) struct buffer request = {0};
+	CLEANUP(buffer_free) struct buffer response = {0};
+	char payload[PAYLOAD_BYTES];
+	enum http_end end = HTTP_CLOSED;
+
+	write_request(caller, payload, &request);
+	(void)pthread_mutex_lock(&callers->lock);
+	callers->count.sent++;
+	(void)pthread_mutex_unlock(&callers->lock);
+	caller->sent_ms = clock_now_ms();
+	if (http_write(caller->fd, request.data))
+		end = http_read(caller->fd, &response,
+		    callers->config.wait_ms + LATE_MS);
+	if (note_end(caller, end, payload, &response))
+		(void)poll(NULL, 0, REFUSED_PAUSE_MS);
+	if (end != HTTP_WHOLE || http_says_close(&response))
+		disconnect(caller);
+	caller->requests++;
+}
+
+static void *
+run_caller(void *argument)
+{
+	struct caller *caller = argument;
+	const struct callers_config *config = &caller->callers->config;
+
+	while (!atomic_load(&caller->callers->stopping)) {
+		uint32_t think_ms = 2 * (uint32_t)config->think_ms + 1;
+
+		if (config->requests_each > 0 &&
+		    caller->requests >= config->requests_each)
+			break;
+		if (caller->fd >= 0 || connect_caller(caller))
+			send_one(caller);
+		(void)poll(NULL, 0, (int)(next_random(caller) % think_ms));
+	}
+	disconnect(caller);
+	return NULL;
+}
+
+/* ---- All of them ----------------------------------------------------- */
+
+struct callers *
+callers_start(
+    struct deployment *deployment, const struct callers_config *config)
+{
+	struct callers *callers = mem_calloc(1, sizeof(*callers));
+
+	callers->config = *config;
+	callers->instances = deployment->count;
+	(void)pthread_mutex_init(&callers->lock, NULL);
+	for (uint32_t i = 0; i < deployment->count; i++) {
+		callers_set_address(
+		    callers, i, deployment->instances[i].caller);
+		callers->balancers[i].ready = true;
+	}
+	(void)pthread_create(&callers->health, NULL, run_health, callers);
+	callers->threads =
+	    mem_calloc(config->callers, sizeof(*callers->threads));
+	for (uint32_t i = 0; i < config->callers; i++) {
+		callers->threads[i] = (struct caller){
+		    .callers = callers,
+		    .index = i,
+		    .random = config->seed * 2654435761U + i + 1,
+		    .fd = -1,
+		};
+		(void)pthread_create(&callers->threads[i].thread, NULL,
+		    run_caller, &callers->threads[i]);
+	}
+	return callers;
+}
+
+void
+callers_set_address(
+    struct callers *callers, uint32_t instance, const char *address)
+{
+	(void)pthread_mutex_lock(&callers->lock);
+	STRING_COPY(callers->balancers[instance].address, address);
+	callers->balancers[instance].ready = false;
+	(void)pthread_mutex_unlock(&callers->lock);
+}
+
+struct callers_count
+callers_count(struct callers *callers)
+{
+	struct callers_count count;
+
+	(void)pthread_mutex_lock(&callers->lock);
+	count = callers->count;
+	(void)pthread_mutex_unlock(&callers->lock);
+	return count;
+}
+
+uint64_t
+callers_waiting(struct callers *callers)
+{
+	uint64_t waiting;
+
+	(void)pthread_mutex_lock(&callers->lock);
+	waiting = callers->count.sent - callers->answered;
+	(void)pthread_mutex_unlock(&callers->lock);
+	return waiting;
+}
+
+struct callers_count
+callers_finish(struct callers *callers)
+{
+	struct callers_count count;
+
+	if (callers->config.requests_each == 0)
+		atomic_store(&callers->stopping, true);
+	for (uint32_t i = 0; i < callers->config.callers; i++)
+		(void)pthread_join(callers->threads[i].thread, NULL);
+	atomic_store(&callers->stopping, true);
+	(void)pthread_join(callers->health, NULL);
+	count = callers->count;
+	(void)pthread_mutex_destroy(&callers->lock);
+	mem_free(callers->threads);
+	mem_free(callers);
+	return count;
+}
--- a/tests/test_caller_http.c
+++ b/tests/test_caller_http.c
@@ -1,12 +1,11 @@
 #include <poll.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "common_cunit.h"
-#include "connection/address.h"
+#include "common_http.h"
 #include "connection/caller_http.h"
 #include "process/alloc.h"
 #include "process/buffer.h"
@@ -50,31 +49,10 @@
 static int
 connect_caller(const struct site *site)
 {
-	struct sockaddr_storage address;
-	socklen_t length;
-	int fd;
-
-	if (address_parse(caller_server_address(site->server), &address,
-		&length, NULL) != IBIS_OK)
-		return -1;
-	fd = socket(address.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	CU_ASSERT_EQUAL_FATAL(
-	    connect(fd, (struct sockaddr *)&address, length), 0);
-	return fd;
-}
-
-static void
-send_text(int fd, const char *text)
-{
-	size_t length = strlen(text);
+	int fd = http_connect(caller_server_address(site->server));
 
-	while (length > 0) {
-		ssize_t sent = send(fd, text, length, MSG_NOSIGNAL);
-
-		CU_ASSERT_TRUE_FATAL(sent > 0);
-		text += sent;
-		length -= (size_t)sent;
-	}
+	CU_ASSERT_TRUE_FATAL(fd >= 0);
+	return fd;
 }
 
 static int
@@ -84,49 +62,16 @@
 	int fd = connect_caller(site);
 
 	buffer_printf(&text, "%s HTTP/1.1\r\nHost: x\r\n\r\n", line);
-	send_text(fd, buffer_string(&text));
+	CU_ASSERT_TRUE_FATAL(http_write(fd, text.data));
 	return fd;
 }
 
-static bool
-response_is_whole(const struct buffer *response)
-{
-	const char *end = strstr(buffer_string(response), "\r\n\r\n");
-	const char *length =
-	    strcasestr(buffer_string(response), "\r\nContent-Length: ");
-
-	if (end == NULL || length == NULL)
-		return false;
-	return response->length >=
-	    (size_t)(end + 4 - response->data) + strtoul(length + 18, NULL, 10);
-}
-
-/* Reads one whole response; what is missing at the deadline stays missing. */
-static void
-read_response(int fd, struct buffer *response)
-{
-	struct pollfd ready = {.fd = fd, .events = POLLIN};
-	int64_t deadline_ms = clock_now_ms() + DEADLINE_MS;
-	char bytes[4096];
-	ssize_t length;
-
-	while (!response_is_whole(response) && clock_now_ms() < deadline_ms) {
-		if (poll(&ready, 1, POLL_MS) != 1)
-			continue;
-		length = recv(fd, bytes, sizeof(bytes), 0);
-		if (length <= 0)
-			return;
-		buffer_append(response, bytes, (size_t)length);
-	}
-}
-
 static void
 check_response(int fd, const char *status, const char *text)
 {
 	CLEANUP(buffer_free) struct buffer response = {0};
 
-	read_response(fd, &response);
-	CU_ASSERT_TRUE(response_is_whole(&response));
+	CU_ASSERT_EQUAL(http_read(fd, &response, DEADLINE_MS), HTTP_WHOLE);
 	CU_ASSERT_PTR_NOT_NULL(strstr(buffer_string(&response), status));
 	CU_ASSERT_PTR_NOT_NULL(strstr(buffer_string(&response), text));
 }
@@ -179,7 +124,8 @@
 	reply_name(&site, take_request(&site));
 	check_response(fd, "200 OK", "ETag: \"7\"\r\n");
 	/* The same connection serves again. */
-	send_text(fd, "GET /v1/nothing HTTP/1.1\r\nHost: x\r\n\r\n");
+	CU_ASSERT_TRUE(
+	    http_write(fd, "GET /v1/nothing HTTP/1.1\r\nHost: x\r\n\r\n"));
 	check_response(fd, "404 Not Found", "no such path: /v1/nothing");
 	(void)close(fd);
 	fd = send_request(&site, "GET /v1/jobs?wait_ms=soon");
@@ -207,7 +153,7 @@
 	    MAX_BODY_BYTES * 100);
 	for (int i = 0; i < MAX_BODY_BYTES * 100; i++)
 		buffer_puts(&text, "x");
-	send_text(fd, buffer_string(&text));
+	CU_ASSERT_TRUE(http_write(fd, text.data));
 	check_response(fd, " 413 ", "409600 bytes; expected at most 4096");
 	(void)close(fd);
 	stop_site(&site);
--- a/tests/test_peer_link.c
+++ b/tests/test_peer_link.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "common_cunit.h"
+#include "common_http.h"
 #include "connection/address.h"
 #include "connection/frame.h"
 #include "connection/peer_link.h"
@@ -274,27 +275,11 @@
 	return recv(fd, &byte, 1, 0) <= 0;
 }
 
-static int
-connect_to(const char *address)
-{
-	struct sockaddr_storage storage;
-	socklen_t length;
-	int fd;
-
-	if (address_parse(address, &storage, &length, NULL) != IBIS_OK)
-		return -1;
-	fd = socket(storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	if (connect(fd, (struct sockaddr *)&storage, length) == 0)
-		return fd;
-	(void)close(fd);
-	return -1;
-}
-
 /* Sends bytes on a new connection and expects it to be closed. */
 static void
 check_closed(struct end *end, const void *bytes, size_t length)
 {
-	int fd = connect_to(peer_links_address(end->links));
+	int fd = http_connect(peer_links_address(end->links));
 
 	CU_ASSERT_TRUE_FATAL(fd >= 0);
 	if (length > 0)
