Put workers that fail every started task into quarantine

Cause: a task that failed after its start ended its attempt as END_LOST, for which the scheduler blamed no worker, so a worker that failed everything stayed free and drew ever more jobs; and three failures on that same worker counted as three workers, which ended idempotent jobs as failed. Change: END_LOST with a culprit counts as failed work of that worker; a job counts the different workers that it failed on. Ruled out: counting it as a failed start, which would shut a worker out after three deaths of others' making.

--- a/src/process/control_gangs.c
+++ b/src/process/control_gangs.c
@@ -1,5 +1,6 @@
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "process/alloc.h"
 #include "process/clock.h"
@@ -9,8 +10,6 @@
 #include "process/proto_memory.h"
 
 #define CHECKPOINT_GRACE_MS 1500
-/* A job whose tasks fail on this many workers is at fault itself. */
-#define MAX_TASK_FAILURES 3
 /* Attempts that an earlier lead may have made without noting them. */
 #define RECOVERY_ATTEMPT_GAP 64
 
@@ -169,11 +168,26 @@
 	}
 }
 
+/* Notes the worker that a task failed on, unless one did there before. */
+static void
+note_failure(struct job *job, const char *worker)
+{
+	uint64_t hash = XXH64(worker, strlen(worker), 0);
+
+	for (uint32_t i = 0; i < job->failures; i++) {
+		if (job->failed_on[i] == hash)
+			return;
+	}
+	if (job->failures < JOB_MAX_TASK_FAILURES)
+		job->failed_on[job->failures++] = hash;
+}
+
 static void
 task_failed(struct control *control, struct job *job)
 {
-	job->failures++;
-	if (job->record->spec->idempotent && job->failures < MAX_TASK_FAILURES)
+	note_failure(job, job->gang->culprit);
+	if (job->record->spec->idempotent &&
+	    job->failures < JOB_MAX_TASK_FAILURES)
 		back_to_queue(control, job, END_LOST, job->gang->culprit,
 		    run_time(control, job));
 	else
--- a/src/process/job_map.h
+++ b/src/process/job_map.h
@@ -34,6 +34,11 @@
 	int64_t deadline_ms;
 };
 
+enum {
+	/* A job whose tasks fail on this many workers is at fault itself. */
+	JOB_MAX_TASK_FAILURES = 3
+};
+
 struct job {
 	struct job *next_in_bucket;
 	struct job *next_in_segment;
@@ -57,7 +62,9 @@
 	bool intent_durable; /* and has been written */
 	bool ended_durable;
 	bool throttled;
-	uint32_t failures;   /* attempts in which a task itself failed */
+	/* Hashes of the names of workers on which a task itself failed. */
+	uint64_t failed_on[JOB_MAX_TASK_FAILURES];
+	uint32_t failures;   /* number of them */
 	int64_t accepted_ms; /* monotonic */
 	int64_t running_ms;  /* of the attempt; 0: not yet */
 };
--- a/src/process/scheduler.c
+++ b/src/process/scheduler.c
@@ -432,17 +432,17 @@
 		if (entry->avoided_count < ENTRY_AVOIDED_WORKERS)
 			entry->avoided_count++;
 	}
-	if (worker != NO_INDEX && end == END_ATTEMPT_FAILED &&
+	if (worker != NO_INDEX &&
 	    scheduler->config.policy == POLICY_GUARANTEED) {
 		suspect = quarantine_failure(&scheduler->quarantine,
-		    &scheduler->cluster, worker, entry->job.id, FAULT_START,
-		    now_ms);
+		    &scheduler->cluster, worker, entry->job.id,
+		    end == END_LOST ? FAULT_WORK : FAULT_START, now_ms);
 		scheduler->claims_changed = true;
 	}
 	/* A worker's death is seldom the job's fault: every other one counts.
 	 */
-	if (end == END_LOST)
-		suspect = entry->attempts % 2 == 0;
+	if (end == END_LOST && entry->attempts % 2 == 0)
+		suspect = true;
 	entry->attempts++;
 	if (!suspect)
 		entry->failed_attempts++;
