Spread versions and zone holds as a state machine of one instance

The control thread polled the head and swapped it blindly: no conflict of sections, no holds, no resolution of lost answers, no copy from peers.

src/version/spread.h takes store results, frames, requests and time and gives actions; its comment lists every call that the owner makes. To wire it: give each SPREAD_STORE action to store_client_call with owner OWNER_DOCUMENT and its results to spread_store; hand every frame to spread_frame, which passes over those of others; send SPREAD_SEND by peer_links_send; map the call of spread_request to the origin; on SPREAD_VERSION take spread_document into the scheduler; on SPREAD_VERSION and SPREAD_ZONES call scheduler_set_zone with spread_zone_open; give spread_confirmed_ms to freshness_store; watch on the lead.

Choices: a section's key is numbered by the version it was first meant for, which no later edit can meet again; one writer at a time, holds before edits; a swap without an answer is read again and compared by content, not by revision; an order out closes the zone before the sections of its version are there. A return ends only the orders out that were known where it was given: ending whatever the head holds would undo an order given meanwhile. The head tells which version last changed a section, so that a zone order is no conflict for a release.

Not built: nothing deletes section keys that no head names any more.

--- a/src/process/jsonc.c
+++ b/src/process/jsonc.c
@@ -222,6 +222,15 @@
 	    length, lowest, highest);
 }
 
+bool
+jsonc_is_name(const char *name, size_t bytes)
+{
+	size_t length = strnlen(name, bytes);
+
+	return length > 0 && length < bytes &&
+	    strspn(name, NAME_CHARACTERS) == length;
+}
+
 enum ibis_code
 jsonc_check_name(const struct jsonc_node *node, const char *name, size_t bytes,
     struct ibis_status *status)
--- a/src/process/jsonc.h
+++ b/src/process/jsonc.h
@@ -90,6 +90,10 @@
 enum ibis_code jsonc_want_array(const struct jsonc_node *node, size_t lowest,
     size_t highest, struct ibis_status *status);
 
+/* Tells whether a name has letters, digits and ._- only, 1 to bytes - 1 of
+ * them. */
+bool jsonc_is_name(const char *name, size_t bytes);
+
 /* Requires that a name has letters, digits and ._- only, below bytes long. */
 enum ibis_code jsonc_check_name(const struct jsonc_node *node, const char *name,
     size_t bytes, struct ibis_status *status);
--- a/src/version/head.c
+++ b/src/version/head.c
@@ -129,6 +129,7 @@
 
 static const struct jsonc_field head_fields[] = {
     {.key = "version", .type = JSONC_STRUCTURE, .required = true},
+    {.key = "sections_version", .type = JSONC_STRUCTURE, .required = true},
     {.key = "sections", .type = JSONC_STRUCTURE, .required = true},
     {.key = "zones", .type = JSONC_STRUCTURE, .required = true},
 };
@@ -148,6 +149,10 @@
 		return code;
 	(void)jsonc_member(&root, "version", &member);
 	code = read_uint64(&member, &head->version, status);
+	if (code != IBIS_OK)
+		return code;
+	(void)jsonc_member(&root, "sections_version", &member);
+	code = read_uint64(&member, &head->sections_version, status);
 	if (code != IBIS_OK)
 		return code;
 	(void)jsonc_member(&root, "sections", &member);
@@ -213,6 +218,8 @@
 		    zones, head->zones[i].name, write_zone(&head->zones[i]));
 	json_object_object_add(
 	    root, "version", json_object_new_uint64(head->version));
+	json_object_object_add(root, "sections_version",
+	    json_object_new_uint64(head->sections_version));
 	json_object_object_add(root, "sections", sections);
 	json_object_object_add(root, "zones", zones);
 	buffer_puts(
@@ -398,6 +405,14 @@
 	return entry != NULL && entry->out;
 }
 
+const char *
+head_zone_order(const struct head *head, const char *zone)
+{
+	const struct head_zone *entry = find_zone(head, zone);
+
+	return entry != NULL && entry->out ? entry->order : NULL;
+}
+
 bool
 head_knows_order(const struct head *head, const char *zone, const char *order)
 {
--- a/src/version/head.h
+++ b/src/version/head.h
@@ -38,6 +38,7 @@
 
 struct head {
 	uint64_t version;
+	uint64_t sections_version; /* that last changed a section */
 	struct head_section *sections;
 	size_t sections_count;
 	struct head_zone *zones;
@@ -57,7 +58,7 @@
 /*
  * Sets a section's revision to new_revision, 0 to remove it, when expected is
  * its present one; otherwise IBIS_CONFLICT, whose message names the revision
- * that stands. As below, raising the version is left to the caller.
+ * that stands. As below, raising the versions is left to the caller.
  */
 enum ibis_code head_set_section(struct head *head, const char *name,
     uint64_t expected, uint64_t new_revision, struct ibis_status *status);
@@ -72,6 +73,10 @@
 
 bool head_zone_is_out(const struct head *head, const char *zone);
 
+/* Returns the order that took a zone out, owned by the head; NULL when the
+ * zone is in service. */
+const char *head_zone_order(const struct head *head, const char *zone);
+
 /* Tells whether the head knows of an order: in force, replaced or ended. */
 bool head_knows_order(
     const struct head *head, const char *zone, const char *order);
--- a/tests/prop_head.cc
+++ b/tests/prop_head.cc
@@ -5,7 +5,7 @@
 
 #include <rapidcheck.h>
 
-#include "version/head.h"
+#include "common_head.h"
 #include "version/holds.h"
 
 namespace
@@ -14,25 +14,6 @@
 const std::vector<std::string> SECTIONS = {"platform", "records", "rounds"};
 const std::vector<std::string> ZONES = {"north", "south"};
 
-struct Head {
-	explicit Head(struct head *owned) : value(owned)
-	{
-	}
-	Head(const Head &) = delete;
-	Head &operator=(const Head &) = delete;
-	~Head()
-	{
-		head_free(value);
-	}
-	struct head *value;
-};
-
-struct head *
-read_text(const std::string &text)
-{
-	return head_parse(text.data(), text.size(), nullptr);
-}
-
 std::string
 write_text(const struct head *head)
 {
@@ -48,7 +29,8 @@
 /* The value of a store key with compare-and-swap. */
 struct Store {
 	uint64_t revision = 1;
-	std::string value = R"({"version": 1, "sections": {}, "zones": {}})";
+	std::string value =
+	    R"({"version": 1, "sections_version": 0, "sections": {}, "zones": {}})";
 
 	bool
 	swap(uint64_t expected, const std::string &next)
@@ -69,7 +51,7 @@
 };
 
 void
-read_head(const Store &store, Editor &editor)
+refresh(const Store &store, Editor &editor)
 {
 	editor.store_revision = store.revision;
 	editor.text = store.value;
@@ -80,36 +62,36 @@
 commit(Store &store, Editor &editor, uint64_t new_revision)
 {
 	for (;;) {
-		Head head(read_text(editor.text));
+		Head head = read_head(editor.text);
 
-		RC_ASSERT(head.value != nullptr);
-		if (head_set_section(head.value, editor.section.c_str(),
+		RC_ASSERT(head != nullptr);
+		if (head_set_section(head.get(), editor.section.c_str(),
 			editor.edited, new_revision, nullptr) != IBIS_OK)
 			return false;
-		head.value->version++;
-		if (store.swap(editor.store_revision, write_text(head.value)))
+		head->version++;
+		if (store.swap(editor.store_revision, write_text(head.get())))
 			return true;
-		read_head(store, editor);
+		refresh(store, editor);
 	}
 }
 
 void
 begin_edit(const Store &store, Editor &editor, const std::string &section)
 {
-	read_head(store, editor);
-	Head head(read_text(editor.text));
+	refresh(store, editor);
+	Head head = read_head(editor.text);
 
 	editor.section = section;
-	editor.edited = head_section_revision(head.value, section.c_str());
+	editor.edited = head_section_revision(head.get(), section.c_str());
 }
 
 uint64_t
 version_of(const Store &store)
 {
-	Head head(read_text(store.value));
+	Head head = read_head(store.value);
 
-	RC_ASSERT(head.value != nullptr);
-	return head.value->version;
+	RC_ASSERT(head != nullptr);
+	return head->version;
 }
 
 bool
@@ -151,10 +133,10 @@
 		begin_edit(store, other, second);
 		RC_ASSERT(commit(store, one, 11));
 		RC_ASSERT(commit(store, other, 12) == (first != second));
-		Head head(read_text(store.value));
+		Head head = read_head(store.value);
 		RC_ASSERT(
-		    head_section_revision(head.value, first.c_str()) == 11U);
-		RC_ASSERT(head.value->version == (first != second ? 3U : 2U));
+		    head_section_revision(head.get(), first.c_str()) == 11U);
+		RC_ASSERT(head->version == (first != second ? 3U : 2U));
 	});
 }
 
@@ -188,16 +170,16 @@
 	std::vector<std::string> heads = {store.value};
 
 	for (const Order &order : orders) {
-		Head head(read_text(heads.back()));
+		Head head = read_head(heads.back());
 
 		if (order.out)
 			head_zone_out(
-			    head.value, order.zone.c_str(), order.name.c_str());
+			    head.get(), order.zone.c_str(), order.name.c_str());
 		else
-			head_zone_in(head.value, order.zone.c_str(),
+			head_zone_in(head.get(), order.zone.c_str(),
 			    order.name.c_str(), nullptr, 0);
-		head.value->version++;
-		heads.push_back(write_text(head.value));
+		head->version++;
+		heads.push_back(write_text(head.get()));
 	}
 	return heads;
 }
@@ -247,8 +229,8 @@
 				/* An older head is kept out. */
 				version = std::max(version, message.index);
 			}
-			Head head(read_text(heads[version]));
-			holds_apply_head(&holds, head.value);
+			Head head = read_head(heads[version]);
+			holds_apply_head(&holds, head.get());
 			for (size_t i = 0; i < orders.size(); i++) {
 				/* The order is part of head i + 1. */
 				if (held[i] && version < i + 1)
@@ -256,8 +238,8 @@
 					    &holds, orders[i].zone.c_str()));
 			}
 		}
-		Head last(read_text(heads.back()));
-		holds_apply_head(&holds, last.value);
+		Head last = read_head(heads.back());
+		holds_apply_head(&holds, last.get());
 		size_t left = holds.count;
 		holds_free(&holds);
 		RC_ASSERT(left == 0U);
@@ -269,7 +251,7 @@
 {
 	return rc::check("a zone is out exactly when its last order is", [] {
 		auto orders = any_orders();
-		Head head(read_text(heads_of(orders).back()));
+		Head head = read_head(heads_of(orders).back());
 
 		for (const std::string &zone : ZONES) {
 			bool out = false;
@@ -278,11 +260,11 @@
 				if (order.zone == zone)
 					out = order.out;
 				RC_ASSERT(order.zone != zone ||
-				    head_knows_order(head.value, zone.c_str(),
+				    head_knows_order(head.get(), zone.c_str(),
 					order.name.c_str()));
 			}
 			RC_ASSERT(
-			    head_zone_is_out(head.value, zone.c_str()) == out);
+			    head_zone_is_out(head.get(), zone.c_str()) == out);
 		}
 	});
 }
--- /dev/null
+++ b/tests/prop_spread.cc
@@ -0,0 +1,607 @@
+/*
+ * Properties of the spread of versions and holds: several instances, a model
+ * of the store that loses answers and has outages, and a network that drops,
+ * delays and reorders frames.
+ */
+#include <cstdint>
+#include <cstring>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <rapidcheck.h>
+
+#include "common_head.h"
+#include "process/proto_memory.h"
+#include "version/spread.h"
+
+namespace
+{
+
+const size_t INSTANCES = 3;
+const int64_t HEARTBEAT_MS = 250;
+const int64_t START_MS = 500;
+const int64_t HEAL_MS = 15000;
+const std::vector<std::string> ZONES = {"north", "south"};
+const std::vector<std::string> SECTIONS = {"platform", "rounds", "records"};
+const std::string HEAD_KEY = "document/head";
+const std::string PLATFORM =
+    R"({"availability_zones": {"north": {}, "south": {}}})";
+
+enum class Fault {
+	NONE,
+	DOWN,
+	LOST_AFTER,
+	LOST_BEFORE
+};
+
+struct Value {
+	uint64_t revision;
+	std::string text;
+};
+
+/* The platform's key-value service. */
+struct Store {
+	std::map<std::string, Value> keys;
+	std::vector<std::string> heads; /* every one that was accepted */
+	/* zones and orders that an accepted head has put an end to */
+	std::set<std::pair<std::string, std::string>> ended;
+	uint64_t last_revision = 0;
+	Fault fault = Fault::NONE;
+
+	bool
+	put(const std::string &key, uint64_t expected, const std::string &text)
+	{
+		auto found = keys.find(key);
+		uint64_t present =
+		    found == keys.end() ? 0 : found->second.revision;
+
+		if (present != expected)
+			return false;
+		keys[key] = {++last_revision, text};
+		if (key == HEAD_KEY)
+			note_head(text);
+		return true;
+	}
+
+	void
+	note_head(const std::string &text)
+	{
+		Head head = read_head(text);
+
+		heads.push_back(text);
+		for (size_t i = 0; i < head->zones_count; i++) {
+			const struct head_zone &zone = head->zones[i];
+
+			for (size_t j = 0; j < HEAD_CLEARED_ORDERS && !zone.out;
+			     j++)
+				ended.insert({zone.name, zone.cleared[j]});
+		}
+	}
+
+	void
+	answer_standing(const std::string &key, struct store_result &result)
+	{
+		auto found = keys.find(key);
+
+		if (found == keys.end()) {
+			if (result.op != STORE_SWAP)
+				result.code = IBIS_NOT_FOUND;
+			return;
+		}
+		result.revision = found->second.revision;
+		buffer_puts(&result.value, found->second.text.c_str());
+	}
+
+	void
+	carry_out(const struct store_call &call, struct store_result &result)
+	{
+		std::string key = call.key;
+
+		result.code = IBIS_OK;
+		if (fault == Fault::DOWN) {
+			result.code = IBIS_UNAVAILABLE;
+			return;
+		}
+		if (call.op != STORE_SWAP) {
+			answer_standing(key, result);
+			return;
+		}
+		if (fault == Fault::LOST_BEFORE) {
+			result.code = IBIS_UNKNOWN;
+			return;
+		}
+		if (!put(key, call.expected_revision,
+			buffer_string(&call.value))) {
+			result.code = IBIS_CONFLICT;
+			answer_standing(key, result);
+		} else {
+			result.revision = last_revision;
+		}
+		if (fault == Fault::LOST_AFTER) {
+			buffer_clear(&result.value);
+			result.code = IBIS_UNKNOWN;
+		}
+	}
+};
+
+struct Message {
+	size_t from;
+	size_t to;
+	std::string packed;
+};
+
+struct Answer {
+	enum ibis_code code;
+	std::string json;
+	uint64_t revision;
+};
+
+struct Edit {
+	std::string section;
+	std::string text;
+	bool answered;
+	Answer answer;
+};
+
+struct Instance {
+	struct spread *spread = nullptr;
+	uint64_t incarnation = 0;
+	uint64_t version = 0;
+	std::deque<struct store_call> calls;
+	std::set<std::pair<std::string, std::string>> heard; /* zone, order */
+};
+
+std::string
+name_of(size_t index)
+{
+	return "e" + std::to_string(index);
+}
+
+/* All of it, in one thread and with time of its own. */
+struct World {
+	Store store;
+	std::vector<Instance> instances{INSTANCES};
+	std::vector<Message> messages;
+	std::map<uint64_t, Edit> edits;
+	int64_t now_ms = 1000;
+	int64_t next_heartbeat_ms = 1000;
+	uint64_t last_incarnation = 0;
+	uint64_t last_call = 0;
+
+	World()
+	{
+		store.put("document/sections/platform/1", 0, PLATFORM);
+		store.put(HEAD_KEY, 0,
+		    R"({"version": 1, "sections_version": 1, )"
+		    R"("sections": {"platform": 1}, "zones": {}})");
+		for (size_t i = 0; i < INSTANCES; i++)
+			start(i);
+	}
+	World(const World &) = delete;
+	World &operator=(const World &) = delete;
+	~World()
+	{
+		for (size_t i = 0; i < INSTANCES; i++)
+			stop(i);
+	}
+
+	void
+	stop(size_t index)
+	{
+		Instance &instance = instances[index];
+
+		for (auto &call : instance.calls)
+			buffer_free(&call.value);
+		spread_free(instance.spread);
+		instance = Instance();
+	}
+
+	void
+	start(size_t index)
+	{
+		Instance &instance = instances[index];
+		std::string name = name_of(index);
+		struct spread_config config = {};
+		std::vector<std::string> names;
+		std::vector<const char *> peers;
+
+		config.name = name.c_str();
+		config.incarnation = ++last_incarnation;
+		config.watch_ms = 400;
+		instance.incarnation = last_incarnation;
+		instance.spread = spread_new(&config, now_ms);
+		for (size_t i = 0; i < INSTANCES; i++) {
+			if (i != index)
+				names.push_back(name_of(i));
+		}
+		for (const auto &peer : names)
+			peers.push_back(peer.c_str());
+		spread_set_peers(instance.spread, peers.data(), peers.size());
+		spread_set_watching(instance.spread, index == 0);
+		spread_tick(instance.spread, now_ms);
+		take_actions(index);
+	}
+
+	void
+	take_answer(const struct spread_action &action)
+	{
+		auto found = edits.find(action.answer.call);
+
+		if (found == edits.end())
+			return;
+		RC_ASSERT(!found->second.answered);
+		found->second.answered = true;
+		found->second.answer = {action.answer.status.code,
+		    buffer_string(&action.answer.json), action.answer.revision};
+	}
+
+	void
+	send(size_t from, const std::string &peer, const Ibis__Frame *frame)
+	{
+		struct buffer packed = {};
+
+		proto_pack(&frame->base, &packed);
+		for (size_t i = 0; i < INSTANCES; i++) {
+			if (name_of(i) == peer)
+				messages.push_back({from, i,
+				    std::string(packed.data, packed.length)});
+		}
+		buffer_free(&packed);
+	}
+
+	void
+	take_actions(size_t index)
+	{
+		Instance &instance = instances[index];
+		struct spread_action action;
+
+		while (spread_next(instance.spread, &action)) {
+			if (action.kind == SPREAD_STORE) {
+				instance.calls.push_back(action.store);
+				action.store.value = {};
+			} else if (action.kind == SPREAD_SEND) {
+				send(
+				    index, action.send.peer, action.send.frame);
+			} else if (action.kind == SPREAD_ANSWER) {
+				take_answer(action);
+			}
+			spread_action_free(&action);
+		}
+		check(instance);
+	}
+
+	/* What must hold of an instance at any time. */
+	void
+	check(Instance &instance) const
+	{
+		uint64_t version = spread_version(instance.spread);
+
+		RC_ASSERT(version >= instance.version);
+		instance.version = version;
+		for (const auto &hold : instance.heard) {
+			if (spread_zone_open(
+				instance.spread, hold.first.c_str()))
+				RC_ASSERT(store.ended.count(hold) > 0);
+		}
+	}
+
+	/* Carries out a store call of an instance; by default the oldest. */
+	void
+	serve_store(size_t index, size_t pick = 0)
+	{
+		Instance &instance = instances[index];
+		struct store_result result = {};
+		struct store_call call;
+
+		if (instance.calls.empty())
+			return;
+		pick %= instance.calls.size();
+		call = instance.calls[pick];
+		instance.calls.erase(instance.calls.begin() + (long)pick);
+		result.op = call.op;
+		memcpy(result.key, call.key, sizeof(result.key));
+		result.token = call.token;
+		result.sent_ms = now_ms;
+		result.received_ms = now_ms;
+		store.carry_out(call, result);
+		spread_store(instance.spread, &result, now_ms);
+		buffer_free(&result.value);
+		buffer_free(&call.value);
+		take_actions(index);
+	}
+
+	static void
+	note_holds(Instance &instance, const Ibis__Frame *frame)
+	{
+		if (frame->body_case == IBIS__FRAME__BODY_HOLD)
+			instance.heard.insert({frame->hold->hold->zone,
+			    frame->hold->hold->order});
+		if (frame->body_case != IBIS__FRAME__BODY_HEARTBEAT)
+			return;
+		for (size_t i = 0; i < frame->heartbeat->n_holds; i++)
+			instance.heard.insert({frame->heartbeat->holds[i]->zone,
+			    frame->heartbeat->holds[i]->order});
+	}
+
+	void
+	deliver(size_t at)
+	{
+		Message message = messages[at];
+		Ibis__Frame *frame =
+		    (Ibis__Frame *)proto_unpack(&ibis__frame__descriptor,
+			message.packed.data(), message.packed.size());
+		Instance &instance = instances[message.to];
+
+		messages.erase(messages.begin() + (long)at);
+		note_holds(instance, frame);
+		spread_frame(instance.spread, name_of(message.from).c_str(),
+		    frame, now_ms);
+		proto_free(&frame->base);
+		take_actions(message.to);
+	}
+
+	void
+	heartbeats()
+	{
+		for (size_t i = 0; i < INSTANCES; i++) {
+			Ibis__Heartbeat heartbeat = IBIS__HEARTBEAT__INIT;
+			Ibis__Frame frame = IBIS__FRAME__INIT;
+
+			spread_fill_heartbeat(instances[i].spread, &heartbeat);
+			frame.body_case = IBIS__FRAME__BODY_HEARTBEAT;
+			frame.heartbeat = &heartbeat;
+			for (size_t j = 0; j < INSTANCES; j++) {
+				if (j != i)
+					send(i, name_of(j), &frame);
+			}
+			spread_clear_heartbeat(&heartbeat);
+		}
+	}
+
+	void
+	pass(int64_t passed_ms)
+	{
+		now_ms += passed_ms;
+		if (now_ms >= next_heartbeat_ms) {
+			heartbeats();
+			next_heartbeat_ms = now_ms + HEARTBEAT_MS;
+		}
+		for (size_t i = 0; i < INSTANCES; i++) {
+			spread_tick(instances[i].spread, now_ms);
+			take_actions(i);
+		}
+	}
+
+	void
+	request(size_t index, Ibis__RequestKind kind, const std::string &name,
+	    const std::string &body, uint64_t if_match)
+	{
+		Ibis__Request message = IBIS__REQUEST__INIT;
+
+		message.kind = kind;
+		message.name = (char *)name.c_str();
+		message.body = (char *)body.c_str();
+		message.if_match = if_match;
+		RC_ASSERT(spread_request(
+		    instances[index].spread, ++last_call, &message, now_ms));
+		for (size_t i = 0;
+		     i < spread_holds(instances[index].spread)->count; i++) {
+			const struct hold &hold =
+			    spread_holds(instances[index].spread)->items[i];
+
+			instances[index].heard.insert({hold.zone, hold.order});
+		}
+		take_actions(index);
+	}
+
+	/* Edits a section as it stands on an instance, with a text that no
+	 * other edit has. */
+	void
+	edit(size_t index, const std::string &section)
+	{
+		const struct head *head = spread_head(instances[index].spread);
+		uint64_t revision = head == nullptr
+		    ? 0
+		    : head_section_revision(head, section.c_str());
+		std::string text = "{\"workspaces\": {\"w" +
+		    std::to_string(last_call + 1) + "\": {}}}";
+
+		if (section == "platform")
+			text = PLATFORM + "// " + std::to_string(last_call + 1);
+		edits[last_call + 1] = {section, text, false, {}};
+		request(index, IBIS__REQUEST_KIND__REQUEST_PUT_SECTION, section,
+		    text, revision);
+	}
+
+	/* Ends all faults and lets everything happen. */
+	void
+	heal(int64_t heal_ms)
+	{
+		int64_t end_ms = now_ms + heal_ms;
+
+		store.fault = Fault::NONE;
+		while (now_ms < end_ms) {
+			pass(50);
+			while (!messages.empty())
+				deliver(0);
+			for (size_t i = 0; i < INSTANCES; i++)
+				serve_store(i);
+		}
+	}
+
+	bool
+	was_accepted(const Edit &edit) const
+	{
+		std::set<std::string> keys;
+
+		for (const auto &key : store.keys) {
+			if (key.second.text == edit.text)
+				keys.insert(key.first);
+		}
+		for (const auto &text : store.heads) {
+			auto head = read_head(text);
+			std::string key = "document/sections/" + edit.section +
+			    "/" +
+			    std::to_string(head_section_revision(
+				head.get(), edit.section.c_str()));
+
+			if (keys.count(key) > 0)
+				return true;
+		}
+		return false;
+	}
+
+	void
+	check_edits() const
+	{
+		for (const auto &each : edits) {
+			const Edit &edit = each.second;
+			bool accepted = was_accepted(edit);
+
+			if (!edit.answered || edit.answer.code == IBIS_UNKNOWN)
+				continue;
+			RC_ASSERT(accepted == (edit.answer.code == IBIS_OK));
+		}
+	}
+
+	void
+	check_healed() const
+	{
+		auto last = read_head(store.heads.back());
+
+		for (const auto &instance : instances) {
+			RC_ASSERT(
+			    spread_version(instance.spread) == last->version);
+			RC_ASSERT(spread_holds(instance.spread)->count == 0U);
+			for (const auto &hold : instance.heard)
+				RC_ASSERT(head_knows_order(last.get(),
+				    hold.first.c_str(), hold.second.c_str()));
+			for (const auto &zone : ZONES)
+				RC_ASSERT(spread_zone_open(
+					      instance.spread, zone.c_str()) ==
+				    !head_zone_is_out(
+					last.get(), zone.c_str()));
+		}
+		RC_ASSERT(
+		    spread_confirmed_ms(instances[0].spread) > now_ms - 1000);
+	}
+
+	/* Each accepted head has the next version. */
+	void
+	check_history() const
+	{
+		for (size_t i = 0; i < store.heads.size(); i++)
+			RC_ASSERT(read_head(store.heads[i])->version == i + 1);
+	}
+};
+
+const std::vector<Fault> FAULTS = {Fault::NONE, Fault::NONE, Fault::DOWN,
+    Fault::LOST_AFTER, Fault::LOST_BEFORE};
+
+/* One step of a random run. Zone orders are few enough for the head to
+ * remember them all. */
+void
+step(World &world, int kind, size_t pick, int &orders_left)
+{
+	size_t index = pick % INSTANCES;
+	const std::string &zone = ZONES[pick / INSTANCES % ZONES.size()];
+
+	if (kind < 30) {
+		if (!world.messages.empty())
+			world.deliver(pick % world.messages.size());
+	} else if (kind < 60) {
+		world.serve_store(index, pick / INSTANCES);
+	} else if (kind < 75) {
+		world.pass((int64_t)(pick % 5) * 100 + 10);
+	} else if (kind < 80) {
+		if (!world.messages.empty())
+			world.messages.erase(world.messages.begin() +
+			    (long)(pick % world.messages.size()));
+	} else if (kind < 87) {
+		world.edit(index, SECTIONS[pick / INSTANCES % SECTIONS.size()]);
+	} else if (kind < 94) {
+		if (--orders_left >= 0)
+			world.request(index,
+			    pick % 2 == 0 ? IBIS__REQUEST_KIND__REQUEST_ZONE_OUT
+					  : IBIS__REQUEST_KIND__REQUEST_ZONE_IN,
+			    zone, "", 0);
+	} else if (kind < 98) {
+		world.store.fault = FAULTS[pick % FAULTS.size()];
+	} else {
+		world.stop(index);
+		world.start(index);
+	}
+}
+
+bool
+all_agree()
+{
+	return rc::check("all agree in the end, and no hold is lost", [] {
+		auto steps = *rc::gen::scale(4,
+		    rc::gen::container<std::vector<std::pair<int, size_t>>>(
+			rc::gen::pair(rc::gen::inRange(0, 100),
+			    rc::gen::inRange<size_t>(0, 600))));
+		int orders_left = 12;
+		World world;
+
+		world.heal(START_MS);
+		for (const auto &each : steps)
+			step(world, each.first, each.second, orders_left);
+		world.heal(HEAL_MS);
+		world.check_healed();
+		world.check_edits();
+		world.check_history();
+		RC_TAG(world.store.heads.size() > 4 ? "many versions"
+						    : "few versions");
+	});
+}
+
+/* A zone taken out while the store is down stays out until the store is back,
+ * even when the instance that took it out has died. */
+bool
+outage_keeps_holds()
+{
+	return rc::check("a hold outlives an outage and its originator", [] {
+		size_t index = *rc::gen::inRange<size_t>(0, INSTANCES);
+		int rounds = *rc::gen::inRange(1, 200);
+		World world;
+
+		world.heal(START_MS);
+		world.store.fault = Fault::DOWN;
+		world.request(index, IBIS__REQUEST_KIND__REQUEST_ZONE_OUT,
+		    "north", "", 0);
+		while (!world.messages.empty())
+			world.deliver(0);
+		world.stop(index);
+		world.start(index);
+		for (int i = 0; i < rounds; i++) {
+			world.pass(50);
+			while (!world.messages.empty())
+				world.deliver(0);
+			for (size_t j = 0; j < INSTANCES; j++)
+				world.serve_store(j);
+		}
+		for (const auto &instance : world.instances)
+			RC_ASSERT(!spread_zone_open(instance.spread, "north"));
+		RC_ASSERT(world.store.heads.size() == 1U);
+		world.heal(HEAL_MS);
+		world.check_healed();
+		RC_ASSERT(head_zone_is_out(
+		    read_head(world.store.heads.back()).get(), "north"));
+	});
+}
+
+} // namespace
+
+int
+main()
+{
+	bool good = all_agree();
+
+	good = outage_keeps_holds() && good;
+	return good ? 0 : 1;
+}
--- a/tests/test_head.c
+++ b/tests/test_head.c
@@ -14,7 +14,9 @@
 static struct head *
 empty_head(void)
 {
-	return parse("{\"version\": 1, \"sections\": {}, \"zones\": {}}", NULL);
+	return parse("{\"version\": 1, \"sections_version\": 0, \"sections\": "
+		     "{}, \"zones\": {}}",
+	    NULL);
 }
 
 static void
@@ -106,10 +108,14 @@
 test_refuses_bad_text(void)
 {
 	const char *texts[] = {"", "{}", "[]",
-	    "{\"version\": -1, \"sections\": {}, \"zones\": {}}",
-	    "{\"version\": 1, \"sections\": {\"a\": \"b\"}, \"zones\": {}}",
-	    "{\"version\": 1, \"sections\": {}, \"zones\": {\"a\": {}}}",
-	    "{\"version\": 1, \"sections\": {}, \"zones\": {}, \"x\": 1}"};
+	    "{\"version\": -1, \"sections_version\": 0, \"sections\": {}, "
+	    "\"zones\": {}}",
+	    "{\"version\": 1, \"sections_version\": 0, \"sections\": {\"a\": "
+	    "\"b\"}, \"zones\": {}}",
+	    "{\"version\": 1, \"sections_version\": 0, \"sections\": {}, "
+	    "\"zones\": {\"a\": {}}}",
+	    "{\"version\": 1, \"sections_version\": 0, \"sections\": {}, "
+	    "\"zones\": {}, \"x\": 1}"};
 
 	for (size_t i = 0; i < COUNT_OF(texts); i++) {
 		struct ibis_status status = {0};
