--- /dev/null
+++ b/tests/common_demo.c
@@ -0,0 +1,151 @@
+#include <inttypes.h>
+#include <stdio.h>
+
+#include "common_demo.h"
+#include "common_traffic.h"
+#include "process/alloc.h"
+#include "process/clock.h"
+
+#define JOBS	      64
+#define CALLERS	      64
+#define RETRY_MS      10000
+#define MAX_RUN_MS    60000
+#define GANG_TASKS    4
+#define GANG_RUN_MS   3000
+#define SMALL_RUN_MS  800
+#define URGENT_RUN_MS 500
+#define JOBS_PER_S    16.0
+#define BURST_JOBS    4
+#define ZONE_STARTS   4
+#define ZONE_GRACE_MS 3000
+#define ZONE_OUT_MS   4500
+
+/* When the zone's leaving was answered, and its return asked for. */
+struct leave {
+	int64_t out_ms;
+	int64_t in_ms;
+};
+
+static void
+make_gang(struct load_kind *kind)
+{
+	kind->tasks = 2;
+	kind->tasks_highest = GANG_TASKS;
+	kind->accelerators_per_task = 4;
+	kind->adjacency = IBIS__ADJACENCY__ADJACENCY_RACK;
+	kind->run_time_highest_ms = GANG_RUN_MS;
+	kind->idempotent = true;
+	kind->checkpointable = true;
+}
+
+/* Each workspace sends gangs, small jobs that may run once at most, and urgent
+ * ones. */
+static void
+add_kinds(struct traffic *traffic, const struct document *document)
+{
+	size_t count = document->workspaces_count * document->classes_count;
+
+	for (size_t i = 0; i < count && i < LOAD_MAX_KINDS; i++) {
+		size_t at = i % document->classes_count;
+		const struct document_class *class = &document->classes[at];
+		struct load_kind *kind = traffic_add_kind(traffic,
+		    document->workspaces[i / document->classes_count].name,
+		    class->name, class->urgent ? URGENT_RUN_MS : SMALL_RUN_MS);
+
+		if (!class->urgent && at % 2 == 1)
+			make_gang(kind);
+	}
+}
+
+static bool
+order_zone(struct deployment *deployment, uint32_t instance, const char *zone,
+    const char *order)
+{
+	CLEANUP(client_answer_free) struct client_answer answer = {0};
+	enum ibis_code code =
+	    deployment_zone(deployment, instance, zone, order, &answer);
+
+	(void)printf("zone=%s order=%s through=%s result=%s\n", zone, order,
+	    deployment->instances[instance].name, ibis_code_name(code));
+	return code == IBIS_OK;
+}
+
+/* Takes a zone out through one instance and back through another. */
+static bool
+leave_and_return(
+    struct deployment *deployment, const char *zone, struct leave *leave)
+{
+	if (!deployment_wait_events(
+		deployment->workers_log, "start", ZONE_STARTS, MAX_RUN_MS) ||
+	    !order_zone(deployment, 0, zone, "out"))
+		return false;
+	leave->out_ms = clock_now_ms();
+	process_pause(ZONE_OUT_MS);
+	leave->in_ms = clock_now_ms();
+	return order_zone(deployment, deployment->count - 1, zone, "in");
+}
+
+/* Prints the counts; true when all is well. */
+static bool
+judge(
+    const struct traffic *traffic, const char *zone, const struct leave *leave)
+{
+	CLEANUP(log_free) struct log log = {0};
+	size_t answered = traffic_count(traffic, LOAD_FINISHED) -
+	    traffic_count_wrong(traffic);
+	size_t twice;
+	size_t late;
+
+	if (!log_read(&log, traffic->deployment->workers_log))
+		return false;
+	twice = traffic_count_run_twice(traffic, &log);
+	late = log_starts_in_zone(
+	    &log, zone, leave->out_ms + ZONE_GRACE_MS, leave->in_ms);
+	traffic_print_unfinished(traffic);
+	(void)printf("zone=%s starts_while_out=%zu\n", zone, late);
+	(void)printf("site: submitted=%" PRIu32
+		     " answered=%zu lost=%zu run_twice=%zu\n",
+	    traffic->mix.jobs, answered, traffic->mix.jobs - answered, twice);
+	return answered == traffic->mix.jobs && twice == 0 && late == 0;
+}
+
+static bool
+play(struct deployment *deployment, struct traffic *traffic)
+{
+	const char *zone = deployment->instances[0].zone;
+	struct leave leave = {0};
+	bool well;
+
+	if (!traffic_start(traffic))
+		return false;
+	well = leave_and_return(deployment, zone, &leave);
+	traffic_join(traffic);
+	well = judge(traffic, zone, &leave) && well;
+	traffic_free(traffic);
+	return well;
+}
+
+bool
+demo_run(struct deployment *deployment)
+{
+	struct traffic traffic = {
+	    .deployment = deployment,
+	    .mix = {.jobs = JOBS,
+		.jobs_per_s = JOBS_PER_S,
+		.burst_jobs = BURST_JOBS,
+		.seed = deployment->config.seed,
+		.key_prefix = "demo"},
+	    .callers = CALLERS,
+	    .retry_ms = RETRY_MS,
+	    .max_run_ms = MAX_RUN_MS,
+	};
+	struct ibis_status status = {0};
+	struct document *document =
+	    deployment_read_document(deployment->config.document_path, &status);
+
+	if (document == NULL)
+		return false;
+	add_kinds(&traffic, document);
+	document_free(document);
+	return play(deployment, &traffic);
+}
