Add failure tests of gangs under two leads and cancellation

Change: fail_gang_lead freezes the lead at reserve, stage and start and wakes it when another leads; cancels at each step; cancels half of 100 jobs.

--- /dev/null
+++ b/tests/fail_gang_lead.c
@@ -0,0 +1,256 @@
+/*
+ * No part of a gang runs unless all of it runs, whoever leads: the lead is
+ * frozen in the middle of a step and woken when another leads, so that two
+ * lead at once; jobs are cancelled between steps; a wave cancels half of all.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "common_cunit.h"
+#include "common_failure.h"
+#include "common_jobs.h"
+#include "process/alloc.h"
+
+#define INSTANCES	 3
+#define SEED		 20261203
+#define TIME_SCALE	 1
+#define TASKS		 4
+#define ACCELERATORS	 4
+#define RUN_MS		 500
+#define LONG_RUN_MS	 6000
+#define JOBS		 60
+#define JOBS_PER_S	 12
+#define CALLERS		 40
+#define RETRY_MS	 20000
+#define TRAFFIC_MS	 60000
+#define MAX_CAUGHT	 12
+#define LEAD_TIMEOUT_MS	 15000
+#define POINT_TIMEOUT_MS 20000
+#define END_MS		 30000
+#define FIRST_LEASE_MS	 2000
+#define LOG_SLACK_MS	 300
+#define WAVE_JOBS	 100
+#define KEY_BYTES	 64
+
+static struct deployment deployment;
+
+/* Makes each step of a gang last. */
+static void
+slow_workers(const char *delay_ms)
+{
+	CLEANUP(buffer_free) struct buffer body = {0};
+
+	buffer_printf(
+	    &body, "{\"mode\": \"late\", \"delay_ms\": %s}", delay_ms);
+	CU_ASSERT_TRUE_FATAL(
+	    deployment_fault_worker(&deployment, "*", body.data));
+}
+
+static void
+start_gangs(struct traffic *traffic, const char *prefix)
+{
+	struct load_kind *once;
+	struct load_kind *repeatable;
+
+	*traffic = (struct traffic){
+	    .deployment = &deployment,
+	    .mix = {.jobs = JOBS, .jobs_per_s = JOBS_PER_S, .seed = SEED},
+	    .callers = CALLERS,
+	    .retry_ms = RETRY_MS,
+	    .max_run_ms = TRAFFIC_MS,
+	};
+	STRING_COPY(traffic->mix.key_prefix, prefix);
+	once = traffic_add_kind(traffic, "one", "plan", RUN_MS);
+	once->tasks = TASKS;
+	once->accelerators_per_task = 2;
+	repeatable = traffic_add_kind(traffic, "two", "plan", RUN_MS);
+	repeatable->tasks = TASKS;
+	repeatable->accelerators_per_task = 2;
+	repeatable->idempotent = true;
+	repeatable->checkpointable = true;
+	CU_ASSERT_TRUE_FATAL(traffic_start(traffic));
+}
+
+/* Freezes the lead at a point and wakes it when another leads. */
+static void
+freeze_lead_at(const struct kill_point *point)
+{
+	struct process *process;
+	struct traffic traffic;
+	int lead;
+
+	failure_start(&deployment, INSTANCES, TIME_SCALE, SEED);
+	slow_workers("120");
+	lead = deployment_wait_lead(&deployment, -1, LEAD_TIMEOUT_MS);
+	CU_ASSERT_TRUE_FATAL(lead >= 0);
+	process = &deployment.instances[lead].process;
+	start_gangs(&traffic, point->event);
+	failure_wait_point(&deployment, point);
+	process_freeze(process);
+	CU_ASSERT_TRUE(
+	    deployment_wait_lead(&deployment, lead, LEAD_TIMEOUT_MS) >= 0);
+	process_wake(process);
+	failure_judge(&traffic, MAX_CAUGHT);
+	failure_stop(&deployment);
+}
+
+static void
+test_two_leads_at_reserve(void)
+{
+	freeze_lead_at(&(struct kill_point){"reserve", 42});
+}
+
+static void
+test_two_leads_at_stage(void)
+{
+	freeze_lead_at(&(struct kill_point){"stage", 42});
+}
+
+static void
+test_two_leads_at_start(void)
+{
+	freeze_lead_at(&(struct kill_point){"start", 42});
+}
+
+/* What a wait for a step looks for. */
+struct step_wait {
+	const char *job;
+	const char *event;
+};
+
+static bool
+S_step_reached(void *context)
+{
+	CLEANUP(log_free) struct log log = {0};
+	const struct step_wait *wait = context;
+
+	if (!log_read(&log, deployment.workers_log))
+		return false;
+	for (size_t i = 0; i < log.count; i++) {
+		if (strcmp(log.records[i].event, wait->event) == 0 &&
+		    strcmp(log_value(&log.records[i], "job"), wait->job) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+cancel_at(const char *event, bool before_go, uint32_t instance)
+{
+	struct job_plan plan = {
+	    .workspace = "one",
+	    .request_class = "plan",
+	    .key = event,
+	    .tasks = TASKS,
+	    .accelerators = ACCELERATORS,
+	    .run_time_ms = LONG_RUN_MS,
+	    .idempotent = instance % 2 == 0,
+	};
+	CLEANUP(log_free) struct log log = {0};
+	char outcome[JOB_NAME_BYTES];
+	char id[JOB_ID_BYTES];
+	struct step_wait wait = {.job = id, .event = event};
+
+	CU_ASSERT_EQUAL_FATAL(
+	    job_submit(&deployment, instance, &plan, id), IBIS_OK);
+	CU_ASSERT_TRUE_FATAL(
+	    deployment_wait(S_step_reached, &wait, POINT_TIMEOUT_MS));
+	CU_ASSERT_EQUAL(job_cancel(&deployment, instance, id), IBIS_OK);
+	job_wait(&deployment, id, END_MS, outcome);
+	CU_ASSERT_STRING_EQUAL(outcome, "cancelled");
+	CU_ASSERT_TRUE_FATAL(log_read(&log, deployment.workers_log));
+	if (before_go)
+		CU_ASSERT_EQUAL(log_starts(&log, id), 0);
+	CU_ASSERT(log_partial_run_ms(&log, id, TASKS) <=
+	    FIRST_LEASE_MS + LOG_SLACK_MS);
+	CU_ASSERT(
+	    log_partial_end_ms(&log, id) <= FIRST_LEASE_MS + LOG_SLACK_MS);
+}
+
+static void
+test_cancelled_between_steps(void)
+{
+	failure_start(&deployment, INSTANCES, TIME_SCALE, SEED);
+	slow_workers("400");
+	cancel_at("reserve", true, 0);
+	cancel_at("stage", true, 1);
+	cancel_at("start", false, 2);
+	failure_stop(&deployment);
+}
+
+static void
+submit_wave(char ids[WAVE_JOBS][JOB_ID_BYTES])
+{
+	char key[KEY_BYTES];
+	struct job_plan plan = {
+	    .workspace = "two",
+	    .request_class = "plan",
+	    .key = key,
+	    .tasks = 2,
+	    .accelerators = 2,
+	    .run_time_ms = RUN_MS,
+	};
+
+	for (uint32_t i = 0; i < WAVE_JOBS; i++) {
+		(void)snprintf(key, sizeof(key), "wave-%u", (unsigned int)i);
+		plan.idempotent = i % 4 < 2;
+		CU_ASSERT_EQUAL_FATAL(
+		    job_submit(&deployment, i % INSTANCES, &plan, ids[i]),
+		    IBIS_OK);
+	}
+}
+
+static void
+judge_wave_job(const struct log *log, const char *id, bool cancelled)
+{
+	char outcome[JOB_NAME_BYTES];
+	bool finished;
+
+	job_wait(&deployment, id, END_MS, outcome);
+	finished = strcmp(outcome, "finished") == 0;
+	CU_ASSERT_TRUE(
+	    finished || (cancelled && strcmp(outcome, "cancelled") == 0));
+	CU_ASSERT_TRUE(log_runs(log, id) <= 1);
+}
+
+static void
+test_wave_cancels_half(void)
+{
+	static char ids[WAVE_JOBS][JOB_ID_BYTES];
+	CLEANUP(log_free) struct log log = {0};
+	size_t finished = 0;
+
+	failure_start(&deployment, INSTANCES, TIME_SCALE, SEED);
+	submit_wave(ids);
+	for (uint32_t i = 0; i < WAVE_JOBS; i += 2)
+		CU_ASSERT_EQUAL(
+		    job_cancel(&deployment, i % INSTANCES, ids[i]), IBIS_OK);
+	for (uint32_t i = 0; i < WAVE_JOBS; i++) {
+		char outcome[JOB_NAME_BYTES];
+
+		job_wait(&deployment, ids[i], END_MS, outcome);
+		if (strcmp(outcome, "finished") == 0)
+			finished++;
+	}
+	CU_ASSERT_TRUE_FATAL(log_read(&log, deployment.workers_log));
+	for (uint32_t i = 0; i < WAVE_JOBS; i++)
+		judge_wave_job(&log, ids[i], i % 2 == 0);
+	(void)printf("finished=%zu of %d ", finished, WAVE_JOBS);
+	CU_ASSERT_TRUE(finished >= WAVE_JOBS / 2);
+	failure_stop(&deployment);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"two leads at reserve", test_two_leads_at_reserve},
+	    {"two leads at stage", test_two_leads_at_stage},
+	    {"two leads at start", test_two_leads_at_start},
+	    {"cancelled between steps", test_cancelled_between_steps},
+	    {"a wave cancels half", test_wave_cancels_half},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("gang lead", tests);
+}
