Test a lead that dies after a partial start

Cause: only then does the first lease alone bound the part that runs. Change: a case in fail_gang_lead: one worker of each rack does not hear go, the lead is killed at the first start.

--- a/tests/fail_gang_lead.c
+++ b/tests/fail_gang_lead.c
@@ -178,6 +178,53 @@
 	failure_stop(&deployment);
 }
 
+/* One worker of each rack does not hear go, and the lead dies before it can
+ * stop the others: their first leases end the part that runs. */
+static void
+test_lead_killed_at_partial_start(void)
+{
+	static const char *const deaf_workers[] = {"a2", "b2", "c2"};
+	struct job_plan plan = {
+	    .workspace = "one",
+	    .request_class = "plan",
+	    .key = "partial",
+	    .adjacency = "rack",
+	    .tasks = TASKS,
+	    .accelerators = 2 * ACCELERATORS,
+	    .run_time_ms = LONG_RUN_MS,
+	    .idempotent = true,
+	    .checkpointable = true,
+	};
+	CLEANUP(log_free) struct log log = {0};
+	char outcome[JOB_NAME_BYTES];
+	char id[JOB_ID_BYTES];
+	struct step_wait wait = {.job = id, .event = "start"};
+	int lead;
+
+	failure_start(&deployment, INSTANCES, TIME_SCALE, SEED);
+	for (size_t i = 0; i < COUNT_OF(deaf_workers); i++)
+		CU_ASSERT_TRUE_FATAL(deployment_fault_worker(&deployment,
+		    deaf_workers[i], "{\"mode\": \"mute\", \"on\": \"go\"}"));
+	lead = deployment_wait_lead(&deployment, -1, LEAD_TIMEOUT_MS);
+	CU_ASSERT_TRUE_FATAL(lead >= 0);
+	CU_ASSERT_EQUAL_FATAL(job_submit(&deployment, 0, &plan, id), IBIS_OK);
+	CU_ASSERT_TRUE_FATAL(
+	    deployment_wait(S_step_reached, &wait, POINT_TIMEOUT_MS));
+	deployment_kill(&deployment, (uint32_t)lead);
+	for (size_t i = 0; i < COUNT_OF(deaf_workers); i++)
+		CU_ASSERT_TRUE(deployment_fault_worker(
+		    &deployment, deaf_workers[i], "{\"mode\": \"none\"}"));
+	job_wait(&deployment, id, END_MS, outcome);
+	CU_ASSERT_STRING_EQUAL(outcome, "finished");
+	CU_ASSERT_TRUE_FATAL(log_read(&log, deployment.workers_log));
+	(void)printf(
+	    "partial_run_ms=%d ", (int)log_partial_run_ms(&log, id, TASKS));
+	CU_ASSERT_EQUAL(log_partial_attempts(&log, id, TASKS), 1);
+	CU_ASSERT(log_partial_run_ms(&log, id, TASKS) <=
+	    FIRST_LEASE_MS + LOG_SLACK_MS);
+	failure_stop(&deployment);
+}
+
 static void
 submit_wave(char ids[WAVE_JOBS][JOB_ID_BYTES])
 {
@@ -247,6 +294,8 @@
 	    {"two leads at reserve", test_two_leads_at_reserve},
 	    {"two leads at stage", test_two_leads_at_stage},
 	    {"two leads at start", test_two_leads_at_start},
+	    {"lead killed at a partial start",
+		test_lead_killed_at_partial_start},
 	    {"cancelled between steps", test_cancelled_between_steps},
 	    {"a wave cancels half", test_wave_cancels_half},
 	    CU_TEST_INFO_NULL,
