Spread versions and zone holds through the state machine

Cause: the document part polled the head on each instance and swapped it blindly; a zone order was in force only where the head had been read. Change: the control thread drives the spread: hold first, acks of the peers, then the head; copies from peers; one watch on the head, by the lead. Ruled out: a read of the head on every instance, which grows with the fleet.

--- a/src/process/control.h
+++ b/src/process/control.h
@@ -195,15 +195,14 @@
     struct control *control, struct store_result *result);
 void control_document_request(struct control *control,
     const struct origin *origin, const Ibis__Request *request);
-void control_document_heartbeat(
-    struct control *control, const Ibis__Heartbeat *heartbeat);
-/* Returns true when the frame was the document's. */
-bool control_document_frame(
+void control_document_frame(
     struct control *control, const char *peer, const Ibis__Frame *frame);
 void control_document_fill_heartbeat(
     struct control *control, Ibis__Heartbeat *heartbeat);
 void control_document_clear_heartbeat(Ibis__Heartbeat *heartbeat);
 bool control_zone_open(const struct control *control, const char *zone);
+/* Tells whether some operator still waits for an answer. */
+bool control_documents_open(const struct control *control);
 uint64_t control_document_version(const struct control *control);
 
 /* control_peers.c: the platform's list, heartbeats, confirmations */
--- a/src/process/control_document.c
+++ b/src/process/control_document.c
@@ -1,307 +1,225 @@
-#include <inttypes.h>
-#include <stdio.h>
 #include <string.h>
 
-#include <json-c/json.h>
-
 #include "process/alloc.h"
 #include "process/control.h"
 #include "process/log.h"
+#include "version/spread.h"
 
-#define HEAD_KEY       "document/head"
-#define POLL_MS	       400
-#define RETRY_AFTER_MS 2000
+#define WATCH_MS 400
 
-/* An operator's change on its way into the store. */
-struct edit {
+/* An operator's request that waits for its answer. */
+struct pending {
 	struct cds_list_head node;
+	uint64_t call;
 	struct origin origin;
-	Ibis__RequestKind kind;
-	char zone[JOB_NAME_BYTES];
-	char order[HEAD_ORDER_BYTES];
-	struct document_source *sources;
-	size_t sources_count;
-	size_t to_write;
-	struct head *next;
-	bool swapping;
 };
 
 struct document_part {
-	struct head *head; /* of the version in force */
-	uint64_t head_revision;
-	struct document *document;
-	struct document_source *sources;
-	size_t sources_count;
-	/* a newer version that is being fetched */
-	struct head *coming;
-	uint64_t coming_revision;
-	struct document_source *fetched;
-	size_t to_fetch;
-	bool polling;
-	int64_t poll_sent_ms;
-	int64_t next_poll_ms;
-	struct cds_list_head edits;
-	uint64_t next_order;
+	struct spread *spread;
+	struct cds_list_head pending;
+	uint64_t next_call;
+	uint64_t logged_version;
+	bool watching;
 };
 
 void
 control_document_start(struct control *control)
 {
+	struct spread_config config = {
+	    .name = control->settings->name,
+	    .incarnation = control->incarnation,
+	    .watch_ms = WATCH_MS,
+	};
+
 	control->documents = mem_calloc(1, sizeof(*control->documents));
-	CDS_INIT_LIST_HEAD(&control->documents->edits);
+	control->documents->spread = spread_new(&config, control->now_ms);
+	CDS_INIT_LIST_HEAD(&control->documents->pending);
 }
 
 void
 control_document_free(struct control *control)
 {
-	struct document_part *part = control->documents;
-
-	head_free(part->head);
-	head_free(part->coming);
-	document_free(part->document);
-	mem_free(part);
+	struct pending *pending;
+	struct pending *next;
+
+	cds_list_for_each_entry_safe (
+	    pending, next, &control->documents->pending, node) {
+		control_refuse(control, &pending->origin, IBIS_UNKNOWN,
+		    "document", "the instance has stopped", false, 0);
+		mem_free(pending);
+	}
+	spread_free(control->documents->spread);
+	mem_free(control->documents);
 }
 
 uint64_t
 control_document_version(const struct control *control)
 {
-	const struct head *head = control->documents->head;
-
-	return head == NULL ? 0 : head->version;
+	return spread_version(control->documents->spread);
 }
 
 bool
 control_zone_open(const struct control *control, const char *zone)
 {
-	const struct document_part *part = control->documents;
-	int at;
-
-	if (part->document == NULL)
-		return false;
-	at = document_find_zone(part->document, zone);
-	return at >= 0 && part->document->zones[at].in_service &&
-	    !head_zone_is_out(part->head, zone);
+	return spread_zone_open(control->documents->spread, zone);
+}
+
+bool
+control_documents_open(const struct control *control)
+{
+	return !cds_list_empty(&control->documents->pending);
 }
 
+/* ---- Actions --------------------------------------------------------- */
+
 static void
-apply(struct control *control)
+update_zones(struct control *control)
 {
-	struct document_part *part = control->documents;
-	struct ibis_status status = {0};
-	struct document *document = document_parse(
-	    part->fetched, part->coming->sections_count, NULL, &status);
+	const struct document *document = control->document;
 
-	if (document == NULL) {
-		log_event(LOG_ERROR, "document_rejected", "reason",
-		    status.message, NULL);
-		return;
-	}
-	document->version = part->coming->version;
-	document_free(part->document);
-	head_free(part->head);
-	if (part->sources != NULL)
-		document_sources_free(part->sources, part->sources_count);
-	part->document = document;
-	part->head = part->coming;
-	part->head_revision = part->coming_revision;
-	part->sources = part->fetched;
-	part->sources_count = part->head->sections_count;
-	part->coming = NULL;
-	part->fetched = NULL;
-	control->document = document;
-	control->decide_due = true;
-	log_event(LOG_INFO, "document_in_force", "version",
-	    log_number((int64_t)part->head->version), NULL);
-	if (!control_leading(control))
+	if (document == NULL || !control_leading(control))
 		return;
-	scheduler_set_document(control->scheduler, document, control->now_ms);
 	for (size_t i = 0; i < document->zones_count; i++)
 		scheduler_set_zone(control->scheduler, document->zones[i].name,
 		    control_zone_open(control, document->zones[i].name),
 		    control->now_ms);
+	control->decide_due = true;
 }
 
 static void
-get_key(struct control *control, const char *key, uint64_t token)
+apply_version(struct control *control)
 {
-	struct store_call call = {
-	    .op = STORE_GET,
-	    .owner = OWNER_DOCUMENT,
-	    .token = token,
-	};
-
-	STRING_COPY(call.key, key);
-	store_client_call(control->store, &call);
+	control->document = spread_document(control->documents->spread);
+	if (control->documents->logged_version !=
+	    control_document_version(control))
+		log_event(LOG_INFO, "document_in_force", "version",
+		    log_number((int64_t)control_document_version(control)),
+		    NULL);
+	control->documents->logged_version = control_document_version(control);
+	if (control_leading(control))
+		scheduler_set_document(
+		    control->scheduler, control->document, control->now_ms);
+	/* Spread to the peers without waiting for the next beat. */
+	control->next_heartbeat_ms = control->now_ms;
+	update_zones(control);
 }
 
-static void
-section_key(const char *name, uint64_t revision, char key[STORE_KEY_BYTES])
+static struct pending *
+find_pending(struct control *control, uint64_t call)
 {
-	(void)snprintf(key, STORE_KEY_BYTES, "document/sections/%s/%" PRIu64,
-	    name, revision);
+	struct pending *pending;
+
+	cds_list_for_each_entry (pending, &control->documents->pending, node) {
+		if (pending->call == call)
+			return pending;
+	}
+	return NULL;
 }
 
 static void
-fetch_sections(struct control *control)
+answer_operator(struct control *control, const struct spread_action *action)
 {
-	struct document_part *part = control->documents;
-	char key[STORE_KEY_BYTES];
-
-	part->fetched =
-	    mem_calloc(part->coming->sections_count, sizeof(*part->fetched));
-	part->to_fetch = part->coming->sections_count;
-	for (size_t i = 0; i < part->coming->sections_count; i++) {
-		const struct head_section *section = &part->coming->sections[i];
-
-		STRING_COPY(part->fetched[i].name, section->name);
-		part->fetched[i].revision = section->revision;
-		section_key(section->name, section->revision, key);
-		get_key(control, key, i + 1);
+	struct pending *pending = find_pending(control, action->answer.call);
+	const struct ibis_status *status = &action->answer.status;
+	Ibis__Reply reply = IBIS__REPLY__INIT;
+	CLEANUP(mem_free_string)
+	char *json = mem_strdup(buffer_string(&action->answer.json));
+
+	if (pending == NULL)
+		return;
+	if (status->code == IBIS_OK) {
+		reply.json = json;
+		reply.revision = action->answer.revision;
+		control_reply(control, &pending->origin, &reply);
+	} else {
+		control_refuse(control, &pending->origin, status->code,
+		    status->step, status->message, status->code != IBIS_UNKNOWN,
+		    0);
 	}
+	cds_list_del(&pending->node);
+	mem_free(pending);
 }
 
 static void
-head_read(struct control *control, struct store_result *result)
+perform(struct control *control, struct spread_action *action)
 {
-	struct document_part *part = control->documents;
-	struct ibis_status status = {0};
-
-	part->polling = false;
-	part->next_poll_ms = control->now_ms + POLL_MS;
-	if (result->code == IBIS_OK && part->head != NULL &&
-	    result->revision == part->head_revision)
-		freshness_store(&control->freshness, result->sent_ms);
-	if (result->code != IBIS_OK || part->coming != NULL ||
-	    result->revision <= part->head_revision)
-		return;
-	part->coming =
-	    head_parse(result->value.data, result->value.length, &status);
-	if (part->coming == NULL) {
-		log_event(LOG_ERROR, "head_malformed", "reason", status.message,
-		    NULL);
-		return;
+	switch (action->kind) {
+	case SPREAD_STORE:
+		action->store.owner = OWNER_DOCUMENT;
+		store_client_call(control->store, &action->store);
+		break;
+	case SPREAD_SEND:
+		(void)peer_links_send(
+		    control->links, action->send.peer, action->send.frame);
+		break;
+	case SPREAD_VERSION:
+		apply_version(control);
+		break;
+	case SPREAD_ZONES:
+		update_zones(control);
+		break;
+	case SPREAD_ANSWER:
+		answer_operator(control, action);
+		break;
 	}
-	part->coming_revision = result->revision;
-	part->next_poll_ms = control->now_ms;
-	fetch_sections(control);
 }
 
+/* Carries out whatever the last event has led to. */
 static void
-section_read(struct control *control, struct store_result *result)
+perform_all(struct control *control)
 {
-	struct document_part *part = control->documents;
-	size_t index = result->token - 1;
+	struct spread *spread = control->documents->spread;
+	struct spread_action action;
 
-	if (part->coming == NULL || index >= part->coming->sections_count)
-		return;
-	if (result->code != IBIS_OK) {
-		get_key(control, result->key, result->token);
-		return;
+	while (spread_next(spread, &action)) {
+		perform(control, &action);
+		spread_action_free(&action);
 	}
-	part->fetched[index].text = mem_strdup(buffer_string(&result->value));
-	if (--part->to_fetch == 0)
-		apply(control);
+	control->document = spread_document(spread);
+	if (spread_confirmed_ms(spread) > 0)
+		freshness_store(
+		    &control->freshness, spread_confirmed_ms(spread));
 }
 
-/* ---- Edits ----------------------------------------------------------- */
+/* ---- Events ---------------------------------------------------------- */
 
-static void
-free_edit(struct edit *edit)
+void
+control_document_store_result(
+    struct control *control, struct store_result *result)
 {
-	cds_list_del(&edit->node);
-	head_free(edit->next);
-	if (edit->sources != NULL)
-		document_sources_free(edit->sources, edit->sources_count);
-	mem_free(edit);
+	spread_store(control->documents->spread, result, control->now_ms);
+	perform_all(control);
 }
 
 static void
-swap_head(struct control *control, struct edit *edit)
+zone_json(const struct control *control, const struct document_zone *zone,
+    struct buffer *json)
 {
-	struct document_part *part = control->documents;
-	struct store_call call = {
-	    .op = STORE_SWAP,
-	    .owner = OWNER_DOCUMENT,
-	    .expected_revision = part->head_revision,
-	};
-
-	edit->next = part->head == NULL ? mem_calloc(1, sizeof(*edit->next))
-					: head_copy(part->head);
-	edit->next->version = control_document_version(control) + 1;
-	if (edit->kind == IBIS__REQUEST_KIND__REQUEST_ZONE_OUT)
-		head_zone_out(edit->next, edit->zone, edit->order);
-	else if (edit->kind == IBIS__REQUEST_KIND__REQUEST_ZONE_IN)
-		head_zone_in(edit->next, edit->zone, edit->order, NULL, 0);
-	for (size_t i = 0; i < edit->sources_count; i++)
-		(void)head_set_section(edit->next, edit->sources[i].name,
-		    head_section_revision(edit->next, edit->sources[i].name),
-		    edit->sources[i].revision, NULL);
-	edit->swapping = true;
-	STRING_COPY(call.key, HEAD_KEY);
-	head_write(edit->next, &call.value);
-	store_client_call(control->store, &call);
+	const struct spread *spread = control->documents->spread;
+
+	buffer_printf(json,
+	    "{\"name\": \"%s\", \"in_service\": %s, \"out\": %s, "
+	    "\"held\": %s}",
+	    zone->name, spread_zone_open(spread, zone->name) ? "true" : "false",
+	    head_zone_is_out(spread_head(spread), zone->name) ? "true"
+							      : "false",
+	    holds_forbid(spread_holds(spread), zone->name) ? "true" : "false");
 }
 
 static void
-head_swapped(struct control *control, struct store_result *result)
+request_zones(struct control *control, const struct origin *origin)
 {
-	struct document_part *part = control->documents;
+	const struct document *document = control->document;
 	CLEANUP(buffer_free) struct buffer json = {0};
-	struct edit *edit = NULL;
-	struct edit *each;
-
-	cds_list_for_each_entry (each, &part->edits, node) {
-		if (each->swapping)
-			edit = each;
-	}
-	if (edit == NULL)
-		return;
-	part->next_poll_ms = control->now_ms;
-	if (result->code == IBIS_OK) {
-		buffer_printf(&json,
-		    "{\"zone\": \"%s\", \"order\": \"%s\", \"durable\": true, "
-		    "\"version\": %" PRIu64
-		    ", \"reached\": [], \"missing\": []}",
-		    edit->zone, edit->order, edit->next->version);
-		control_reply_json(
-		    control, &edit->origin, buffer_string(&json));
-	} else {
-		control_refuse(control, &edit->origin, result->code, "accept",
-		    "the head could not be swapped", false, RETRY_AFTER_MS);
-	}
-	free_edit(edit);
-}
-
-static void
-section_written(struct control *control)
-{
-	struct edit *edit;
 
-	cds_list_for_each_entry (edit, &control->documents->edits, node) {
-		if (edit->to_write > 0 && --edit->to_write == 0) {
-			swap_head(control, edit);
-			return;
-		}
+	buffer_puts(&json, "{\"availability_zones\": [");
+	for (size_t i = 0; document != NULL && i < document->zones_count; i++) {
+		if (i > 0)
+			buffer_puts(&json, ", ");
+		zone_json(control, &document->zones[i], &json);
 	}
-}
-
-static void
-write_sections(struct control *control, struct edit *edit)
-{
-	for (size_t i = 0; i < edit->sources_count; i++) {
-		struct store_call call = {
-		    .op = STORE_SWAP,
-		    .owner = OWNER_DOCUMENT,
-		    .token = 1,
-		};
-
-		edit->sources[i].revision = (uint64_t)control_wall_ms() + i;
-		section_key(
-		    edit->sources[i].name, edit->sources[i].revision, call.key);
-		buffer_puts(&call.value, edit->sources[i].text);
-		store_client_call(control->store, &call);
-	}
-	edit->to_write = edit->sources_count;
+	buffer_puts(&json, "]}");
+	control_reply_json(control, origin, buffer_string(&json));
 }
 
 void
@@ -309,98 +227,80 @@
     const Ibis__Request *request)
 {
 	struct document_part *part = control->documents;
-	struct ibis_status status = {0};
-	struct edit *edit;
-	struct document *checked;
-	int count;
-
-	if (request->kind != IBIS__REQUEST_KIND__REQUEST_ZONE_OUT &&
-	    request->kind != IBIS__REQUEST_KIND__REQUEST_ZONE_IN &&
-	    request->kind != IBIS__REQUEST_KIND__REQUEST_PUT_DOCUMENT) {
-		control_reply_json(control, origin, "{}");
+	struct pending *pending;
+
+	if (request->kind == IBIS__REQUEST_KIND__REQUEST_ZONES) {
+		request_zones(control, origin);
 		return;
 	}
-	edit = mem_calloc(1, sizeof(*edit));
-	edit->origin = *origin;
-	edit->kind = request->kind;
-	STRING_COPY(edit->zone, request->name);
-	(void)snprintf(edit->order, sizeof(edit->order), "%.64s-%" PRIu64,
-	    control->settings->name, ++part->next_order);
-	cds_list_add_tail(&edit->node, &part->edits);
-	if (request->kind != IBIS__REQUEST_KIND__REQUEST_PUT_DOCUMENT) {
-		swap_head(control, edit);
-		return;
+	pending = mem_calloc(1, sizeof(*pending));
+	pending->call = ++part->next_call;
+	pending->origin = *origin;
+	cds_list_add_tail(&pending->node, &part->pending);
+	if (!spread_request(
+		part->spread, pending->call, request, control->now_ms)) {
+		cds_list_del(&pending->node);
+		mem_free(pending);
+		control_refuse(control, origin, IBIS_NOT_FOUND, "request",
+		    "no such request", true, 0);
 	}
-	count = document_split(request->body, &edit->sources, &status);
-	edit->sources_count = count < 0 ? 0 : (size_t)count;
-	checked = count < 0
-	    ? NULL
-	    : document_parse(edit->sources, edit->sources_count, NULL, &status);
-	if (checked == NULL) {
-		control_refuse(control, origin, IBIS_INVALID, "check",
-		    status.message, false, 0);
-		free_edit(edit);
-		return;
-	}
-	document_free(checked);
-	write_sections(control, edit);
+	perform_all(control);
 }
 
 void
-control_document_store_result(
-    struct control *control, struct store_result *result)
+control_document_frame(
+    struct control *control, const char *peer, const Ibis__Frame *frame)
 {
-	if (strcmp(result->key, HEAD_KEY) == 0) {
-		if (result->op == STORE_GET)
-			head_read(control, result);
-		else
-			head_swapped(control, result);
-	} else if (result->op == STORE_GET) {
-		section_read(control, result);
-	} else {
-		section_written(control);
-	}
+	spread_frame(control->documents->spread, peer, frame, control->now_ms);
+	perform_all(control);
 }
 
-void
-control_document_tick(struct control *control)
+/* Tells which instances hold and edit together with this one. */
+static void
+update_peers(struct control *control)
 {
-	struct document_part *part = control->documents;
-
-	if (part->polling || control->now_ms < part->next_poll_ms)
-		return;
-	part->polling = true;
-	get_key(control, HEAD_KEY, 0);
+	size_t count = membership_count(control->members);
+	const char **names = mem_calloc(count, sizeof(*names));
+	size_t live = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		const struct member *member =
+		    membership_at(control->members, i);
+
+		if (member->listed ||
+		    membership_alive(
+			control->members, member->name, control->now_ms))
+			names[live++] = member->name;
+	}
+	spread_set_peers(control->documents->spread, names, live);
+	mem_free((void *)names);
 }
 
 void
-control_document_heartbeat(
-    struct control *control, const Ibis__Heartbeat *heartbeat)
+control_document_tick(struct control *control)
 {
-	(void)control;
-	(void)heartbeat;
-}
+	struct document_part *part = control->documents;
+	bool watching = control->lease.role != LEAD_FOLLOWER ||
+	    control_lead_name(control) == NULL;
 
-bool
-control_document_frame(
-    struct control *control, const char *peer, const Ibis__Frame *frame)
-{
-	(void)control;
-	(void)peer;
-	(void)frame;
-	return false;
+	if (watching != part->watching) {
+		part->watching = watching;
+		spread_set_watching(part->spread, watching);
+	}
+	update_peers(control);
+	spread_tick(part->spread, control->now_ms);
+	perform_all(control);
 }
 
 void
 control_document_fill_heartbeat(
     struct control *control, Ibis__Heartbeat *heartbeat)
 {
-	(void)control;
-	(void)heartbeat;
+	spread_fill_heartbeat(control->documents->spread, heartbeat);
 }
 
 void
 control_document_clear_heartbeat(Ibis__Heartbeat *heartbeat)
 {
-	(void)heartbeat;
+	spread_clear_heartbeat(heartbeat);
 }
--- a/src/process/control_peers.c
+++ b/src/process/control_peers.c
@@ -166,7 +166,6 @@
 	heartbeat.name = name;
 	heartbeat.incarnation = control->incarnation;
 	heartbeat.state = control->state;
-	heartbeat.document_version = control_document_version(control);
 	heartbeat.store_reachable = !control->store_down;
 	heartbeat.lead = lead_copy;
 	heartbeat.leading = control_leading(control);
@@ -191,7 +190,6 @@
 	    !membership_heartbeat(control->members, heartbeat, control->now_ms))
 		return;
 	slo_burn_merge(control->burn, heartbeat, control->now_ms);
-	control_document_heartbeat(control, heartbeat);
 	/* A later lead has taken over while this one could not know. */
 	if (heartbeat->leading && control_leading(control) &&
 	    heartbeat->lead_epoch > control->lease.epoch)
@@ -224,13 +222,6 @@
 take_in_confirmation(struct control *control, const char *peer,
     const Ibis__Confirmation *confirmation)
 {
-	Ibis__Heartbeat heartbeat = IBIS__HEARTBEAT__INIT;
-
-	heartbeat.document_version = confirmation->document_version;
-	heartbeat.n_holds = confirmation->n_holds;
-	heartbeat.holds = confirmation->holds;
-	heartbeat.name = (char *)peer;
-	control_document_heartbeat(control, &heartbeat);
 	/* One that reaches the store may know of what this one can't. */
 	if (confirmation->store_reachable ||
 	    confirmation->document_version > control_document_version(control))
@@ -262,8 +253,9 @@
 control_peers_frame(
     struct control *control, const char *peer, Ibis__Frame *frame)
 {
-	if (control_document_frame(control, peer, frame))
-		return;
+	/* Before the rest: a confirmation must not count before what it tells
+	 * of versions and holds is in force. */
+	control_document_frame(control, peer, frame);
 	switch (frame->body_case) {
 	case IBIS__FRAME__BODY_HEARTBEAT:
 		take_in_heartbeat(control, peer, frame->heartbeat);
