--- a/tests/fail_planned_stop.c
+++ b/tests/fail_planned_stop.c
@@ -106,8 +106,8 @@
 		callers_set_address(callers, instance, NULL);
 	CU_ASSERT_TRUE(deployment_restart(&deployment, instance));
 	if (callers != NULL)
-		callers_set_address(callers, instance,
-		    deployment.instances[instance].caller);
+		callers_set_address(
+		    callers, instance, deployment.instances[instance].caller);
 }
 
 static void
