--- a/tests/fail_planned_stop.c
+++ b/tests/fail_planned_stop.c
@@ -8,7 +8,7 @@
 #include "common_deployment.h"
 #include "process/alloc.h"
 
-#define DOCUMENT	 IBIS_SOURCE "/examples/hoofline/document.jsonc"
+#define DOCUMENT	 "examples/hoofline/document.jsonc"
 #define SEED		 20261203
 #define INSTANCES	 3
 #define EXIT_MS		 35000
@@ -186,7 +186,7 @@
 main(void)
 {
 	struct deployment_config config = {
-	    .document_path = DOCUMENT,
+	    .document_path = deployment_source_path(DOCUMENT),
 	    .instances = INSTANCES,
 	    .seed = SEED,
 	};
