--- a/src/process/control_document.c
+++ b/src/process/control_document.c
@@ -89,7 +89,6 @@
 static void
 apply_version(struct control *control)
 {
-	control->document = spread_document(control->documents->spread);
 	if (control->documents->logged_version !=
 	    control_document_version(control))
 		log_event(LOG_INFO, "document_in_force", "version",
@@ -171,11 +170,13 @@
 	struct spread *spread = control->documents->spread;
 	struct spread_action action;
 
+	/* First of all: the document before it is gone, and an action ahead of
+	 * SPREAD_VERSION may look at the present one. */
+	control->document = spread_document(spread);
 	while (spread_next(spread, &action)) {
 		perform(control, &action);
 		spread_action_free(&action);
 	}
-	control->document = spread_document(spread);
 	if (spread_confirmed_ms(spread) > 0)
 		freshness_store(
 		    &control->freshness, spread_confirmed_ms(spread));
--- a/src/version/spread.c
+++ b/src/version/spread.c
@@ -196,8 +196,6 @@
 	holds_apply_head(&spread->holds, spread->force.head);
 	(void)spread_act(spread, SPREAD_VERSION);
 	(void)spread_act(spread, SPREAD_ZONES);
-	log_event(LOG_INFO, "document_in_force", "version",
-	    log_number((int64_t)spread->force.head->version), NULL);
 	spread_ops_enforced(spread);
 }
 
--- a/src/version/spread.h
+++ b/src/version/spread.h
@@ -120,7 +120,8 @@
 void spread_action_free(struct spread_action *action);
 
 /* What is in force; NULL before the first version. Owned by the spread, valid
- * until the next call that hands in an event. */
+ * until the next call that hands in an event: a pointer kept over one has to be
+ * renewed before any action is carried out. */
 const struct document *spread_document(const struct spread *spread);
 const struct head *spread_head(const struct spread *spread);
 uint64_t spread_version(const struct spread *spread); /* 0: none */
