Measure the decisions under a seeded feed beside first fit

Cause: the policy's worth has to be measured, not claimed. Change: a feed of arrivals, ends, evictions and one zone change into the pure core under a virtual clock; evictions are searched once a shape and decision; small jobs fill racks in a fixed order; one draining reservation at a time.

--- /dev/null
+++ b/bench/bench_decisions.c
@@ -0,0 +1,274 @@
+/* Measures the decisions under a seeded feed, first fit beside guarantees. */
+#include <inttypes.h>
+#include <stdio.h>
+
+#include "common_feed.h"
+#include "process/alloc.h"
+
+#define SEED	  20261203
+#define RUNS	  2
+#define LENGTH_MS INT64_C(3600000)
+#define P50	  0.5
+#define P99	  0.99
+
+static const struct fleet_size sizes[] = {
+    {"hoofline", 4, 2, 6, 8},
+    {"ikeja", 3, 2, 8, 8},
+};
+
+static const char *const class_names[FLEET_CLASSES] = {
+    "urgent", "plan", "batch", "idle"};
+
+/* The same feeds under both policies. */
+struct pair {
+	struct feed_result first_fit[RUNS];
+	struct feed_result guaranteed[RUNS];
+};
+
+static void
+run_pair(struct feed_config config, struct pair *pair)
+{
+	for (int i = 0; i < RUNS; i++) {
+		config.seed = (uint64_t)(SEED + i);
+		config.policy = POLICY_FIRST_FIT;
+		feed_run(&config, &pair->first_fit[i]);
+		config.policy = POLICY_GUARANTEED;
+		feed_run(&config, &pair->guaranteed[i]);
+	}
+}
+
+static void
+free_pair(struct pair *pair)
+{
+	for (int i = 0; i < RUNS; i++) {
+		feed_free(&pair->first_fit[i]);
+		feed_free(&pair->guaranteed[i]);
+	}
+}
+
+static void
+print_line(const char *scenario, const char *metric, double value,
+    double baseline, const char *better, const char *unit)
+{
+	printf("metric=%s_%s value=%.4g baseline=%.4g better=%s unit=%s "
+	       "seed=%d runs=%d\n",
+	    scenario, metric, value, baseline, better, unit, SEED, RUNS);
+	(void)fflush(stdout);
+}
+
+enum figure {
+	FIGURE_DEADLINE_SHARE_P50,
+	FIGURE_DEADLINE_SHARE_P99,
+	FIGURE_MISSED,
+	FIGURE_START_P50,
+	FIGURE_START_P99,
+	FIGURE_GUARANTEE_UNUSABLE,
+	FIGURE_RACK_UNUSABLE,
+	FIGURE_GOODPUT,
+	FIGURE_ZONE_WORK,
+	FIGURE_THROWN_AWAY,
+	FIGURE_EVICTIONS
+};
+
+static double
+read_figure(struct feed_result *result, enum figure figure, int class)
+{
+	struct feed_class *totals = &result->classes[class];
+
+	switch (figure) {
+	case FIGURE_DEADLINE_SHARE_P50:
+		return feed_quantile(&totals->deadline_share, P50);
+	case FIGURE_DEADLINE_SHARE_P99:
+		return feed_quantile(&totals->deadline_share, P99);
+	case FIGURE_MISSED:
+		return (double)totals->missed / (double)totals->submitted;
+	case FIGURE_START_P50:
+		return feed_quantile(&totals->start_ms, P50);
+	case FIGURE_START_P99:
+		return feed_quantile(&totals->start_ms, P99);
+	case FIGURE_GUARANTEE_UNUSABLE:
+		return result->unusable_for_guarantee_share;
+	case FIGURE_RACK_UNUSABLE:
+		return result->unusable_for_rack_share;
+	case FIGURE_GOODPUT:
+		return result->goodput_share;
+	case FIGURE_ZONE_WORK:
+		return result->zone_work_share;
+	case FIGURE_THROWN_AWAY:
+		return result->thrown_away_share;
+	case FIGURE_EVICTIONS:
+		return (double)result->evictions;
+	}
+	return 0;
+}
+
+static double
+mean_figure(struct feed_result results[RUNS], enum figure figure, int class)
+{
+	double sum = 0;
+
+	for (int i = 0; i < RUNS; i++)
+		sum += read_figure(&results[i], figure, class);
+	return sum / RUNS;
+}
+
+static void
+print_figure(const char *scenario, const char *metric, struct pair *pair,
+    enum figure figure, int class, const char *better, const char *unit)
+{
+	print_line(scenario, metric,
+	    mean_figure(pair->guaranteed, figure, class),
+	    mean_figure(pair->first_fit, figure, class), better, unit);
+}
+
+static void
+print_class(const char *scenario, struct pair *pair, int class)
+{
+	static const struct {
+		const char *name;
+		enum figure figure;
+		const char *unit;
+	} figures[] = {
+	    {"deadline_share_p50", FIGURE_DEADLINE_SHARE_P50, "share"},
+	    {"deadline_share_p99", FIGURE_DEADLINE_SHARE_P99, "share"},
+	    {"missed", FIGURE_MISSED, "share"},
+	    {"start_p50", FIGURE_START_P50, "ms"},
+	    {"start_p99", FIGURE_START_P99, "ms"},
+	};
+	char metric[64];
+
+	for (size_t i = 0; i < COUNT_OF(figures); i++) {
+		(void)snprintf(metric, sizeof(metric), "%s_%s",
+		    class_names[class], figures[i].name);
+		print_figure(scenario, metric, pair, figures[i].figure, class,
+		    "lower", figures[i].unit);
+	}
+}
+
+static void
+print_common(const char *scenario, struct pair *pair)
+{
+	print_figure(
+	    scenario, "goodput", pair, FIGURE_GOODPUT, 0, "higher", "share");
+	print_figure(scenario, "unusable_for_guarantee", pair,
+	    FIGURE_GUARANTEE_UNUSABLE, 0, "lower", "share");
+	print_figure(scenario, "unusable_for_rack", pair, FIGURE_RACK_UNUSABLE,
+	    0, "lower", "share");
+	print_figure(scenario, "thrown_away", pair, FIGURE_THROWN_AWAY, 0,
+	    "lower", "share");
+}
+
+struct scenario {
+	const char *name;
+	double load;
+	double run_time_factor;
+	bool bursts;
+};
+
+/* Completion time, misses and fragmentation. */
+static void
+measure_load(const struct fleet_size *size, const struct scenario *scenario)
+{
+	struct feed_config config = {
+	    .size = size,
+	    .load = scenario->load,
+	    .run_time_factor = scenario->run_time_factor,
+	    .bursts = scenario->bursts,
+	    .length_ms = LENGTH_MS,
+	};
+	struct pair pair;
+	char name[64];
+
+	(void)snprintf(name, sizeof(name), "%s_%s", size->name, scenario->name);
+	run_pair(config, &pair);
+	for (int i = 0; i < FLEET_CLASSES; i++)
+		print_class(name, &pair, i);
+	print_common(name, &pair);
+	free_pair(&pair);
+}
+
+static void
+measure_loads(const struct fleet_size *size)
+{
+	static const struct scenario scenarios[] = {
+	    {"load60", 0.60, 1.5, false},
+	    {"load85", 0.85, 1.5, false},
+	    {"load100", 1.00, 1.5, false},
+	    {"load110", 1.10, 1.5, false},
+	    {"bursts85", 0.85, 1.5, true},
+	    {"off10x85", 0.85, 10.0, false},
+	    {"off10x110_bursts", 1.10, 10.0, true},
+	};
+
+	for (size_t i = 0; i < COUNT_OF(scenarios); i++)
+		measure_load(size, &scenarios[i]);
+}
+
+/* Work done from a zone's leaving to a while after its return. */
+static void
+measure_zone(const struct fleet_size *size)
+{
+	struct feed_config config = {
+	    .size = size,
+	    .load = 1.1,
+	    .run_time_factor = 1.5,
+	    .zone_change = true,
+	    .length_ms = LENGTH_MS,
+	};
+	struct pair pair;
+	char name[64];
+
+	(void)snprintf(name, sizeof(name), "%s_zone", size->name);
+	run_pair(config, &pair);
+	print_figure(
+	    name, "work", &pair, FIGURE_ZONE_WORK, 0, "higher", "share");
+	print_figure(name, "thrown_away", &pair, FIGURE_THROWN_AWAY, 0, "lower",
+	    "share");
+	print_figure(
+	    name, "urgent_missed", &pair, FIGURE_MISSED, 0, "lower", "share");
+	free_pair(&pair);
+}
+
+/* Work that ends in time at some offered load, as a share of that at 1x. */
+static void
+measure_overload(const struct fleet_size *size)
+{
+	static const double loads[] = {1.0, 2.0, 5.0};
+	double base[2] = {0};
+
+	for (size_t i = 0; i < COUNT_OF(loads); i++) {
+		struct feed_config config = {
+		    .size = size,
+		    .load = loads[i],
+		    .run_time_factor = 1.5,
+		    .length_ms = LENGTH_MS,
+		};
+		struct pair pair;
+		char name[64];
+		double goodput[2];
+
+		(void)snprintf(
+		    name, sizeof(name), "%s_overload%gx", size->name, loads[i]);
+		run_pair(config, &pair);
+		goodput[0] = mean_figure(pair.guaranteed, FIGURE_GOODPUT, 0);
+		goodput[1] = mean_figure(pair.first_fit, FIGURE_GOODPUT, 0);
+		free_pair(&pair);
+		if (i == 0) {
+			base[0] = goodput[0];
+			base[1] = goodput[1];
+		}
+		print_line(name, "goodput_of_1x", goodput[0] / base[0],
+		    goodput[1] / base[1], "higher", "share");
+	}
+}
+
+int
+main(void)
+{
+	for (size_t i = 0; i < COUNT_OF(sizes); i++) {
+		measure_loads(&sizes[i]);
+		measure_zone(&sizes[i]);
+		measure_overload(&sizes[i]);
+	}
+	return 0;
+}
--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -5,12 +5,9 @@
 
 #define FIRST_RAMP_SHARE 0.1
 
-/* Fields of a score, most significant first. */
-#define SCORE_BORROWED_SHIFT	 56
-#define SCORE_IDLE_WORKER_SHIFT	 48
-#define SCORE_IDLE_RACK_SHIFT	 47
-#define SCORE_LEFTOVER_SHIFT	 32
-#define SCORE_RACK_LEFTOVER_MASK UINT64_C(0xffffffff)
+/* Fields of a score, most significant first; the last is what is left. */
+#define SCORE_BORROWED_SHIFT 56
+#define SCORE_RACK_SHIFT     32
 
 /* What placing on a worker takes up. */
 enum claim_use {
@@ -160,23 +157,28 @@
 	return USES_BORROWED_ROOM;
 }
 
+/*
+ * Small jobs fill racks in a fixed order, so that work gathers in the same
+ * racks as others end. Whole workers are taken from the other end.
+ */
+static uint64_t
+rack_order(const struct cluster *cluster, uint32_t rack, bool small)
+{
+	return small ? cluster->racks_count - 1 - rack : rack;
+}
+
 static uint64_t
 score_of(const struct cluster *cluster, const struct job_entry *entry,
     uint32_t index, uint32_t accelerators)
 {
 	const struct cluster_worker *worker = &cluster->workers[index];
-	const struct cluster_rack *rack = &cluster->racks[worker->rack];
 	uint64_t leftover = cluster_free(cluster, index) - accelerators;
 	uint64_t use = use_of(cluster, entry, index, accelerators);
-	uint64_t idle_worker = worker->used == 0 && leftover > 0;
-	uint64_t idle_rack =
-	    rack->free == rack->workers_count * rack->accelerators_per_worker;
-
-	return use << SCORE_BORROWED_SHIFT |
-	    idle_worker << SCORE_IDLE_WORKER_SHIFT |
-	    idle_rack << SCORE_IDLE_RACK_SHIFT |
-	    leftover << SCORE_LEFTOVER_SHIFT |
-	    (rack->free & SCORE_RACK_LEFTOVER_MASK);
+	uint64_t order =
+	    rack_order(cluster, worker->rack, accelerators < worker->capacity);
+
+	return use << SCORE_BORROWED_SHIFT | order << SCORE_RACK_SHIFT |
+	    leftover;
 }
 
 static bool
@@ -326,7 +328,7 @@
 
 		use += one;
 	}
-	return use << SCORE_LEFTOVER_SHIFT |
+	return use << SCORE_RACK_SHIFT |
 	    (placement->cluster->racks[index].free -
 		job_entry_accelerators(request->entry));
 }
--- a/src/process/policy_guaranteed.c
+++ b/src/process/policy_guaranteed.c
@@ -8,7 +8,8 @@
 
 #define SCAN_LIMIT	    256 /* queued jobs looked at in a decision */
 #define TRY_LIMIT	    48	/* searches for workers in a decision */
-#define MAX_DRAINING	    3
+#define PLAN_LIMIT	    8	/* searches for evictions of others' work */
+#define MAX_DRAINING	    1
 #define FAILED_SHAPES	    32
 #define PASS_INTERVAL_MS    1000
 #define RAMP_INTERVAL_MS    250
@@ -28,12 +29,24 @@
 	bool backfills; /* it could use draining workers */
 };
 
+/* A search for evictions that found none in this decision. */
+struct failed_plan {
+	enum eviction_mode mode;
+	uint32_t workspace;
+	uint32_t request_class;
+	uint32_t tasks;
+	uint32_t accelerators_per_task;
+	Ibis__Adjacency adjacency;
+};
+
 struct pass {
 	struct scheduler *scheduler;
 	int64_t now_ms;
 	struct failed_shape failed[FAILED_SHAPES];
 	size_t failed_count;
 	size_t tries;
+	struct failed_plan failed_plans[PLAN_LIMIT];
+	size_t plans;		  /* searches for jobs of no urgent class */
 	int64_t soonest_ready_ms; /* of the draining reservations */
 	bool compacted;
 };
@@ -234,16 +247,71 @@
 	return true;
 }
 
+/* Tells whether some claim of the entry's workspace is not used up. */
 static bool
-has_claims(const struct scheduler *scheduler, const struct job_entry *entry)
+has_unused_claims(
+    const struct scheduler *scheduler, const struct job_entry *entry)
 {
 	for (size_t i = 0; i < scheduler->guarantees.count; i++) {
-		if (scheduler->guarantees.pins[i].workspace == entry->workspace)
-			return true;
+		const struct guarantee_pin *pin =
+		    &scheduler->guarantees.pins[i];
+
+		if (pin->workspace != entry->workspace || !pin->placed)
+			continue;
+		for (uint32_t j = 0; j < pin->racks * pin->workers_per_rack;
+		     j++) {
+			const struct cluster_share *share =
+			    cluster_share(&scheduler->cluster, pin->workers[j],
+				pin->workspace);
+
+			if (share->claim >=
+			    share->used + entry->job.accelerators_per_task)
+				return true;
+		}
 	}
 	return false;
 }
 
+static struct failed_plan
+plan_key(const struct job_entry *entry, enum eviction_mode mode)
+{
+	return (struct failed_plan){
+	    .mode = mode,
+	    .workspace = entry->workspace,
+	    .request_class = entry->request_class,
+	    .tasks = entry->job.tasks,
+	    .accelerators_per_task = entry->job.accelerators_per_task,
+	    .adjacency = needed_adjacency(&entry->job),
+	};
+}
+
+/* Plans evictions unless the same has failed in this decision already. */
+static bool
+plan_once(struct pass *pass, const struct placement_request *request,
+    enum eviction_mode mode)
+{
+	struct failed_plan key = plan_key(request->entry, mode);
+
+	for (size_t i = 0; i < pass->plans; i++) {
+		const struct failed_plan *failed = &pass->failed_plans[i];
+
+		if (failed->mode == key.mode &&
+		    failed->workspace == key.workspace &&
+		    failed->request_class == key.request_class &&
+		    failed->tasks <= key.tasks &&
+		    failed->accelerators_per_task ==
+			key.accelerators_per_task &&
+		    failed->adjacency == key.adjacency)
+			return false;
+	}
+	if (pass->plans == PLAN_LIMIT)
+		return false;
+	if (eviction_plan(&pass->scheduler->planner, request, mode))
+		return true;
+	pass->failed_plans[pass->plans++] = key;
+	return false;
+}
+
 /* Accelerators that are free now. */
 static uint64_t
 free_accelerators(const struct scheduler *scheduler)
@@ -283,18 +351,18 @@
     const struct placement_request *request)
 {
 	struct scheduler *scheduler = pass->scheduler;
-	struct eviction_planner *planner = &scheduler->planner;
 	int64_t waited_ms = pass->now_ms - entry->queued_ms;
 
-	if (waited_ms >= RECLAIM_PATIENCE_MS && has_claims(scheduler, entry) &&
-	    eviction_plan(planner, request, EVICTION_RECLAIM)) {
+	if (waited_ms >= RECLAIM_PATIENCE_MS &&
+	    has_unused_claims(scheduler, entry) &&
+	    plan_once(pass, request, EVICTION_RECLAIM)) {
 		evict_for(pass, entry, "reclaim");
 		return true;
 	}
 	if (compact_for(pass, entry, request))
 		return true;
 	if (entry->lane_key_ms <= pass->now_ms + PRESSING_MARGIN_MS &&
-	    eviction_plan(planner, request, EVICTION_PRESSING) &&
+	    plan_once(pass, request, EVICTION_PRESSING) &&
 	    within_budget(pass)) {
 		evict_for(pass, entry, "deadline");
 		return true;
