Let a leaving instance delete its own lead lease only

A follower that began a planned stop while its read of the lead's key was in flight took the revision read for its own and deleted the lead's lease; two instances then led at a time, and jobs ran again. A renewal in flight when a lead began its stop was taken for the delete, so the key stayed until it lapsed and the pool had no lead for its length. A release now tells its own delete from a swap or read sent before, asks when a swap's answer was lost, and is over only when nothing is in flight. Seen in the workers' and platform's logs of a planned stop under load (delete of the key at revision 2925, which another instance had put). The three new tests fail without the change and pass with it.

--- a/src/process/lead_lease.c
+++ b/src/process/lead_lease.c
@@ -25,9 +25,10 @@
 		lease->busy = true;
 		return lease->swap_unknown ? LEAD_READ : LEAD_SWAP;
 	case LEAD_RELEASING:
-		if (lease->revision == 0)
+		if (lead_released(lease))
 			return LEAD_NOTHING;
 		lease->busy = true;
+		lease->deleting = !lease->swap_unknown;
 		return lease->swap_unknown ? LEAD_READ : LEAD_DELETE;
 	}
 	return LEAD_NOTHING;
@@ -73,8 +74,7 @@
 static void
 become_follower(struct lead_lease *lease, int64_t now_ms)
 {
-	if (lease->role != LEAD_RELEASING)
-		lease->role = LEAD_FOLLOWER;
+	lease->role = LEAD_FOLLOWER;
 	lease->valid_until_ms = 0;
 	lease->next_ms = now_ms + lease->poll_ms;
 }
@@ -106,6 +106,41 @@
 	return true;
 }
 
+/* A read while releasing: only a key of ours is left to be deleted. */
+static void
+releasing_read(struct lead_lease *lease, enum ibis_code code, uint64_t revision,
+    const struct buffer *value, int64_t now_ms)
+{
+	lease->next_ms = now_ms + RETRY_MS;
+	if (code != IBIS_OK && code != IBIS_NOT_FOUND)
+		return;
+	lease->swap_unknown = false;
+	lease->next_ms = now_ms;
+	if (code == IBIS_NOT_FOUND || !note_holder(lease, revision, value))
+		lease->revision = 0;
+}
+
+/* The end of a swap or a delete while releasing. */
+static void
+releasing_swap(struct lead_lease *lease, enum ibis_code code, uint64_t revision,
+    const struct buffer *value, int64_t now_ms)
+{
+	bool deleted = lease->deleting;
+
+	lease->deleting = false;
+	if (code == IBIS_NOT_FOUND || (deleted && code == IBIS_OK)) {
+		lease->revision = 0;
+	} else if (code == IBIS_OK) {
+		lease->revision = revision;
+		lease->next_ms = now_ms;
+	} else if (code == IBIS_CONFLICT) {
+		if (!note_holder(lease, revision, value))
+			lease->revision = 0;
+	} else if (code == IBIS_UNKNOWN && !deleted) {
+		lease->swap_unknown = true;
+	}
+}
+
 bool
 lead_read_result(struct lead_lease *lease, enum ibis_code code,
     uint64_t revision, const struct buffer *value, int64_t now_ms)
@@ -113,6 +148,10 @@
 	lease->busy = false;
 	if (lease->role == LEAD_FOLLOWER)
 		return follower_read(lease, code, revision, value, now_ms);
+	if (lease->role == LEAD_RELEASING) {
+		releasing_read(lease, code, revision, value, now_ms);
+		return false;
+	}
 	lease->next_ms = now_ms + RETRY_MS;
 	if (code == IBIS_NOT_FOUND) {
 		/* It lapsed; nobody has taken it, so it can be taken again. */
@@ -154,10 +193,7 @@
 	lease->busy = false;
 	lease->next_ms = now_ms + RETRY_MS;
 	if (lease->role == LEAD_RELEASING) {
-		/* The key was deleted, or is not ours to delete. */
-		if (code == IBIS_OK || code == IBIS_NOT_FOUND ||
-		    code == IBIS_CONFLICT)
-			lease->revision = 0;
+		releasing_swap(lease, code, revision, value, now_ms);
 		return false;
 	}
 	switch (code) {
@@ -200,6 +236,8 @@
 void
 lead_step_down(struct lead_lease *lease, int64_t now_ms)
 {
+	if (lease->role == LEAD_RELEASING)
+		return;
 	become_follower(lease, now_ms);
 	lease->holder[0] = '\0';
 	lease->absence_seen = false;
@@ -221,6 +259,13 @@
 		lease->revision = 0;
 }
 
+bool
+lead_released(const struct lead_lease *lease)
+{
+	return lease->role == LEAD_RELEASING && !lease->busy &&
+	    !lease->swap_unknown && lease->revision == 0;
+}
+
 void
 lead_hint(struct lead_lease *lease, int64_t now_ms)
 {
--- a/src/process/lead_lease.h
+++ b/src/process/lead_lease.h
@@ -42,6 +42,7 @@
 	int64_t next_ms;   /* of the next call */
 	bool swap_unknown; /* a swap may have been done */
 	bool absence_seen; /* the key was absent when last read */
+	bool deleting;	   /* the call in flight is the delete of a release */
 };
 
 enum lead_action {
@@ -75,6 +76,9 @@
 /* A planned stop: the lease is given back, and not taken again. */
 void lead_release(struct lead_lease *lease, int64_t now_ms);
 
+/* Tells whether a release is over: nothing of ours is left in the store. */
+bool lead_released(const struct lead_lease *lease);
+
 /* The holder has said that it gives the lease back, or its link is down:
  * look at once. */
 void lead_hint(struct lead_lease *lease, int64_t now_ms);
--- a/tests/test_lead_lease.c
+++ b/tests/test_lead_lease.c
@@ -148,6 +148,66 @@
 	CU_ASSERT_EQUAL(lead_next(&lease, 10000), LEAD_NOTHING);
 }
 
+/* A follower that leaves while its read is in flight learns who leads, and
+ * must not delete that lease. */
+static void
+test_leaving_follower_deletes_nothing(void)
+{
+	struct lead_lease holder;
+	struct lead_lease lease;
+	CLEANUP(buffer_free) struct buffer value = {0};
+
+	set_up(&holder, "a", 1);
+	set_up(&lease, "b", 1);
+	lead_value(&holder, &value);
+	CU_ASSERT_EQUAL(lead_next(&lease, 0), LEAD_READ);
+	lead_release(&lease, 10);
+	CU_ASSERT_FALSE(lead_read_result(&lease, IBIS_OK, 5, &value, 20));
+	CU_ASSERT_EQUAL(lead_next(&lease, 10000), LEAD_NOTHING);
+	CU_ASSERT_EQUAL(lease.revision, 0);
+}
+
+/* A swap in flight when the stop begins puts the key, so it is still to be
+ * deleted. */
+static void
+test_release_after_swap_in_flight(void)
+{
+	struct lead_lease lease;
+	struct buffer none = {0};
+
+	set_up(&lease, "a", 1);
+	take(&lease, 7, 0);
+	lead_recovered(&lease);
+	CU_ASSERT_EQUAL(lead_next(&lease, 1000), LEAD_SWAP);
+	lead_release(&lease, 1010);
+	(void)lead_swap_result(&lease, IBIS_OK, 8, &none, 1000, 1020);
+	CU_ASSERT_EQUAL(lease.revision, 8);
+	CU_ASSERT_EQUAL(lead_next(&lease, 1020), LEAD_DELETE);
+	(void)lead_swap_result(&lease, IBIS_OK, 0, &none, 1020, 1030);
+	CU_ASSERT_EQUAL(lead_next(&lease, 10000), LEAD_NOTHING);
+}
+
+/* The same when the swap's answer is lost: it is asked for first. */
+static void
+test_release_after_lost_answer(void)
+{
+	struct lead_lease lease;
+	struct buffer none = {0};
+	CLEANUP(buffer_free) struct buffer value = {0};
+
+	set_up(&lease, "a", 1);
+	take(&lease, 7, 0);
+	lead_recovered(&lease);
+	lead_value(&lease, &value);
+	(void)lead_next(&lease, 1000);
+	lead_release(&lease, 1010);
+	(void)lead_swap_result(&lease, IBIS_UNKNOWN, 0, &none, 1000, 1020);
+	CU_ASSERT_EQUAL(lead_next(&lease, 2000), LEAD_READ);
+	(void)lead_read_result(&lease, IBIS_OK, 8, &value, 2010);
+	CU_ASSERT_EQUAL(lead_next(&lease, 2010), LEAD_DELETE);
+	CU_ASSERT_EQUAL(lease.revision, 8);
+}
+
 int
 main(void)
 {
@@ -160,6 +220,11 @@
 	    {"steps down when replaced", test_steps_down_when_replaced},
 	    {"an outage keeps the role", test_outage_keeps_the_role},
 	    {"release deletes the key", test_release_deletes_the_key},
+	    {"leaving follower deletes nothing",
+		test_leaving_follower_deletes_nothing},
+	    {"release after a swap in flight",
+		test_release_after_swap_in_flight},
+	    {"release after a lost answer", test_release_after_lost_answer},
 	    CU_TEST_INFO_NULL,
 	};
 
