Let a leaving lead settle before it gives its lease back

A leaving lead went on to take new jobs and waited for the moment when all segments were clean, which under load with a slow store never came: it ran to drain_ms (30 s) and ended without a release. It now refuses new requests as not leading, so that the other instances keep them for the next lead; lets gangs that are starting come to run, for at most 1.5 s; then changes no records any more, commits what has changed and releases. A forward that came back as not taken no longer counts as sent.

--- a/src/process/control.c
+++ b/src/process/control.c
@@ -43,6 +43,13 @@
 	return control->lease.role == LEAD_LEADING;
 }
 
+bool
+control_taking(const struct control *control)
+{
+	return control_leading(control) &&
+	    control->state != IBIS__INSTANCE_STATE__INSTANCE_LEAVING;
+}
+
 static void
 set_up_pool(struct control *control)
 {
@@ -224,10 +231,9 @@
 	if (control_forwards_open(control) ||
 	    caller_server_open_requests(control->callers) > 0)
 		return false;
-	if (control->lease.role == LEAD_RELEASING)
-		return control->lease.revision == 0 ||
-		    leaving_ms > RELEASE_GRACE_MS;
-	return false;
+	return lead_released(&control->lease) ||
+	    (control->lease.role == LEAD_RELEASING &&
+		leaving_ms > RELEASE_GRACE_MS);
 }
 
 static void
@@ -241,8 +247,7 @@
 	if (control->state != IBIS__INSTANCE_STATE__INSTANCE_LEAVING)
 		return;
 	control_pool_release(control);
-	if (control->lease.role != LEAD_RELEASING || control->handed_over ||
-	    control->lease.revision != 0)
+	if (control->handed_over || !lead_released(&control->lease))
 		return;
 	/* The key is gone: the others need not wait for it to lapse. */
 	control->handed_over = true;
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -48,7 +48,8 @@
 	uint64_t call;
 	struct caller_request *caller;
 	char peer[JOB_NAME_BYTES]; /* sent to; empty: waits to be sent */
-	bool sent_once;
+	bool sent_once;		   /* some lead may have carried it out */
+	bool uncertain;		   /* a send's effect is not known */
 	int64_t received_ms;
 	int64_t retry_ms;
 	int64_t give_up_ms;
@@ -69,6 +70,7 @@
 	Ibis__InstanceState state;
 	int64_t leaving_since_ms;
 	bool handed_over;
+	bool settling; /* a leaving lead changes no records any more */
 	int64_t next_heartbeat_ms;
 	int64_t next_list_ms;
 	int64_t listed_ms; /* when the list was last read; 0: never */
@@ -119,6 +121,9 @@
 /* Tells whether this instance leads and has finished its recovery. */
 bool control_leading(const struct control *control);
 
+/* Tells whether it leads and takes new work. */
+bool control_taking(const struct control *control);
+
 /* control_reply.c */
 void control_reply(struct control *control, const struct origin *origin,
     const Ibis__Reply *reply);
@@ -175,6 +180,8 @@
 void control_gang_progress(struct control *control, struct job *job);
 void control_gang_adopt(struct control *control, struct job *job);
 void control_gang_cancel(struct control *control, struct job *job);
+/* Tells whether a gang is between its first reservation and running. */
+bool control_gangs_starting(const struct control *control);
 void control_worker_result(
     struct control *control, struct worker_result *result);
 void control_gangs_tick(struct control *control);
--- a/src/process/control_gangs.c
+++ b/src/process/control_gangs.c
@@ -307,6 +307,8 @@
 	struct gang_sink sink = sink_of(control);
 	struct gang *gang = job->gang;
 
+	if (control->settling)
+		return;
 	if (gang_wants_permit(gang) && may_go(control, job)) {
 		job->record->started = true;
 		gang_permit(gang, &sink, control->now_ms);
@@ -483,7 +485,7 @@
 	const struct scheduler_action *actions;
 	size_t count;
 
-	if (!control_leading(control))
+	if (!control_taking(control))
 		return;
 	if (!control->decide_due &&
 	    control->now_ms < scheduler_next_ms(control->scheduler))
@@ -624,7 +626,7 @@
 		return;
 	}
 	session->lost = false;
-	if (!control_leading(control))
+	if (!control_leading(control) || control->settling)
 		return;
 	observe_members(control, session, result);
 	/* A lead that may have been replaced leaves others' work alone. */
@@ -682,6 +684,18 @@
 	}
 }
 
+bool
+control_gangs_starting(const struct control *control)
+{
+	const struct job *job;
+
+	cds_list_for_each_entry (job, &control->active, in_active) {
+		if (job->gang->phase < GANG_RUN)
+			return true;
+	}
+	return false;
+}
+
 void
 control_workers_flush(struct control *control)
 {
--- a/src/process/control_jobs.c
+++ b/src/process/control_jobs.c
@@ -287,7 +287,8 @@
 answer_put_result(
     struct control *control, struct job *job, const struct store_result *result)
 {
-	if (job_state_final(job->record->state))
+	/* The lead that takes over finds the answer with the workers. */
+	if (job_state_final(job->record->state) || control->settling)
 		return;
 	switch (result->code) {
 	case IBIS_OK:
@@ -778,7 +779,8 @@
 {
 	struct job *job;
 
-	if (control->now_ms < control->next_sweep_ms)
+	if (!control_taking(control) ||
+	    control->now_ms < control->next_sweep_ms)
 		return;
 	control->next_sweep_ms =
 	    control->now_ms + SWEEP_INTERVAL_MS / control->segments_count;
--- a/src/process/control_pool.c
+++ b/src/process/control_pool.c
@@ -8,6 +8,7 @@
 #include "process/log.h"
 #include "process/proto_memory.h"
 
+#define SETTLE_MS	  1500
 #define REIGN_SHIFT	  32
 #define RECOVERY_RETRY_MS 200
 
@@ -397,6 +398,25 @@
 	return true;
 }
 
+/*
+ * Tells whether a leaving lead may give its lease back. It takes no new work;
+ * gangs that are starting go on until they run, since a lead that takes over
+ * may find their first leases over. Then records are left alone, and what has
+ * changed is committed.
+ */
+static bool
+settled(struct control *control)
+{
+	int64_t leaving_ms = control->now_ms - control->leaving_since_ms;
+
+	if (control->store_down)
+		return true;
+	if (control_gangs_starting(control) && leaving_ms < SETTLE_MS)
+		return false;
+	control->settling = true;
+	return all_committed(control);
+}
+
 /* Before a planned stop: gives the lease back once all is committed. */
 void
 control_pool_release(struct control *control)
@@ -406,7 +426,7 @@
 
 	if (lease->role == LEAD_RELEASING)
 		return;
-	if (led && !control->store_down && !all_committed(control))
+	if (led && !settled(control))
 		return;
 	lead_release(lease, control->now_ms);
 	if (!led)
--- a/src/process/control_requests.c
+++ b/src/process/control_requests.c
@@ -62,9 +62,9 @@
 serve_as_lead(struct control *control, const struct origin *origin,
     const Ibis__Request *request)
 {
-	if (!control_leading(control)) {
+	if (!control_taking(control)) {
 		control_refuse(control, origin, IBIS_UNAVAILABLE, "lead",
-		    "this instance does not lead", true, 0);
+		    "this instance does not lead or is leaving", true, 0);
 		return;
 	}
 	if (request->kind == IBIS__REQUEST_KIND__REQUEST_ENDPOINTS)
@@ -171,6 +171,16 @@
 	    strcmp(reply->step, "lead") == 0;
 }
 
+/* The request is to be sent again, to whoever leads then. */
+static void
+note_returned(struct forward *forward, const Ibis__Reply *reply)
+{
+	forward->peer[0] = '\0';
+	if (!reply->not_run)
+		forward->uncertain = true;
+	forward->sent_once = forward->uncertain;
+}
+
 void
 control_forward_reply(
     struct control *control, const char *peer, const Ibis__ForwardReply *reply)
@@ -183,7 +193,7 @@
 		return;
 	if (is_not_leading(reply->reply) ||
 	    !reply_matches(forward, reply->reply)) {
-		forward->peer[0] = '\0';
+		note_returned(forward, reply->reply);
 		return;
 	}
 	caller_server_reply(control->callers, forward->caller, reply->reply);
@@ -199,6 +209,7 @@
 		if (strcmp(forward->peer, peer) != 0)
 			continue;
 		forward->peer[0] = '\0';
+		forward->uncertain = true;
 		forward->retry_ms = control->now_ms;
 	}
 }
