Give the store client 64 lanes

Eight lanes of one call at a time bound a lead to 53 calls a second when the store takes 150 ms, so segments queued behind answers, reservations ran out before the intents were written, and a job was given up as not run after five attempts.

--- a/src/connection/store_client.c
+++ b/src/connection/store_client.c
@@ -15,7 +15,7 @@
 #define ADDRESS_BYTES	64
 #define PATH_BYTES	(3 * STORE_KEY_BYTES + 64)
 #define REVISION_BYTES	32
-#define CALL_LANES	8
+#define CALL_LANES	64
 #define MAX_WATCHES	16
 #define HTTP_OK		200
 #define HTTP_NOT_FOUND	404
