--- a/tests/common_callers.c
+++ b/tests/common_callers.c
@@ -128,8 +128,9 @@
 	const struct callers_config *config = &caller->callers->config;
 	CLEANUP(buffer_free) struct buffer body = {0};
 
-	(void)snprintf(payload, PAYLOAD_BYTES, "s%" PRIu32 "-c%" PRIu32
-		"-r%" PRIu32, config->seed, caller->index, caller->requests);
+	(void)snprintf(payload, PAYLOAD_BYTES,
+	    "s%" PRIu32 "-c%" PRIu32 "-r%" PRIu32, config->seed, caller->index,
+	    caller->requests);
 	buffer_printf(&body,
 	    "{\"workspace\":\"%s\",\"class\":\"%s\",\"tasks\":1,"
 	    "\"accelerators_per_task\":1,\"run_time_ms\":%" PRId32
@@ -232,8 +233,8 @@
 	(void)pthread_mutex_unlock(&callers->lock);
 	caller->sent_ms = clock_now_ms();
 	if (http_write(caller->fd, request.data))
-		end = http_read(caller->fd, &response,
-		    callers->config.wait_ms + LATE_MS);
+		end = http_read(
+		    caller->fd, &response, callers->config.wait_ms + LATE_MS);
 	if (note_end(caller, end, payload, &response))
 		(void)poll(NULL, 0, REFUSED_PAUSE_MS);
 	if (end != HTTP_WHOLE || http_says_close(&response))
--- a/tests/fail_planned_stop.c
+++ b/tests/fail_planned_stop.c
@@ -8,7 +8,7 @@
 #include "common_deployment.h"
 #include "process/alloc.h"
 
-#define DOCUMENT	 IBIS_SOURCE "/examples/hoofline/document.jsonc"
+#define DOCUMENT	 "examples/hoofline/document.jsonc"
 #define SEED		 20261203
 #define INSTANCES	 3
 #define EXIT_MS		 35000
@@ -106,8 +106,8 @@
 		callers_set_address(callers, instance, NULL);
 	CU_ASSERT_TRUE(deployment_restart(&deployment, instance));
 	if (callers != NULL)
-		callers_set_address(callers, instance,
-		    deployment.instances[instance].caller);
+		callers_set_address(
+		    callers, instance, deployment.instances[instance].caller);
 }
 
 static void
@@ -186,7 +186,7 @@
 main(void)
 {
 	struct deployment_config config = {
-	    .document_path = DOCUMENT,
+	    .document_path = deployment_source_path(DOCUMENT),
 	    .instances = INSTANCES,
 	    .seed = SEED,
 	};
