--- a/src/request/client.c
+++ b/src/request/client.c
@@ -308,11 +308,12 @@
 			if (backoff_ms > LAST_RETRY_MS)
 				backoff_ms = LAST_RETRY_MS;
 		}
+		/* The next call, too, had better go elsewhere. */
+		client->current = (client->current + 1) % client->servers_count;
 		if (clock_now_ms() + pause_ms >= end_ms)
 			return last_code(code, doubtful, status);
 		client_answer_free(answer);
 		sleep_ms(pause_ms);
-		client->current = (client->current + 1) % client->servers_count;
 	}
 }
 
--- a/src/request/client.h
+++ b/src/request/client.h
@@ -48,7 +48,7 @@
 struct client *client_new(const struct client_config *config);
 void client_free(struct client *client);
 
-/* Address of the server that the last call went to; owned by the client. */
+/* Address of the server that the next call goes to; owned by the client. */
 const char *client_server(const struct client *client);
 
 /*
--- a/src/request/load_run.c
+++ b/src/request/load_run.c
@@ -12,6 +12,7 @@
 
 #define CALL_TIMEOUT_MS 8000
 #define POLL_MS		5000
+#define RETRY_PAUSE_MS	50
 #define STEP_CHECK	"check answer"
 #define MS_PER_SECOND	1000
 #define NS_PER_MS	1000000
@@ -168,9 +169,12 @@
 		struct ibis_status status = {0};
 
 		if (client_get(caller->client, path.data, &answer, &status) !=
-		    IBIS_OK)
+		    IBIS_OK) {
 			STRING_COPY(result->message, status.message);
-		else if (take_view(job, result, answer.json))
+			sleep_until(clock_now_ms() + RETRY_PAUSE_MS);
+			continue;
+		}
+		if (take_view(job, result, answer.json))
 			return;
 	}
 }
--- a/tests/common_failure.c
+++ b/tests/common_failure.c
@@ -43,7 +43,8 @@
 	    ? deployment->platform_log
 	    : deployment->workers_log;
 
-	CU_ASSERT_TRUE_FATAL(deployment_wait_events(
+	/* Not fatal: the callers' threads still need the test's frame. */
+	CU_ASSERT_TRUE(deployment_wait_events(
 	    path, point->event, point->count, POINT_TIMEOUT_MS));
 }
 
--- a/tests/common_failure.h
+++ b/tests/common_failure.h
@@ -20,7 +20,7 @@
 /* Stops it; keeps the logs when any assertion of the program has failed. */
 void failure_stop(struct deployment *deployment);
 
-/* Waits for a kill point; ends the test when it does not come. */
+/* Waits for a kill point and asserts that it comes. */
 void failure_wait_point(
     struct deployment *deployment, const struct kill_point *point);
 
--- /dev/null
+++ b/tests/fail_not_run.c
@@ -0,0 +1,168 @@
+/*
+ * What is answered as not run has not run: shedding under overload, store
+ * answers lost, the lead killed between intent and start, starts whose answers
+ * never come. Callers do not send again, so that each refusal is judged as it
+ * was given.
+ */
+#include <stdio.h>
+
+#include "common_cunit.h"
+#include "common_failure.h"
+#include "process/alloc.h"
+
+#define INSTANCES	 3
+#define SEED		 20261203
+#define TIME_SCALE	 4
+#define CALLERS		 120
+#define TRAFFIC_MS	 15000
+#define RUN_MS		 400
+#define LEAD_TIMEOUT_MS	 10000
+#define STORM_JOBS	 600
+#define STORM_JOBS_PER_S 300
+#define CALM_JOBS	 120
+#define CALM_JOBS_PER_S	 40
+#define QUEUE_LIMIT	 "max_queued_jobs=100"
+
+static void
+fill_traffic(struct traffic *traffic, struct deployment *deployment,
+    uint32_t jobs, double jobs_per_s)
+{
+	struct load_kind *gang;
+
+	*traffic = (struct traffic){
+	    .deployment = deployment,
+	    .mix = {.jobs = jobs,
+		.jobs_per_s = jobs_per_s,
+		.seed = SEED,
+		.key_prefix = "refused"},
+	    .callers = CALLERS,
+	    .max_run_ms = TRAFFIC_MS,
+	};
+	(void)traffic_add_kind(traffic, "one", "plan", RUN_MS);
+	traffic_add_kind(traffic, "one", "urgent", RUN_MS)->idempotent = true;
+	gang = traffic_add_kind(traffic, "two", "plan", RUN_MS);
+	gang->tasks = 3;
+	gang->accelerators_per_task = 8;
+}
+
+static void
+begin(struct deployment *deployment, struct traffic *traffic, uint32_t jobs,
+    double jobs_per_s)
+{
+	failure_start(deployment, INSTANCES, TIME_SCALE, SEED);
+	fill_traffic(traffic, deployment, jobs, jobs_per_s);
+	CU_ASSERT_TRUE_FATAL(traffic_start(traffic));
+}
+
+/*
+ * Asserts that no job said not to have run has a start. Jobs may be pending
+ * here, as a refused question is not asked again.
+ */
+static void
+judge(struct traffic *traffic)
+{
+	CLEANUP(log_free) struct log log = {0};
+
+	traffic_join(traffic);
+	CU_ASSERT_TRUE_FATAL(log_read(&log, traffic->deployment->workers_log));
+	(void)printf("jobs=%u finished=%zu not_run=%zu unknown=%zu\n",
+	    (unsigned int)traffic->mix.jobs,
+	    traffic_count(traffic, LOAD_FINISHED),
+	    traffic_count(traffic, LOAD_NOT_RUN),
+	    traffic_count(traffic, LOAD_UNKNOWN));
+	CU_ASSERT_EQUAL(traffic_count_false_not_run(traffic, &log), 0);
+	CU_ASSERT_EQUAL(traffic_count_run_twice(traffic, &log), 0);
+	CU_ASSERT_TRUE(traffic_count(traffic, LOAD_FINISHED) > 0);
+}
+
+static void
+test_overload(void)
+{
+	struct deployment_config config = {
+	    .document_path = deployment_source_path("tests/data/site.jsonc"),
+	    .instances = INSTANCES,
+	    .time_scale = 1,
+	    .seed = SEED,
+	    .settings = {QUEUE_LIMIT},
+	};
+	struct deployment deployment;
+	struct traffic traffic;
+
+	CU_ASSERT_TRUE_FATAL(deployment_start(&deployment, &config));
+	fill_traffic(&traffic, &deployment, STORM_JOBS, STORM_JOBS_PER_S);
+	CU_ASSERT_TRUE_FATAL(traffic_start(&traffic));
+	judge(&traffic);
+	CU_ASSERT_TRUE(traffic_count(&traffic, LOAD_NOT_RUN) > 0);
+	traffic_free(&traffic);
+	failure_stop(&deployment);
+}
+
+static void
+test_store_answers_lost(void)
+{
+	struct deployment deployment;
+	struct traffic traffic;
+
+	begin(&deployment, &traffic, CALM_JOBS, CALM_JOBS_PER_S);
+	for (size_t starts = 10; starts <= 60; starts += 10) {
+		failure_wait_point(&deployment,
+		    &(struct kill_point){.event = "start", .count = starts});
+		CU_ASSERT_TRUE(deployment_fault_platform(&deployment,
+		    "{\"mode\": \"lose_next\", \"count\": 5, "
+		    "\"key_prefix\": \"pool/main/\"}"));
+	}
+	judge(&traffic);
+	traffic_free(&traffic);
+	failure_stop(&deployment);
+}
+
+static void
+test_lead_killed_after_intent(void)
+{
+	struct deployment deployment;
+	struct traffic traffic;
+	int lead;
+
+	begin(&deployment, &traffic, CALM_JOBS, CALM_JOBS_PER_S);
+	failure_wait_point(
+	    &deployment, &(struct kill_point){.event = "stage", .count = 30});
+	lead = deployment_lead(&deployment);
+	CU_ASSERT_TRUE_FATAL(lead >= 0);
+	deployment_kill(&deployment, (uint32_t)lead);
+	CU_ASSERT_TRUE(
+	    deployment_wait_lead(&deployment, lead, LEAD_TIMEOUT_MS) >= 0);
+	judge(&traffic);
+	traffic_free(&traffic);
+	failure_stop(&deployment);
+}
+
+static void
+test_starts_unanswered(void)
+{
+	struct deployment deployment;
+	struct traffic traffic;
+
+	begin(&deployment, &traffic, CALM_JOBS, CALM_JOBS_PER_S);
+	failure_wait_point(
+	    &deployment, &(struct kill_point){.event = "start", .count = 10});
+	CU_ASSERT_TRUE(deployment_fault_worker(&deployment, "*",
+	    "{\"mode\": \"swallow_answers\", \"on\": \"go\", "
+	    "\"count\": 1}"));
+	judge(&traffic);
+	traffic_free(&traffic);
+	failure_stop(&deployment);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"overload", test_overload},
+	    {"store answers lost", test_store_answers_lost},
+	    {"lead killed after intent", test_lead_killed_after_intent},
+	    {"starts unanswered", test_starts_unanswered},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("not run", tests);
+}
--- /dev/null
+++ b/tests/fail_zone_out.c
@@ -0,0 +1,221 @@
+/*
+ * No task starts in an availability zone 3 s after its leaving was answered:
+ * the lead frozen and woken, the store down, orders through one instance while
+ * another places, out and in and out again.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "common_cunit.h"
+#include "common_failure.h"
+#include "process/alloc.h"
+#include "process/clock.h"
+
+#define INSTANCES	3
+#define SEED		20261203
+#define TIME_SCALE	1
+#define JOBS		260
+#define JOBS_PER_S	26
+#define CALLERS		60
+#define RETRY_MS	15000
+#define TRAFFIC_MS	25000
+#define RUN_MS		400
+#define STARTS_BEFORE	20
+#define GRACE_MS	3000
+#define LEAD_TIMEOUT_MS 10000
+#define ZONES		3
+/* Of the jobs that a zone's leaving or a lead's pause may catch. */
+#define MAX_CAUGHT 26
+
+static const char *const zones[ZONES] = {"a", "b", "c"};
+
+static void
+fill_traffic(struct traffic *traffic, struct deployment *deployment)
+{
+	struct load_kind *gang;
+
+	*traffic = (struct traffic){
+	    .deployment = deployment,
+	    .mix = {.jobs = JOBS,
+		.jobs_per_s = JOBS_PER_S,
+		.seed = SEED,
+		.key_prefix = "zone"},
+	    .callers = CALLERS,
+	    .retry_ms = RETRY_MS,
+	    .max_run_ms = TRAFFIC_MS,
+	};
+	traffic_add_kind(traffic, "one", "plan", RUN_MS)->idempotent = true;
+	gang = traffic_add_kind(traffic, "two", "urgent", RUN_MS);
+	gang->tasks = 2;
+	gang->accelerators_per_task = 4;
+	gang->adjacency = IBIS__ADJACENCY__ADJACENCY_RACK;
+	gang->idempotent = true;
+	gang->checkpointable = true;
+}
+
+/* The zone with the most starts so far. */
+static const char *
+busiest_zone(const struct deployment *deployment)
+{
+	CLEANUP(log_free) struct log log = {0};
+	const char *busiest = zones[0];
+	size_t most = 0;
+
+	CU_ASSERT_TRUE_FATAL(log_read(&log, deployment->workers_log));
+	for (size_t i = 0; i < ZONES; i++) {
+		size_t starts =
+		    log_starts_in_zone(&log, zones[i], 0, INT64_MAX);
+
+		if (starts > most) {
+			most = starts;
+			busiest = zones[i];
+		}
+	}
+	CU_ASSERT_TRUE_FATAL(most > 0);
+	return busiest;
+}
+
+/* Gives an order that must be answered well; returns when it was answered. */
+static int64_t
+order(struct deployment *deployment, uint32_t instance, const char *zone,
+    const char *which)
+{
+	CLEANUP(client_answer_free) struct client_answer answer = {0};
+	enum ibis_code code =
+	    deployment_zone(deployment, instance, zone, which, &answer);
+
+	if (code != IBIS_OK)
+		(void)printf("zone %s %s through %u: %s: %s\n", zone, which,
+		    (unsigned int)instance, ibis_code_name(code),
+		    buffer_string(&answer.body));
+	CU_ASSERT_EQUAL(code, IBIS_OK);
+	return clock_now_ms();
+}
+
+/* Waits for the callers, then looks for starts after the grace time. */
+static void
+judge(struct traffic *traffic, const char *zone, int64_t answered_ms)
+{
+	CLEANUP(log_free) struct log log = {0};
+	struct deployment *deployment = traffic->deployment;
+	size_t late;
+
+	failure_judge(traffic, MAX_CAUGHT);
+	CU_ASSERT_TRUE_FATAL(log_read(&log, deployment->workers_log));
+	late =
+	    log_starts_in_zone(&log, zone, answered_ms + GRACE_MS, INT64_MAX);
+	(void)printf("zone=%s last_start_after_answer_ms=%d late_starts=%zu\n",
+	    zone, (int)(log_last_start_ms(&log, zone) - answered_ms), late);
+	CU_ASSERT_EQUAL(late, 0);
+	/* Work went on elsewhere, so that there was something to place. */
+	CU_ASSERT_TRUE(log_starts_in_zone(
+			   &log, zones[0], answered_ms + GRACE_MS, INT64_MAX) +
+		log_starts_in_zone(
+		    &log, zones[1], answered_ms + GRACE_MS, INT64_MAX) +
+		log_starts_in_zone(
+		    &log, zones[2], answered_ms + GRACE_MS, INT64_MAX) >
+	    0);
+}
+
+/* Starts a site and its traffic; returns the lead. */
+static uint32_t
+begin(struct deployment *deployment, struct traffic *traffic)
+{
+	int lead;
+
+	failure_start(deployment, INSTANCES, TIME_SCALE, SEED);
+	fill_traffic(traffic, deployment);
+	lead = deployment_lead(deployment);
+	CU_ASSERT_TRUE_FATAL(lead >= 0);
+	CU_ASSERT_TRUE_FATAL(traffic_start(traffic));
+	failure_wait_point(deployment,
+	    &(struct kill_point){.event = "start", .count = STARTS_BEFORE});
+	return (uint32_t)lead;
+}
+
+static void
+test_order_through_another(void)
+{
+	struct deployment deployment;
+	struct traffic traffic;
+	uint32_t lead = begin(&deployment, &traffic);
+	const char *zone = busiest_zone(&deployment);
+	int64_t answered_ms;
+
+	answered_ms =
+	    order(&deployment, (lead + 1) % deployment.count, zone, "out");
+	judge(&traffic, zone, answered_ms);
+	failure_stop(&deployment);
+}
+
+static void
+test_lead_frozen_and_woken(void)
+{
+	struct deployment deployment;
+	struct traffic traffic;
+	uint32_t lead = begin(&deployment, &traffic);
+	const char *zone = busiest_zone(&deployment);
+	int64_t answered_ms;
+
+	process_freeze(&deployment.instances[lead].process);
+	answered_ms =
+	    order(&deployment, (lead + 1) % deployment.count, zone, "out");
+	CU_ASSERT_TRUE(
+	    deployment_wait_lead(&deployment, (int)lead, LEAD_TIMEOUT_MS) >= 0);
+	process_wake(&deployment.instances[lead].process);
+	judge(&traffic, zone, answered_ms);
+	failure_stop(&deployment);
+}
+
+static void
+test_store_down(void)
+{
+	struct deployment deployment;
+	struct traffic traffic;
+	uint32_t lead = begin(&deployment, &traffic);
+	const char *zone = busiest_zone(&deployment);
+	int64_t answered_ms;
+
+	CU_ASSERT_TRUE(
+	    deployment_fault_platform(&deployment, "{\"mode\": \"down\"}"));
+	answered_ms =
+	    order(&deployment, (lead + 1) % deployment.count, zone, "out");
+	process_pause(GRACE_MS);
+	CU_ASSERT_TRUE(
+	    deployment_fault_platform(&deployment, "{\"mode\": \"none\"}"));
+	judge(&traffic, zone, answered_ms);
+	failure_stop(&deployment);
+}
+
+static void
+test_out_in_out(void)
+{
+	struct deployment deployment;
+	struct traffic traffic;
+	uint32_t lead = begin(&deployment, &traffic);
+	const char *zone = busiest_zone(&deployment);
+	int64_t answered_ms = 0;
+
+	for (uint32_t i = 0; i < INSTANCES; i++) {
+		(void)order(
+		    &deployment, (lead + i) % deployment.count, zone, "in");
+		answered_ms = order(&deployment,
+		    (lead + i + 1) % deployment.count, zone, "out");
+	}
+	judge(&traffic, zone, answered_ms);
+	failure_stop(&deployment);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"order through another instance", test_order_through_another},
+	    {"lead frozen and woken", test_lead_frozen_and_woken},
+	    {"store down", test_store_down},
+	    {"out, in, out", test_out_in_out},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("zone out", tests);
+}
