--- a/src/process/control_peers.c
+++ b/src/process/control_peers.c
@@ -149,9 +149,7 @@
 {
 	Ibis__Heartbeat heartbeat = IBIS__HEARTBEAT__INIT;
 	Ibis__Frame frame = IBIS__FRAME__INIT;
-	const char *lead = control_lead_name(control);
-	CLEANUP(mem_free_string)
-	char *lead_copy = mem_strdup(lead == NULL ? "" : lead);
+	char lead[JOB_NAME_BYTES];
 	CLEANUP(mem_free_string)
 	char *name = mem_strdup(control->settings->name);
 	CLEANUP(mem_free_string)
@@ -166,9 +164,9 @@
 	heartbeat.name = name;
 	heartbeat.incarnation = control->incarnation;
 	heartbeat.state = control->state;
-	heartbeat.document_version = control_document_version(control);
 	heartbeat.store_reachable = !control->store_down;
-	heartbeat.lead = lead_copy;
+	STRING_COPY(lead, control_lead_name(control));
+	heartbeat.lead = lead;
 	heartbeat.leading = control_leading(control);
 	heartbeat.lead_epoch = control->lease.epoch;
 	heartbeat.caller_address = address;
@@ -191,7 +189,6 @@
 	    !membership_heartbeat(control->members, heartbeat, control->now_ms))
 		return;
 	slo_burn_merge(control->burn, heartbeat, control->now_ms);
-	control_document_heartbeat(control, heartbeat);
 	/* A later lead has taken over while this one could not know. */
 	if (heartbeat->leading && control_leading(control) &&
 	    heartbeat->lead_epoch > control->lease.epoch)
@@ -224,13 +221,6 @@
 take_in_confirmation(struct control *control, const char *peer,
     const Ibis__Confirmation *confirmation)
 {
-	Ibis__Heartbeat heartbeat = IBIS__HEARTBEAT__INIT;
-
-	heartbeat.document_version = confirmation->document_version;
-	heartbeat.n_holds = confirmation->n_holds;
-	heartbeat.holds = confirmation->holds;
-	heartbeat.name = (char *)peer;
-	control_document_heartbeat(control, &heartbeat);
 	/* One that reaches the store may know of what this one can't. */
 	if (confirmation->store_reachable ||
 	    confirmation->document_version > control_document_version(control))
@@ -262,8 +252,9 @@
 control_peers_frame(
     struct control *control, const char *peer, Ibis__Frame *frame)
 {
-	if (control_document_frame(control, peer, frame))
-		return;
+	/* Before the rest: a confirmation must not count before what it tells
+	 * of versions and holds is in force. */
+	control_document_frame(control, peer, frame);
 	switch (frame->body_case) {
 	case IBIS__FRAME__BODY_HEARTBEAT:
 		take_in_heartbeat(control, peer, frame->heartbeat);
@@ -289,18 +280,18 @@
 }
 
 void
-control_peers_link(struct control *control, const char *peer, bool up)
+control_peers_link(struct control *control, const char *name, bool up)
 {
-	const struct member *member = membership_find(control->members, peer);
+	const struct member *member = membership_find(control->members, name);
 	bool led = member != NULL && member->leading;
 
-	log_event(LOG_INFO, up ? "peer_up" : "peer_down", "peer", peer, NULL);
-	membership_link(control->members, peer, up);
+	log_event(LOG_INFO, up ? "peer_up" : "peer_down", "peer", name, NULL);
+	membership_link(control->members, name, up);
 	if (up) {
 		control->next_heartbeat_ms = control->now_ms;
 		return;
 	}
-	control_forward_peer_down(control, peer);
+	control_forward_peer_down(control, name);
 	if (led)
 		lead_hint(&control->lease, control->now_ms);
 }
