--- a/src/connection/worker_client.c
+++ b/src/connection/worker_client.c
@@ -173,7 +173,7 @@
 
 		log_event(LOG_WARN, "answer_mismatch", "worker", call->worker,
 		    "task", task->id, "fetched", whole ? "true" : "false",
-		    (char *)NULL);
+		    NULL);
 	}
 }
 
--- a/tests/fail_gang.c
+++ b/tests/fail_gang.c
@@ -111,8 +111,8 @@
 	partial = log_partial_attempts(&log, job, TASKS);
 	partial_ms = log_partial_run_ms(&log, job, TASKS);
 	end_ms = log_partial_end_ms(&log, job);
-	(void)printf("\n    case=\"%s\" partial_attempts=%zu "
-		     "partial_start_ms=%lld partial_end_ms=%lld ",
+	(void)printf("case=\"%s\" partial_attempts=%zu "
+		     "partial_start_ms=%lld partial_end_ms=%lld\n",
 	    fault->name, partial, (long long)partial_ms, (long long)end_ms);
 	if (fault->before_go)
 		CU_ASSERT_EQUAL(partial, 0);
--- a/tests/fail_gang_lead.c
+++ b/tests/fail_gang_lead.c
@@ -218,7 +218,7 @@
 	CU_ASSERT_STRING_EQUAL(outcome, "finished");
 	CU_ASSERT_TRUE_FATAL(log_read(&log, deployment.workers_log));
 	(void)printf(
-	    "partial_run_ms=%d ", (int)log_partial_run_ms(&log, id, TASKS));
+	    "partial_run_ms=%d\n", (int)log_partial_run_ms(&log, id, TASKS));
 	CU_ASSERT_EQUAL(log_partial_attempts(&log, id, TASKS), 1);
 	CU_ASSERT(log_partial_run_ms(&log, id, TASKS) <=
 	    FIRST_LEASE_MS + LOG_SLACK_MS);
@@ -282,7 +282,7 @@
 	CU_ASSERT_TRUE_FATAL(log_read(&log, deployment.workers_log));
 	for (uint32_t i = 0; i < WAVE_JOBS; i++)
 		judge_wave_job(&log, ids[i], i % 2 == 0);
-	(void)printf("finished=%zu of %d ", finished, WAVE_JOBS);
+	(void)printf("finished=%zu of %d\n", finished, WAVE_JOBS);
 	CU_ASSERT_TRUE(finished >= WAVE_JOBS / 2);
 	failure_stop(&deployment);
 }
--- a/tests/fail_worker.c
+++ b/tests/fail_worker.c
@@ -117,7 +117,7 @@
 	fault("b2", "{\"mode\": \"fail_stage\"}");
 	failure_judge(&traffic, 0);
 	starts = starts_at("a2");
-	(void)printf("starts_at_failing_worker=%zu ", starts);
+	(void)printf("starts_at_failing_worker=%zu\n", starts);
 	CU_ASSERT(starts <= MAX_BAD_STARTS);
 	CU_ASSERT_EQUAL(starts_at("b2"), 0);
 	failure_stop(&deployment);
