Ask again when a peer's own link was lost

A link carries one direction only. When the lead's link to an entry went silent, the replies on it were lost while the entry's link to the lead stayed up, so the entry waited until it gave up: 11 of 281 callers got 504 after 18 s. The links now tell the control thread when a peer has dialled anew, and what was forwarded to it is asked for again; ids and idempotency keys make that safe. Ruled out: acknowledging each frame, which costs a frame for each reply and still needs the same question.

--- a/src/connection/peer_link.h
+++ b/src/connection/peer_link.h
@@ -3,6 +3,10 @@
  * instance dials its peers and sends over the links it dialled; what comes in
  * over accepted ones is received only. One thread serves all links. A link
  * without a Pong within the timeout is closed and dialled again.
+ *
+ * Frames of a link that was lost are not sent again. Both ends learn of it: the
+ * dialling one by EVENT_PEER_STATE, the other by the EVENT_PEER_DIALLED that
+ * follows, which also comes with the first connection.
  */
 #ifndef IBIS_PEER_LINK_H
 #define IBIS_PEER_LINK_H
--- a/src/connection/peer_session.c
+++ b/src/connection/peer_session.c
@@ -46,14 +46,24 @@
 }
 
 static void
-post_state(struct peer_loop *loop, const struct peer *peer, bool up)
+post_link(struct peer_loop *loop, enum event_kind kind, const char *name,
+    uint64_t incarnation, bool up)
 {
-	struct event event = {.kind = EVENT_PEER_STATE};
+	struct event event = {.kind = kind};
 
-	STRING_COPY(event.link.peer, peer->address.name);
-	event.link.incarnation = peer->incarnation;
+	if (loop->stopping)
+		return;
+	STRING_COPY(event.link.peer, name);
+	event.link.incarnation = incarnation;
 	event.link.up = up;
 	event_queue_post(loop->events, &event);
+}
+
+static void
+post_state(struct peer_loop *loop, const struct peer *peer, bool up)
+{
+	post_link(
+	    loop, EVENT_PEER_STATE, peer->address.name, peer->incarnation, up);
 	log_event(LOG_INFO, up ? "link_up" : "link_down", "peer",
 	    peer->address.name, "address", peer->address.address, NULL);
 }
@@ -97,7 +107,7 @@
 	(void)atomic_fetch_sub(&peer->gate->queued_bytes, unsent);
 	peer->connection = NULL;
 	peer->waiting_since_ms = 0;
-	if (was_up && !loop->stopping)
+	if (was_up)
 		post_state(loop, peer, false);
 	schedule_dial(loop, peer, was_up);
 }
@@ -262,6 +272,8 @@
 		    hello->incarnation > peer->incarnation)
 			peer->incarnation = hello->incarnation;
 	}
+	post_link(loop, EVENT_PEER_DIALLED, connection->name,
+	    hello->incarnation, true);
 }
 
 static void
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -203,6 +203,10 @@
 	case EVENT_PEER_STATE:
 		control_peers_link(control, event->link.peer, event->link.up);
 		break;
+	case EVENT_PEER_DIALLED:
+		/* Replies that it has sent before may be lost. */
+		control_forward_peer_down(control, event->link.peer);
+		break;
 	case EVENT_STORE:
 		handle_store(control, event->store);
 		break;
--- a/src/process/event.h
+++ b/src/process/event.h
@@ -18,12 +18,14 @@
 struct worker_result;
 
 enum event_kind {
-	EVENT_CALLER,	  /* a request of a caller or operator */
-	EVENT_PEER_FRAME, /* a frame of a peer */
-	EVENT_PEER_STATE, /* the link to a peer went up or down */
-	EVENT_STORE,	  /* a store call has ended */
-	EVENT_WORKER,	  /* a worker call has ended */
-	EVENT_STOP	  /* a planned stop was asked for */
+	EVENT_CALLER,	    /* a request of a caller or operator */
+	EVENT_PEER_FRAME,   /* a frame of a peer */
+	EVENT_PEER_STATE,   /* the link to a peer went up or down */
+	EVENT_PEER_DIALLED, /* a peer has dialled: what it sent before may be
+			     * lost; link.up is true */
+	EVENT_STORE,	    /* a store call has ended */
+	EVENT_WORKER,	    /* a worker call has ended */
+	EVENT_STOP	    /* a planned stop was asked for */
 };
 
 /* The receiver owns what the event points at. */
--- a/tests/test_peer_link.c
+++ b/tests/test_peer_link.c
@@ -120,6 +120,9 @@
 	dial(&one, "two", peer_links_address(two.links));
 	CU_ASSERT_FALSE(send_hold(&one, "three", order));
 	CU_ASSERT_TRUE(wait_state(&one, true));
+	CU_ASSERT_TRUE(wait_event(&two, EVENT_PEER_DIALLED, &event));
+	CU_ASSERT_STRING_EQUAL(event.link.peer, "one");
+	CU_ASSERT_EQUAL(event.link.incarnation, 11);
 	for (int i = 0; i < 100; i++) {
 		(void)snprintf(order, sizeof(order), "%d", i);
 		CU_ASSERT_TRUE(send_hold(&one, "two", order));
