Test frozen instances and links that go silent for good

The lead and an entry are frozen under load and woken; the links to the lead and to an entry go through a relay that loses track of its connections three times. Judged by what the callers saw and by the workers' log: nothing wrong, cut, late, run twice or falsely not run. The planned stop's checks stand in common_callers now and are as strict as before.

--- a/tests/common_callers.c
+++ b/tests/common_callers.c
@@ -3,6 +3,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -12,6 +13,7 @@
 #include "process/buffer.h"
 #include "process/clock.h"
 
+#define DOCUMENT	   "examples/hoofline/document.jsonc"
 #define HEALTH_INTERVAL_MS 50
 #define HEALTH_TIMEOUT_MS  500
 #define LATE_MS		   15000 /* beyond wait_ms */
@@ -23,12 +25,23 @@
 	bool ready;
 };
 
+/* What one caller was told of one job. */
+struct callers_job {
+	char id[JOB_ID_BYTES];
+	bool idempotent;
+	bool finished;
+	bool not_run;
+};
+
 struct callers {
 	struct callers_config config;
 	uint32_t instances;
 	pthread_mutex_t lock; /* of balancers and count */
 	struct balancer balancers[DEPLOYMENT_MAX_INSTANCES];
 	struct callers_count count;
+	struct callers_job *jobs;
+	size_t jobs_count;
+	size_t jobs_capacity;
 	uint64_t answered;
 	atomic_bool stopping;
 	pthread_t health;
@@ -121,6 +134,12 @@
 
 /* ---- Requests -------------------------------------------------------- */
 
+static bool
+is_idempotent(const struct caller *caller)
+{
+	return caller->index % 2 == 0;
+}
+
 static void
 write_request(const struct caller *caller, char payload[PAYLOAD_BYTES],
     struct buffer *request)
@@ -136,13 +155,19 @@
 	    "\"accelerators_per_task\":1,\"run_time_ms\":%" PRId32
 	    ",\"idempotent\":%s,\"payload\":\"%s\"}",
 	    config->workspace, config->request_class, config->run_time_ms,
-	    caller->index % 2 == 0 ? "true" : "false", payload);
+	    is_idempotent(caller) ? "true" : "false", payload);
 	buffer_printf(request,
 	    "POST /v1/jobs?wait_ms=%" PRId32 " HTTP/1.1\r\nHost: x\r\n"
 	    "Idempotency-Key: %s\r\nContent-Length: %zu\r\n\r\n%s",
 	    config->wait_ms, payload, body.length, body.data);
 }
 
+static bool
+told_not_run(const char *text)
+{
+	return strstr(text, "\"not_run\":true") != NULL;
+}
+
 static void
 count_answer(struct callers_count *count, const char *payload,
     const struct buffer *response)
@@ -159,8 +184,7 @@
 			count->wrong++;
 	} else if (status == 202) {
 		count->pending++;
-	} else if ((status == 503 || status == 429) &&
-	    strstr(text, "\"not_run\":true") != NULL) {
+	} else if ((status == 503 || status == 429) && told_not_run(text)) {
 		count->refused++;
 	} else if (status == 504) {
 		count->unknown++;
@@ -190,6 +214,23 @@
 		    body == NULL ? "no answer" : body + 4);
 }
 
+static void
+note_job(struct caller *caller, const char *payload,
+    const struct buffer *response, bool finished)
+{
+	struct callers *callers = caller->callers;
+	struct callers_job *job;
+
+	callers->jobs = mem_grow(callers->jobs, &callers->jobs_capacity,
+	    callers->jobs_count + 1, sizeof(*callers->jobs));
+	job = &callers->jobs[callers->jobs_count++];
+	job_id_format(
+	    job_id_from_key(callers->config.workspace, payload), job->id);
+	job->idempotent = is_idempotent(caller);
+	job->finished = finished;
+	job->not_run = told_not_run(buffer_string(response));
+}
+
 /* Notes what became of a request; true when it was refused. */
 static bool
 note_end(struct caller *caller, enum http_end end, const char *payload,
@@ -197,23 +238,22 @@
 {
 	struct callers *callers = caller->callers;
 	struct callers_count *count = &callers->count;
-	uint64_t well_before;
-	uint64_t refused_before;
+	struct callers_count before;
 	bool refused;
 
 	(void)pthread_mutex_lock(&callers->lock);
 	callers->answered++;
-	well_before = well(count);
-	refused_before = count->refused;
+	before = *count;
 	if (end == HTTP_WHOLE)
 		count_answer(count, payload, response);
 	else if (end == HTTP_CLOSED)
 		count->cut++;
 	else
 		count->late++;
-	refused = count->refused > refused_before;
-	if (well(count) == well_before)
+	refused = count->refused > before.refused;
+	if (well(count) == well(&before))
 		note_odd(caller, response);
+	note_job(caller, payload, response, count->finished > before.finished);
 	(void)pthread_mutex_unlock(&callers->lock);
 	return refused;
 }
@@ -326,20 +366,118 @@
 	return waiting;
 }
 
-struct callers_count
-callers_finish(struct callers *callers)
+/* A wait for requests to finish. */
+struct progress {
+	struct callers *callers;
+	uint64_t until;
+};
+
+static bool
+S_finished(void *context)
 {
-	struct callers_count count;
+	struct progress *progress = context;
+
+	return callers_count(progress->callers).finished >= progress->until;
+}
+
+bool
+callers_wait_finished(
+    struct callers *callers, uint64_t more, int32_t timeout_ms)
+{
+	struct progress progress = {
+	    .callers = callers,
+	    .until = callers_count(callers).finished + more,
+	};
+
+	return deployment_wait(S_finished, &progress, timeout_ms);
+}
 
+/* ---- The end --------------------------------------------------------- */
+
+static void
+join(struct callers *callers)
+{
 	if (callers->config.requests_each == 0)
 		atomic_store(&callers->stopping, true);
 	for (uint32_t i = 0; i < callers->config.callers; i++)
 		(void)pthread_join(callers->threads[i].thread, NULL);
 	atomic_store(&callers->stopping, true);
 	(void)pthread_join(callers->health, NULL);
+}
+
+static void
+print_count(const char *name, const struct callers_count *count)
+{
+	(void)printf("\n%s: sent=%" PRIu64 " finished=%" PRIu64
+		     " refused=%" PRIu64 " pending=%" PRIu64 " unknown=%" PRIu64
+		     " other=%" PRIu64 " wrong=%" PRIu64 " cut=%" PRIu64
+		     " late=%" PRIu64 "\n",
+	    name, count->sent, count->finished, count->refused, count->pending,
+	    count->unknown, count->other, count->wrong, count->cut,
+	    count->late);
+	if (count->first_odd[0] != '\0')
+		(void)printf("first: %s\n", count->first_odd);
+}
+
+static bool
+is_false(const struct callers_job *job, const struct log *log)
+{
+	size_t starts = log_starts(log, job->id);
+
+	return (job->not_run && starts > 0) || (job->finished && starts == 0) ||
+	    (!job->idempotent && log_runs(log, job->id) > 1);
+}
+
+static size_t
+count_false_jobs(const struct callers *callers, const char *log_path)
+{
+	CLEANUP(log_free) struct log log = {0};
+	size_t wrong = 0;
+
+	if (!log_read(&log, log_path))
+		return SIZE_MAX;
+	for (size_t i = 0; i < callers->jobs_count; i++) {
+		if (!is_false(&callers->jobs[i], &log))
+			continue;
+		wrong++;
+		(void)printf("false: job %s\n", callers->jobs[i].id);
+	}
+	return wrong;
+}
+
+struct callers_count
+callers_judge(
+    struct callers *callers, const char *name, const char *workers_log)
+{
+	struct callers_count count;
+
+	join(callers);
 	count = callers->count;
+	print_count(name, &count);
+	CU_ASSERT_EQUAL(count.cut, 0);
+	CU_ASSERT_EQUAL(count.late, 0);
+	CU_ASSERT_EQUAL(count.wrong, 0);
+	CU_ASSERT_EQUAL(count_false_jobs(callers, workers_log), 0);
 	(void)pthread_mutex_destroy(&callers->lock);
+	mem_free(callers->jobs);
 	mem_free(callers->threads);
 	mem_free(callers);
 	return count;
 }
+
+int
+callers_run_suite(const char *name, CU_TestInfo *tests,
+    struct deployment *deployment, uint32_t instances, uint32_t seed)
+{
+	struct deployment_config config = {
+	    .document_path = deployment_source_path(DOCUMENT),
+	    .instances = instances,
+	    .seed = seed,
+	};
+	int result = EXIT_FAILURE;
+
+	if (deployment_start(deployment, &config))
+		result = run_suite(name, tests);
+	deployment_stop(deployment, result != EXIT_SUCCESS);
+	return result;
+}
--- a/tests/common_callers.h
+++ b/tests/common_callers.h
@@ -11,6 +11,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "common_cunit.h"
 #include "common_deployment.h"
 
 /* What the callers saw, in requests. */
@@ -52,7 +53,22 @@
 /* Requests sent and not answered yet. */
 uint64_t callers_waiting(struct callers *callers);
 
-/* Lets each caller finish its request, ends the threads and frees. */
-struct callers_count callers_finish(struct callers *callers);
+/* Waits until so many more requests have finished. */
+bool callers_wait_finished(
+    struct callers *callers, uint64_t more, int32_t timeout_ms);
+
+/*
+ * Lets each caller finish its request, ends the threads, prints the counts
+ * under a name and frees. Asserts that no request was cut, late or wrong, and
+ * by the workers' log that no job was told as not run but had started, ran
+ * twice though it must not, or finished without a start.
+ */
+struct callers_count callers_judge(
+    struct callers *callers, const char *name, const char *workers_log);
+
+/* Runs a suite against one site over the first example document; keeps its logs
+ * when a test fails. Returns the exit code. */
+int callers_run_suite(const char *name, CU_TestInfo *tests,
+    struct deployment *deployment, uint32_t instances, uint32_t seed);
 
 #endif
--- /dev/null
+++ b/tests/fail_peers.c
@@ -0,0 +1,179 @@
+/*
+ * Instances that freeze and links that go silent for good: every caller gets
+ * its own answer, and what must run once at most does.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "common_callers.h"
+#include "common_cunit.h"
+#include "common_deployment.h"
+#include "common_http.h"
+#include "common_relay.h"
+#include "process/alloc.h"
+#include "process/buffer.h"
+
+#define SEED	      20261204
+#define INSTANCES     3
+#define CALLERS	      30
+#define PROGRESS_MS   20000
+#define LEAD_MS	      10000
+#define ADMIN_MS      2000
+#define SILENT_BOUND  8 /* seconds that a lost link may hold up an answer */
+#define MORE_REQUESTS 60
+
+static struct deployment deployment;
+static uint32_t next_seed = SEED;
+
+static void
+wait_for_progress(struct callers *callers)
+{
+	CU_ASSERT_TRUE(
+	    callers_wait_finished(callers, MORE_REQUESTS, PROGRESS_MS));
+}
+
+static struct callers *
+start_load(int32_t wait_ms)
+{
+	struct callers_config config = {
+	    .callers = CALLERS,
+	    .workspace = "records",
+	    .request_class = "reshuffle",
+	    .run_time_ms = 100,
+	    .wait_ms = wait_ms,
+	    .think_ms = 20,
+	    .seed = next_seed++,
+	};
+
+	return callers_start(&deployment, &config);
+}
+
+static struct callers_count
+finish_load(struct callers *callers, const char *name)
+{
+	return callers_judge(callers, name, deployment.workers_log);
+}
+
+static void
+test_lead_freezes(void)
+{
+	int lead = deployment_wait_lead(&deployment, -1, LEAD_MS);
+	struct callers *callers;
+	int next;
+
+	CU_ASSERT_TRUE_FATAL(lead >= 0);
+	callers = start_load(20000);
+	wait_for_progress(callers);
+	process_freeze(&deployment.instances[lead].process);
+	next = deployment_wait_lead(&deployment, lead, LEAD_MS);
+	CU_ASSERT_TRUE(next >= 0);
+	CU_ASSERT_NOT_EQUAL(next, lead);
+	wait_for_progress(callers);
+	process_wake(&deployment.instances[lead].process);
+	wait_for_progress(callers);
+	(void)finish_load(callers, "lead freezes");
+}
+
+static void
+test_entry_freezes(void)
+{
+	int lead = deployment_wait_lead(&deployment, -1, LEAD_MS);
+	uint32_t entry = lead == 0 ? 1 : 0;
+	struct callers *callers = start_load(20000);
+	struct callers_count count;
+
+	wait_for_progress(callers);
+	process_freeze(&deployment.instances[entry].process);
+	wait_for_progress(callers);
+	process_wake(&deployment.instances[entry].process);
+	wait_for_progress(callers);
+	count = finish_load(callers, "entry freezes");
+	CU_ASSERT_EQUAL(count.finished + count.refused, count.sent);
+}
+
+/* Makes the platform's list name another peer address of an instance. */
+static void
+list_peer_address(uint32_t index, const char *peer)
+{
+	const struct deployment_instance *instance =
+	    &deployment.instances[index];
+	CLEANUP(buffer_free) struct buffer body = {0};
+	CLEANUP(buffer_free) struct buffer request = {0};
+	CLEANUP(buffer_free) struct buffer response = {0};
+	int fd = http_connect(deployment.platform_address);
+
+	buffer_printf(&body,
+	    "{\"peer\": \"%s\", \"caller\": \"%s\", "
+	    "\"availability_zone\": \"%s\", \"state\": \"live\"}",
+	    peer, instance->caller, instance->zone);
+	buffer_printf(&request,
+	    "PUT /admin/instances/%s HTTP/1.1\r\nHost: x\r\n"
+	    "Content-Length: %zu\r\n\r\n%s",
+	    instance->name, body.length, body.data);
+	CU_ASSERT_TRUE_FATAL(fd >= 0 && http_write(fd, request.data));
+	CU_ASSERT_EQUAL(http_read(fd, &response, ADMIN_MS), HTTP_WHOLE);
+	CU_ASSERT_EQUAL(http_status(&response), 200);
+	(void)close(fd);
+}
+
+static bool
+S_all_relayed(void *context)
+{
+	return relay_accepted(context) >= INSTANCES - 1;
+}
+
+/* All links to one instance go through a relay that loses them. */
+static void
+lose_links_to(uint32_t instance, const char *name)
+{
+	struct relay *relay = relay_start(deployment.instances[instance].peer);
+	struct callers *callers;
+	struct callers_count count;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(relay);
+	list_peer_address(instance, relay_address(relay));
+	CU_ASSERT_TRUE(deployment_wait(S_all_relayed, relay, PROGRESS_MS));
+	callers = start_load(SILENT_BOUND * 1000);
+	wait_for_progress(callers);
+	for (int i = 0; i < 3; i++) {
+		relay_lose_connections(relay);
+		wait_for_progress(callers);
+	}
+	count = finish_load(callers, name);
+	CU_ASSERT_EQUAL(count.finished + count.refused, count.sent);
+	list_peer_address(instance, deployment.instances[instance].peer);
+	relay_stop(relay);
+}
+
+static void
+test_links_to_lead_go_silent(void)
+{
+	int lead = deployment_wait_lead(&deployment, -1, LEAD_MS);
+
+	CU_ASSERT_TRUE_FATAL(lead >= 0);
+	lose_links_to((uint32_t)lead, "links to the lead go silent");
+}
+
+static void
+test_links_to_entry_go_silent(void)
+{
+	int lead = deployment_wait_lead(&deployment, -1, LEAD_MS);
+
+	CU_ASSERT_TRUE_FATAL(lead >= 0);
+	lose_links_to(lead == 0 ? 1 : 0, "links to an entry go silent");
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"lead freezes", test_lead_freezes},
+	    {"entry freezes", test_entry_freezes},
+	    {"links to the lead go silent", test_links_to_lead_go_silent},
+	    {"links to an entry go silent", test_links_to_entry_go_silent},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return callers_run_suite("peers", tests, &deployment, INSTANCES, SEED);
+}
--- a/tests/fail_planned_stop.c
+++ b/tests/fail_planned_stop.c
@@ -1,5 +1,4 @@
 /* A planned stop cuts no request: each caller gets an answer to each one. */
-#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -8,7 +7,6 @@
 #include "common_deployment.h"
 #include "process/alloc.h"
 
-#define DOCUMENT	 "examples/hoofline/document.jsonc"
 #define SEED		 20261203
 #define INSTANCES	 3
 #define EXIT_MS		 35000
@@ -18,57 +16,38 @@
 static struct deployment deployment;
 static uint32_t next_seed = SEED;
 
-/* Waits until a number of requests more have been answered. */
-struct progress {
-	struct callers *callers;
-	uint64_t until;
-};
-
-static bool
-S_answered(void *context)
-{
-	struct progress *progress = context;
-
-	return callers_count(progress->callers).finished >= progress->until;
-}
-
 static void
 wait_for_progress(struct callers *callers)
 {
-	struct progress progress = {
-	    .callers = callers,
-	    .until = callers_count(callers).finished + BETWEEN_REQUESTS,
-	};
-
-	CU_ASSERT_TRUE(deployment_wait(S_answered, &progress, PROGRESS_MS));
+	CU_ASSERT_TRUE(
+	    callers_wait_finished(callers, BETWEEN_REQUESTS, PROGRESS_MS));
 }
 
+/* A wait for all callers to wait. */
+struct all_wait {
+	struct callers *callers;
+	uint64_t count;
+};
+
 static bool
 S_all_wait(void *context)
 {
-	struct progress *progress = context;
+	struct all_wait *wait = context;
 
-	return callers_waiting(progress->callers) == progress->until;
+	return callers_waiting(wait->callers) == wait->count;
 }
 
-static void
-check_count(const char *name, const struct callers_count *count)
+/* Ends the load; a planned stop leaves nobody with less than an answer. */
+static struct callers_count
+finish_load(struct callers *callers, const char *name)
 {
-	(void)printf("\n%s: sent=%" PRIu64 " finished=%" PRIu64
-		     " refused=%" PRIu64 " pending=%" PRIu64 " unknown=%" PRIu64
-		     " other=%" PRIu64 " wrong=%" PRIu64 " cut=%" PRIu64
-		     " late=%" PRIu64 "\n",
-	    name, count->sent, count->finished, count->refused, count->pending,
-	    count->unknown, count->other, count->wrong, count->cut,
-	    count->late);
-	if (count->first_odd[0] != '\0')
-		(void)printf("first: %s\n", count->first_odd);
-	CU_ASSERT_EQUAL(count->cut, 0);
-	CU_ASSERT_EQUAL(count->late, 0);
-	CU_ASSERT_EQUAL(count->wrong, 0);
-	CU_ASSERT_EQUAL(count->unknown, 0);
-	CU_ASSERT_EQUAL(count->other, 0);
-	CU_ASSERT_EQUAL(count->finished + count->refused, count->sent);
+	struct callers_count count =
+	    callers_judge(callers, name, deployment.workers_log);
+
+	CU_ASSERT_EQUAL(count.unknown, 0);
+	CU_ASSERT_EQUAL(count.other, 0);
+	CU_ASSERT_EQUAL(count.finished + count.refused, count.sent);
+	return count;
 }
 
 static struct callers *
@@ -115,15 +94,13 @@
 {
 	int lead = deployment_wait_lead(&deployment, -1, PROGRESS_MS);
 	struct callers *callers;
-	struct callers_count count;
 
 	CU_ASSERT_TRUE_FATAL(lead >= 0);
 	callers = start_load(100, 40, 0);
 	wait_for_progress(callers);
 	replace_instance(callers, (uint32_t)lead);
 	wait_for_progress(callers);
-	count = callers_finish(callers);
-	check_count("lead under load", &count);
+	(void)finish_load(callers, "lead under load");
 }
 
 /* All callers wait for jobs of some seconds when all instances but the lead
@@ -133,16 +110,15 @@
 {
 	int lead = deployment_wait_lead(&deployment, -1, PROGRESS_MS);
 	struct callers *callers = start_load(3000, 60, 1);
-	struct progress progress = {.callers = callers, .until = 60};
+	struct all_wait wait = {.callers = callers, .count = 60};
 	struct callers_count count;
 
-	CU_ASSERT_TRUE(deployment_wait(S_all_wait, &progress, PROGRESS_MS));
+	CU_ASSERT_TRUE(deployment_wait(S_all_wait, &wait, PROGRESS_MS));
 	for (uint32_t i = 0; i < INSTANCES; i++) {
 		if ((int)i != lead)
 			process_terminate(&deployment.instances[i].process);
 	}
-	count = callers_finish(callers);
-	check_count("entries with waiting callers", &count);
+	count = finish_load(callers, "entries with waiting callers");
 	CU_ASSERT_EQUAL(count.finished, 60);
 	for (uint32_t i = 0; i < INSTANCES; i++) {
 		if ((int)i != lead)
@@ -154,7 +130,6 @@
 test_all_in_turn_with_slow_store(void)
 {
 	struct callers *callers;
-	struct callers_count count;
 
 	CU_ASSERT_TRUE(deployment_fault_platform(
 	    &deployment, "{\"mode\": \"slow\", \"delay_ms\": 150}"));
@@ -166,8 +141,7 @@
 	wait_for_progress(callers);
 	CU_ASSERT_TRUE(
 	    deployment_fault_platform(&deployment, "{\"mode\": \"none\"}"));
-	count = callers_finish(callers);
-	check_count("all in turn, slow store", &count);
+	(void)finish_load(callers, "all in turn, slow store");
 }
 
 static void
@@ -185,11 +159,6 @@
 int
 main(void)
 {
-	struct deployment_config config = {
-	    .document_path = deployment_source_path(DOCUMENT),
-	    .instances = INSTANCES,
-	    .seed = SEED,
-	};
 	CU_TestInfo tests[] = {
 	    {"lead under load", test_lead_under_load},
 	    {"entries with waiting callers", test_entries_with_waiting_callers},
@@ -197,10 +166,7 @@
 	    {"nothing ran twice", test_nothing_ran_twice},
 	    CU_TEST_INFO_NULL,
 	};
-	int result = EXIT_FAILURE;
 
-	if (deployment_start(&deployment, &config))
-		result = run_suite("planned stop", tests);
-	deployment_stop(&deployment, result != EXIT_SUCCESS);
-	return result;
+	return callers_run_suite(
+	    "planned stop", tests, &deployment, INSTANCES, SEED);
 }
