--- a/src/request/cli.c
+++ b/src/request/cli.c
@@ -9,7 +9,7 @@
 #include "request/cli.h"
 
 #define SERVER_VARIABLE	 "IBIS_SERVER"
-#define DEFAULT_SERVER	 "127.0.0.1:7070"
+#define DEFAULT_SERVER	 "127.0.0.1:7400"
 #define DEFAULT_RETRY_MS 10000
 #define CALL_TIMEOUT_MS	 10000
 #define MAX_RETRY_MS	 3600000
