--- a/tests/fail_reclaim.c
+++ b/tests/fail_reclaim.c
@@ -127,7 +127,8 @@
 	CU_ASSERT_TRUE_FATAL(log_read(&log, deployment.workers_log));
 	waited_ms =
 	    last_start_ms(&log, owner->id, owner->tasks) - owner->asked_ms;
-	(void)printf("%s ran after %lld ms ", owner->key, (long long)waited_ms);
+	(void)printf(
+	    "\n%s ran after %lld ms\n", owner->key, (long long)waited_ms);
 	CU_ASSERT(waited_ms <= START_BOUND_MS);
 }
 
