Split the faults out of fake-workers' site; bound the fetching of answers

Change: site_fault.[ch]; atomic flags, the frozen wait reads under the lock; fetches by id end after one call's time-out. Measured: TSan reports nothing in the stand-ins during fail_answers (4 of 4 pass), nor in test_store_client and test_http_client. In test_worker_client it reports only objects handed over liburcu's queue, whose barriers it does not see.

--- a/fakes/common/fake_server.c
+++ b/fakes/common/fake_server.c
@@ -25,7 +25,7 @@
 };
 
 void
-fake_sleep(int64_t wait_ms, const volatile bool *end)
+fake_sleep(int64_t wait_ms, const atomic_bool *end)
 {
 	int64_t until_ms = clock_now_ms() + wait_ms;
 
--- a/fakes/common/fake_server.h
+++ b/fakes/common/fake_server.h
@@ -5,6 +5,7 @@
 #ifndef IBIS_FAKE_SERVER_H
 #define IBIS_FAKE_SERVER_H
 
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -61,7 +62,7 @@
     const struct fake_request *request, uint64_t *revision);
 
 /* Sleeps up to wait_ms; returns early once *end is set. */
-void fake_sleep(int64_t wait_ms, const volatile bool *end);
+void fake_sleep(int64_t wait_ms, const atomic_bool *end);
 
 /* Fills a reply with a status and a JSON error. */
 void fake_reply_error(
--- a/fakes/platform/main.c
+++ b/fakes/platform/main.c
@@ -75,7 +75,7 @@
 	pthread_mutex_t lock; /* of what follows */
 	struct fault fault;
 	uint64_t calls[CALL_KINDS];
-	volatile bool ending;
+	atomic_bool ending;
 };
 
 static bool
--- a/fakes/workers/site.c
+++ b/fakes/workers/site.c
@@ -11,6 +11,7 @@
 #include "process/alloc.h"
 #include "process/clock.h"
 #include "workers/site.h"
+#include "workers/site_fault.h"
 #include "workers/sync.h"
 #include "workers/worker.h"
 
@@ -19,47 +20,16 @@
 #define ANSWER_SUFFIX	    "/answer"
 #define TICK_MS		    5
 #define HANG_MS		    60000
-#define LATE_MS		    1500
 #define REGISTER_TIMEOUT_MS 2000
 #define INCARNATION_BITS    30
-#define MODE_BYTES	    24
 #define FROZEN_STEP_MS	    5
 
-/* How a worker treats its connections. */
-enum link_fault {
-	LINK_SOUND,
-	LINK_SILENT,  /* requests on connections of before get no answer */
-	LINK_MUTE,    /* requests are not carried out and get no answer */
-	LINK_LOSE,    /* carried out, then the connection is cut */
-	LINK_SWALLOW, /* carried out, then there is no answer */
-	LINK_LATE     /* carried out, answered delay_ms later */
-};
-
-/* A fault that begins once a command of a kind comes. */
-struct trigger {
-	bool armed;
-	bool after; /* the command has been carried out */
-	enum worker_verb verb;
-	char mode[MODE_BYTES];
-};
-
-/* A fault lasts for count sync calls; 0: until it is changed. */
-struct site_worker {
-	struct fake_worker model;
-	enum link_fault link;
-	enum report_fault report;
-	int64_t silenced_ms; /* when the connections of before went silent */
-	int64_t delay_ms;
-	int64_t count;
-	struct trigger trigger;
-};
-
 struct site {
 	struct site_config config;
 	pthread_mutex_t lock;
 	pthread_t ticker;
 	bool ticking;
-	volatile bool ending;
+	atomic_bool ending;
 	struct site_worker *workers;
 	size_t count;
 	size_t capacity;
@@ -211,136 +181,6 @@
 	return NULL;
 }
 
-static void
-clear_faults(struct site_worker *worker, int64_t now_ms)
-{
-	worker->link = LINK_SOUND;
-	worker->report = REPORT_SOUND;
-	worker->count = 0;
-	worker->trigger.armed = false;
-	worker->model.leaving = false;
-	fake_worker_set_condition(&worker->model, WORKER_SOUND, now_ms);
-}
-
-struct condition_mode {
-	const char *name;
-	enum worker_condition_fault condition;
-};
-
-struct link_mode {
-	const char *name;
-	enum link_fault link;
-};
-
-struct report_mode {
-	const char *name;
-	enum report_fault report;
-};
-
-static const struct condition_mode condition_modes[] = {
-    {"fail_reserve", WORKER_FAIL_RESERVE},
-    {"fail_stage", WORKER_FAIL_STAGE},
-    {"fail_all", WORKER_FAIL_ALL},
-    {"frozen", WORKER_FROZEN},
-    {"dead", WORKER_DEAD},
-};
-
-static const struct link_mode link_modes[] = {
-    {"silent", LINK_SILENT},
-    {"mute", LINK_MUTE},
-    {"lose_answers", LINK_LOSE},
-    {"swallow_answers", LINK_SWALLOW},
-    {"late", LINK_LATE},
-};
-
-static const struct report_mode report_modes[] = {
-    {"truncate", REPORT_TRUNCATE},
-    {"corrupt", REPORT_CORRUPT},
-    {"crossed", REPORT_CROSSED},
-    {"doubled", REPORT_DOUBLED},
-};
-
-static bool
-set_condition(struct site_worker *worker, const char *mode, int64_t now_ms)
-{
-	for (size_t i = 0; i < COUNT_OF(condition_modes); i++) {
-		if (strcmp(mode, condition_modes[i].name) != 0)
-			continue;
-		fake_worker_set_condition(
-		    &worker->model, condition_modes[i].condition, now_ms);
-		return true;
-	}
-	return false;
-}
-
-static bool
-set_link(struct site_worker *worker, const char *mode, int64_t now_ms)
-{
-	for (size_t i = 0; i < COUNT_OF(link_modes); i++) {
-		if (strcmp(mode, link_modes[i].name) != 0)
-			continue;
-		worker->link = link_modes[i].link;
-		worker->silenced_ms = now_ms;
-		return true;
-	}
-	return false;
-}
-
-static bool
-set_report(struct site_worker *worker, const char *mode)
-{
-	for (size_t i = 0; i < COUNT_OF(report_modes); i++) {
-		if (strcmp(mode, report_modes[i].name) != 0)
-			continue;
-		worker->report = report_modes[i].report;
-		return true;
-	}
-	return false;
-}
-
-/* Switches on the named fault; false if the name is unknown. */
-static bool
-set_fault(struct site_worker *worker, const char *mode, int64_t now_ms)
-{
-	if (strcmp(mode, "none") == 0)
-		clear_faults(worker, now_ms);
-	else if (strcmp(mode, "restart") == 0)
-		fake_worker_restart(&worker->model, now_ms);
-	else if (strcmp(mode, "leaving") == 0)
-		worker->model.leaving = true;
-	else
-		return set_condition(worker, mode, now_ms) ||
-		    set_link(worker, mode, now_ms) || set_report(worker, mode);
-	return true;
-}
-
-static void
-log_fault(const struct site_worker *worker, const char *mode)
-{
-	fake_log("event=fault worker=%s mode=%s count=%" PRId64,
-	    worker->model.name, mode, worker->count);
-}
-
-/* Arms the fault for a verb, or begins it at once. */
-static bool
-begin_fault(
-    struct site_worker *worker, struct json_object *body, const char *mode)
-{
-	const char *verb = fake_json_text(body, "on", NULL);
-	struct trigger *trigger = &worker->trigger;
-
-	worker->delay_ms = fake_json_number(body, "delay_ms", LATE_MS);
-	worker->count = fake_json_number(body, "count", 0);
-	if (verb == NULL) {
-		log_fault(worker, mode);
-		return set_fault(worker, mode, clock_now_ms());
-	}
-	trigger->after = fake_json_number(body, "after", 0) != 0;
-	STRING_COPY(trigger->mode, mode);
-	trigger->armed = sync_parse_verb(verb, &trigger->verb);
-	return trigger->armed;
-}
-
 static bool
 apply_fault(struct site *site, struct site_worker *worker,
     struct json_object *body, const char *mode)
@@ -352,29 +192,12 @@
 		struct site_worker *each = &site->workers[i];
 
 		if (worker == NULL || worker == each)
-			known = begin_fault(each, body, mode) && known;
+			known = site_fault_begin(each, body, mode) && known;
 	}
 	(void)pthread_mutex_unlock(&site->lock);
 	return known;
 }
 
-/* Begins an armed fault if its command is there. With the lock held. */
-static void
-pull_trigger(struct site_worker *worker, const struct worker_command *commands,
-    size_t count, bool after)
-{
-	struct trigger *trigger = &worker->trigger;
-
-	for (size_t i = 0; i < count && trigger->armed; i++) {
-		if (trigger->after != after ||
-		    commands[i].verb != trigger->verb)
-			continue;
-		trigger->armed = false;
-		log_fault(worker, trigger->mode);
-		(void)set_fault(worker, trigger->mode, clock_now_ms());
-	}
-}
-
 static void
 handle_fault(struct site *site, struct site_worker *worker,
     const struct fake_request *request, struct fake_reply *reply)
@@ -412,53 +235,22 @@
 	(void)pthread_mutex_unlock(&site->lock);
 }
 
-/* What a request meets. */
-struct meeting {
-	bool mute;
-	bool cut;
-	bool lose;
-	bool swallow;
-	int64_t delay_ms;
-	enum report_fault report;
-};
-
-/* With the lock held. */
-static struct meeting
-meet_fault(const struct site_worker *worker, const struct fake_request *request)
-{
-	return (struct meeting){
-	    .cut = worker->model.condition == WORKER_DEAD,
-	    .mute = worker->link == LINK_MUTE ||
-		(worker->link == LINK_SILENT &&
-		    request->connected_ms <= worker->silenced_ms),
-	    .lose = worker->link == LINK_LOSE,
-	    .swallow = worker->link == LINK_SWALLOW,
-	    .delay_ms = worker->link == LINK_LATE ? worker->delay_ms : 0,
-	    .report = worker->report,
-	};
-}
-
-/* Counts a sync call against the fault. With the lock held. */
-static void
-count_fault(struct site_worker *worker)
+static bool
+is_frozen(struct site *site, const struct site_worker *worker)
 {
-	bool faulty =
-	    worker->link != LINK_SOUND || worker->report != REPORT_SOUND;
+	bool frozen;
 
-	if (!faulty || worker->count == 0 || --worker->count > 0)
-		return;
-	worker->link = LINK_SOUND;
-	worker->report = REPORT_SOUND;
+	(void)pthread_mutex_lock(&site->lock);
+	frozen = worker->model.condition == WORKER_FROZEN;
+	(void)pthread_mutex_unlock(&site->lock);
+	return frozen;
 }
 
 /* Waits until a frozen worker is woken. */
 static void
-wait_while_frozen(const struct site *site, const struct site_worker *worker)
+wait_while_frozen(struct site *site, const struct site_worker *worker)
 {
-	const volatile enum worker_condition_fault *condition =
-	    &worker->model.condition;
-
-	while (*condition == WORKER_FROZEN && !site->ending)
+	while (!site->ending && is_frozen(site, worker))
 		fake_sleep(FROZEN_STEP_MS, &site->ending);
 }
 
@@ -481,7 +273,7 @@
 	fake_worker_advance(&worker->model, now_ms);
 	for (size_t i = 0; i < count; i++)
 		fake_worker_command(&worker->model, &commands[i], now_ms);
-	pull_trigger(worker, commands, count, true);
+	site_fault_trigger(worker, commands, count, true);
 	answers = sync_report(&worker->model, fault, now_ms, &reply->body);
 	if (fault != REPORT_SOUND)
 		fake_log("event=spoil worker=%s answers=%zu",
@@ -497,9 +289,9 @@
 	struct meeting meeting;
 
 	(void)pthread_mutex_lock(&site->lock);
-	pull_trigger(worker, commands, count, false);
-	meeting = meet_fault(worker, request);
-	count_fault(worker);
+	site_fault_trigger(worker, commands, count, false);
+	meeting = site_fault_meet(worker, request);
+	site_fault_count(worker);
 	(void)pthread_mutex_unlock(&site->lock);
 	reply->cut = meeting.cut;
 	if (meeting.mute)
@@ -543,7 +335,7 @@
 	if (length < sizeof(id) && strcmp(path + length, ANSWER_SUFFIX) == 0)
 		string_copy(id, length + 1, path);
 	(void)pthread_mutex_lock(&site->lock);
-	meeting = meet_fault(worker, request);
+	meeting = site_fault_meet(worker, request);
 	task = fake_worker_find(&worker->model, id);
 	if (task == NULL || task->forgotten || task->state != TASK_DONE) {
 		fake_reply_error(reply, 404, "no such answer");
--- a/src/connection/worker_client.c
+++ b/src/connection/worker_client.c
@@ -163,10 +163,15 @@
 	return whole;
 }
 
+/* Fetches wrong answers for no longer than a call may take; what is left comes
+ * with a later report. */
 static void
 fetch_unverified(const struct worker_call *call, struct decoded_report *decoded)
 {
-	for (size_t i = 0; i < decoded->unverified_count; i++) {
+	int64_t end_ms = clock_now_ms() + call->timeout_ms;
+
+	for (size_t i = 0;
+	     i < decoded->unverified_count && clock_now_ms() < end_ms; i++) {
 		const struct unverified_answer *wrong = &decoded->unverified[i];
 		struct worker_task *task = &decoded->report.tasks[wrong->task];
 		bool whole = fetch_answer(call, task, &wrong->check);
--- a/tests/test_store_client.c
+++ b/tests/test_store_client.c
@@ -18,7 +18,7 @@
 #define FIRST_TOKEN 100
 
 struct service {
-	volatile bool ending;
+	atomic_bool ending;
 	atomic_uint requests;
 };
 
--- a/tests/test_worker_client.c
+++ b/tests/test_worker_client.c
@@ -17,10 +17,10 @@
 #define WHOLE_HASH     "1ffd3f32c954e628"
 
 struct workers {
-	volatile bool ending;
+	atomic_bool ending;
 	atomic_bool silent; /* workers whose name starts with s don't answer */
 	atomic_uint fetches;
-	bool spoil_fetches;
+	atomic_bool spoil_fetches;
 };
 
 struct fixture {
