Keep urgent jobs off workers drained for a large one

Cause: urgent jobs passed draining reservations and filled the drained rack time and again, so that whole-rack plans waited for the deadline. Change: urgent jobs use drained workers last, after an eviction elsewhere; a compaction may also stop what has run for a short time.

--- a/bench/bench_decisions.c
+++ b/bench/bench_decisions.c
@@ -1,6 +1,7 @@
 /* Measures the decisions under a seeded feed, first fit beside guarantees. */
 #include <inttypes.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "common_feed.h"
 #include "process/alloc.h"
@@ -19,6 +20,15 @@
 static const char *const class_names[FLEET_CLASSES] = {
     "urgent", "plan", "batch", "idle"};
 
+/* Only scenarios whose name starts with it are run. */
+static const char *chosen_prefix = "";
+
+static bool
+is_chosen(const char *scenario)
+{
+	return strncmp(scenario, chosen_prefix, strlen(chosen_prefix)) == 0;
+}
+
 /* The same feeds under both policies. */
 struct pair {
 	struct feed_result first_fit[RUNS];
@@ -180,6 +190,8 @@
 	char name[64];
 
 	(void)snprintf(name, sizeof(name), "%s_%s", size->name, scenario->name);
+	if (!is_chosen(name))
+		return;
 	run_pair(config, &pair);
 	for (int i = 0; i < FLEET_CLASSES; i++)
 		print_class(name, &pair, i);
@@ -219,6 +231,8 @@
 	char name[64];
 
 	(void)snprintf(name, sizeof(name), "%s_zone", size->name);
+	if (!is_chosen(name))
+		return;
 	run_pair(config, &pair);
 	print_figure(
 	    name, "work", &pair, FIGURE_ZONE_WORK, 0, "higher", "share");
@@ -235,7 +249,11 @@
 {
 	static const double loads[] = {1.0, 2.0, 5.0};
 	double base[2] = {0};
+	char scenario[64];
 
+	(void)snprintf(scenario, sizeof(scenario), "%s_overload", size->name);
+	if (!is_chosen(scenario))
+		return;
 	for (size_t i = 0; i < COUNT_OF(loads); i++) {
 		struct feed_config config = {
 		    .size = size,
@@ -263,8 +281,10 @@
 }
 
 int
-main(void)
+main(int argc, char **argv)
 {
+	if (argc > 1)
+		chosen_prefix = argv[1];
 	for (size_t i = 0; i < COUNT_OF(sizes); i++) {
 		measure_loads(&sizes[i]);
 		measure_zone(&sizes[i]);
--- a/src/process/eviction.c
+++ b/src/process/eviction.c
@@ -4,7 +4,8 @@
 #include "process/eviction.h"
 
 #define CHECKPOINT_LOSS_MS  INT64_C(2000)
-#define MIN_RESIDENCE_MS    INT64_C(30000)
+#define MIN_RESIDENCE_MS    INT64_C(10000)
+#define MAX_STOPPED_RUN_MS  INT64_C(60000)
 #define OWN_WORK_WEIGHT	    2.0
 #define SINGLE_TASK_OPTIONS 64
 #define BUDGET_SHARE_PER_S  0.01
@@ -62,6 +63,14 @@
 	return below;
 }
 
+static int64_t
+lost_ms(const struct eviction_planner *planner, const struct job_entry *victim)
+{
+	if (victim->job.checkpointable)
+		return CHECKPOINT_LOSS_MS;
+	return planner->now_ms - victim->started_ms + CHECKPOINT_LOSS_MS;
+}
+
 /* Accelerator-milliseconds lost by evicting a job, weighted. */
 static double
 cost_of(const struct eviction_planner *planner,
@@ -84,9 +93,14 @@
 may_press(const struct eviction_planner *planner,
     const struct job_entry *claimant, const struct job_entry *victim)
 {
-	return victim->job.checkpointable &&
-	    planner->now_ms - victim->started_ms >= MIN_RESIDENCE_MS &&
-	    precedence_of(planner, victim) > precedence_of(planner, claimant);
+	int64_t ran_ms = planner->now_ms - victim->started_ms;
+
+	/* A checkpoint pays after a while; a stop only before much is lost. */
+	if (victim->job.checkpointable ? ran_ms < MIN_RESIDENCE_MS
+				       : ran_ms > MAX_STOPPED_RUN_MS)
+		return false;
+	return precedence_of(planner, victim) >
+	    precedence_of(planner, claimant);
 }
 
 /* excess tells whether the victim's workspace holds more than its claims on
@@ -258,7 +272,7 @@
 
 	if (!worker->usable || worker->on_probation)
 		return false;
-	if (!request->urgent && worker->holder != NO_INDEX &&
+	if (!request->pass_draining && worker->holder != NO_INDEX &&
 	    worker->holder != request->entry->reservation)
 		return false;
 	for (uint32_t i = 0; i < request->entry->avoided_count; i++) {
@@ -368,6 +382,8 @@
 			planner->victims_count + 1, sizeof(struct job_entry *));
 		planner->victims[planner->victims_count++] = entry;
 		planner->freed += job_entry_accelerators(entry);
+		planner->lost +=
+		    lost_ms(planner, entry) * job_entry_accelerators(entry);
 	}
 }
 
@@ -404,6 +420,7 @@
 	(void)cheapest_cost(planner, tasks);
 	planner->victims_count = 0;
 	planner->freed = 0;
+	planner->lost = 0;
 	planner->workers = mem_grow(planner->workers,
 	    &planner->workers_capacity, tasks, sizeof(*planner->workers));
 	for (size_t i = 0; i < planner->options_count && placed < tasks; i++)
--- a/src/process/eviction.h
+++ b/src/process/eviction.h
@@ -48,6 +48,7 @@
 	size_t victims_count;
 	size_t victims_capacity;
 	uint64_t freed; /* accelerators of all victims */
+	int64_t lost;	/* accelerator-milliseconds of their work */
 };
 
 /* Limits evictions that are not owed to a guarantee or an urgent job. */
--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -91,7 +91,7 @@
     const struct placement_request *request,
     const struct cluster_worker *worker)
 {
-	if (request->urgent || worker->holder == NO_INDEX ||
+	if (request->pass_draining || worker->holder == NO_INDEX ||
 	    worker->holder == request->entry->reservation)
 		return false;
 	return request->ends_ms >
@@ -147,7 +147,7 @@
 	    cluster_share(cluster, index, entry->workspace);
 	bool own = share->claim >= share->used + accelerators;
 	bool unclaimed = worker->owed + accelerators <= worker->capacity;
-	bool small = accelerators < worker->capacity;
+	bool small = entry->job.accelerators_per_task < worker->capacity;
 
 	if (small ? unclaimed : own)
 		return USES_BEST_ROOM;
--- a/src/process/placement.h
+++ b/src/process/placement.h
@@ -35,7 +35,8 @@
 
 struct placement_request {
 	const struct job_entry *entry;
-	bool urgent;	    /* passes draining reservations and zone room */
+	bool urgent;	    /* is not held back by a zone's ramp */
+	bool pass_draining; /* may use workers that are drained for others */
 	bool allow_avoided; /* may use workers that the job failed on */
 	int64_t ends_ms;    /* when it would be expected to end */
 };
--- a/src/process/policy_first_fit.c
+++ b/src/process/policy_first_fit.c
@@ -40,6 +40,8 @@
 	for (size_t i = 0; i < cluster->racks_count; i++) {
 		const struct cluster_rack *rack = &cluster->racks[i];
 
+		if (rack->max_free < job->accelerators_per_task)
+			continue;
 		if (fill_from_range(cluster, job, rack->first_worker,
 			rack->workers_count, 0, workers) == job->tasks)
 			return true;
@@ -64,10 +66,29 @@
 	return placed == job->tasks;
 }
 
+static bool
+enough_is_free(const struct cluster *cluster, const struct scheduler_job *job)
+{
+	uint32_t max_free = 0;
+	uint64_t free = 0;
+
+	for (size_t i = 0; i < cluster->racks_count; i++) {
+		const struct cluster_rack *rack = &cluster->racks[i];
+
+		free += rack->free;
+		max_free =
+		    rack->max_free > max_free ? rack->max_free : max_free;
+	}
+	return max_free >= job->accelerators_per_task &&
+	    free >= (uint64_t)job->tasks * job->accelerators_per_task;
+}
+
 static bool
 first_fit(const struct cluster *cluster, const struct scheduler_job *job,
     uint32_t *workers)
 {
+	if (!enough_is_free(cluster, job))
+		return false;
 	switch (job->adjacency) {
 	case IBIS__ADJACENCY__ADJACENCY_WORKER:
 		return fit_on_worker(cluster, job, workers);
--- a/src/process/policy_guaranteed.c
+++ b/src/process/policy_guaranteed.c
@@ -18,6 +18,7 @@
 #define PRESSING_MARGIN_MS  10000
 #define COMPACT_INTERVAL_MS 1000
 #define COMPACT_PATIENCE_MS 2000
+#define COMPACT_WORTH_MS    20000 /* of the job's accelerators */
 
 /* A request for which no workers were found in this decision. */
 struct failed_shape {
@@ -26,6 +27,7 @@
 	Ibis__Adjacency adjacency;
 	uint32_t workspace; /* NO_INDEX: any, as it was not firm */
 	bool urgent;
+	bool pass_draining;
 	bool backfills; /* it could use draining workers */
 };
 
@@ -69,6 +71,7 @@
 	    .adjacency = needed_adjacency(&entry->job),
 	    .workspace = job_entry_is_firm(entry) ? entry->workspace : NO_INDEX,
 	    .urgent = request->urgent,
+	    .pass_draining = request->pass_draining,
 	    .backfills = request->ends_ms <= pass->soonest_ready_ms,
 	};
 }
@@ -84,6 +87,7 @@
 	    (failed->workspace == NO_INDEX ||
 		failed->workspace == shape->workspace) &&
 	    (failed->urgent || !shape->urgent) &&
+	    (failed->pass_draining || !shape->pass_draining) &&
 	    (failed->backfills || !shape->backfills);
 }
 
@@ -247,6 +251,19 @@
 	return true;
 }
 
+/* Workers drained for a large job are the last resort, as bursts of urgent
+ * jobs would else keep it waiting. */
+static void
+serve_urgent(struct pass *pass, struct job_entry *entry,
+    struct placement_request *request)
+{
+	if (evict_urgently(pass, entry, request))
+		return;
+	request->pass_draining = true;
+	if (!try_start(pass, entry, request))
+		(void)evict_urgently(pass, entry, request);
+}
+
 /* Tells whether some claim of the entry's workspace is not used up. */
 static bool
 has_unused_claims(
@@ -339,7 +356,10 @@
 	pass->compacted = true;
 	scheduler->next_compact_ms = pass->now_ms + COMPACT_INTERVAL_MS;
 	if (!eviction_plan(&scheduler->planner, request, EVICTION_COMPACTION) ||
-	    scheduler->planner.freed > free || !within_budget(pass))
+	    scheduler->planner.freed > free ||
+	    scheduler->planner.lost >
+		COMPACT_WORTH_MS * (int64_t)job_entry_accelerators(entry) ||
+	    !within_budget(pass))
 		return false;
 	evict_for(pass, entry, "compaction");
 	return true;
@@ -436,7 +456,7 @@
 	if (try_start(pass, entry, &request))
 		return;
 	if (request.urgent) {
-		(void)evict_urgently(pass, entry, &request);
+		serve_urgent(pass, entry, &request);
 		return;
 	}
 	if (evict_patiently(pass, entry, &request))
