Let checkpointable work borrow anywhere when it is placed

Cause: keeping large plans off claims put them among the small jobs, which broke racks and made plans wait. Change: what a checkpoint keeps is placed by packing alone.

--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -149,6 +149,9 @@
 	bool unclaimed = worker->owed + accelerators <= worker->capacity;
 	bool small = entry->job.accelerators_per_task < worker->capacity;
 
+	/* What a checkpoint keeps may borrow anywhere: packing matters more. */
+	if (entry->job.checkpointable)
+		return USES_BEST_ROOM;
 	if (small ? unclaimed : own)
 		return USES_BEST_ROOM;
 	if (cluster_unborrowed_room(cluster, index, entry->workspace) >=
