Fill drained workers with what a checkpoint keeps

Cause: under overload a drained rack stood idle until its last job ended. Change: checkpointable work of a lower class may fill drained workers past the expected start, and is evicted when the large job's place can be made whole.

--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -85,17 +85,23 @@
 	return false;
 }
 
-/* Tells whether a draining reservation keeps the job off a worker. */
+/* Tells whether a draining reservation keeps the job off a worker. What is of
+ * a lower class and keeps its work when evicted may fill the time. */
 static bool
 kept_off(const struct placement *placement,
     const struct placement_request *request,
     const struct cluster_worker *worker)
 {
+	const struct reservation *reservation;
+
 	if (request->pass_draining || worker->holder == NO_INDEX ||
 	    worker->holder == request->entry->reservation)
 		return false;
-	return request->ends_ms >
-	    placement->reservations->slots[worker->holder].ready_ms;
+	reservation = &placement->reservations->slots[worker->holder];
+	if (request->entry->job.checkpointable &&
+	    request->entry->rank > reservation->entry->rank)
+		return false;
+	return request->ends_ms > reservation->ready_ms;
 }
 
 /* On probation a worker gets one small job that may be run again. */
--- a/src/process/policy_guaranteed.c
+++ b/src/process/policy_guaranteed.c
@@ -348,15 +348,17 @@
 {
 	struct scheduler *scheduler = pass->scheduler;
 	uint64_t free = free_accelerators(scheduler);
+	/* Work that fills drained workers is evicted wherever it goes. */
+	bool drains = entry->reservation != NO_INDEX;
 
 	if (pass->compacted || pass->now_ms < scheduler->next_compact_ms ||
 	    pass->now_ms - entry->queued_ms < COMPACT_PATIENCE_MS ||
-	    free < job_entry_accelerators(entry))
+	    (!drains && free < job_entry_accelerators(entry)))
 		return false;
 	pass->compacted = true;
 	scheduler->next_compact_ms = pass->now_ms + COMPACT_INTERVAL_MS;
 	if (!eviction_plan(&scheduler->planner, request, EVICTION_COMPACTION) ||
-	    scheduler->planner.freed > free ||
+	    (!drains && scheduler->planner.freed > free) ||
 	    scheduler->planner.lost >
 		COMPACT_WORTH_MS * (int64_t)job_entry_accelerators(entry) ||
 	    !within_budget(pass))
