Linger before a planned stop ends, and refuse late requests as not run

An instance without open requests ended at once, so callers that had kept a connection idle for a moment wrote into a closed one: 7 of 535 requests were cut in six stops. It now stays for a second, in which each answer closes its connection. Requests that come in after the control thread has ended are refused as not run instead of getting 504.

--- a/src/connection/caller_http.c
+++ b/src/connection/caller_http.c
@@ -65,7 +65,8 @@
 	uint32_t connections; /* of the traffic thread */
 	atomic_uint open_requests;
 	atomic_bool draining;
-	atomic_bool stopping;
+	atomic_bool refusing;
+	atomic_bool sweeping;
 };
 
 /* Fills the output with an error that arose here. */
@@ -256,7 +257,7 @@
 	atomic_store(&server->slots[slot].exchange, exchange);
 	event_queue_post(server->events, &event);
 	/* The sweep of a stop may have passed this slot just before. */
-	if (atomic_load(&server->stopping))
+	if (atomic_load(&server->sweeping))
 		resume_unanswered(server, slot);
 }
 
@@ -321,7 +322,7 @@
 	if (over_limit && !is_probe(request)) {
 		counter_add(COUNTER_CALLERS_REFUSED, 1);
 		refuse(exchange, "too many connections");
-	} else if (atomic_load(&server->stopping)) {
+	} else if (atomic_load(&server->refusing)) {
 		refuse(exchange, "the instance is stopping");
 	} else if (!take_slot(server, exchange)) {
 		refuse(exchange, "too many requests");
@@ -486,6 +487,13 @@
 	atomic_store(&server->draining, true);
 }
 
+void
+caller_server_refuse(struct caller_server *server)
+{
+	caller_server_drain(server);
+	atomic_store(&server->refusing, true);
+}
+
 uint32_t
 caller_server_open_requests(const struct caller_server *server)
 {
@@ -520,8 +528,8 @@
 
 	if (server == NULL)
 		return;
-	caller_server_drain(server);
-	atomic_store(&server->stopping, true);
+	caller_server_refuse(server);
+	atomic_store(&server->sweeping, true);
 	stop_accepting(server);
 	for (uint32_t i = 0; i < server->slots_count; i++)
 		resume_unanswered(server, i);
--- a/src/connection/caller_http.h
+++ b/src/connection/caller_http.h
@@ -48,10 +48,15 @@
  * connections move away. */
 void caller_server_drain(struct caller_server *server);
 
+/* From now on each new request is refused as not run, by the traffic thread.
+ * Those already posted are still to be answered. */
+void caller_server_refuse(struct caller_server *server);
+
 /* Number of requests not yet answered whole. */
 uint32_t caller_server_open_requests(const struct caller_server *server);
 
-/* Stops accepting, lets answers being sent finish, frees the server. */
+/* Stops accepting, lets answers being sent finish, frees the server. Requests
+ * never answered are told that their effect is not known. */
 void caller_server_stop(struct caller_server *server);
 
 #endif
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -14,6 +14,7 @@
 #define STORE_DOWN_MS	  600
 #define LEAD_POLL_MS	  500
 #define LEAD_JITTER_MS	  150
+#define LINGER_MS	  1000
 #define RELEASE_GRACE_MS  3000
 #define SILENT_HEARTBEATS 8
 
@@ -232,6 +233,9 @@
 		return false;
 	if (leaving_ms >= control->settings->drain_ms)
 		return true;
+	/* Connections kept by callers end with their next answer. */
+	if (leaving_ms < LINGER_MS)
+		return false;
 	if (control_forwards_open(control) ||
 	    caller_server_open_requests(control->callers) > 0)
 		return false;
--- a/src/process/daemon.c
+++ b/src/process/daemon.c
@@ -9,6 +9,8 @@
 #include "process/proto_memory.h"
 
 #define MAX_FRAME_BYTES (4 * 1024 * 1024)
+#define REFUSE_MS	1000
+#define REFUSE_POLL_MS	10
 
 struct ibis_daemon {
 	struct event_queue *events;
@@ -65,25 +67,57 @@
 		store_client_stop(control->store);
 }
 
+static void
+free_event(struct event *event)
+{
+	if (event->kind == EVENT_STORE)
+		store_result_free(event->store);
+	else if (event->kind == EVENT_WORKER)
+		worker_result_free(event->worker);
+	else if (event->kind == EVENT_PEER_FRAME)
+		proto_free(&event->frame.frame->base);
+}
+
 /* Frees what came in after the control thread had ended. */
 static void
 drain_events(struct event_queue *events)
 {
 	struct event event;
 
-	while (event_queue_take(events, 0, &event)) {
-		if (event.kind == EVENT_STORE)
-			store_result_free(event.store);
-		else if (event.kind == EVENT_WORKER)
-			worker_result_free(event.worker);
-		else if (event.kind == EVENT_PEER_FRAME)
-			proto_free(&event.frame.frame->base);
+	while (event_queue_take(events, 0, &event))
+		free_event(&event);
+}
+
+/* Refuses what callers sent after the control thread had ended. */
+static void
+refuse_callers(struct ibis_daemon *daemon)
+{
+	struct control *control = daemon->control;
+	int64_t deadline_ms = clock_now_ms() + REFUSE_MS;
+	struct event event;
+
+	if (control->callers == NULL)
+		return;
+	caller_server_refuse(control->callers);
+	while (caller_server_open_requests(control->callers) > 0 &&
+	    clock_now_ms() < deadline_ms) {
+		struct origin origin = {0};
+
+		if (!event_queue_take(daemon->events, REFUSE_POLL_MS, &event))
+			continue;
+		origin.caller = event.caller;
+		if (event.kind == EVENT_CALLER)
+			control_refuse(control, &origin, IBIS_UNAVAILABLE,
+			    "stop", "the instance is stopping", true, 0);
+		else
+			free_event(&event);
 	}
 }
 
 static void
 daemon_free(struct ibis_daemon *daemon)
 {
+	refuse_callers(daemon);
 	stop_traffic(daemon->control);
 	drain_events(daemon->events);
 	control_free(daemon->control);
--- a/tests/test_caller_http.c
+++ b/tests/test_caller_http.c
@@ -232,10 +232,14 @@
 	struct caller_request *waiting = take_request(&site);
 	int unanswered = send_request(&site, "GET /v1/document/sections/b");
 	struct caller_request *lost = take_request(&site);
+	int refused;
 
 	caller_server_drain(site.server);
 	reply_name(&site, waiting);
 	check_response(answered, "200 OK", "Connection: close\r\n");
+	caller_server_refuse(site.server);
+	refused = send_request(&site, "GET /v1/document/sections/c");
+	check_response(refused, "503 ", "\"not_run\":true");
 	caller_server_stop(site.server);
 	check_response(unanswered, "504 ", "\"not_run\":false");
 	ibis__request__free_unpacked(lost->request, NULL);
@@ -243,6 +247,7 @@
 	event_queue_free(site.events);
 	(void)close(answered);
 	(void)close(unanswered);
+	(void)close(refused);
 }
 
 int
