--- a/src/connection/peer_loop.c
+++ b/src/connection/peer_loop.c
@@ -10,6 +10,7 @@
 #include "process/clock.h"
 #include "process/counters.h"
 #include "process/log.h"
+#include "process/race_check.h"
 
 #define LISTEN_BACKLOG	256
 #define EPOLL_BATCH	128
@@ -147,9 +148,11 @@
 		log_event(LOG_ERROR, "link_wake_failed", "message",
 		    strerrordesc_np(errno), NULL);
 	while ((node = __cds_wfcq_dequeue_blocking(
-		    &loop->commands_head, &loop->commands_tail)) != NULL)
+		    &loop->commands_head, &loop->commands_tail)) != NULL) {
+		RACE_TAKE_OVER(node);
 		run_command(
 		    loop, caa_container_of(node, struct peer_command, node));
+	}
 	/* One write for all frames that came together. */
 	for (size_t i = 0; i < loop->peers_count; i++) {
 		struct peer_connection *connection = loop->peers[i]->connection;
@@ -377,6 +380,7 @@
 
 	*copy = *command;
 	cds_wfcq_node_init(&copy->node);
+	RACE_HAND_OVER(&copy->node);
 	if (!cds_wfcq_enqueue(
 		&loop->commands_head, &loop->commands_tail, &copy->node) &&
 	    write(loop->wake_fd, &one, sizeof(one)) < 0)
