--- a/tests/fail_peers.c
+++ b/tests/fail_peers.c
@@ -20,6 +20,7 @@
 #define PROGRESS_MS   20000
 #define LEAD_MS	      10000
 #define ADMIN_MS      2000
+#define EXIT_MS	      35000
 #define SILENT_BOUND  8 /* seconds that a lost link may hold up an answer */
 #define MORE_REQUESTS 60
 
@@ -164,6 +165,63 @@
 	lose_links_to(lead == 0 ? 1 : 0, "links to an entry go silent");
 }
 
+/* ---- A planned stop beside another fault ----------------------------- */
+
+/* Asks the lead to stop; its successor serves before it is replaced. */
+static void
+stop_lead(struct callers *callers, uint32_t lead)
+{
+	struct deployment_instance *instance = &deployment.instances[lead];
+
+	process_terminate(&instance->process);
+	CU_ASSERT_EQUAL(process_wait(&instance->process, EXIT_MS), 0);
+	callers_set_address(callers, lead, NULL);
+}
+
+static void
+replace(struct callers *callers, uint32_t index)
+{
+	CU_ASSERT_TRUE(deployment_restart(&deployment, index));
+	callers_set_address(callers, index, deployment.instances[index].caller);
+}
+
+static void
+test_lead_stops_while_another_is_frozen(void)
+{
+	int lead = deployment_wait_lead(&deployment, -1, LEAD_MS);
+	uint32_t other = lead == 0 ? 1 : 0;
+	struct callers *callers = start_load(20000);
+
+	CU_ASSERT_TRUE_FATAL(lead >= 0);
+	wait_for_progress(callers);
+	process_freeze(&deployment.instances[other].process);
+	stop_lead(callers, (uint32_t)lead);
+	wait_for_progress(callers);
+	process_wake(&deployment.instances[other].process);
+	replace(callers, (uint32_t)lead);
+	wait_for_progress(callers);
+	(void)finish_load(callers, "lead stops, another is frozen");
+}
+
+static void
+test_lead_stops_while_store_is_down(void)
+{
+	int lead = deployment_wait_lead(&deployment, -1, LEAD_MS);
+	struct callers *callers = start_load(20000);
+
+	CU_ASSERT_TRUE_FATAL(lead >= 0);
+	wait_for_progress(callers);
+	CU_ASSERT_TRUE(
+	    deployment_fault_platform(&deployment, "{\"mode\": \"down\"}"));
+	stop_lead(callers, (uint32_t)lead);
+	CU_ASSERT_TRUE(
+	    deployment_fault_platform(&deployment, "{\"mode\": \"none\"}"));
+	wait_for_progress(callers);
+	replace(callers, (uint32_t)lead);
+	wait_for_progress(callers);
+	(void)finish_load(callers, "lead stops, store is down");
+}
+
 int
 main(void)
 {
@@ -172,6 +230,10 @@
 	    {"entry freezes", test_entry_freezes},
 	    {"links to the lead go silent", test_links_to_lead_go_silent},
 	    {"links to an entry go silent", test_links_to_entry_go_silent},
+	    {"lead stops while another is frozen",
+		test_lead_stops_while_another_is_frozen},
+	    {"lead stops while the store is down",
+		test_lead_stops_while_store_is_down},
 	    CU_TEST_INFO_NULL,
 	};
 
