Test keys used again after the end, and a lead paused beyond its lease

A key that has met its end must meet it again at another instance and under the next lead, and conflict with another body; a lead that is stopped for longer than its leases goes on beside its successor.

--- a/tests/fail_start_once.c
+++ b/tests/fail_start_once.c
@@ -159,6 +159,88 @@
 	kill_lead_at(&(struct kill_point){.event = "start", .count = 14});
 }
 
+/* The lead is stopped for longer than all its leases, then goes on beside the
+ * one that has taken over. */
+static void
+test_lead_paused_beyond_lease(void)
+{
+	struct deployment deployment;
+	struct traffic traffic;
+	int lead;
+
+	failure_start(&deployment, INSTANCES, TIME_SCALE, SEED);
+	fill_traffic(&traffic, &deployment);
+	lead = deployment_lead(&deployment);
+	CU_ASSERT_TRUE_FATAL(lead >= 0);
+	CU_ASSERT_TRUE_FATAL(traffic_start(&traffic));
+	failure_wait_point(
+	    &deployment, &(struct kill_point){.event = "stage", .count = 9});
+	process_freeze(&deployment.instances[lead].process);
+	CU_ASSERT_TRUE(
+	    deployment_wait_lead(&deployment, lead, LEAD_TIMEOUT_MS) >= 0);
+	process_wake(&deployment.instances[lead].process);
+	failure_judge(&traffic, MAX_CAUGHT);
+	failure_stop(&deployment);
+}
+
+/* Puts a job at an instance; returns the code, and the answer's outcome. */
+static enum ibis_code
+put_again(struct deployment *deployment, uint32_t instance, const char *payload,
+    char outcome[JOB_NAME_BYTES])
+{
+	CLEANUP(client_answer_free) struct client_answer answer = {0};
+	CLEANUP(buffer_free) struct buffer body = {0};
+	struct ibis_status status = {0};
+	struct client_call call = {
+	    .method = "POST",
+	    .path = "/v1/jobs?wait_ms=6000",
+	    .idempotency_key = "again",
+	};
+	enum ibis_code code;
+
+	buffer_printf(&body,
+	    "{\"workspace\": \"one\", \"class\": \"plan\", \"tasks\": 2, "
+	    "\"accelerators_per_task\": 1, \"run_time_ms\": 100, "
+	    "\"payload\": \"%s\"}",
+	    payload);
+	call.body = body.data;
+	code = deployment_send(deployment, instance, &call, &answer, &status);
+	string_copy(
+	    outcome, JOB_NAME_BYTES, client_string(answer.json, "outcome", ""));
+	return code;
+}
+
+/* A key that has met its end meets it again, under each lead. */
+static void
+test_key_again_after_end(void)
+{
+	CLEANUP(log_free) struct log log = {0};
+	struct deployment deployment;
+	char outcome[JOB_NAME_BYTES];
+	char id[JOB_ID_BYTES];
+	int lead;
+
+	failure_start(&deployment, INSTANCES, TIME_SCALE, SEED);
+	CU_ASSERT_EQUAL(put_again(&deployment, 0, "a", outcome), IBIS_OK);
+	CU_ASSERT_STRING_EQUAL(outcome, "finished");
+	CU_ASSERT_EQUAL(put_again(&deployment, 1, "a", outcome), IBIS_OK);
+	CU_ASSERT_STRING_EQUAL(outcome, "finished");
+	lead = deployment_lead(&deployment);
+	CU_ASSERT_TRUE_FATAL(lead >= 0);
+	deployment_kill(&deployment, (uint32_t)lead);
+	lead = deployment_wait_lead(&deployment, lead, LEAD_TIMEOUT_MS);
+	CU_ASSERT_TRUE_FATAL(lead >= 0);
+	CU_ASSERT_EQUAL(
+	    put_again(&deployment, (uint32_t)lead, "a", outcome), IBIS_OK);
+	CU_ASSERT_STRING_EQUAL(outcome, "finished");
+	CU_ASSERT_EQUAL(put_again(&deployment, (uint32_t)lead, "b", outcome),
+	    IBIS_CONFLICT);
+	job_id_format(job_id_from_key("one", "again"), id);
+	CU_ASSERT_TRUE_FATAL(log_read(&log, deployment.workers_log));
+	CU_ASSERT_EQUAL(log_starts(&log, id), 2);
+	failure_stop(&deployment);
+}
+
 static void
 test_swap_answers_lost(void)
 {
@@ -187,6 +269,8 @@
 	    {"lead killed at a swap", test_lead_killed_at_swap},
 	    {"lead killed at a stage", test_lead_killed_at_stage},
 	    {"lead killed at a start", test_lead_killed_at_start},
+	    {"lead paused beyond its lease", test_lead_paused_beyond_lease},
+	    {"key again after the end", test_key_again_after_end},
 	    {"swap answers lost", test_swap_answers_lost},
 	    CU_TEST_INFO_NULL,
 	};
