--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -23,11 +23,11 @@
 			sub(/^  Test: /, "", name)
 			sub(/ \.\.\..*$/, "", name)
 		}
-		name != "" && /(^|\.\.\.)passed$/ {
+		name != "" && /(^|[. ])passed$/ {
 			print program "|" name "|passed"
 			name = ""
 		}
-		name != "" && /(^|\.\.\.)FAILED$/ {
+		name != "" && /(^|[. ])FAILED$/ {
 			print program "|" name "|failed"
 			name = ""
 		}' "$2"
