Do not give a job up for evictions before its start

Cause: an attempt that urgent work evicted before its start ended as a failed attempt; five of these and an accepted job was given up (fail_zone_out, lead frozen and woken: 2 of 260 jobs failed with reason attempts). Also, an instance that had just started answered reads of the document as empty, version 0 (fail_document, 1 fall seen). Change: only attempts that a worker spoilt count; reads are refused until the head has been read once. Ruled out: a larger max_attempts, which only makes it rarer.

--- a/src/process/control_document.c
+++ b/src/process/control_document.c
@@ -5,7 +5,8 @@
 #include "process/log.h"
 #include "version/spread.h"
 
-#define WATCH_MS 400
+#define WATCH_MS       400
+#define RETRY_AFTER_MS 1000
 
 /* An operator's request that waits for its answer. */
 struct pending {
@@ -223,6 +224,13 @@
 	control_reply_json(control, origin, buffer_string(&json));
 }
 
+static bool
+is_read(const Ibis__Request *request)
+{
+	return request->kind == IBIS__REQUEST_KIND__REQUEST_DOCUMENT ||
+	    request->kind == IBIS__REQUEST_KIND__REQUEST_SECTION;
+}
+
 void
 control_document_request(struct control *control, const struct origin *origin,
     const Ibis__Request *request)
@@ -234,6 +242,14 @@
 		request_zones(control, origin);
 		return;
 	}
+	if (is_read(request) && spread_version(part->spread) == 0 &&
+	    spread_confirmed_ms(part->spread) < 0) {
+		control_refuse(control, origin, IBIS_UNAVAILABLE, "document",
+		    "the instance has just started and has not read the "
+		    "document yet",
+		    true, RETRY_AFTER_MS);
+		return;
+	}
 	pending = mem_calloc(1, sizeof(*pending));
 	pending->call = ++part->next_call;
 	pending->origin = *origin;
--- a/src/request/gang.c
+++ b/src/request/gang.c
@@ -437,6 +437,7 @@
 {
 	if (gang->phase == GANG_STOP || gang->phase == GANG_OVER)
 		return;
+	gang->evicted = result == GANG_EVICTED;
 	if (!checkpoint || gang->phase != GANG_RUN) {
 		begin_stop(gang, result, NULL, reason, sink, now_ms);
 		finish_if_over(gang, now_ms);
--- a/src/request/gang.h
+++ b/src/request/gang.h
@@ -95,6 +95,7 @@
 	bool checkpointing;
 	bool throttled;
 	bool adopted;
+	bool evicted; /* asked to end as GANG_EVICTED */
 	bool go_sent; /* some member may have been told to start */
 	char culprit[JOB_NAME_BYTES]; /* worker to blame; may be empty */
 	char reason[IBIS_MESSAGE_BYTES];
