Do not count an eviction before the start as a failed attempt

Cause: an attempt that the scheduler evicts while it is reserved or staged ends as 'not started', which scheduler_end takes for a failed attempt. An accepted, idempotent job that urgent ones displaced three times before its start was thus given up as failed for 'attempts', although nothing was wrong with it; seen once in fail_zone_out 'store down' of make prove (260 jobs, one failed). Change: while an eviction is under way, the end of an attempt that did not start counts as the eviction.

Ruled out: judging by the absence of a culprit in the control thread, since an attempt without one may also lack permission to start, and then needs its backoff.

--- a/src/process/scheduler.c
+++ b/src/process/scheduler.c
@@ -456,6 +456,9 @@
 	bool checkpointed =
 	    entry->job.checkpointable && entry->evict_by_ms != INT64_MAX;
 
+	/* Stopped by its eviction before it could start: no failed attempt. */
+	if (end == END_ATTEMPT_FAILED && entry->evict_reason != NULL)
+		end = END_EVICTED;
 	entry->evict_reason = NULL;
 	entry->not_before_ms = now_ms;
 	if (end == END_EVICTED) {
--- a/tests/test_scheduler.c
+++ b/tests/test_scheduler.c
@@ -156,6 +156,39 @@
 	each_policy(give_up_after_failures);
 }
 
+static void
+keep_what_eviction_stopped(struct scheduler *scheduler)
+{
+	struct scheduler_job job = site_job(1, "small", "plan", 1, 1);
+	struct scheduler_action action = {0};
+	int64_t now_ms = 0;
+
+	scheduler_set_zone(scheduler, "z1", false, 0);
+	site_submit(scheduler, &job, 0);
+	for (int i = 0; i < 5; i++) {
+		CU_ASSERT_TRUE_FATAL(
+		    site_decide(scheduler, 1, now_ms, &action));
+		CU_ASSERT_EQUAL_FATAL(action.kind, ACTION_START);
+		scheduler_set_zone(scheduler, "z0", false, now_ms);
+		now_ms += SITE_LEAVE_DEADLINE_MS;
+		CU_ASSERT_TRUE_FATAL(
+		    site_decide(scheduler, 1, now_ms, &action));
+		CU_ASSERT_EQUAL_FATAL(action.kind, ACTION_EVICT);
+		scheduler_end(
+		    scheduler, job.id, END_ATTEMPT_FAILED, NULL, 0, now_ms);
+		scheduler_set_zone(scheduler, "z0", true, now_ms);
+		now_ms += 60000;
+	}
+	CU_ASSERT_TRUE_FATAL(site_decide(scheduler, 1, now_ms, &action));
+	CU_ASSERT_EQUAL(action.kind, ACTION_START);
+}
+
+static void
+test_eviction_is_no_failed_attempt(void)
+{
+	each_policy(keep_what_eviction_stopped);
+}
+
 static void
 restore_at_takeover(struct scheduler *scheduler)
 {
@@ -222,6 +255,8 @@
 		test_no_start_in_zone_out_of_service},
 	    {"gives up a job that fails everywhere",
 		test_gives_up_job_that_fails_everywhere},
+	    {"eviction before the start is no failed attempt",
+		test_eviction_is_no_failed_attempt},
 	    {"restore passes over unknown workers",
 		test_restore_passes_over_unknown_workers},
 	    {"new document keeps work and holds",
