--- a/src/request/cli_document.c
+++ b/src/request/cli_document.c
@@ -216,8 +216,6 @@
 	if_version = (int64_t)change.version;
 	if (!cli_number(cli, "if-version", 0, INT64_MAX, &if_version))
 		return CLI_USAGE;
-	if (!cli->json)
-		print_difference(&change.accepted, &change.edited);
 	return put_text(
 	    cli, DOCUMENT_PATH, change.text.data, (uint64_t)if_version);
 }
@@ -272,12 +270,35 @@
 	return CLI_OK;
 }
 
+/* Prints the version and each section's name and revision. */
+static int
+list_sections(struct cli *cli)
+{
+	CLEANUP(client_answer_free) struct client_answer answer = {0};
+	struct ibis_status status = {0};
+	struct json_object *sections;
+	enum ibis_code code;
+
+	code = client_get(cli->client, DOCUMENT_PATH, &answer, &status);
+	if (code != IBIS_OK)
+		return cli_fail(code, &status);
+	if (json_object_object_get_ex(answer.json, "sections", &sections)) {
+		json_object_object_foreach(sections, name, section)
+		{
+			(void)name;
+			json_object_object_del(section, "text");
+		}
+	}
+	cli_print(cli, answer.json);
+	return CLI_OK;
+}
+
 static int
 run_get(struct cli *cli)
 {
 	if (cli->arguments_count > 0)
 		return print_section(cli);
-	return cli_show(cli);
+	return cli->json ? cli_show(cli) : list_sections(cli);
 }
 
 const struct cli_command cli_document_commands[] = {
@@ -316,7 +337,7 @@
     {.group = "document",
 	.name = "get",
 	.arguments = "[SECTION]",
-	.summary = "Shows the accepted document or one section.",
+	.summary = "Lists the accepted sections, or shows one; --json: all.",
 	.max_arguments = 1,
 	.run = run_get,
 	.path = DOCUMENT_PATH},
--- a/src/request/cli_output.c
+++ b/src/request/cli_output.c
@@ -11,6 +11,7 @@
 #define READ_BYTES	 65536
 #define MAX_FILE_BYTES	 (1 << 20)
 #define NESTED_SEPARATOR ","
+#define MAX_JOINED_BYTES 64
 #define NAME_BYTES	 64
 
 void
@@ -67,27 +68,54 @@
 	return CLI_USAGE;
 }
 
-/* Appends a value in one line: arrays of scalars joined, others as JSON. */
+static void append_value(struct buffer *text, struct json_object *value);
+
 static void
-append_value(struct buffer *text, struct json_object *value)
+append_array(struct buffer *text, struct json_object *array)
 {
-	size_t count;
+	size_t count = json_object_array_length(array);
 
-	if (value == NULL) {
-		buffer_puts(text, "-");
-		return;
-	}
-	if (!json_object_is_type(value, json_type_array)) {
-		buffer_puts(text, json_object_get_string(value));
-		return;
-	}
-	count = json_object_array_length(value);
 	if (count == 0)
 		buffer_puts(text, "-");
 	for (size_t i = 0; i < count; i++) {
 		if (i > 0)
 			buffer_puts(text, NESTED_SEPARATOR);
-		append_value(text, json_object_array_get_idx(value, i));
+		append_value(text, json_object_array_get_idx(array, i));
+	}
+}
+
+static void
+append_object(struct buffer *text, struct json_object *object)
+{
+	const char *separator = "";
+
+	json_object_object_foreach(object, key, member)
+	{
+		buffer_printf(text, "%s%s=", separator, key);
+		append_value(text, member);
+		separator = NESTED_SEPARATOR;
+	}
+}
+
+/* Appends a value in one line. */
+static void
+append_value(struct buffer *text, struct json_object *value)
+{
+	switch (json_object_get_type(value)) {
+	case json_type_null:
+		buffer_puts(text, "-");
+		break;
+	case json_type_array:
+		append_array(text, value);
+		break;
+	case json_type_object:
+		append_object(text, value);
+		break;
+	case json_type_double:
+		buffer_printf(text, "%g", json_object_get_double(value));
+		break;
+	default:
+		buffer_puts(text, json_object_get_string(value));
 	}
 }
 
@@ -171,17 +199,47 @@
 		json_object_array_get_idx(value, 0), json_type_object);
 }
 
+/* Tells whether a value is a list whose elements had better have a line each.
+ */
+static bool
+is_list_of_lines(struct json_object *value, const struct buffer *joined)
+{
+	return json_object_is_type(value, json_type_array) &&
+	    joined->length > MAX_JOINED_BYTES;
+}
+
 static void
-print_object(struct json_object *object)
+print_lines(struct json_object *list)
 {
-	json_object_object_foreach(object, key, value)
-	{
+	for (size_t i = 0; i < json_object_array_length(list); i++) {
 		CLEANUP(buffer_free) struct buffer text = {0};
 
-		if (is_table(value))
-			continue;
-		append_value(&text, value);
+		append_value(&text, json_object_array_get_idx(list, i));
+		(void)printf("  %s\n", buffer_string(&text));
+	}
+}
+
+static void
+print_member(const char *key, struct json_object *value)
+{
+	CLEANUP(buffer_free) struct buffer text = {0};
+
+	append_value(&text, value);
+	if (!is_list_of_lines(value, &text)) {
 		(void)printf("%s: %s\n", key, buffer_string(&text));
+		return;
+	}
+	(void)printf("%s:\n", key);
+	print_lines(value);
+}
+
+static void
+print_object(struct json_object *object)
+{
+	json_object_object_foreach(object, key, value)
+	{
+		if (!is_table(value))
+			print_member(key, value);
 	}
 	json_object_object_foreach(object, table, rows)
 	{
