Walk a bounded part of each class, keep room for urgent jobs

Cause: hundreds of queued plans hid the classes behind them from backfill; the fill that this brought was evicted by the next urgent jobs over and over. Change: at most 64 jobs of a class are walked in a decision; what would lose its work waits while it would take the room that urgent jobs used of late. The cost of one decision is measured as well.

--- a/bench/bench_decisions.c
+++ b/bench/bench_decisions.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "common_cost.h"
 #include "common_feed.h"
 #include "process/alloc.h"
 
@@ -58,11 +59,11 @@
 
 static void
 print_line(const char *scenario, const char *metric, double value,
-    double baseline, const char *better, const char *unit)
+    double baseline, const char *better, const char *unit, int runs)
 {
 	printf("metric=%s_%s value=%.4g baseline=%.4g better=%s unit=%s "
 	       "seed=%d runs=%d\n",
-	    scenario, metric, value, baseline, better, unit, SEED, RUNS);
+	    scenario, metric, value, baseline, better, unit, SEED, runs);
 	(void)fflush(stdout);
 }
 
@@ -128,7 +129,7 @@
 {
 	print_line(scenario, metric,
 	    mean_figure(pair->guaranteed, figure, class),
-	    mean_figure(pair->first_fit, figure, class), better, unit);
+	    mean_figure(pair->first_fit, figure, class), better, unit, RUNS);
 }
 
 static void
@@ -276,7 +277,37 @@
 			base[1] = goodput[1];
 		}
 		print_line(name, "goodput_of_1x", goodput[0] / base[0],
-		    goodput[1] / base[1], "higher", "share");
+		    goodput[1] / base[1], "higher", "share", RUNS);
+	}
+}
+
+/* Time of one decision and placements a second, as the fleet grows. */
+static void
+measure_cost(void)
+{
+	static const struct fleet_size fleets[] = {
+	    {"cost_48_workers_8_slots", 3, 2, 8, 8},
+	    {"cost_576_workers_28_slots", 3, 24, 8, 28},
+	    {"cost_2304_workers_28_slots", 3, 96, 8, 28},
+	};
+	static const uint32_t gangs[] = {32, 256, 256};
+
+	for (size_t i = 0; i < COUNT_OF(fleets); i++) {
+		struct cost_result value;
+		struct cost_result baseline;
+
+		if (!is_chosen(fleets[i].name))
+			continue;
+		value =
+		    cost_measure(&fleets[i], POLICY_GUARANTEED, gangs[i], SEED);
+		baseline =
+		    cost_measure(&fleets[i], POLICY_FIRST_FIT, gangs[i], SEED);
+		print_line(fleets[i].name, "decide_p99", value.decide_p99_us,
+		    baseline.decide_p99_us, "lower", "us", 1);
+		print_line(fleets[i].name, "decide_max", value.decide_max_us,
+		    baseline.decide_max_us, "lower", "us", 1);
+		print_line(fleets[i].name, "placements", value.placements_per_s,
+		    baseline.placements_per_s, "higher", "1/s", 1);
 	}
 }
 
@@ -290,5 +321,6 @@
 		measure_zone(&sizes[i]);
 		measure_overload(&sizes[i]);
 	}
+	measure_cost();
 	return 0;
 }
--- a/src/process/job_entry.h
+++ b/src/process/job_entry.h
@@ -32,6 +32,7 @@
 	bool has_run;		/* some attempt was running */
 	bool started;		/* some attempt was started */
 	bool throttled;
+	bool counted_urgent;	  /* its accelerators count as urgent use */
 	bool chosen;		  /* mark of one eviction or zone plan */
 	uint32_t attempts;	  /* that failed, for whatever reason */
 	uint32_t failed_attempts; /* of them, those blamed on the job */
--- a/src/process/job_queue.c
+++ b/src/process/job_queue.c
@@ -87,11 +87,13 @@
 }
 
 struct job_queue_walk
-job_queue_walk_start(const struct job_queue *queue, int64_t now_ms)
+job_queue_walk_start(
+    const struct job_queue *queue, size_t lane_limit, int64_t now_ms)
 {
 	return (struct job_queue_walk){
 	    .queue = queue,
 	    .positions = mem_calloc(queue->lanes_count, sizeof(size_t)),
+	    .lane_limit = lane_limit,
 	    .now_ms = now_ms,
 	};
 }
@@ -128,7 +130,8 @@
 	size_t best = SIZE_MAX;
 
 	for (size_t i = 0; i < walk->queue->lanes_count; i++) {
-		if (walk->positions[i] >= walk->queue->lanes[i].count)
+		if (walk->positions[i] >= walk->queue->lanes[i].count ||
+		    walk->positions[i] >= walk->lane_limit)
 			continue;
 		if (best == SIZE_MAX || lane_goes_before(walk, i, best))
 			best = i;
--- a/src/process/policy_guaranteed.c
+++ b/src/process/policy_guaranteed.c
@@ -2,11 +2,14 @@
  * Serves the queue in order of class and latest start under workspace
  * guarantees, with backfill behind reservations for what does not fit yet.
  */
+#include <math.h>
+
 #include "process/alloc.h"
 #include "process/scheduler_state.h"
 #include "process/zone_leave.h"
 
 #define SCAN_LIMIT	    256 /* queued jobs looked at in a decision */
+#define LANE_LIMIT	    64	/* of them in each class */
 #define TRY_LIMIT	    48	/* searches for workers in a decision */
 #define PLAN_LIMIT	    8	/* searches for evictions of others' work */
 #define MAX_DRAINING	    1
@@ -16,6 +19,8 @@
 #define REDRAIN_AFTER_MS    5000
 #define RECLAIM_PATIENCE_MS 1000
 #define PRESSING_MARGIN_MS  10000
+#define URGENT_FADE_MS	    30000.0
+#define MAX_HEADROOM_SHARE  0.1
 #define COMPACT_INTERVAL_MS 1000
 #define COMPACT_PATIENCE_MS 2000
 #define COMPACT_WORTH_MS    20000 /* of the job's accelerators */
@@ -101,6 +106,40 @@
 	return false;
 }
 
+static void
+track_urgent_peak(struct scheduler *scheduler, int64_t now_ms)
+{
+	double elapsed_ms = (double)(now_ms - scheduler->urgent_peak_ms);
+
+	scheduler->urgent_peak *= exp(-elapsed_ms / URGENT_FADE_MS);
+	scheduler->urgent_peak_ms = now_ms;
+	if (scheduler->urgent_peak < scheduler->urgent_used)
+		scheduler->urgent_peak = scheduler->urgent_used;
+}
+
+/* Tells whether starting the entry leaves room for as many urgent jobs as ran
+ * of late. What would lose its work to the next one waits instead. */
+static bool
+leaves_headroom(
+    const struct scheduler *scheduler, const struct placement_request *request)
+{
+	double headroom = scheduler->urgent_peak - scheduler->urgent_used;
+	double capacity = 0;
+	double free = 0;
+
+	if (request->urgent || request->entry->job.checkpointable)
+		return true;
+	for (size_t i = 0; i < scheduler->cluster.zones_count; i++) {
+		const struct cluster_zone *zone = &scheduler->cluster.zones[i];
+
+		capacity += zone->usable_accelerators;
+		free += zone->usable_accelerators - (double)zone->used;
+	}
+	if (headroom > MAX_HEADROOM_SHARE * capacity)
+		headroom = MAX_HEADROOM_SHARE * capacity;
+	return free - job_entry_accelerators(request->entry) >= headroom;
+}
+
 /* Starts the entry if workers are found for it. */
 static bool
 try_start(struct pass *pass, struct job_entry *entry,
@@ -111,7 +150,8 @@
 	uint32_t *workers;
 	bool found;
 
-	if (entry->avoided_count == 0 && sure_to_fail(pass, &shape))
+	if (!leaves_headroom(scheduler, request) ||
+	    (entry->avoided_count == 0 && sure_to_fail(pass, &shape)))
 		return false;
 	pass->tries++;
 	workers = mem_calloc(entry->job.tasks, sizeof(*workers));
@@ -495,7 +535,8 @@
 	size_t count = 0;
 
 	prepare_planner(&pass);
-	walk = job_queue_walk_start(&scheduler->queue, now_ms);
+	track_urgent_peak(scheduler, now_ms);
+	walk = job_queue_walk_start(&scheduler->queue, LANE_LIMIT, now_ms);
 	while (count < SCAN_LIMIT &&
 	    (entries[count] = job_queue_walk_next(&walk)) != NULL)
 		count++;
--- a/src/process/scheduler.c
+++ b/src/process/scheduler.c
@@ -216,6 +216,7 @@
 	struct job_entry *entry;
 
 	scheduler->active_count = 0;
+	scheduler->urgent_used = 0;
 	set_lanes(scheduler);
 	for (size_t i = 0; i < scheduler->table.buckets_count; i++) {
 		for (entry = scheduler->table.buckets[i]; entry != NULL;
--- a/src/process/scheduler_jobs.c
+++ b/src/process/scheduler_jobs.c
@@ -84,6 +84,9 @@
 	if (entry->workspace < scheduler->workspaces_count)
 		scheduler->workspaces[entry->workspace].used +=
 		    job_entry_accelerators(entry);
+	entry->counted_urgent = scheduler_is_urgent(scheduler, entry);
+	if (entry->counted_urgent)
+		scheduler->urgent_used += job_entry_accelerators(entry);
 	add_active(scheduler, entry);
 }
 
@@ -123,6 +126,8 @@
 	if (entry->workspace < scheduler->workspaces_count)
 		scheduler->workspaces[entry->workspace].used -=
 		    job_entry_accelerators(entry);
+	if (entry->counted_urgent)
+		scheduler->urgent_used -= job_entry_accelerators(entry);
 	mem_free(entry->workers);
 	entry->workers = NULL;
 	scheduler->changed = true;
--- a/src/process/scheduler_state.h
+++ b/src/process/scheduler_state.h
@@ -65,6 +65,9 @@
 	size_t overusing_count;
 	size_t overusing_capacity;
 	struct action_list actions;
+	uint32_t urgent_used; /* accelerators that urgent jobs hold */
+	double urgent_peak;   /* the most of late, fading */
+	int64_t urgent_peak_ms;
 	uint64_t sequence;
 	int64_t next_ms; /* of a decision without an event */
 	int64_t next_expiry_ms;
