--- a/bench/bench_decisions.c
+++ b/bench/bench_decisions.c
@@ -269,6 +269,16 @@
 		(void)snprintf(
 		    name, sizeof(name), "%s_overload%gx", size->name, loads[i]);
 		run_pair(config, &pair);
+		print_figure(name, "thrown_away", &pair, FIGURE_THROWN_AWAY, 0,
+		    "lower", "share");
+		for (int class = 0; class < FLEET_CLASSES; class ++) {
+			char metric[64];
+
+			(void)snprintf(metric, sizeof(metric), "%s_missed",
+			    class_names[class]);
+			print_figure(name, metric, &pair, FIGURE_MISSED, class,
+			    "lower", "share");
+		}
 		goodput[0] = mean_figure(pair.guaranteed, FIGURE_GOODPUT, 0);
 		goodput[1] = mean_figure(pair.first_fit, FIGURE_GOODPUT, 0);
 		free_pair(&pair);
