Serve jobs that can still be in time before late ones

Cause: under overload the order by latest start gives each job its turn just when it is late, so that capacity goes to work that misses its deadline. Change: late jobs are walked after all others, and fewer of them.

--- a/bench/bench_decisions.c
+++ b/bench/bench_decisions.c
@@ -260,7 +260,7 @@
 		    .size = size,
 		    .load = loads[i],
 		    .run_time_factor = 1.5,
-		    .length_ms = LENGTH_MS,
+		    .length_ms = LENGTH_MS / 2,
 		};
 		struct pair pair;
 		char name[64];
--- a/src/process/job_queue.c
+++ b/src/process/job_queue.c
@@ -88,14 +88,25 @@
 
 struct job_queue_walk
 job_queue_walk_start(
-    const struct job_queue *queue, size_t lane_limit, int64_t now_ms)
+    const struct job_queue *queue, bool past, size_t lane_limit, int64_t now_ms)
 {
-	return (struct job_queue_walk){
+	struct job_queue_walk walk = {
 	    .queue = queue,
 	    .positions = mem_calloc(queue->lanes_count, sizeof(size_t)),
-	    .lane_limit = lane_limit,
+	    .ends = mem_calloc(queue->lanes_count, sizeof(size_t)),
 	    .now_ms = now_ms,
 	};
+
+	for (size_t i = 0; i < queue->lanes_count; i++) {
+		const struct job_queue_lane *lane = &queue->lanes[i];
+		size_t split = lane->urgent ? 0 : position_of(lane, now_ms, 0);
+
+		walk.positions[i] = past ? 0 : split;
+		walk.ends[i] = past ? split : lane->count;
+		if (walk.ends[i] - walk.positions[i] > lane_limit)
+			walk.ends[i] = walk.positions[i] + lane_limit;
+	}
+	return walk;
 }
 
 static int64_t
@@ -130,8 +141,7 @@
 	size_t best = SIZE_MAX;
 
 	for (size_t i = 0; i < walk->queue->lanes_count; i++) {
-		if (walk->positions[i] >= walk->queue->lanes[i].count ||
-		    walk->positions[i] >= walk->lane_limit)
+		if (walk->positions[i] >= walk->ends[i])
 			continue;
 		if (best == SIZE_MAX || lane_goes_before(walk, i, best))
 			best = i;
@@ -145,5 +155,7 @@
 job_queue_walk_end(struct job_queue_walk *walk)
 {
 	mem_free(walk->positions);
+	mem_free(walk->ends);
 	walk->positions = NULL;
+	walk->ends = NULL;
 }
--- a/src/process/job_queue.h
+++ b/src/process/job_queue.h
@@ -40,7 +40,7 @@
 struct job_queue_walk {
 	const struct job_queue *queue;
 	size_t *positions; /* by lane */
-	size_t lane_limit; /* entries looked at in each lane */
+	size_t *ends;	   /* by lane */
 	int64_t now_ms;
 };
 
@@ -58,10 +58,12 @@
  * lane gains one step of precedence for each ageing step that its first job
  * has waited, then by key. The queue must not change during the walk. Each
  * call returns the next entry, or NULL at the end. At most lane_limit entries
- * of a lane are walked, so that a long lane does not hide the others.
+ * of a lane are walked, so that a long lane does not hide the others. A walk
+ * takes either the entries whose key lies in the past, or all others; those of
+ * urgent lanes always belong to the others.
  */
-struct job_queue_walk job_queue_walk_start(
-    const struct job_queue *queue, size_t lane_limit, int64_t now_ms);
+struct job_queue_walk job_queue_walk_start(const struct job_queue *queue,
+    bool past, size_t lane_limit, int64_t now_ms);
 struct job_entry *job_queue_walk_next(struct job_queue_walk *walk);
 void job_queue_walk_end(struct job_queue_walk *walk);
 
--- a/src/process/policy_first_fit.c
+++ b/src/process/policy_first_fit.c
@@ -156,7 +156,8 @@
 	struct job_queue_walk walk;
 
 	leave_zones(scheduler, now_ms);
-	walk = job_queue_walk_start(&scheduler->queue, SCAN_LIMIT, now_ms);
+	walk = job_queue_walk_start(
+	    &scheduler->queue, false, SCAN_LIMIT, INT64_MIN);
 	while (count < SCAN_LIMIT &&
 	    (entries[count] = job_queue_walk_next(&walk)) != NULL)
 		count++;
--- a/src/process/policy_guaranteed.c
+++ b/src/process/policy_guaranteed.c
@@ -10,6 +10,7 @@
 
 #define SCAN_LIMIT	    256 /* queued jobs looked at in a decision */
 #define LANE_LIMIT	    64	/* of them in each class */
+#define LATE_LIMIT	    16	/* of those past their latest start */
 #define TRY_LIMIT	    48	/* searches for workers in a decision */
 #define PLAN_LIMIT	    8	/* searches for evictions of others' work */
 #define MAX_DRAINING	    1
@@ -522,6 +523,21 @@
 	return soonest_ms;
 }
 
+/* Adds entries in order of service, late ones or all others. */
+static size_t
+collect(const struct scheduler *scheduler, bool late, size_t lane_limit,
+    int64_t now_ms, struct job_entry **entries, size_t count)
+{
+	struct job_queue_walk walk =
+	    job_queue_walk_start(&scheduler->queue, late, lane_limit, now_ms);
+
+	while (count < SCAN_LIMIT &&
+	    (entries[count] = job_queue_walk_next(&walk)) != NULL)
+		count++;
+	job_queue_walk_end(&walk);
+	return count;
+}
+
 static void
 serve_queue(struct scheduler *scheduler, int64_t now_ms)
 {
@@ -531,16 +547,14 @@
 	    .now_ms = now_ms,
 	    .soonest_ready_ms = soonest_ready_ms(&scheduler->reservations),
 	};
-	struct job_queue_walk walk;
-	size_t count = 0;
+	size_t count;
 
 	prepare_planner(&pass);
 	track_urgent_peak(scheduler, now_ms);
-	walk = job_queue_walk_start(&scheduler->queue, LANE_LIMIT, now_ms);
-	while (count < SCAN_LIMIT &&
-	    (entries[count] = job_queue_walk_next(&walk)) != NULL)
-		count++;
-	job_queue_walk_end(&walk);
+	/* Under overload each job's turn would come when it is late: those that
+	 * can still be in time go first. */
+	count = collect(scheduler, false, LANE_LIMIT, now_ms, entries, 0);
+	count = collect(scheduler, true, LATE_LIMIT, now_ms, entries, count);
 	for (size_t i = 0; i < count && pass.tries < TRY_LIMIT; i++)
 		serve(&pass, entries[i]);
 }
--- a/src/process/scheduler_jobs.c
+++ b/src/process/scheduler_jobs.c
@@ -177,8 +177,9 @@
 	    scheduler_remaining_ms(scheduler, entry, ESTIMATE_MIDDLE);
 	int64_t soft_ms = SOFT_DEADLINE_MS;
 
+	/* One key for all: in order of admission, and never late. */
 	if (scheduler->config.policy == POLICY_FIRST_FIT)
-		return 0;
+		return INT64_MAX;
 	if (entry->job.deadline_ms > 0)
 		return entry->job.deadline_ms - run_ms;
 	if (class != NULL && class->objective_ms > 0)
