--- a/src/process/quarantine.h
+++ b/src/process/quarantine.h
@@ -51,7 +51,7 @@
     int64_t now_ms);
 
 void quarantine_success(
-    struct quarantine *quarantine, struct cluster *cluster, uint32_t worker);
+    struct quarantine *quarantine, struct cluster *cluster, uint32_t index);
 
 /* Releases for a trial what has been kept long enough. Returns how many. */
 size_t quarantine_release(
--- /dev/null
+++ b/tests/test_estimate.c
@@ -0,0 +1,45 @@
+#include "common_cunit.h"
+#include "common_site.h"
+#include "process/estimate.h"
+
+static void
+test_corrects_by_what_was_seen(void)
+{
+	struct estimate_table table = {0};
+
+	estimate_set_document(&table, site_document());
+	for (int i = 0; i < 20; i++)
+		estimate_observe(&table, 0, 1, 1000, 8000);
+	CU_ASSERT_EQUAL(
+	    estimate_run_ms(&table, 0, 1, 2000, ESTIMATE_MIDDLE), 16000);
+	CU_ASSERT_EQUAL(
+	    estimate_run_ms(&table, 0, 0, 2000, ESTIMATE_MIDDLE), 2000);
+	estimate_clear(&table);
+}
+
+static void
+test_keeps_what_was_seen_over_a_new_document(void)
+{
+	struct estimate_table table = {0};
+
+	estimate_set_document(&table, site_document());
+	for (int i = 0; i < 20; i++)
+		estimate_observe(&table, 1, 2, 1000, 2000);
+	estimate_set_document(&table, site_document());
+	CU_ASSERT_EQUAL(
+	    estimate_run_ms(&table, 1, 2, 1000, ESTIMATE_HIGH), 2000);
+	estimate_clear(&table);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"corrects by what was seen", test_corrects_by_what_was_seen},
+	    {"keeps what was seen over a new document",
+		test_keeps_what_was_seen_over_a_new_document},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("estimate", tests);
+}
