Order by the latest start of a job that runs long

Cause: at 5x offered load a job's turn came when half of its kind would end late. Change: the key takes the high quantile of the run time.

--- a/src/process/scheduler_jobs.c
+++ b/src/process/scheduler_jobs.c
@@ -174,7 +174,7 @@
 	const struct document_class *class =
 	    scheduler_class_of(scheduler, entry);
 	int64_t run_ms =
-	    scheduler_remaining_ms(scheduler, entry, ESTIMATE_MIDDLE);
+	    scheduler_remaining_ms(scheduler, entry, ESTIMATE_HIGH);
 	int64_t soft_ms = SOFT_DEADLINE_MS;
 
 	/* One key for all: in order of admission, and never late. */
