--- a/src/connection/peer_loop.c
+++ b/src/connection/peer_loop.c
@@ -8,7 +8,9 @@
 #include "connection/peer_session.h"
 #include "process/alloc.h"
 #include "process/clock.h"
+#include "process/counters.h"
 #include "process/log.h"
+#include "process/race_check.h"
 
 #define LISTEN_BACKLOG	256
 #define EPOLL_BATCH	128
@@ -146,9 +148,11 @@
 		log_event(LOG_ERROR, "link_wake_failed", "message",
 		    strerrordesc_np(errno), NULL);
 	while ((node = __cds_wfcq_dequeue_blocking(
-		    &loop->commands_head, &loop->commands_tail)) != NULL)
+		    &loop->commands_head, &loop->commands_tail)) != NULL) {
+		RACE_TAKE_OVER(node);
 		run_command(
 		    loop, caa_container_of(node, struct peer_command, node));
+	}
 	/* One write for all frames that came together. */
 	for (size_t i = 0; i < loop->peers_count; i++) {
 		struct peer_connection *connection = loop->peers[i]->connection;
@@ -166,6 +170,7 @@
 			peer_session_dial(loop, peer, now_ms);
 	} else if (peer->waiting_since_ms != 0 &&
 	    now_ms - peer->waiting_since_ms > loop->config.timeout_ms) {
+		counter_add(COUNTER_LINKS_SILENT, 1);
 		log_event(LOG_WARN, "link_silent", "peer", peer->address.name,
 		    "address", peer->address.address, "silent_ms",
 		    log_number(now_ms - peer->waiting_since_ms), NULL);
@@ -375,6 +380,7 @@
 
 	*copy = *command;
 	cds_wfcq_node_init(&copy->node);
+	RACE_HAND_OVER(&copy->node);
 	if (!cds_wfcq_enqueue(
 		&loop->commands_head, &loop->commands_tail, &copy->node) &&
 	    write(loop->wake_fd, &one, sizeof(one)) < 0)
--- a/src/connection/peer_session.c
+++ b/src/connection/peer_session.c
@@ -5,6 +5,7 @@
 #include "connection/peer_session.h"
 #include "process/alloc.h"
 #include "process/clock.h"
+#include "process/counters.h"
 #include "process/log.h"
 
 #define FIRST_BACKOFF_MS     50
@@ -45,14 +46,24 @@
 }
 
 static void
-post_state(struct peer_loop *loop, const struct peer *peer, bool up)
+post_link(struct peer_loop *loop, enum event_kind kind, const char *name,
+    uint64_t incarnation, bool up)
 {
-	struct event event = {.kind = EVENT_PEER_STATE};
+	struct event event = {.kind = kind};
 
-	STRING_COPY(event.link.peer, peer->address.name);
-	event.link.incarnation = peer->incarnation;
+	if (loop->stopping)
+		return;
+	STRING_COPY(event.link.peer, name);
+	event.link.incarnation = incarnation;
 	event.link.up = up;
 	event_queue_post(loop->events, &event);
+}
+
+static void
+post_state(struct peer_loop *loop, const struct peer *peer, bool up)
+{
+	post_link(
+	    loop, EVENT_PEER_STATE, peer->address.name, peer->incarnation, up);
 	log_event(LOG_INFO, up ? "link_up" : "link_down", "peer",
 	    peer->address.name, "address", peer->address.address, NULL);
 }
@@ -96,7 +107,7 @@
 	(void)atomic_fetch_sub(&peer->gate->queued_bytes, unsent);
 	peer->connection = NULL;
 	peer->waiting_since_ms = 0;
-	if (was_up && !loop->stopping)
+	if (was_up)
 		post_state(loop, peer, false);
 	schedule_dial(loop, peer, was_up);
 }
@@ -236,6 +247,7 @@
 	connection->greeted = true;
 	peer->backoff_ms = 0;
 	atomic_store(&peer->gate->up, true);
+	counter_add(COUNTER_LINKS_UP, 1);
 	post_state(loop, peer, true);
 }
 
@@ -260,6 +272,8 @@
 		    hello->incarnation > peer->incarnation)
 			peer->incarnation = hello->incarnation;
 	}
+	post_link(loop, EVENT_PEER_DIALLED, connection->name,
+	    hello->incarnation, true);
 }
 
 static void
@@ -318,6 +332,7 @@
 			connection->in.length - position,
 			loop->config.max_frame_bytes, &frame, &consumed,
 			&status) != IBIS_OK) {
+			counter_add(COUNTER_FRAMES_REFUSED, 1);
 			log_event(LOG_WARN, "frame_refused", "peer",
 			    connection->name, "message", status.message, NULL);
 			peer_session_close(loop, connection, status.message);
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -7,14 +7,16 @@
 #include "process/log.h"
 #include "process/proto_memory.h"
 
-#define TICK_MS		 20
-#define EVENTS_PER_ROUND 512
-#define MS_PER_SECOND	 1000
-#define NS_PER_MS	 1000000
-#define STORE_DOWN_MS	 600
-#define LEAD_POLL_MS	 500
-#define LEAD_JITTER_MS	 150
-#define RELEASE_GRACE_MS 3000
+#define TICK_MS		  20
+#define EVENTS_PER_ROUND  512
+#define MS_PER_SECOND	  1000
+#define NS_PER_MS	  1000000
+#define STORE_DOWN_MS	  600
+#define LEAD_POLL_MS	  500
+#define LEAD_JITTER_MS	  150
+#define LINGER_MS	  1000
+#define RELEASE_GRACE_MS  3000
+#define SILENT_HEARTBEATS 8
 
 int64_t
 control_wall_ms(void)
@@ -42,6 +44,13 @@
 	return control->lease.role == LEAD_LEADING;
 }
 
+bool
+control_taking(const struct control *control)
+{
+	return control_leading(control) &&
+	    control->state != IBIS__INSTANCE_STATE__INSTANCE_LEAVING;
+}
+
 static void
 set_up_pool(struct control *control)
 {
@@ -80,7 +89,9 @@
 	control->events = events;
 	control->incarnation = incarnation;
 	control->random_state = incarnation;
-	control->instances_listed = 1;
+	control->members = membership_new(settings->name,
+	    settings->heartbeat_interval_ms * SILENT_HEARTBEATS);
+	control->burn = slo_burn_new();
 	control->now_ms = clock_now_ms();
 	CDS_INIT_LIST_HEAD(&control->forwards);
 	CDS_INIT_LIST_HEAD(&control->waiters);
@@ -101,7 +112,8 @@
 	for (uint32_t i = 0; i < control->segments_count; i++)
 		segment_free(&control->segments[i]);
 	mem_free(control->segments);
-	mem_free(control->peers);
+	membership_free(control->members);
+	slo_burn_free(control->burn);
 	mem_free(control);
 }
 
@@ -141,6 +153,7 @@
 handle_store(struct control *control, struct store_result *result)
 {
 	note_store_result(control, result);
+	control_metrics_store_call(result);
 	switch ((enum store_owner)result->owner) {
 	case OWNER_LEAD:
 	case OWNER_SEGMENT:
@@ -191,6 +204,10 @@
 	case EVENT_PEER_STATE:
 		control_peers_link(control, event->link.peer, event->link.up);
 		break;
+	case EVENT_PEER_DIALLED:
+		/* Replies that it has sent before may be lost. */
+		control_forward_peer_down(control, event->link.peer);
+		break;
 	case EVENT_STORE:
 		handle_store(control, event->store);
 		break;
@@ -216,13 +233,15 @@
 		return false;
 	if (leaving_ms >= control->settings->drain_ms)
 		return true;
+	/* Connections kept by callers end with their next answer. */
+	if (leaving_ms < LINGER_MS)
+		return false;
 	if (control_forwards_open(control) ||
 	    caller_server_open_requests(control->callers) > 0)
 		return false;
-	if (control->lease.role == LEAD_RELEASING)
-		return control->lease.revision == 0 ||
-		    leaving_ms > RELEASE_GRACE_MS;
-	return false;
+	return lead_released(&control->lease) ||
+	    (control->lease.role == LEAD_RELEASING &&
+		leaving_ms > RELEASE_GRACE_MS);
 }
 
 static void
@@ -236,8 +255,7 @@
 	if (control->state != IBIS__INSTANCE_STATE__INSTANCE_LEAVING)
 		return;
 	control_pool_release(control);
-	if (control->lease.role != LEAD_RELEASING || control->handed_over ||
-	    control->lease.revision != 0)
+	if (control->handed_over || !lead_released(&control->lease))
 		return;
 	/* The key is gone: the others need not wait for it to lapse. */
 	control->handed_over = true;
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -20,9 +20,11 @@
 #include "process/freshness.h"
 #include "process/job_map.h"
 #include "process/lead_lease.h"
+#include "process/membership.h"
 #include "process/scheduler.h"
 #include "process/segment.h"
 #include "process/settings.h"
+#include "process/slo_burn.h"
 #include "process/worker_table.h"
 #include "version/document.h"
 #include "version/head.h"
@@ -40,30 +42,14 @@
 	OWNER_LIST
 };
 
-/* An instance as this one knows it. */
-struct peer {
-	char name[JOB_NAME_BYTES];
-	char address[JOB_NAME_BYTES];
-	char caller_address[JOB_NAME_BYTES];
-	char zone[JOB_NAME_BYTES];
-	bool listed;
-	bool linked;
-	uint64_t incarnation;
-	int64_t heard_ms;
-	Ibis__InstanceState state;
-	uint64_t document_version;
-	bool store_reachable;
-	bool leading;
-	uint64_t lead_epoch;
-};
-
 /* A request of a caller here that the lead serves. */
 struct forward {
 	struct cds_list_head node;
 	uint64_t call;
 	struct caller_request *caller;
 	char peer[JOB_NAME_BYTES]; /* sent to; empty: waits to be sent */
-	bool sent_once;
+	bool sent_once;		   /* some lead may have carried it out */
+	bool uncertain;		   /* a send's effect is not known */
 	int64_t received_ms;
 	int64_t retry_ms;
 	int64_t give_up_ms;
@@ -84,6 +70,7 @@
 	Ibis__InstanceState state;
 	int64_t leaving_since_ms;
 	bool handed_over;
+	bool settling; /* a leaving lead changes no records any more */
 	int64_t next_heartbeat_ms;
 	int64_t next_list_ms;
 	int64_t listed_ms; /* when the list was last read; 0: never */
@@ -95,10 +82,8 @@
 	int64_t store_failed_ms;
 
 	/* Other instances. */
-	struct peer *peers;
-	size_t peers_count;
-	size_t peers_capacity;
-	uint32_t instances_listed; /* this one included */
+	struct membership *members;
+	struct slo_burn *burn;
 	struct cds_list_head forwards;
 	uint64_t next_call;
 
@@ -129,13 +114,16 @@
 struct control *control_new(const struct ibis_settings *settings,
     struct event_queue *events, uint64_t incarnation);
 void control_free(struct control *control);
-void *control_run(void *control);
+void *control_run(void *argument);
 uint32_t control_random(struct control *control, uint32_t bound);
 int64_t control_wall_ms(void);
 
 /* Tells whether this instance leads and has finished its recovery. */
 bool control_leading(const struct control *control);
 
+/* Tells whether it leads and takes new work. */
+bool control_taking(const struct control *control);
+
 /* control_reply.c */
 void control_reply(struct control *control, const struct origin *origin,
     const Ibis__Reply *reply);
@@ -159,9 +147,13 @@
 void control_forward_tick(struct control *control);
 bool control_forwards_open(struct control *control);
 
-/* control_metrics.c */
+/* control_metrics.c: metrics and the report on service-level burn */
 void control_metrics_request(struct control *control,
     const struct origin *origin, const Ibis__Request *request);
+void control_metrics_store_call(const struct store_result *result);
+void control_metrics_worker_call(const struct worker_result *result);
+void control_metrics_refused(enum ibis_code code);
+void control_metrics_job_ended(struct control *control, const struct job *job);
 
 /* control_jobs.c: a job from its submission to its end */
 void control_job_request(struct control *control, const struct origin *origin,
@@ -188,6 +180,8 @@
 void control_gang_progress(struct control *control, struct job *job);
 void control_gang_adopt(struct control *control, struct job *job);
 void control_gang_cancel(struct control *control, struct job *job);
+/* Tells whether a gang is between its first reservation and running. */
+bool control_gangs_starting(const struct control *control);
 void control_worker_result(
     struct control *control, struct worker_result *result);
 void control_gangs_tick(struct control *control);
@@ -208,15 +202,14 @@
     struct control *control, struct store_result *result);
 void control_document_request(struct control *control,
     const struct origin *origin, const Ibis__Request *request);
-void control_document_heartbeat(
-    struct control *control, const Ibis__Heartbeat *heartbeat);
-/* Returns true when the frame was the document's. */
-bool control_document_frame(
+void control_document_frame(
     struct control *control, const char *peer, const Ibis__Frame *frame);
 void control_document_fill_heartbeat(
     struct control *control, Ibis__Heartbeat *heartbeat);
 void control_document_clear_heartbeat(Ibis__Heartbeat *heartbeat);
 bool control_zone_open(const struct control *control, const char *zone);
+/* Tells whether some operator still waits for an answer. */
+bool control_documents_open(const struct control *control);
 uint64_t control_document_version(const struct control *control);
 
 /* control_peers.c: the platform's list, heartbeats, confirmations */
@@ -224,8 +217,7 @@
 void control_peers_list(struct control *control, struct store_result *result);
 void control_peers_frame(
     struct control *control, const char *peer, Ibis__Frame *frame);
-void control_peers_link(struct control *control, const char *peer, bool up);
-struct peer *control_peer_find(struct control *control, const char *name);
+void control_peers_link(struct control *control, const char *name, bool up);
 /* Name of the instance that leads, as far as known; NULL when unknown. */
 const char *control_lead_name(const struct control *control);
 void control_peers_broadcast(struct control *control, const Ibis__Frame *frame);
--- a/src/process/control_gangs.c
+++ b/src/process/control_gangs.c
@@ -1,14 +1,15 @@
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "process/alloc.h"
+#include "process/clock.h"
 #include "process/control.h"
+#include "process/counters.h"
 #include "process/log.h"
 #include "process/proto_memory.h"
 
 #define CHECKPOINT_GRACE_MS 1500
-/* A job whose tasks fail on this many workers is at fault itself. */
-#define MAX_TASK_FAILURES 3
 /* Attempts that an earlier lead may have made without noting them. */
 #define RECOVERY_ATTEMPT_GAP 64
 
@@ -167,11 +168,26 @@
 	}
 }
 
+/* Notes the worker that a task failed on, unless one did there before. */
+static void
+note_failure(struct job *job, const char *worker)
+{
+	uint64_t hash = XXH64(worker, strlen(worker), 0);
+
+	for (uint32_t i = 0; i < job->failures; i++) {
+		if (job->failed_on[i] == hash)
+			return;
+	}
+	if (job->failures < JOB_MAX_TASK_FAILURES)
+		job->failed_on[job->failures++] = hash;
+}
+
 static void
 task_failed(struct control *control, struct job *job)
 {
-	job->failures++;
-	if (job->record->spec->idempotent && job->failures < MAX_TASK_FAILURES)
+	note_failure(job, job->gang->culprit);
+	if (job->record->spec->idempotent &&
+	    job->failures < JOB_MAX_TASK_FAILURES)
 		back_to_queue(control, job, END_LOST, job->gang->culprit,
 		    run_time(control, job));
 	else
@@ -184,6 +200,7 @@
 {
 	const char *culprit = job->gang->culprit;
 
+	counter_add(COUNTER_ATTEMPTS_FAILED, 1);
 	/* Every member has shown that it did not start. */
 	job->record->started = job->started_before;
 	if (job->record->cancel_requested)
@@ -287,6 +304,7 @@
 note_running(struct control *control, struct job *job)
 {
 	job->running_ms = control->now_ms;
+	counter_add(COUNTER_ATTEMPTS_RUNNING, 1);
 	job->record->state = IBIS__JOB_STATE__JOB_RUNNING;
 	if (job->record->started_at_ms == 0)
 		job->record->started_at_ms = control_wall_ms();
@@ -303,6 +321,8 @@
 	struct gang_sink sink = sink_of(control);
 	struct gang *gang = job->gang;
 
+	if (control->settling)
+		return;
 	if (gang_wants_permit(gang) && may_go(control, job)) {
 		job->record->started = true;
 		gang_permit(gang, &sink, control->now_ms);
@@ -326,6 +346,7 @@
 	    (const char *const *)job->record->workers, &config);
 	cds_list_add_tail(&job->in_active, &control->active);
 	register_members(control, job->gang);
+	counter_add(COUNTER_ATTEMPTS_BEGUN, 1);
 	return job->gang;
 }
 
@@ -384,6 +405,10 @@
 
 	if (job->gang == NULL)
 		return;
+	counter_add(action->evict.manner == EVICT_CHECKPOINT
+		? COUNTER_EVICTIONS_CHECKPOINT
+		: COUNTER_EVICTIONS_STOP,
+	    1);
 	log_event(LOG_INFO, "job_evicted", "job", job->record->id, "reason",
 	    action->evict.reason, NULL);
 	gang_stop(job->gang, GANG_EVICTED,
@@ -427,8 +452,10 @@
 		give_up(control, job, action->give_up.reason);
 		break;
 	case ACTION_THROTTLE:
-		if (job->gang != NULL)
-			gang_throttle(job->gang, &sink, control->now_ms);
+		if (job->gang == NULL)
+			break;
+		counter_add(COUNTER_THROTTLES, 1);
+		gang_throttle(job->gang, &sink, control->now_ms);
 		break;
 	}
 }
@@ -472,7 +499,7 @@
 	const struct scheduler_action *actions;
 	size_t count;
 
-	if (!control_leading(control))
+	if (!control_taking(control))
 		return;
 	if (!control->decide_due &&
 	    control->now_ms < scheduler_next_ms(control->scheduler))
@@ -482,6 +509,7 @@
 		return;
 	control->decide_due = false;
 	count = scheduler_decide(control->scheduler, control->now_ms, &actions);
+	duration_observe(HISTOGRAM_DECISION, clock_now_ms() - control->now_ms);
 	if (count > 0)
 		perform_all(control, actions, count);
 }
@@ -602,6 +630,7 @@
 	    worker_table_find(&control->workers, result->worker);
 	bool holding = false;
 
+	control_metrics_worker_call(result);
 	if (session == NULL)
 		return;
 	if (!worker_session_result(
@@ -611,7 +640,7 @@
 		return;
 	}
 	session->lost = false;
-	if (!control_leading(control))
+	if (!control_leading(control) || control->settling)
 		return;
 	observe_members(control, session, result);
 	/* A lead that may have been replaced leaves others' work alone. */
@@ -629,6 +658,7 @@
 	const struct worker_member *members;
 
 	session->lost = true;
+	counter_add(COUNTER_WORKERS_LOST, 1);
 	log_event(LOG_WARN, "worker_lost", "worker", session->name, NULL);
 	buffer_append(
 	    &copy, session->members, count * sizeof(*session->members));
@@ -668,6 +698,18 @@
 	}
 }
 
+bool
+control_gangs_starting(const struct control *control)
+{
+	const struct job *job;
+
+	cds_list_for_each_entry (job, &control->active, in_active) {
+		if (job->gang->phase < GANG_RUN)
+			return true;
+	}
+	return false;
+}
+
 void
 control_workers_flush(struct control *control)
 {
--- a/src/process/control_pool.c
+++ b/src/process/control_pool.c
@@ -4,9 +4,11 @@
 
 #include "process/alloc.h"
 #include "process/control.h"
+#include "process/counters.h"
 #include "process/log.h"
 #include "process/proto_memory.h"
 
+#define SETTLE_MS	  1500
 #define REIGN_SHIFT	  32
 #define RECOVERY_RETRY_MS 200
 
@@ -185,6 +187,7 @@
 			restore_job(control, job);
 	}
 	lead_recovered(&control->lease);
+	counter_add(COUNTER_LEADS_TAKEN, 1);
 	control->decide_due = true;
 	control->next_heartbeat_ms = control->now_ms;
 	log_event(LOG_INFO, "lead_ready", "epoch",
@@ -313,6 +316,7 @@
 void
 control_pool_lost(struct control *control, const char *why)
 {
+	counter_add(COUNTER_LEADS_LOST, 1);
 	log_event(LOG_WARN, "lead_lost", "reason", why, "epoch",
 	    log_number((int64_t)control->lease.epoch), NULL);
 	lead_step_down(&control->lease, control->now_ms);
@@ -357,6 +361,7 @@
 	if (lease->role == LEAD_RECOVERING) {
 		begin_recovery(control);
 	} else if (led) {
+		counter_add(COUNTER_LEADS_LOST, 1);
 		log_event(LOG_WARN, "lead_lost", "reason",
 		    "another instance holds the lease", "holder", lease->holder,
 		    NULL);
@@ -393,6 +398,25 @@
 	return true;
 }
 
+/*
+ * Tells whether a leaving lead may give its lease back. It takes no new work;
+ * gangs that are starting go on until they run, since a lead that takes over
+ * may find their first leases over. Then records are left alone, and what has
+ * changed is committed.
+ */
+static bool
+settled(struct control *control)
+{
+	int64_t leaving_ms = control->now_ms - control->leaving_since_ms;
+
+	if (control->store_down)
+		return true;
+	if (control_gangs_starting(control) && leaving_ms < SETTLE_MS)
+		return false;
+	control->settling = true;
+	return all_committed(control);
+}
+
 /* Before a planned stop: gives the lease back once all is committed. */
 void
 control_pool_release(struct control *control)
@@ -402,7 +426,7 @@
 
 	if (lease->role == LEAD_RELEASING)
 		return;
-	if (led && !control->store_down && !all_committed(control))
+	if (led && !settled(control))
 		return;
 	lead_release(lease, control->now_ms);
 	if (!led)
--- a/src/process/control_requests.c
+++ b/src/process/control_requests.c
@@ -2,6 +2,7 @@
 
 #include "process/alloc.h"
 #include "process/control.h"
+#include "process/counters.h"
 #include "process/log.h"
 #include "process/proto_memory.h"
 
@@ -61,9 +62,9 @@
 serve_as_lead(struct control *control, const struct origin *origin,
     const Ibis__Request *request)
 {
-	if (!control_leading(control)) {
+	if (!control_taking(control)) {
 		control_refuse(control, origin, IBIS_UNAVAILABLE, "lead",
-		    "this instance does not lead", true, 0);
+		    "this instance does not lead or is leaving", true, 0);
 		return;
 	}
 	if (request->kind == IBIS__REQUEST_KIND__REQUEST_ENDPOINTS)
@@ -104,10 +105,12 @@
 	message.request = forward->caller->request;
 	frame.body_case = IBIS__FRAME__BODY_REQUEST;
 	frame.request = &message;
-	if (peer_links_send(control->links, lead, &frame))
+	if (peer_links_send(control->links, lead, &frame)) {
+		counter_add(COUNTER_FORWARDED, 1);
 		forward->sent_once = true;
-	else
+	} else {
 		forward->peer[0] = '\0';
+	}
 }
 
 static void
@@ -168,6 +171,16 @@
 	    strcmp(reply->step, "lead") == 0;
 }
 
+/* The request is to be sent again, to whoever leads then. */
+static void
+note_returned(struct forward *forward, const Ibis__Reply *reply)
+{
+	forward->peer[0] = '\0';
+	if (!reply->not_run)
+		forward->uncertain = true;
+	forward->sent_once = forward->uncertain;
+}
+
 void
 control_forward_reply(
     struct control *control, const char *peer, const Ibis__ForwardReply *reply)
@@ -180,7 +193,7 @@
 		return;
 	if (is_not_leading(reply->reply) ||
 	    !reply_matches(forward, reply->reply)) {
-		forward->peer[0] = '\0';
+		note_returned(forward, reply->reply);
 		return;
 	}
 	caller_server_reply(control->callers, forward->caller, reply->reply);
@@ -196,6 +209,7 @@
 		if (strcmp(forward->peer, peer) != 0)
 			continue;
 		forward->peer[0] = '\0';
+		forward->uncertain = true;
 		forward->retry_ms = control->now_ms;
 	}
 }
