--- a/src/process/scheduler.h
+++ b/src/process/scheduler.h
@@ -52,7 +52,7 @@
 
 enum scheduler_action_kind {
 	ACTION_START,	/* start an attempt on the named workers */
-	ACTION_EVICT,	/* checkpoint or stop a running job */
+	ACTION_EVICT,	/* checkpoint or stop a started job */
 	ACTION_GIVE_UP, /* a queued job ends as not run, for reason */
 	ACTION_THROTTLE /* a running job has overrun; slow it down */
 };
@@ -112,7 +112,8 @@
 void scheduler_set_document(struct scheduler *scheduler,
     const struct document *document, int64_t now_ms);
 
-/* Sets whether a zone takes starts; false makes its work be moved. */
+/* Sets whether a zone takes starts; false makes its work be moved. A zone is in
+ * service when both the document and the last call say so. */
 void scheduler_set_zone(struct scheduler *scheduler, const char *zone,
     bool in_service, int64_t now_ms);
 
