--- a/src/process/scheduler_jobs.c
+++ b/src/process/scheduler_jobs.c
@@ -84,6 +84,9 @@
 	if (entry->workspace < scheduler->workspaces_count)
 		scheduler->workspaces[entry->workspace].used +=
 		    job_entry_accelerators(entry);
+	entry->counted_urgent = scheduler_is_urgent(scheduler, entry);
+	if (entry->counted_urgent)
+		scheduler->urgent_used += job_entry_accelerators(entry);
 	add_active(scheduler, entry);
 }
 
@@ -123,6 +126,8 @@
 	if (entry->workspace < scheduler->workspaces_count)
 		scheduler->workspaces[entry->workspace].used -=
 		    job_entry_accelerators(entry);
+	if (entry->counted_urgent)
+		scheduler->urgent_used -= job_entry_accelerators(entry);
 	mem_free(entry->workers);
 	entry->workers = NULL;
 	scheduler->changed = true;
@@ -169,11 +174,12 @@
 	const struct document_class *class =
 	    scheduler_class_of(scheduler, entry);
 	int64_t run_ms =
-	    scheduler_remaining_ms(scheduler, entry, ESTIMATE_MIDDLE);
+	    scheduler_remaining_ms(scheduler, entry, ESTIMATE_HIGH);
 	int64_t soft_ms = SOFT_DEADLINE_MS;
 
+	/* One key for all: in order of admission, and never late. */
 	if (scheduler->config.policy == POLICY_FIRST_FIT)
-		return 0;
+		return INT64_MAX;
 	if (entry->job.deadline_ms > 0)
 		return entry->job.deadline_ms - run_ms;
 	if (class != NULL && class->objective_ms > 0)
