Test pairs of faults; fill in the traffic of failure tests in one place

Change: fail_pairs with five pairs (workers frozen and lead killed, store hangs and workers die, lead frozen and answers crossed, swap answers lost and starts unanswered, store slow and lead killed); traffic_fill.

--- a/tests/common_traffic.c
+++ b/tests/common_traffic.c
@@ -3,6 +3,25 @@
 #include "common_traffic.h"
 #include "process/alloc.h"
 
+#define SEED	   20261203
+#define CALLERS	   50
+#define RETRY_MS   20000
+#define MAX_RUN_MS 60000
+
+void
+traffic_fill(struct traffic *traffic, struct deployment *deployment,
+    const char *key_prefix, uint32_t jobs, double jobs_per_s)
+{
+	*traffic = (struct traffic){
+	    .deployment = deployment,
+	    .mix = {.jobs = jobs, .jobs_per_s = jobs_per_s, .seed = SEED},
+	    .callers = CALLERS,
+	    .retry_ms = RETRY_MS,
+	    .max_run_ms = MAX_RUN_MS,
+	};
+	STRING_COPY(traffic->mix.key_prefix, key_prefix);
+}
+
 struct load_kind *
 traffic_add_kind(struct traffic *traffic, const char *workspace,
     const char *request_class, int32_t run_time_ms)
--- a/tests/common_traffic.h
+++ b/tests/common_traffic.h
@@ -24,6 +24,11 @@
 	pthread_t thread;
 };
 
+/* Fills in a number of jobs that arrive at a rate (0: all at once), with keys
+ * of a prefix; each call is tried for 20 s, the whole runs for up to 60 s. */
+void traffic_fill(struct traffic *traffic, struct deployment *deployment,
+    const char *key_prefix, uint32_t jobs, double jobs_per_s);
+
 /* Adds a kind of one task of one accelerator; the test changes it. */
 struct load_kind *traffic_add_kind(struct traffic *traffic,
     const char *workspace, const char *request_class, int32_t run_time_ms);
--- /dev/null
+++ b/tests/fail_pairs.c
@@ -0,0 +1,170 @@
+/*
+ * Two faults together, under traffic: workers, lead, store and list. Nothing
+ * is lost, wrong, run twice or partly run beyond the first lease.
+ */
+#include <stdio.h>
+
+#include "common_cunit.h"
+#include "common_failure.h"
+#include "process/clock.h"
+
+#define INSTANCES	3
+#define SEED		20261203
+#define TIME_SCALE	1
+#define JOBS		100
+#define JOBS_PER_S	20
+#define RUN_MS		600
+#define LEAD_TIMEOUT_MS 15000
+#define FAULT_MS	4000
+/* Jobs that run once at most and were caught by both faults. */
+#define MAX_CAUGHT 16
+
+static struct deployment deployment;
+
+static void
+start_traffic(struct traffic *traffic, const char *prefix)
+{
+	struct load_kind *gang;
+
+	failure_start(&deployment, INSTANCES, TIME_SCALE, SEED);
+	traffic_fill(traffic, &deployment, prefix, JOBS, JOBS_PER_S);
+	traffic_add_kind(traffic, "one", "plan", RUN_MS)->tasks = 2;
+	gang = traffic_add_kind(traffic, "two", "plan", RUN_MS);
+	gang->tasks = 4;
+	gang->accelerators_per_task = 2;
+	gang->idempotent = true;
+	gang->checkpointable = true;
+	CU_ASSERT_TRUE_FATAL(traffic_start(traffic));
+	failure_wait_point(&deployment, &(struct kill_point){"start", 24});
+}
+
+static void
+worker_fault(const char *worker, const char *body)
+{
+	CU_ASSERT_TRUE(deployment_fault_worker(&deployment, worker, body));
+}
+
+static void
+store_fault(const char *body)
+{
+	CU_ASSERT_TRUE(deployment_fault_platform(&deployment, body));
+}
+
+static uint32_t
+find_lead(void)
+{
+	int lead = deployment_wait_lead(&deployment, -1, LEAD_TIMEOUT_MS);
+
+	CU_ASSERT_TRUE_FATAL(lead >= 0);
+	return (uint32_t)lead;
+}
+
+static void
+hold_fault(void)
+{
+	int64_t end_ms = clock_now_ms() + FAULT_MS;
+
+	while (clock_now_ms() < end_ms)
+		process_pause(10);
+}
+
+static void
+judge(struct traffic *traffic)
+{
+	failure_judge(traffic, MAX_CAUGHT);
+	failure_stop(&deployment);
+}
+
+static void
+test_worker_frozen_and_lead_killed(void)
+{
+	struct traffic traffic;
+	uint32_t lead;
+
+	start_traffic(&traffic, "frozen-killed");
+	lead = find_lead();
+	worker_fault("a1", "{\"mode\": \"frozen\"}");
+	worker_fault("b1", "{\"mode\": \"frozen\"}");
+	deployment_kill(&deployment, lead);
+	CU_ASSERT_TRUE(
+	    deployment_wait_lead(&deployment, (int)lead, LEAD_TIMEOUT_MS) >= 0);
+	worker_fault("*", "{\"mode\": \"none\"}");
+	judge(&traffic);
+}
+
+static void
+test_store_hangs_and_worker_dies(void)
+{
+	struct traffic traffic;
+
+	start_traffic(&traffic, "hangs-dies");
+	store_fault("{\"mode\": \"hang\"}");
+	worker_fault("a1", "{\"mode\": \"dead\"}");
+	worker_fault("c1", "{\"mode\": \"dead\"}");
+	hold_fault();
+	store_fault("{\"mode\": \"none\"}");
+	judge(&traffic);
+}
+
+static void
+test_lead_frozen_and_answers_crossed(void)
+{
+	struct traffic traffic;
+	uint32_t lead;
+
+	start_traffic(&traffic, "frozen-crossed");
+	lead = find_lead();
+	worker_fault("*", "{\"mode\": \"crossed\", \"count\": 30}");
+	process_freeze(&deployment.instances[lead].process);
+	CU_ASSERT_TRUE(
+	    deployment_wait_lead(&deployment, (int)lead, LEAD_TIMEOUT_MS) >= 0);
+	process_wake(&deployment.instances[lead].process);
+	judge(&traffic);
+}
+
+static void
+test_swap_answers_lost_and_starts_unanswered(void)
+{
+	struct traffic traffic;
+
+	start_traffic(&traffic, "lost-unanswered");
+	store_fault("{\"mode\": \"lose_next\", \"count\": 6, "
+		    "\"key_prefix\": \"pool/main/segments/\"}");
+	worker_fault(
+	    "*", "{\"mode\": \"lose_answers\", \"on\": \"go\", \"count\": 1}");
+	judge(&traffic);
+}
+
+static void
+test_store_slow_and_lead_killed(void)
+{
+	struct traffic traffic;
+	uint32_t lead;
+
+	start_traffic(&traffic, "slow-killed");
+	lead = find_lead();
+	store_fault("{\"mode\": \"slow\", \"delay_ms\": 300}");
+	deployment_kill(&deployment, lead);
+	CU_ASSERT_TRUE(
+	    deployment_wait_lead(&deployment, (int)lead, LEAD_TIMEOUT_MS) >= 0);
+	store_fault("{\"mode\": \"none\"}");
+	judge(&traffic);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"workers frozen and lead killed",
+		test_worker_frozen_and_lead_killed},
+	    {"store hangs and workers die", test_store_hangs_and_worker_dies},
+	    {"lead frozen and answers crossed",
+		test_lead_frozen_and_answers_crossed},
+	    {"swap answers lost and starts unanswered",
+		test_swap_answers_lost_and_starts_unanswered},
+	    {"store slow and lead killed", test_store_slow_and_lead_killed},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("pairs of faults", tests);
+}
