Count only attempts that a worker has spoilt

Cause: an attempt that was not allowed to start in time counted towards max_attempts like one that a worker refused. Change: without a worker to blame it backs off but does not count; an eviction before the start is told to the scheduler as what it is. Ruled out: no backoff at all, which would reserve and give back in a loop while the store is down.

--- a/src/process/control_gangs.c
+++ b/src/process/control_gangs.c
@@ -206,11 +206,11 @@
 	if (job->record->cancel_requested)
 		close_job(control, job, IBIS__JOB_STATE__JOB_CANCELLED,
 		    END_CLOSED, "cancelled before it started");
-	else if (job->gang->evicted || *culprit == '\0')
-		/* Nobody's fault: it does not count towards its attempts. */
+	else if (job->gang->evicted)
 		back_to_queue(control, job, END_EVICTED, NULL, 0);
 	else
-		back_to_queue(control, job, END_ATTEMPT_FAILED, culprit, 0);
+		back_to_queue(control, job, END_ATTEMPT_FAILED,
+		    *culprit == '\0' ? NULL : culprit, 0);
 }
 
 static void
--- a/src/process/scheduler.c
+++ b/src/process/scheduler.c
@@ -445,7 +445,8 @@
 	if (end == END_LOST && entry->attempts % 2 == 0)
 		suspect = true;
 	entry->attempts++;
-	if (!suspect)
+	/* Without a worker to blame it only was not allowed to start. */
+	if (!suspect && culprit != NULL)
 		entry->failed_attempts++;
 }
 
