Measure a whole site of processes: cost at rest, store calls, takeover

Change: bench_site starts sites of several sizes beside the stand-ins and prints processor time, memory, link bytes, store and worker calls of the lead and of another instance, store calls and completion time a job, and takeover.

--- /dev/null
+++ b/bench/bench_site.c
@@ -0,0 +1,444 @@
+/*
+ * Measures a whole site of real processes beside the stand-ins: what control
+ * costs an instance at rest as instances, workers and running tasks grow, what
+ * a job costs the store, how long a job takes on top of its run time, and how
+ * long a takeover takes. Prints a line a metric.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common_deployment.h"
+#include "common_jobs.h"
+#include "common_traffic.h"
+#include "process/alloc.h"
+#include "process/clock.h"
+
+#define SEED	      20261203
+#define SETTLE_MS     3000
+#define MEASURE_MS    6000
+#define RACK_WORKERS  6
+#define ZONES	      4
+#define ACCELERATORS  8
+#define JOB_MS	      50
+#define LONG_MS	      600000
+#define TAKEOVER_MS   20000
+#define MS_PER_SECOND 1000
+#define PERCENT	      100.0
+#define KB	      1024
+#define PATH_BYTES    128
+#define LINE_BYTES    256
+#define POINT_BYTES   32
+#define MAX_JOBS      2048
+
+/* What an instance has used up to now. */
+struct usage {
+	double cpu_ms;
+	double resident_kb;
+	double peer_bytes;
+	double store_calls;
+	double worker_calls;
+};
+
+static struct deployment deployment;
+
+static void
+print_metric(const char *metric, double value, const char *unit)
+{
+	(void)printf("metric=%s value=%.4g baseline=none better=lower unit=%s "
+		     "seed=%d runs=1\n",
+	    metric, value, unit, SEED);
+	(void)fflush(stdout);
+}
+
+/* ---- The site -------------------------------------------------------- */
+
+/* Writes a document of so many workers, in racks of six over four zones. */
+static void
+write_document(const char *path, uint32_t workers)
+{
+	FILE *file = fopen(path, "w");
+
+	if (file == NULL)
+		exit(EXIT_FAILURE);
+	(void)fputs(
+	    "{\"sections\": {\"platform\": {\"availability_zones\": {", file);
+	for (uint32_t i = 0; i < ZONES; i++)
+		(void)fprintf(file, "%s\"z%u\": {\"in_service\": true}",
+		    i > 0 ? ", " : "", i);
+	(void)fputs("}, \"endpoints\": {", file);
+	for (uint32_t i = 0; i < workers; i++) {
+		uint32_t rack = i / RACK_WORKERS;
+
+		if (i % RACK_WORKERS == 0)
+			(void)fprintf(file,
+			    "%s\"r%u\": {\"availability_zone\": \"z%u\", "
+			    "\"accelerators\": %d, \"workers\": [",
+			    i > 0 ? "]}, " : "", rack, rack % ZONES,
+			    ACCELERATORS);
+		(void)fprintf(
+		    file, "%s\"w%u\"", i % RACK_WORKERS > 0 ? ", " : "", i);
+	}
+	(void)fputs("]}}, \"request_classes\": {\"plan\": {\"precedence\": 10, "
+		    "\"objective_ms\": 60000, \"objective_target\": 0.99}}, "
+		    "\"workspaces\": {\"one\": {\"guarantees\": [], "
+		    "\"max_queued_jobs\": 20000, \"max_jobs_per_s\": 5000, "
+		    "\"burst_jobs\": 20000}}}}}\n",
+	    file);
+	(void)fclose(file);
+}
+
+static void
+start(uint32_t instances, uint32_t workers)
+{
+	static char path[PATH_BYTES];
+	struct deployment_config config = {
+	    .document_path = path,
+	    .instances = instances,
+	    .time_scale = 1,
+	    .seed = SEED,
+	};
+
+	(void)snprintf(
+	    path, sizeof(path), "/tmp/ibis-bench-%ld.jsonc", (long)getpid());
+	write_document(path, workers);
+	if (!deployment_start(&deployment, &config)) {
+		deployment_stop(&deployment, true);
+		exit(EXIT_FAILURE);
+	}
+}
+
+static void
+stop(void)
+{
+	(void)unlink(deployment.config.document_path);
+	deployment_stop(&deployment, false);
+}
+
+/* ---- Readings -------------------------------------------------------- */
+
+static void
+read_process(const struct process *process, struct usage *usage)
+{
+	char path[PATH_BYTES];
+	char line[LINE_BYTES * 4];
+	FILE *file;
+	const char *field;
+
+	(void)snprintf(
+	    path, sizeof(path), "/proc/%ld/stat", (long)process->pid);
+	file = fopen(path, "r");
+	if (file == NULL || fgets(line, sizeof(line), file) == NULL)
+		exit(EXIT_FAILURE);
+	(void)fclose(file);
+	/* The name in parentheses is field 2; times are fields 14 and 15. */
+	field = strrchr(line, ')');
+	for (int i = 2; i < 14 && field != NULL; i++)
+		field = strchr(field + 1, ' ');
+	if (field == NULL)
+		exit(EXIT_FAILURE);
+	usage->cpu_ms =
+	    (strtod(field, NULL) + strtod(strchr(field + 1, ' '), NULL)) *
+	    MS_PER_SECOND / (double)sysconf(_SC_CLK_TCK);
+	(void)snprintf(
+	    path, sizeof(path), "/proc/%ld/statm", (long)process->pid);
+	file = fopen(path, "r");
+	if (file == NULL || fgets(line, sizeof(line), file) == NULL)
+		exit(EXIT_FAILURE);
+	(void)fclose(file);
+	usage->resident_kb = strtod(strchr(line, ' '), NULL) *
+	    (double)sysconf(_SC_PAGESIZE) / KB;
+}
+
+/* Adds up the samples of one metric family. */
+static double
+sum_metric(const char *text, const char *name)
+{
+	double sum = 0;
+	size_t length = strlen(name);
+
+	for (const char *line = text; line != NULL && *line != '\0';) {
+		const char *end = strchr(line, '\n');
+
+		if (strncmp(line, name, length) == 0 &&
+		    (line[length] == ' ' || line[length] == '{')) {
+			const char *value = end == NULL
+			    ? strrchr(line, ' ')
+			    : memrchr(line, ' ', (size_t)(end - line));
+
+			sum += value == NULL ? 0 : strtod(value, NULL);
+		}
+		line = end == NULL ? NULL : end + 1;
+	}
+	return sum;
+}
+
+static struct usage
+read_usage(uint32_t instance)
+{
+	CLEANUP(client_answer_free) struct client_answer answer = {0};
+	struct usage usage = {0};
+	const char *text;
+
+	read_process(&deployment.instances[instance].process, &usage);
+	if (deployment_get(&deployment, instance, "/metrics", &answer) !=
+	    IBIS_OK)
+		exit(EXIT_FAILURE);
+	text = buffer_string(&answer.body);
+	usage.peer_bytes = sum_metric(text, "ibis_peer_bytes_total");
+	usage.store_calls = sum_metric(text, "ibis_store_calls_total");
+	usage.worker_calls = sum_metric(text, "ibis_worker_calls_total");
+	return usage;
+}
+
+static void
+pause_ms(int32_t ms)
+{
+	int64_t until_ms = clock_now_ms() + ms;
+
+	while (clock_now_ms() < until_ms)
+		process_pause(20);
+}
+
+/* ---- Slopes ---------------------------------------------------------- */
+
+static void
+print_rates(const char *point, const char *role, const struct usage *before,
+    const struct usage *after)
+{
+	const double seconds = (double)MEASURE_MS / MS_PER_SECOND;
+	char metric[LINE_BYTES];
+
+	(void)snprintf(metric, sizeof(metric), "rest_cpu_%s_%s", role, point);
+	print_metric(metric,
+	    (after->cpu_ms - before->cpu_ms) / MEASURE_MS * PERCENT,
+	    "percent_of_core");
+	(void)snprintf(metric, sizeof(metric), "rest_rss_%s_%s", role, point);
+	print_metric(metric, after->resident_kb / KB, "MB");
+	(void)snprintf(metric, sizeof(metric), "rest_peer_%s_%s", role, point);
+	print_metric(metric,
+	    (after->peer_bytes - before->peer_bytes) / KB / seconds, "KB/s");
+	(void)snprintf(metric, sizeof(metric), "rest_store_%s_%s", role, point);
+	print_metric(metric,
+	    (after->store_calls - before->store_calls) / seconds, "calls/s");
+	(void)snprintf(
+	    metric, sizeof(metric), "rest_worker_%s_%s", role, point);
+	print_metric(metric,
+	    (after->worker_calls - before->worker_calls) / seconds, "calls/s");
+}
+
+/* Measures the lead and one other instance over a while. */
+static void
+measure_rest(const char *point)
+{
+	int lead = deployment_wait_lead(&deployment, -1, TAKEOVER_MS);
+	uint32_t other = lead == 0 ? 1 : 0;
+	struct usage lead_before;
+	struct usage other_before;
+	struct usage lead_after;
+	struct usage other_after;
+
+	if (lead < 0)
+		exit(EXIT_FAILURE);
+	pause_ms(SETTLE_MS);
+	lead_before = read_usage((uint32_t)lead);
+	other_before = read_usage(other);
+	pause_ms(MEASURE_MS);
+	lead_after = read_usage((uint32_t)lead);
+	other_after = read_usage(other);
+	print_rates(point, "lead", &lead_before, &lead_after);
+	print_rates(point, "other", &other_before, &other_after);
+}
+
+static void
+measure_instances(void)
+{
+	static const uint32_t points[] = {3, 5, 8};
+	char point[POINT_BYTES];
+
+	for (size_t i = 0; i < COUNT_OF(points); i++) {
+		start(points[i], 48);
+		(void)snprintf(point, sizeof(point), "instances%u", points[i]);
+		measure_rest(point);
+		stop();
+	}
+}
+
+static void
+measure_workers(void)
+{
+	static const uint32_t points[] = {48, 192, 576};
+	char point[POINT_BYTES];
+
+	for (size_t i = 0; i < COUNT_OF(points); i++) {
+		start(3, points[i]);
+		(void)snprintf(point, sizeof(point), "workers%u", points[i]);
+		measure_rest(point);
+		stop();
+	}
+}
+
+/* Starts jobs of one gang of 16 tasks each, and waits until all run. */
+static void
+run_tasks(uint32_t tasks)
+{
+	char id[JOB_ID_BYTES];
+	char key[JOB_NAME_BYTES];
+
+	for (uint32_t i = 0; i < tasks / 16; i++) {
+		struct job_plan plan = {
+		    .workspace = "one",
+		    .request_class = "plan",
+		    .key = key,
+		    .adjacency = "any",
+		    .payload = "",
+		    .tasks = 16,
+		    .accelerators = 1,
+		    .run_time_ms = LONG_MS,
+		    .idempotent = true,
+		};
+
+		(void)snprintf(key, sizeof(key), "long-%u", i);
+		if (job_submit(&deployment, 0, &plan, id) != IBIS_OK)
+			exit(EXIT_FAILURE);
+	}
+	if (!deployment_wait_events(
+		deployment.workers_log, "start", tasks, TAKEOVER_MS))
+		exit(EXIT_FAILURE);
+}
+
+static void
+measure_tasks(void)
+{
+	static const uint32_t points[] = {0, 384, 1536};
+	char point[POINT_BYTES];
+
+	for (size_t i = 0; i < COUNT_OF(points); i++) {
+		start(3, 192);
+		run_tasks(points[i]);
+		(void)snprintf(point, sizeof(point), "tasks%u", points[i]);
+		measure_rest(point);
+		stop();
+	}
+}
+
+/* ---- Jobs ------------------------------------------------------------ */
+
+static double
+store_calls(void)
+{
+	double sum = 0;
+
+	for (uint32_t i = 0; i < deployment.count; i++)
+		sum += read_usage(i).store_calls;
+	return sum;
+}
+
+static int
+S_compare(const void *left, const void *right)
+{
+	int64_t difference = *(const int64_t *)left - *(const int64_t *)right;
+
+	return difference < 0 ? -1 : difference > 0;
+}
+
+static void
+print_times(const struct traffic *traffic, const char *point)
+{
+	int64_t times_ms[MAX_JOBS];
+	char metric[LINE_BYTES];
+	size_t count = 0;
+
+	for (uint32_t i = 0; i < traffic->mix.jobs; i++) {
+		if (traffic->results[i].outcome == LOAD_FINISHED)
+			times_ms[count++] = traffic->results[i].completion_ms;
+	}
+	if (count == 0)
+		exit(EXIT_FAILURE);
+	qsort(times_ms, count, sizeof(*times_ms), S_compare);
+	(void)snprintf(metric, sizeof(metric), "job_p50_%s", point);
+	print_metric(metric, (double)times_ms[count / 2], "ms");
+	(void)snprintf(metric, sizeof(metric), "job_p99_%s", point);
+	print_metric(metric, (double)times_ms[count * 99 / 100], "ms");
+	(void)snprintf(metric, sizeof(metric), "jobs_unfinished_%s", point);
+	print_metric(metric, (double)(traffic->mix.jobs - count), "jobs");
+}
+
+static void
+measure_rate(uint32_t jobs, double jobs_per_s)
+{
+	struct traffic traffic;
+	char point[POINT_BYTES];
+	char metric[LINE_BYTES];
+	double calls;
+	double at_rest;
+	int64_t begin_ms;
+
+	(void)snprintf(point, sizeof(point), "rate%.0f", jobs_per_s);
+	calls = store_calls();
+	pause_ms(MEASURE_MS);
+	at_rest = (store_calls() - calls) / MEASURE_MS;
+	traffic_fill(&traffic, &deployment, point, jobs, jobs_per_s);
+	traffic.callers = 64;
+	traffic_add_kind(&traffic, "one", "plan", JOB_MS)->idempotent = true;
+	calls = store_calls();
+	begin_ms = clock_now_ms();
+	if (!traffic_start(&traffic))
+		exit(EXIT_FAILURE);
+	traffic_join(&traffic);
+	calls = store_calls() - calls -
+	    at_rest * (double)(clock_now_ms() - begin_ms);
+	(void)snprintf(metric, sizeof(metric), "store_calls_a_job_%s", point);
+	print_metric(metric, calls / jobs, "calls");
+	print_times(&traffic, point);
+	traffic_free(&traffic);
+}
+
+static void
+measure_jobs(void)
+{
+	start(3, 48);
+	pause_ms(SETTLE_MS);
+	measure_rate(100, 10);
+	measure_rate(400, 50);
+	measure_rate(800, 200);
+	stop();
+}
+
+/* From the kill of the lead to the next one being ready. */
+static void
+measure_takeover(void)
+{
+	static const uint32_t points[] = {0, 384, 1536};
+	char metric[LINE_BYTES];
+
+	for (size_t i = 0; i < COUNT_OF(points); i++) {
+		int lead;
+		int64_t begin_ms;
+
+		start(3, 192);
+		run_tasks(points[i]);
+		lead = deployment_wait_lead(&deployment, -1, TAKEOVER_MS);
+		begin_ms = clock_now_ms();
+		deployment_kill(&deployment, (uint32_t)lead);
+		if (deployment_wait_lead(&deployment, lead, TAKEOVER_MS) < 0)
+			exit(EXIT_FAILURE);
+		(void)snprintf(
+		    metric, sizeof(metric), "takeover_tasks%u", points[i]);
+		print_metric(metric, (double)(clock_now_ms() - begin_ms), "ms");
+		stop();
+	}
+}
+
+int
+main(void)
+{
+	measure_jobs();
+	measure_takeover();
+	measure_instances();
+	measure_workers();
+	measure_tasks();
+	return EXIT_SUCCESS;
+}
