--- a/src/process/scheduler_jobs.c
+++ b/src/process/scheduler_jobs.c
@@ -42,6 +42,12 @@
 	return run_ms - entry->kept_ms;
 }
 
+int64_t
+scheduler_grace_ms(const struct scheduler *scheduler)
+{
+	return scheduler->config.reclaim_bound_ms / 2;
+}
+
 void
 scheduler_wake_at(struct scheduler *scheduler, int64_t at_ms)
 {
@@ -269,7 +275,7 @@
 	entry->state = ENTRY_EVICTING;
 	entry->evict_reason = reason;
 	entry->evict_by_ms = manner == EVICT_CHECKPOINT
-	    ? now_ms + SCHEDULER_CHECKPOINT_GRACE_MS
+	    ? now_ms + scheduler_grace_ms(scheduler)
 	    : INT64_MAX;
 	scheduler_wake_at(scheduler, entry->evict_by_ms);
 	scheduler->evicting =
--- a/src/process/scheduler_state.h
+++ b/src/process/scheduler_state.h
@@ -25,8 +25,6 @@
 extern "C" {
 #endif
 
-/* A checkpoint that takes longer is followed by a stop. */
-#define SCHEDULER_CHECKPOINT_GRACE_MS 2000
 /* Workers are kept for a job this long while others leave them. */
 #define SCHEDULER_RECLAIM_WAIT_MS 6000
 
@@ -88,6 +86,10 @@
 int64_t scheduler_remaining_ms(const struct scheduler *scheduler,
     const struct job_entry *entry, enum estimate_quantile quantile);
 
+/* A checkpoint that takes longer is followed by a stop, so that the claimant
+ * starts within the reclaim bound. */
+int64_t scheduler_grace_ms(const struct scheduler *scheduler);
+
 /* Asks for a decision at a time, beside the times asked for already. */
 void scheduler_wake_at(struct scheduler *scheduler, int64_t at_ms);
 
--- a/src/process/zone_leave.c
+++ b/src/process/zone_leave.c
@@ -68,7 +68,7 @@
 		if (leave_ms == INT64_MAX || !may_move(entry))
 			continue;
 		if (entry->expected_end_ms > leave_ms)
-			evict_ms -= SCHEDULER_CHECKPOINT_GRACE_MS;
+			evict_ms -= scheduler_grace_ms(scheduler);
 		if (now_ms >= evict_ms)
 			scheduler_evict(scheduler, entry, REASON, now_ms);
 		else
