--- a/bench/common_cost.c
+++ b/bench/common_cost.c
@@ -5,7 +5,7 @@
 #include "process/alloc.h"
 #include "process/scheduler.h"
 
-#define EVENTS	      20000
+#define EVENTS	      10000
 #define GANG_INTERVAL 500
 #define EVENT_GAP_MS  1
 #define MEAN_RUN_MS   60000
