Test a lead that is cut off from the store and all peers

Change: relays that can be cut stand before the store and the peer links; the order is given elsewhere. Small mends on the way: one name for a worker's condition, freshness with one way to confirm, no unused arguments in the gang.

--- a/src/process/control_requests.c
+++ b/src/process/control_requests.c
@@ -34,10 +34,7 @@
 	buffer_printf(json,
 	    "{\"name\": \"%s\", \"condition\": \"%s\", \"address\": \"%s\", "
 	    "\"free_accelerators\": %u, \"tasks\": %zu}",
-	    session->name,
-	    session->condition == WORKER_SERVING       ? "serving"
-		: session->condition == WORKER_LEAVING ? "leaving"
-						       : "lost",
+	    session->name, worker_condition_name(session->condition),
 	    session->address, session->free_accelerators,
 	    session->members_count);
 }
--- a/src/process/control_workers.c
+++ b/src/process/control_workers.c
@@ -109,11 +109,7 @@
 	    control->scheduler, session->name, condition, control->now_ms);
 	control->decide_due = true;
 	log_event(LOG_INFO, "worker_condition", "worker", session->name,
-	    "condition",
-	    condition == WORKER_SERVING	      ? "serving"
-		: condition == WORKER_LEAVING ? "leaving"
-					      : "lost",
-	    NULL);
+	    "condition", worker_condition_name(condition), NULL);
 }
 
 /* How soon a job's workers are asked again: at once while it starts or stops,
--- a/src/process/freshness.c
+++ b/src/process/freshness.c
@@ -3,19 +3,13 @@
 #include "process/alloc.h"
 #include "process/freshness.h"
 
-static void
-confirm_from(struct freshness *freshness, int64_t asked_ms)
+void
+freshness_confirm_from(struct freshness *freshness, int64_t asked_ms)
 {
 	if (asked_ms > freshness->confirmed_ms)
 		freshness->confirmed_ms = asked_ms;
 }
 
-void
-freshness_store(struct freshness *freshness, int64_t asked_ms)
-{
-	confirm_from(freshness, asked_ms);
-}
-
 uint64_t
 freshness_begin_round(
     struct freshness *freshness, uint32_t instances, int64_t now_ms)
@@ -26,7 +20,7 @@
 	/* This instance counts as one of the more than half. */
 	freshness->needed = instances / 2;
 	if (freshness->needed == 0)
-		confirm_from(freshness, now_ms);
+		freshness_confirm_from(freshness, now_ms);
 	return freshness->round;
 }
 
@@ -43,7 +37,7 @@
 	STRING_COPY(freshness->confirmed[freshness->confirmed_count], peer);
 	freshness->confirmed_count++;
 	if (freshness->confirmed_count >= freshness->needed)
-		confirm_from(freshness, freshness->round_ms);
+		freshness_confirm_from(freshness, freshness->round_ms);
 }
 
 bool
--- a/src/process/freshness.h
+++ b/src/process/freshness.h
@@ -31,9 +31,9 @@
 	char confirmed[FRESHNESS_MAX_PEERS][JOB_NAME_BYTES];
 };
 
-/* The head was read and what it says is in force; asked_ms is when the read
- * was sent. */
-void freshness_store(struct freshness *freshness, int64_t asked_ms);
+/* What is in force here was current at asked_ms: when the read of the head, or
+ * the round of asking the peers, was sent. */
+void freshness_confirm_from(struct freshness *freshness, int64_t asked_ms);
 
 /*
  * Begins a round of asking the peers. instances is the size of the last
--- a/src/process/worker_table.c
+++ b/src/process/worker_table.c
@@ -196,6 +196,20 @@
 	return WORKER_SERVING;
 }
 
+const char *
+worker_condition_name(enum worker_condition condition)
+{
+	switch (condition) {
+	case WORKER_SERVING:
+		return "serving";
+	case WORKER_LEAVING:
+		return "leaving";
+	case WORKER_LOST:
+		break;
+	}
+	return "lost";
+}
+
 bool
 worker_session_is_lost(const struct worker_session *session,
     const struct worker_table *table, int64_t now_ms)
--- a/src/process/worker_table.h
+++ b/src/process/worker_table.h
@@ -99,6 +99,9 @@
 enum worker_condition worker_session_condition(
     const struct worker_session *session);
 
+/* Lower-case name, as in the API and the log. */
+const char *worker_condition_name(enum worker_condition condition);
+
 /* Tells whether the worker has been silent for the time after which its work
  * counts as lost. */
 bool worker_session_is_lost(const struct worker_session *session,
--- a/src/request/gang.c
+++ b/src/request/gang.c
@@ -33,13 +33,12 @@
 }
 
 static void
-send_command(struct gang *gang, struct gang_member *member,
-    struct worker_command command, const struct gang_sink *sink)
+send_command(struct gang_member *member, struct worker_command command,
+    const struct gang_sink *sink)
 {
 	STRING_COPY(command.task, member->task);
 	member->expect_token =
 	    sink->command(sink->context, member->worker, &command);
-	(void)gang;
 }
 
 static void
@@ -55,7 +54,7 @@
 	member->phase = MEMBER_RESERVING;
 	member->hold_until_ms =
 	    now_ms + gang->config.reservation_ms + COMMAND_DELAY_MS;
-	send_command(gang, member, command, sink);
+	send_command(member, command, sink);
 }
 
 static void
@@ -75,7 +74,7 @@
 		command.checkpoint =
 		    mem_strdup(gang->record->checkpoints[index]);
 	gang->members[index].phase = MEMBER_STAGING;
-	send_command(gang, &gang->members[index], command, sink);
+	send_command(&gang->members[index], command, sink);
 }
 
 static void
@@ -91,7 +90,7 @@
 	member->phase = MEMBER_GOING;
 	member->hold_until_ms =
 	    now_ms + gang->config.first_lease_ms + COMMAND_DELAY_MS;
-	send_command(gang, member, command, sink);
+	send_command(member, command, sink);
 }
 
 static void
@@ -105,16 +104,16 @@
 
 	member->hold_until_ms =
 	    now_ms + gang->config.task_lease_ms + COMMAND_DELAY_MS;
-	send_command(gang, member, command, sink);
+	send_command(member, command, sink);
 }
 
 static void
-send_verb(struct gang *gang, struct gang_member *member, enum worker_verb verb,
+send_verb(struct gang_member *member, enum worker_verb verb,
     const struct gang_sink *sink)
 {
 	struct worker_command command = {.verb = verb};
 
-	send_command(gang, member, command, sink);
+	send_command(member, command, sink);
 }
 
 static void
@@ -133,7 +132,7 @@
 		if (member_over(member) || member_unused(member))
 			continue;
 		member->stop_sent = true;
-		send_verb(gang, member, VERB_STOP, sink);
+		send_verb(member, VERB_STOP, sink);
 	}
 }
 
@@ -326,7 +325,7 @@
 
 	if (gang->phase == GANG_STOP) {
 		if (!gang->checkpointing)
-			send_verb(gang, member, VERB_STOP, sink);
+			send_verb(member, VERB_STOP, sink);
 		return;
 	}
 	switch (state) {
@@ -426,8 +425,7 @@
 {
 	for (uint32_t i = 0; i < gang->count; i++) {
 		if (!member_over(&gang->members[i]))
-			send_verb(
-			    gang, &gang->members[i], VERB_CHECKPOINT, sink);
+			send_verb(&gang->members[i], VERB_CHECKPOINT, sink);
 	}
 }
 
@@ -460,7 +458,7 @@
 	gang->throttled = true;
 	for (uint32_t i = 0; i < gang->count; i++) {
 		if (gang->members[i].phase == MEMBER_RUNNING)
-			send_verb(gang, &gang->members[i], VERB_THROTTLE, sink);
+			send_verb(&gang->members[i], VERB_THROTTLE, sink);
 	}
 }
 
--- a/tests/common_deployment.c
+++ b/tests/common_deployment.c
@@ -334,6 +334,16 @@
 	    register_instance(deployment, instance);
 }
 
+bool
+deployment_list_peer(
+    struct deployment *deployment, uint32_t index, const char *peer)
+{
+	struct deployment_instance listed = deployment->instances[index];
+
+	STRING_COPY(listed.peer, peer);
+	return register_instance(deployment, &listed);
+}
+
 static bool
 start_instances(struct deployment *deployment)
 {
--- a/tests/common_deployment.h
+++ b/tests/common_deployment.h
@@ -72,6 +72,10 @@
 void deployment_kill(struct deployment *deployment, uint32_t instance);
 bool deployment_restart(struct deployment *deployment, uint32_t instance);
 
+/* Makes the platform's list name another peer address of an instance. */
+bool deployment_list_peer(
+    struct deployment *deployment, uint32_t instance, const char *peer);
+
 /* The instance that the running ones take for the lead; -1 for none. */
 int deployment_lead(struct deployment *deployment);
 
--- a/tests/common_relay.c
+++ b/tests/common_relay.c
@@ -28,6 +28,7 @@
 	pthread_t thread;
 	atomic_bool stopping;
 	atomic_bool losing;
+	atomic_bool cut;
 	atomic_uint accepted;
 	struct pair pairs[MAX_PAIRS]; /* of the thread */
 	size_t count;
@@ -116,7 +117,8 @@
 	struct relay *relay = argument;
 
 	while (!atomic_load(&relay->stopping)) {
-		if (atomic_exchange(&relay->losing, false)) {
+		if (atomic_exchange(&relay->losing, false) ||
+		    atomic_load(&relay->cut)) {
 			for (size_t i = 0; i < relay->count; i++)
 				relay->pairs[i].lost = true;
 		}
@@ -157,6 +159,12 @@
 	atomic_store(&relay->losing, true);
 }
 
+void
+relay_cut(struct relay *relay, bool cut)
+{
+	atomic_store(&relay->cut, cut);
+}
+
 uint32_t
 relay_accepted(const struct relay *relay)
 {
--- a/tests/common_relay.h
+++ b/tests/common_relay.h
@@ -5,6 +5,7 @@
 #ifndef IBIS_COMMON_RELAY_H
 #define IBIS_COMMON_RELAY_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 struct relay;
@@ -18,6 +19,10 @@
 /* Loses track of all open connections. */
 void relay_lose_connections(struct relay *relay);
 
+/* Cuts the relay, or heals it: while it is cut, all connections carry nothing,
+ * new ones too. Those cut stay so. */
+void relay_cut(struct relay *relay, bool cut);
+
 /* Connections accepted since the start. */
 uint32_t relay_accepted(const struct relay *relay);
 
--- /dev/null
+++ b/tests/fail_cut_off.c
@@ -0,0 +1,156 @@
+/*
+ * A lead that is cut off from the store and from all peers, but not from the
+ * workers, starts nothing in a zone 3 s after its leaving was answered
+ * elsewhere; another instance leads meanwhile, and nothing accepted is lost.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "common_cunit.h"
+#include "common_failure.h"
+#include "common_relay.h"
+#include "process/alloc.h"
+#include "process/clock.h"
+
+#define INSTANCES	3
+#define SEED		20261203
+#define JOBS		400
+#define JOBS_PER_S	60
+#define RUN_MS		400
+#define STARTS_BEFORE	20
+#define WORKER_SIZE	8
+#define GRACE_MS	3000
+#define CUT_MS		8000
+#define LEAD_TIMEOUT_MS 15000
+#define LINK_TIMEOUT_MS 10000
+#define ZONE		"a"
+#define SETTING_BYTES	96
+
+static struct deployment deployment;
+static struct relay *store_relay;
+static struct relay *peer_relays[INSTANCES];
+
+static bool
+S_all_relayed(void *context)
+{
+	return relay_accepted(context) >= INSTANCES - 1;
+}
+
+/* Restarts an instance so that it reaches the store through the relay, and
+ * kills the others until it leads. */
+static void
+make_relayed_lead(void)
+{
+	static char setting[SETTING_BYTES];
+
+	store_relay = relay_start(deployment.platform_address);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(store_relay);
+	(void)snprintf(setting, sizeof(setting), "store_address=%s",
+	    relay_address(store_relay));
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		deployment_kill(&deployment, i);
+	deployment.config.settings[0] = setting;
+	CU_ASSERT_TRUE_FATAL(deployment_restart(&deployment, 0));
+	deployment.config.settings[0] = NULL;
+	CU_ASSERT_EQUAL_FATAL(
+	    deployment_wait_lead(&deployment, -1, LEAD_TIMEOUT_MS), 0);
+	for (uint32_t i = 1; i < INSTANCES; i++)
+		CU_ASSERT_TRUE_FATAL(deployment_restart(&deployment, i));
+}
+
+static void
+relay_all_peers(void)
+{
+	for (uint32_t i = 0; i < INSTANCES; i++) {
+		peer_relays[i] = relay_start(deployment.instances[i].peer);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(peer_relays[i]);
+		CU_ASSERT_TRUE_FATAL(deployment_list_peer(
+		    &deployment, i, relay_address(peer_relays[i])));
+	}
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		CU_ASSERT_TRUE_FATAL(deployment_wait(
+		    S_all_relayed, peer_relays[i], LINK_TIMEOUT_MS));
+}
+
+static void
+cut_all(bool cut)
+{
+	relay_cut(store_relay, cut);
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		relay_cut(peer_relays[i], cut);
+}
+
+static void
+stop_relays(void)
+{
+	relay_stop(store_relay);
+	for (uint32_t i = 0; i < INSTANCES; i++)
+		relay_stop(peer_relays[i]);
+}
+
+static void
+wait_until(int64_t time_ms)
+{
+	while (clock_now_ms() < time_ms)
+		process_pause(10);
+}
+
+static void
+judge(int64_t answered_ms, int64_t healed_ms)
+{
+	CLEANUP(log_free) struct log log = {0};
+	int64_t from_ms = answered_ms + GRACE_MS;
+
+	CU_ASSERT_TRUE_FATAL(log_read(&log, deployment.workers_log));
+	(void)printf("last_start_after_answer_ms=%d\n",
+	    (int)(log_last_start_ms(&log, ZONE) - answered_ms));
+	CU_ASSERT_EQUAL(log_starts_in_zone(&log, ZONE, from_ms, INT64_MAX), 0);
+	/* The zone was in use before, and others went on while it was cut. */
+	CU_ASSERT(log_starts_in_zone(&log, ZONE, 0, answered_ms) > 0);
+	CU_ASSERT(log_starts_in_zone(&log, "b", from_ms, healed_ms) +
+		log_starts_in_zone(&log, "c", from_ms, healed_ms) >
+	    0);
+}
+
+static void
+test_lead_cut_off(void)
+{
+	CLEANUP(client_answer_free) struct client_answer answer = {0};
+	struct traffic traffic;
+	struct load_kind *kind;
+	int64_t answered_ms;
+	int64_t healed_ms;
+
+	failure_start(&deployment, INSTANCES, 1, SEED);
+	make_relayed_lead();
+	relay_all_peers();
+	traffic_fill(&traffic, &deployment, "cut", JOBS, JOBS_PER_S);
+	kind = traffic_add_kind(&traffic, "one", "plan", RUN_MS);
+	kind->accelerators_per_task = WORKER_SIZE;
+	kind->idempotent = true;
+	CU_ASSERT_TRUE_FATAL(traffic_start(&traffic));
+	failure_wait_point(&deployment,
+	    &(struct kill_point){.event = "start", .count = STARTS_BEFORE});
+	cut_all(true);
+	CU_ASSERT_EQUAL(
+	    deployment_zone(&deployment, 1, ZONE, "out", &answer), IBIS_OK);
+	answered_ms = clock_now_ms();
+	wait_until(answered_ms + CUT_MS);
+	cut_all(false);
+	healed_ms = clock_now_ms();
+	failure_judge(&traffic, 0);
+	judge(answered_ms, healed_ms);
+	failure_stop(&deployment);
+	stop_relays();
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"lead cut off from store and peers", test_lead_cut_off},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("cut off", tests);
+}
--- a/tests/fail_peers.c
+++ b/tests/fail_peers.c
@@ -4,22 +4,18 @@
  */
 #include <stdio.h>
 #include <stdlib.h>
-#include <unistd.h>
 
 #include "common_callers.h"
 #include "common_cunit.h"
 #include "common_deployment.h"
-#include "common_http.h"
 #include "common_relay.h"
 #include "process/alloc.h"
-#include "process/buffer.h"
 
 #define SEED	      20261204
 #define INSTANCES     3
 #define CALLERS	      30
 #define PROGRESS_MS   20000
 #define LEAD_MS	      10000
-#define ADMIN_MS      2000
 #define EXIT_MS	      35000
 #define SILENT_BOUND  8 /* seconds that a lost link may hold up an answer */
 #define MORE_REQUESTS 60
@@ -93,31 +89,6 @@
 	CU_ASSERT_EQUAL(count.finished + count.refused, count.sent);
 }
 
-/* Makes the platform's list name another peer address of an instance. */
-static void
-list_peer_address(uint32_t index, const char *peer)
-{
-	const struct deployment_instance *instance =
-	    &deployment.instances[index];
-	CLEANUP(buffer_free) struct buffer body = {0};
-	CLEANUP(buffer_free) struct buffer request = {0};
-	CLEANUP(buffer_free) struct buffer response = {0};
-	int fd = http_connect(deployment.platform_address);
-
-	buffer_printf(&body,
-	    "{\"peer\": \"%s\", \"caller\": \"%s\", "
-	    "\"availability_zone\": \"%s\", \"state\": \"live\"}",
-	    peer, instance->caller, instance->zone);
-	buffer_printf(&request,
-	    "PUT /admin/instances/%s HTTP/1.1\r\nHost: x\r\n"
-	    "Content-Length: %zu\r\n\r\n%s",
-	    instance->name, body.length, body.data);
-	CU_ASSERT_TRUE_FATAL(fd >= 0 && http_write(fd, request.data));
-	CU_ASSERT_EQUAL(http_read(fd, &response, ADMIN_MS), HTTP_WHOLE);
-	CU_ASSERT_EQUAL(http_status(&response), 200);
-	(void)close(fd);
-}
-
 static bool
 S_all_relayed(void *context)
 {
@@ -133,7 +104,8 @@
 	struct callers_count count;
 
 	CU_ASSERT_PTR_NOT_NULL_FATAL(relay);
-	list_peer_address(instance, relay_address(relay));
+	CU_ASSERT_TRUE(
+	    deployment_list_peer(&deployment, instance, relay_address(relay)));
 	CU_ASSERT_TRUE(deployment_wait(S_all_relayed, relay, PROGRESS_MS));
 	callers = start_load(SILENT_BOUND * 1000);
 	wait_for_progress(callers);
@@ -143,7 +115,8 @@
 	}
 	count = finish_load(callers, name);
 	CU_ASSERT_EQUAL(count.finished + count.refused, count.sent);
-	list_peer_address(instance, deployment.instances[instance].peer);
+	CU_ASSERT_TRUE(deployment_list_peer(
+	    &deployment, instance, deployment.instances[instance].peer));
 	relay_stop(relay);
 }
 
--- a/tests/test_freshness.c
+++ b/tests/test_freshness.c
@@ -7,7 +7,7 @@
 	struct freshness freshness = {.limit_ms = 1500};
 
 	CU_ASSERT_FALSE(freshness_holds(&freshness, 1000));
-	freshness_store(&freshness, 1000);
+	freshness_confirm_from(&freshness, 1000);
 	CU_ASSERT_TRUE(freshness_holds(&freshness, 2500));
 	CU_ASSERT_FALSE(freshness_holds(&freshness, 2501));
 }
