--- a/tests/common_failure.c
+++ b/tests/common_failure.c
@@ -87,6 +87,9 @@
 	CU_ASSERT_EQUAL(traffic_count_false_not_run(traffic, &log), 0);
 	CU_ASSERT_EQUAL(traffic_count_wrong(traffic), 0);
 	CU_ASSERT_EQUAL(count_lost(traffic), 0);
+	/* Every job was accepted or refused, and has come to an end. */
+	CU_ASSERT_EQUAL(traffic_count(traffic, LOAD_PENDING), 0);
+	CU_ASSERT_EQUAL(traffic_count(traffic, LOAD_NOT_SENT), 0);
 	CU_ASSERT_TRUE(
 	    traffic_partial_run_ms(traffic, &log) <= FIRST_LEASE_BOUND_MS);
 	CU_ASSERT_TRUE(traffic_count(traffic, LOAD_UNKNOWN) +
