--- a/src/process/control.h
+++ b/src/process/control.h
@@ -30,6 +30,9 @@
 #include "version/head.h"
 #include "version/holds.h"
 
+/* When to come back after a refusal because of the store. */
+#define STORE_RETRY_AFTER_MS 2000
+
 /* Whose a store call is. */
 enum store_owner {
 	OWNER_LEAD,
--- a/src/process/control_jobs.c
+++ b/src/process/control_jobs.c
@@ -9,10 +9,9 @@
 #include "process/log.h"
 #include "process/proto_memory.h"
 
-#define STORE_RETRY_AFTER_MS 2000
-#define SEGMENT_FULL_BYTES   900000
-#define MAX_LISTED_JOBS	     1000
-#define SWEEP_INTERVAL_MS    500
+#define SEGMENT_FULL_BYTES 900000
+#define MAX_LISTED_JOBS	   1000
+#define SWEEP_INTERVAL_MS  500
 
 /* ---- Records --------------------------------------------------------- */
 
--- a/src/process/control_waiters.c
+++ b/src/process/control_waiters.c
@@ -1,8 +1,6 @@
 #include "process/alloc.h"
 #include "process/control.h"
 
-#define STORE_RETRY_AFTER_MS 2000
-
 void
 control_waiter_add(struct control *control, struct job *job,
     const struct origin *origin, const Ibis__Request *request)
--- a/tests/fail_reclaim.c
+++ b/tests/fail_reclaim.c
@@ -179,6 +179,24 @@
 	failure_stop(&deployment);
 }
 
+/* Jobs of a whole worker each, as many as there are workers, that may be
+ * evicted. */
+static struct borrowers
+whole_workers(const char *name)
+{
+	return (struct borrowers){
+	    .name = name,
+	    .payload = "",
+	    .count = WORKERS,
+	    .tasks = 1,
+	    .accelerators = WORKER_SIZE,
+	    .declared_ms = BORROWER_RUN_MS,
+	    .idempotent = true,
+	    .checkpointable = true,
+	    .starts = WORKERS,
+	};
+}
+
 static void
 test_full_of_small_jobs(void)
 {
@@ -218,18 +236,9 @@
 static void
 test_checkpoint_ignored(void)
 {
-	struct borrowers borrowers = {
-	    .name = "ignoring",
-	    .payload = "ignore_checkpoint",
-	    .count = WORKERS,
-	    .tasks = 1,
-	    .accelerators = WORKER_SIZE,
-	    .declared_ms = BORROWER_RUN_MS,
-	    .idempotent = true,
-	    .checkpointable = true,
-	    .starts = WORKERS,
-	};
+	struct borrowers borrowers = whole_workers("ignoring");
 
+	borrowers.payload = "ignore_checkpoint";
 	one_owner_against(&borrowers, NULL);
 }
 
@@ -271,17 +280,7 @@
 static void
 test_while_a_zone_leaves(void)
 {
-	struct borrowers borrowers = {
-	    .name = "zone-out",
-	    .payload = "",
-	    .count = WORKERS,
-	    .tasks = 1,
-	    .accelerators = WORKER_SIZE,
-	    .declared_ms = BORROWER_RUN_MS,
-	    .idempotent = true,
-	    .checkpointable = true,
-	    .starts = WORKERS,
-	};
+	struct borrowers borrowers = whole_workers("zone-out");
 
 	one_owner_against(&borrowers, "c");
 }
@@ -289,17 +288,7 @@
 static void
 test_two_owners_at_once(void)
 {
-	struct borrowers borrowers = {
-	    .name = "two-owners",
-	    .payload = "",
-	    .count = WORKERS,
-	    .tasks = 1,
-	    .accelerators = WORKER_SIZE,
-	    .declared_ms = BORROWER_RUN_MS,
-	    .idempotent = true,
-	    .checkpointable = true,
-	    .starts = WORKERS,
-	};
+	struct borrowers borrowers = whole_workers("two-owners");
 	struct owner one = {
 	    .workspace = "one",
 	    .key = "owner-one",
