--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES = cmake gcc g++ make pkg-config clang clang-format clang-tidy cppcheck \
 	libclang-rt-14-dev liburcu-dev libprotobuf-c-dev protobuf-c-compiler \
 	libmicrohttpd-dev libneon27-dev libjson-c-dev libcunit1-dev \
-	librapidcheck-dev libxxhash-dev
+	librapidcheck-dev libxxhash-dev libcurl4-gnutls-dev
 
 .PHONY: help deps build format format-check lint proto check prove bench fuzz \
 	demo up clean install
--- a/proto/ibistrestle.pb-c.c
+++ b/proto/ibistrestle.pb-c.c
@@ -1132,6 +1132,231 @@
   assert(message->base.descriptor == &ibis__confirmation__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ibis__job_step__init
+                     (Ibis__JobStep         *message)
+{
+  static const Ibis__JobStep init_value = IBIS__JOB_STEP__INIT;
+  *message = init_value;
+}
+size_t ibis__job_step__get_packed_size
+                     (const Ibis__JobStep *message)
+{
+  assert(message->base.descriptor == &ibis__job_step__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ibis__job_step__pack
+                     (const Ibis__JobStep *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ibis__job_step__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ibis__job_step__pack_to_buffer
+                     (const Ibis__JobStep *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ibis__job_step__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ibis__JobStep *
+       ibis__job_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ibis__JobStep *)
+     protobuf_c_message_unpack (&ibis__job_step__descriptor,
+                                allocator, len, data);
+}
+void   ibis__job_step__free_unpacked
+                     (Ibis__JobStep *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ibis__job_step__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ibis__step_job__init
+                     (Ibis__StepJob         *message)
+{
+  static const Ibis__StepJob init_value = IBIS__STEP_JOB__INIT;
+  *message = init_value;
+}
+size_t ibis__step_job__get_packed_size
+                     (const Ibis__StepJob *message)
+{
+  assert(message->base.descriptor == &ibis__step_job__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ibis__step_job__pack
+                     (const Ibis__StepJob *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ibis__step_job__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ibis__step_job__pack_to_buffer
+                     (const Ibis__StepJob *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ibis__step_job__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ibis__StepJob *
+       ibis__step_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ibis__StepJob *)
+     protobuf_c_message_unpack (&ibis__step_job__descriptor,
+                                allocator, len, data);
+}
+void   ibis__step_job__free_unpacked
+                     (Ibis__StepJob *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ibis__step_job__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ibis__task_progress__init
+                     (Ibis__TaskProgress         *message)
+{
+  static const Ibis__TaskProgress init_value = IBIS__TASK_PROGRESS__INIT;
+  *message = init_value;
+}
+size_t ibis__task_progress__get_packed_size
+                     (const Ibis__TaskProgress *message)
+{
+  assert(message->base.descriptor == &ibis__task_progress__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ibis__task_progress__pack
+                     (const Ibis__TaskProgress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ibis__task_progress__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ibis__task_progress__pack_to_buffer
+                     (const Ibis__TaskProgress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ibis__task_progress__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ibis__TaskProgress *
+       ibis__task_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ibis__TaskProgress *)
+     protobuf_c_message_unpack (&ibis__task_progress__descriptor,
+                                allocator, len, data);
+}
+void   ibis__task_progress__free_unpacked
+                     (Ibis__TaskProgress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ibis__task_progress__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ibis__occurrence_progress__init
+                     (Ibis__OccurrenceProgress         *message)
+{
+  static const Ibis__OccurrenceProgress init_value = IBIS__OCCURRENCE_PROGRESS__INIT;
+  *message = init_value;
+}
+size_t ibis__occurrence_progress__get_packed_size
+                     (const Ibis__OccurrenceProgress *message)
+{
+  assert(message->base.descriptor == &ibis__occurrence_progress__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ibis__occurrence_progress__pack
+                     (const Ibis__OccurrenceProgress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ibis__occurrence_progress__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ibis__occurrence_progress__pack_to_buffer
+                     (const Ibis__OccurrenceProgress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ibis__occurrence_progress__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ibis__OccurrenceProgress *
+       ibis__occurrence_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ibis__OccurrenceProgress *)
+     protobuf_c_message_unpack (&ibis__occurrence_progress__descriptor,
+                                allocator, len, data);
+}
+void   ibis__occurrence_progress__free_unpacked
+                     (Ibis__OccurrenceProgress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ibis__occurrence_progress__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ibis__job_progress__init
+                     (Ibis__JobProgress         *message)
+{
+  static const Ibis__JobProgress init_value = IBIS__JOB_PROGRESS__INIT;
+  *message = init_value;
+}
+size_t ibis__job_progress__get_packed_size
+                     (const Ibis__JobProgress *message)
+{
+  assert(message->base.descriptor == &ibis__job_progress__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ibis__job_progress__pack
+                     (const Ibis__JobProgress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ibis__job_progress__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ibis__job_progress__pack_to_buffer
+                     (const Ibis__JobProgress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ibis__job_progress__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ibis__JobProgress *
+       ibis__job_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ibis__JobProgress *)
+     protobuf_c_message_unpack (&ibis__job_progress__descriptor,
+                                allocator, len, data);
+}
+void   ibis__job_progress__free_unpacked
+                     (Ibis__JobProgress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ibis__job_progress__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor ibis__job_spec__field_descriptors[11] =
 {
   {
@@ -3252,133 +3477,817 @@
   (ProtobufCMessageInit) ibis__confirmation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue ibis__adjacency__enum_values_by_number[4] =
-{
-  { "ADJACENCY_ANY", "IBIS__ADJACENCY__ADJACENCY_ANY", 0 },
-  { "ADJACENCY_ZONE", "IBIS__ADJACENCY__ADJACENCY_ZONE", 1 },
-  { "ADJACENCY_RACK", "IBIS__ADJACENCY__ADJACENCY_RACK", 2 },
-  { "ADJACENCY_WORKER", "IBIS__ADJACENCY__ADJACENCY_WORKER", 3 },
-};
-static const ProtobufCIntRange ibis__adjacency__value_ranges[] = {
-{0, 0},{0, 4}
-};
-static const ProtobufCEnumValueIndex ibis__adjacency__enum_values_by_name[4] =
-{
-  { "ADJACENCY_ANY", 0 },
-  { "ADJACENCY_RACK", 2 },
-  { "ADJACENCY_WORKER", 3 },
-  { "ADJACENCY_ZONE", 1 },
-};
-const ProtobufCEnumDescriptor ibis__adjacency__descriptor =
-{
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "ibis.Adjacency",
-  "Adjacency",
-  "Ibis__Adjacency",
-  "ibis",
-  4,
-  ibis__adjacency__enum_values_by_number,
-  4,
-  ibis__adjacency__enum_values_by_name,
-  1,
-  ibis__adjacency__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
-};
-static const ProtobufCEnumValue ibis__job_state__enum_values_by_number[8] =
-{
-  { "JOB_ACCEPTED", "IBIS__JOB_STATE__JOB_ACCEPTED", 0 },
-  { "JOB_INTENDED", "IBIS__JOB_STATE__JOB_INTENDED", 1 },
-  { "JOB_RUNNING", "IBIS__JOB_STATE__JOB_RUNNING", 2 },
-  { "JOB_FINISHED", "IBIS__JOB_STATE__JOB_FINISHED", 3 },
-  { "JOB_FAILED", "IBIS__JOB_STATE__JOB_FAILED", 4 },
-  { "JOB_CANCELLED", "IBIS__JOB_STATE__JOB_CANCELLED", 5 },
-  { "JOB_NOT_RUN", "IBIS__JOB_STATE__JOB_NOT_RUN", 6 },
-  { "JOB_UNKNOWN", "IBIS__JOB_STATE__JOB_UNKNOWN", 7 },
-};
-static const ProtobufCIntRange ibis__job_state__value_ranges[] = {
-{0, 0},{0, 8}
-};
-static const ProtobufCEnumValueIndex ibis__job_state__enum_values_by_name[8] =
-{
-  { "JOB_ACCEPTED", 0 },
-  { "JOB_CANCELLED", 5 },
-  { "JOB_FAILED", 4 },
-  { "JOB_FINISHED", 3 },
-  { "JOB_INTENDED", 1 },
-  { "JOB_NOT_RUN", 6 },
-  { "JOB_RUNNING", 2 },
-  { "JOB_UNKNOWN", 7 },
-};
-const ProtobufCEnumDescriptor ibis__job_state__descriptor =
-{
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "ibis.JobState",
-  "JobState",
-  "Ibis__JobState",
-  "ibis",
-  8,
-  ibis__job_state__enum_values_by_number,
-  8,
-  ibis__job_state__enum_values_by_name,
-  1,
-  ibis__job_state__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
-};
-static const ProtobufCEnumValue ibis__request_kind__enum_values_by_number[20] =
-{
-  { "REQUEST_SUBMIT", "IBIS__REQUEST_KIND__REQUEST_SUBMIT", 0 },
-  { "REQUEST_JOB", "IBIS__REQUEST_KIND__REQUEST_JOB", 1 },
-  { "REQUEST_ANSWER", "IBIS__REQUEST_KIND__REQUEST_ANSWER", 2 },
-  { "REQUEST_CANCEL", "IBIS__REQUEST_KIND__REQUEST_CANCEL", 3 },
-  { "REQUEST_JOBS", "IBIS__REQUEST_KIND__REQUEST_JOBS", 4 },
-  { "REQUEST_DOCUMENT", "IBIS__REQUEST_KIND__REQUEST_DOCUMENT", 5 },
-  { "REQUEST_PUT_DOCUMENT", "IBIS__REQUEST_KIND__REQUEST_PUT_DOCUMENT", 6 },
-  { "REQUEST_SECTION", "IBIS__REQUEST_KIND__REQUEST_SECTION", 7 },
-  { "REQUEST_PUT_SECTION", "IBIS__REQUEST_KIND__REQUEST_PUT_SECTION", 8 },
-  { "REQUEST_ZONE_OUT", "IBIS__REQUEST_KIND__REQUEST_ZONE_OUT", 9 },
-  { "REQUEST_ZONE_IN", "IBIS__REQUEST_KIND__REQUEST_ZONE_IN", 10 },
-  { "REQUEST_INSTANCES", "IBIS__REQUEST_KIND__REQUEST_INSTANCES", 11 },
-  { "REQUEST_STATUS", "IBIS__REQUEST_KIND__REQUEST_STATUS", 12 },
-  { "REQUEST_SLO_BURN", "IBIS__REQUEST_KIND__REQUEST_SLO_BURN", 13 },
-  { "REQUEST_METRICS", "IBIS__REQUEST_KIND__REQUEST_METRICS", 14 },
-  { "REQUEST_LIVE", "IBIS__REQUEST_KIND__REQUEST_LIVE", 15 },
-  { "REQUEST_READY", "IBIS__REQUEST_KIND__REQUEST_READY", 16 },
-  { "REQUEST_DOCUMENT_STATUS", "IBIS__REQUEST_KIND__REQUEST_DOCUMENT_STATUS", 17 },
-  { "REQUEST_ZONES", "IBIS__REQUEST_KIND__REQUEST_ZONES", 18 },
-  { "REQUEST_ENDPOINTS", "IBIS__REQUEST_KIND__REQUEST_ENDPOINTS", 19 },
-};
-static const ProtobufCIntRange ibis__request_kind__value_ranges[] = {
-{0, 0},{0, 20}
-};
-static const ProtobufCEnumValueIndex ibis__request_kind__enum_values_by_name[20] =
-{
-  { "REQUEST_ANSWER", 2 },
-  { "REQUEST_CANCEL", 3 },
-  { "REQUEST_DOCUMENT", 5 },
-  { "REQUEST_DOCUMENT_STATUS", 17 },
-  { "REQUEST_ENDPOINTS", 19 },
-  { "REQUEST_INSTANCES", 11 },
-  { "REQUEST_JOB", 1 },
-  { "REQUEST_JOBS", 4 },
-  { "REQUEST_LIVE", 15 },
-  { "REQUEST_METRICS", 14 },
-  { "REQUEST_PUT_DOCUMENT", 6 },
-  { "REQUEST_PUT_SECTION", 8 },
-  { "REQUEST_READY", 16 },
-  { "REQUEST_SECTION", 7 },
-  { "REQUEST_SLO_BURN", 13 },
-  { "REQUEST_STATUS", 12 },
-  { "REQUEST_SUBMIT", 0 },
-  { "REQUEST_ZONES", 18 },
-  { "REQUEST_ZONE_IN", 10 },
-  { "REQUEST_ZONE_OUT", 9 },
-};
-const ProtobufCEnumDescriptor ibis__request_kind__descriptor =
+static const ProtobufCFieldDescriptor ibis__job_step__field_descriptors[18] =
 {
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "ibis.RequestKind",
-  "RequestKind",
-  "Ibis__RequestKind",
+  {
+    "tasks",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobStep, tasks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_milli",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobStep, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mb",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobStep, memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobStep, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "estimate_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobStep, estimate_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ibis__JobStep, n_after),
+    offsetof(Ibis__JobStep, after),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoints",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobStep, checkpoints),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gang",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobStep, gang),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "same_rack",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobStep, same_rack),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speculative",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobStep, speculative),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lasting",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobStep, lasting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fills",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobStep, fills),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "label",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobStep, label),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_rack",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobStep, data_rack),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_per_worker",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobStep, max_per_worker),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "image",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobStep, image),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tail_target_ms",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobStep, tail_target_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_unavailable",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobStep, max_unavailable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ibis__job_step__field_indices_by_name[] = {
+  3,   /* field[3] = accelerators */
+  5,   /* field[5] = after */
+  6,   /* field[6] = checkpoints */
+  1,   /* field[1] = cpu_milli */
+  13,   /* field[13] = data_rack */
+  4,   /* field[4] = estimate_ms */
+  11,   /* field[11] = fills */
+  7,   /* field[7] = gang */
+  15,   /* field[15] = image */
+  12,   /* field[12] = label */
+  10,   /* field[10] = lasting */
+  14,   /* field[14] = max_per_worker */
+  17,   /* field[17] = max_unavailable */
+  2,   /* field[2] = memory_mb */
+  8,   /* field[8] = same_rack */
+  9,   /* field[9] = speculative */
+  16,   /* field[16] = tail_target_ms */
+  0,   /* field[0] = tasks */
+};
+static const ProtobufCIntRange ibis__job_step__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 18 }
+};
+const ProtobufCMessageDescriptor ibis__job_step__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ibis.JobStep",
+  "JobStep",
+  "Ibis__JobStep",
+  "ibis",
+  sizeof(Ibis__JobStep),
+  18,
+  ibis__job_step__field_descriptors,
+  ibis__job_step__field_indices_by_name,
+  1,  ibis__job_step__number_ranges,
+  (ProtobufCMessageInit) ibis__job_step__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ibis__step_job__field_descriptors[13] =
+{
+  {
+    "route",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StepJob, route),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StepJob, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workspace",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StepJob, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "payload",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StepJob, payload),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "steps",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ibis__StepJob, n_steps),
+    offsetof(Ibis__StepJob, steps),
+    &ibis__job_step__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "times",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StepJob, times),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_wall_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StepJob, first_wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "interval_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StepJob, interval_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accepted_wall_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StepJob, accepted_wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StepJob, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempts",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StepJob, attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stretch_milli",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StepJob, stretch_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StepJob, target_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ibis__step_job__field_indices_by_name[] = {
+  8,   /* field[8] = accepted_wall_ms */
+  10,   /* field[10] = attempts */
+  6,   /* field[6] = first_wall_ms */
+  7,   /* field[7] = interval_ms */
+  3,   /* field[3] = payload */
+  9,   /* field[9] = priority */
+  0,   /* field[0] = route */
+  1,   /* field[1] = service */
+  4,   /* field[4] = steps */
+  11,   /* field[11] = stretch_milli */
+  12,   /* field[12] = target_ms */
+  5,   /* field[5] = times */
+  2,   /* field[2] = workspace */
+};
+static const ProtobufCIntRange ibis__step_job__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor ibis__step_job__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ibis.StepJob",
+  "StepJob",
+  "Ibis__StepJob",
+  "ibis",
+  sizeof(Ibis__StepJob),
+  13,
+  ibis__step_job__field_descriptors,
+  ibis__step_job__field_indices_by_name,
+  1,  ibis__step_job__number_ranges,
+  (ProtobufCMessageInit) ibis__step_job__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ibis__task_progress__field_descriptors[6] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__TaskProgress, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__TaskProgress, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__TaskProgress, worker),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failures",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__TaskProgress, failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__TaskProgress, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "done",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__TaskProgress, done),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ibis__task_progress__field_indices_by_name[] = {
+  4,   /* field[4] = checkpoint */
+  5,   /* field[5] = done */
+  3,   /* field[3] = failures */
+  0,   /* field[0] = number */
+  1,   /* field[1] = run */
+  2,   /* field[2] = worker */
+};
+static const ProtobufCIntRange ibis__task_progress__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor ibis__task_progress__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ibis.TaskProgress",
+  "TaskProgress",
+  "Ibis__TaskProgress",
+  "ibis",
+  sizeof(Ibis__TaskProgress),
+  6,
+  ibis__task_progress__field_descriptors,
+  ibis__task_progress__field_indices_by_name,
+  1,  ibis__task_progress__number_ranges,
+  (ProtobufCMessageInit) ibis__task_progress__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ibis__occurrence_progress__field_descriptors[2] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__OccurrenceProgress, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ibis__OccurrenceProgress, n_tasks),
+    offsetof(Ibis__OccurrenceProgress, tasks),
+    &ibis__task_progress__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ibis__occurrence_progress__field_indices_by_name[] = {
+  0,   /* field[0] = number */
+  1,   /* field[1] = tasks */
+};
+static const ProtobufCIntRange ibis__occurrence_progress__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor ibis__occurrence_progress__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ibis.OccurrenceProgress",
+  "OccurrenceProgress",
+  "Ibis__OccurrenceProgress",
+  "ibis",
+  sizeof(Ibis__OccurrenceProgress),
+  2,
+  ibis__occurrence_progress__field_descriptors,
+  ibis__occurrence_progress__field_indices_by_name,
+  1,  ibis__occurrence_progress__number_ranges,
+  (ProtobufCMessageInit) ibis__occurrence_progress__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ibis__job_progress__field_descriptors[4] =
+{
+  {
+    "phase",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobProgress, phase),
+    &ibis__step_job_phase__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "occurrences",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ibis__JobProgress, n_occurrences),
+    offsetof(Ibis__JobProgress, occurrences),
+    &ibis__occurrence_progress__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "finished",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobProgress, finished),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_wall_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__JobProgress, ended_wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ibis__job_progress__field_indices_by_name[] = {
+  3,   /* field[3] = ended_wall_ms */
+  2,   /* field[2] = finished */
+  1,   /* field[1] = occurrences */
+  0,   /* field[0] = phase */
+};
+static const ProtobufCIntRange ibis__job_progress__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor ibis__job_progress__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ibis.JobProgress",
+  "JobProgress",
+  "Ibis__JobProgress",
+  "ibis",
+  sizeof(Ibis__JobProgress),
+  4,
+  ibis__job_progress__field_descriptors,
+  ibis__job_progress__field_indices_by_name,
+  1,  ibis__job_progress__number_ranges,
+  (ProtobufCMessageInit) ibis__job_progress__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCEnumValue ibis__adjacency__enum_values_by_number[4] =
+{
+  { "ADJACENCY_ANY", "IBIS__ADJACENCY__ADJACENCY_ANY", 0 },
+  { "ADJACENCY_ZONE", "IBIS__ADJACENCY__ADJACENCY_ZONE", 1 },
+  { "ADJACENCY_RACK", "IBIS__ADJACENCY__ADJACENCY_RACK", 2 },
+  { "ADJACENCY_WORKER", "IBIS__ADJACENCY__ADJACENCY_WORKER", 3 },
+};
+static const ProtobufCIntRange ibis__adjacency__value_ranges[] = {
+{0, 0},{0, 4}
+};
+static const ProtobufCEnumValueIndex ibis__adjacency__enum_values_by_name[4] =
+{
+  { "ADJACENCY_ANY", 0 },
+  { "ADJACENCY_RACK", 2 },
+  { "ADJACENCY_WORKER", 3 },
+  { "ADJACENCY_ZONE", 1 },
+};
+const ProtobufCEnumDescriptor ibis__adjacency__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "ibis.Adjacency",
+  "Adjacency",
+  "Ibis__Adjacency",
+  "ibis",
+  4,
+  ibis__adjacency__enum_values_by_number,
+  4,
+  ibis__adjacency__enum_values_by_name,
+  1,
+  ibis__adjacency__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCEnumValue ibis__job_state__enum_values_by_number[8] =
+{
+  { "JOB_ACCEPTED", "IBIS__JOB_STATE__JOB_ACCEPTED", 0 },
+  { "JOB_INTENDED", "IBIS__JOB_STATE__JOB_INTENDED", 1 },
+  { "JOB_RUNNING", "IBIS__JOB_STATE__JOB_RUNNING", 2 },
+  { "JOB_FINISHED", "IBIS__JOB_STATE__JOB_FINISHED", 3 },
+  { "JOB_FAILED", "IBIS__JOB_STATE__JOB_FAILED", 4 },
+  { "JOB_CANCELLED", "IBIS__JOB_STATE__JOB_CANCELLED", 5 },
+  { "JOB_NOT_RUN", "IBIS__JOB_STATE__JOB_NOT_RUN", 6 },
+  { "JOB_UNKNOWN", "IBIS__JOB_STATE__JOB_UNKNOWN", 7 },
+};
+static const ProtobufCIntRange ibis__job_state__value_ranges[] = {
+{0, 0},{0, 8}
+};
+static const ProtobufCEnumValueIndex ibis__job_state__enum_values_by_name[8] =
+{
+  { "JOB_ACCEPTED", 0 },
+  { "JOB_CANCELLED", 5 },
+  { "JOB_FAILED", 4 },
+  { "JOB_FINISHED", 3 },
+  { "JOB_INTENDED", 1 },
+  { "JOB_NOT_RUN", 6 },
+  { "JOB_RUNNING", 2 },
+  { "JOB_UNKNOWN", 7 },
+};
+const ProtobufCEnumDescriptor ibis__job_state__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "ibis.JobState",
+  "JobState",
+  "Ibis__JobState",
+  "ibis",
+  8,
+  ibis__job_state__enum_values_by_number,
+  8,
+  ibis__job_state__enum_values_by_name,
+  1,
+  ibis__job_state__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCEnumValue ibis__request_kind__enum_values_by_number[20] =
+{
+  { "REQUEST_SUBMIT", "IBIS__REQUEST_KIND__REQUEST_SUBMIT", 0 },
+  { "REQUEST_JOB", "IBIS__REQUEST_KIND__REQUEST_JOB", 1 },
+  { "REQUEST_ANSWER", "IBIS__REQUEST_KIND__REQUEST_ANSWER", 2 },
+  { "REQUEST_CANCEL", "IBIS__REQUEST_KIND__REQUEST_CANCEL", 3 },
+  { "REQUEST_JOBS", "IBIS__REQUEST_KIND__REQUEST_JOBS", 4 },
+  { "REQUEST_DOCUMENT", "IBIS__REQUEST_KIND__REQUEST_DOCUMENT", 5 },
+  { "REQUEST_PUT_DOCUMENT", "IBIS__REQUEST_KIND__REQUEST_PUT_DOCUMENT", 6 },
+  { "REQUEST_SECTION", "IBIS__REQUEST_KIND__REQUEST_SECTION", 7 },
+  { "REQUEST_PUT_SECTION", "IBIS__REQUEST_KIND__REQUEST_PUT_SECTION", 8 },
+  { "REQUEST_ZONE_OUT", "IBIS__REQUEST_KIND__REQUEST_ZONE_OUT", 9 },
+  { "REQUEST_ZONE_IN", "IBIS__REQUEST_KIND__REQUEST_ZONE_IN", 10 },
+  { "REQUEST_INSTANCES", "IBIS__REQUEST_KIND__REQUEST_INSTANCES", 11 },
+  { "REQUEST_STATUS", "IBIS__REQUEST_KIND__REQUEST_STATUS", 12 },
+  { "REQUEST_SLO_BURN", "IBIS__REQUEST_KIND__REQUEST_SLO_BURN", 13 },
+  { "REQUEST_METRICS", "IBIS__REQUEST_KIND__REQUEST_METRICS", 14 },
+  { "REQUEST_LIVE", "IBIS__REQUEST_KIND__REQUEST_LIVE", 15 },
+  { "REQUEST_READY", "IBIS__REQUEST_KIND__REQUEST_READY", 16 },
+  { "REQUEST_DOCUMENT_STATUS", "IBIS__REQUEST_KIND__REQUEST_DOCUMENT_STATUS", 17 },
+  { "REQUEST_ZONES", "IBIS__REQUEST_KIND__REQUEST_ZONES", 18 },
+  { "REQUEST_ENDPOINTS", "IBIS__REQUEST_KIND__REQUEST_ENDPOINTS", 19 },
+};
+static const ProtobufCIntRange ibis__request_kind__value_ranges[] = {
+{0, 0},{0, 20}
+};
+static const ProtobufCEnumValueIndex ibis__request_kind__enum_values_by_name[20] =
+{
+  { "REQUEST_ANSWER", 2 },
+  { "REQUEST_CANCEL", 3 },
+  { "REQUEST_DOCUMENT", 5 },
+  { "REQUEST_DOCUMENT_STATUS", 17 },
+  { "REQUEST_ENDPOINTS", 19 },
+  { "REQUEST_INSTANCES", 11 },
+  { "REQUEST_JOB", 1 },
+  { "REQUEST_JOBS", 4 },
+  { "REQUEST_LIVE", 15 },
+  { "REQUEST_METRICS", 14 },
+  { "REQUEST_PUT_DOCUMENT", 6 },
+  { "REQUEST_PUT_SECTION", 8 },
+  { "REQUEST_READY", 16 },
+  { "REQUEST_SECTION", 7 },
+  { "REQUEST_SLO_BURN", 13 },
+  { "REQUEST_STATUS", 12 },
+  { "REQUEST_SUBMIT", 0 },
+  { "REQUEST_ZONES", 18 },
+  { "REQUEST_ZONE_IN", 10 },
+  { "REQUEST_ZONE_OUT", 9 },
+};
+const ProtobufCEnumDescriptor ibis__request_kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "ibis.RequestKind",
+  "RequestKind",
+  "Ibis__RequestKind",
   "ibis",
   20,
   ibis__request_kind__enum_values_by_number,
@@ -3458,3 +4367,37 @@
   ibis__instance_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue ibis__step_job_phase__enum_values_by_number[5] =
+{
+  { "PHASE_PENDING", "IBIS__STEP_JOB_PHASE__PHASE_PENDING", 0 },
+  { "PHASE_RUNNING", "IBIS__STEP_JOB_PHASE__PHASE_RUNNING", 1 },
+  { "PHASE_COMPLETED", "IBIS__STEP_JOB_PHASE__PHASE_COMPLETED", 2 },
+  { "PHASE_FAILED", "IBIS__STEP_JOB_PHASE__PHASE_FAILED", 3 },
+  { "PHASE_CANCELLED", "IBIS__STEP_JOB_PHASE__PHASE_CANCELLED", 4 },
+};
+static const ProtobufCIntRange ibis__step_job_phase__value_ranges[] = {
+{0, 0},{0, 5}
+};
+static const ProtobufCEnumValueIndex ibis__step_job_phase__enum_values_by_name[5] =
+{
+  { "PHASE_CANCELLED", 4 },
+  { "PHASE_COMPLETED", 2 },
+  { "PHASE_FAILED", 3 },
+  { "PHASE_PENDING", 0 },
+  { "PHASE_RUNNING", 1 },
+};
+const ProtobufCEnumDescriptor ibis__step_job_phase__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "ibis.StepJobPhase",
+  "StepJobPhase",
+  "Ibis__StepJobPhase",
+  "ibis",
+  5,
+  ibis__step_job_phase__enum_values_by_number,
+  5,
+  ibis__step_job_phase__enum_values_by_name,
+  1,
+  ibis__step_job_phase__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/proto/ibistrestle.pb-c.h
+++ b/proto/ibistrestle.pb-c.h
@@ -40,6 +40,11 @@
 typedef struct Ibis__HandOver Ibis__HandOver;
 typedef struct Ibis__ConfirmFresh Ibis__ConfirmFresh;
 typedef struct Ibis__Confirmation Ibis__Confirmation;
+typedef struct Ibis__JobStep Ibis__JobStep;
+typedef struct Ibis__StepJob Ibis__StepJob;
+typedef struct Ibis__TaskProgress Ibis__TaskProgress;
+typedef struct Ibis__OccurrenceProgress Ibis__OccurrenceProgress;
+typedef struct Ibis__JobProgress Ibis__JobProgress;
 
 
 /* --- enums --- */
@@ -132,6 +137,14 @@
   IBIS__INSTANCE_STATE__INSTANCE_LEAVING = 2
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(IBIS__INSTANCE_STATE)
 } Ibis__InstanceState;
+typedef enum _Ibis__StepJobPhase {
+  IBIS__STEP_JOB_PHASE__PHASE_PENDING = 0,
+  IBIS__STEP_JOB_PHASE__PHASE_RUNNING = 1,
+  IBIS__STEP_JOB_PHASE__PHASE_COMPLETED = 2,
+  IBIS__STEP_JOB_PHASE__PHASE_FAILED = 3,
+  IBIS__STEP_JOB_PHASE__PHASE_CANCELLED = 4
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(IBIS__STEP_JOB_PHASE)
+} Ibis__StepJobPhase;
 
 /* --- messages --- */
 
@@ -606,6 +619,158 @@
     , 0, 0, 0, 0,NULL }
 
 
+struct  Ibis__JobStep
+{
+  ProtobufCMessage base;
+  uint32_t tasks;
+  /*
+   * thousandths of a core, each task
+   */
+  int64_t cpu_milli;
+  int64_t memory_mb;
+  int64_t accelerators;
+  /*
+   * rough run time of a task
+   */
+  int64_t estimate_ms;
+  /*
+   * earlier steps that must be done first
+   */
+  size_t n_after;
+  uint32_t *after;
+  protobuf_c_boolean checkpoints;
+  /*
+   * the tasks run together or not at all
+   */
+  protobuf_c_boolean gang;
+  /*
+   * slower when spread over racks
+   */
+  protobuf_c_boolean same_rack;
+  /*
+   * copies may run beside each other
+   */
+  protobuf_c_boolean speculative;
+  /*
+   * runs until the job is cancelled
+   */
+  protobuf_c_boolean lasting;
+  /*
+   * takes only processor time that others leave
+   */
+  protobuf_c_boolean fills;
+  /*
+   * that the worker must have; empty: any
+   */
+  char *label;
+  /*
+   * slower elsewhere; empty: anywhere
+   */
+  char *data_rack;
+  /*
+   * 0: no limit
+   */
+  uint32_t max_per_worker;
+  char *image;
+  int64_t tail_target_ms;
+  uint32_t max_unavailable;
+};
+#define IBIS__JOB_STEP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ibis__job_step__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Ibis__StepJob
+{
+  ProtobufCMessage base;
+  char *route;
+  /*
+   * whose workers run it
+   */
+  char *service;
+  char *workspace;
+  /*
+   * handed to each task as it came
+   */
+  ProtobufCBinaryData payload;
+  size_t n_steps;
+  Ibis__JobStep **steps;
+  /*
+   * 0: once, at once
+   */
+  uint32_t times;
+  int64_t first_wall_ms;
+  int64_t interval_ms;
+  int64_t accepted_wall_ms;
+  /*
+   * 0 comes first
+   */
+  uint32_t priority;
+  /*
+   * failed runs of a task that end the job
+   */
+  uint32_t attempts;
+  uint32_t stretch_milli;
+  int64_t target_ms;
+};
+#define IBIS__STEP_JOB__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ibis__step_job__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Ibis__TaskProgress
+{
+  ProtobufCMessage base;
+  /*
+   * counted over all steps
+   */
+  uint32_t number;
+  /*
+   * highest run ever ordered
+   */
+  uint64_t run;
+  /*
+   * where that run may be; empty: nowhere
+   */
+  char *worker;
+  uint32_t failures;
+  char *checkpoint;
+  protobuf_c_boolean done;
+};
+#define IBIS__TASK_PROGRESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ibis__task_progress__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Ibis__OccurrenceProgress
+{
+  ProtobufCMessage base;
+  uint32_t number;
+  size_t n_tasks;
+  Ibis__TaskProgress **tasks;
+};
+#define IBIS__OCCURRENCE_PROGRESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ibis__occurrence_progress__descriptor) \
+    , 0, 0,NULL }
+
+
+struct  Ibis__JobProgress
+{
+  ProtobufCMessage base;
+  Ibis__StepJobPhase phase;
+  size_t n_occurrences;
+  Ibis__OccurrenceProgress **occurrences;
+  /*
+   * occurrences from the first on that are all done
+   */
+  uint32_t finished;
+  int64_t ended_wall_ms;
+};
+#define IBIS__JOB_PROGRESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ibis__job_progress__descriptor) \
+    , IBIS__STEP_JOB_PHASE__PHASE_PENDING, 0,NULL, 0, 0 }
+
+
 /* Ibis__JobSpec methods */
 void   ibis__job_spec__init
                      (Ibis__JobSpec         *message);
@@ -1081,6 +1246,101 @@
 void   ibis__confirmation__free_unpacked
                      (Ibis__Confirmation *message,
                       ProtobufCAllocator *allocator);
+/* Ibis__JobStep methods */
+void   ibis__job_step__init
+                     (Ibis__JobStep         *message);
+size_t ibis__job_step__get_packed_size
+                     (const Ibis__JobStep   *message);
+size_t ibis__job_step__pack
+                     (const Ibis__JobStep   *message,
+                      uint8_t             *out);
+size_t ibis__job_step__pack_to_buffer
+                     (const Ibis__JobStep   *message,
+                      ProtobufCBuffer     *buffer);
+Ibis__JobStep *
+       ibis__job_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ibis__job_step__free_unpacked
+                     (Ibis__JobStep *message,
+                      ProtobufCAllocator *allocator);
+/* Ibis__StepJob methods */
+void   ibis__step_job__init
+                     (Ibis__StepJob         *message);
+size_t ibis__step_job__get_packed_size
+                     (const Ibis__StepJob   *message);
+size_t ibis__step_job__pack
+                     (const Ibis__StepJob   *message,
+                      uint8_t             *out);
+size_t ibis__step_job__pack_to_buffer
+                     (const Ibis__StepJob   *message,
+                      ProtobufCBuffer     *buffer);
+Ibis__StepJob *
+       ibis__step_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ibis__step_job__free_unpacked
+                     (Ibis__StepJob *message,
+                      ProtobufCAllocator *allocator);
+/* Ibis__TaskProgress methods */
+void   ibis__task_progress__init
+                     (Ibis__TaskProgress         *message);
+size_t ibis__task_progress__get_packed_size
+                     (const Ibis__TaskProgress   *message);
+size_t ibis__task_progress__pack
+                     (const Ibis__TaskProgress   *message,
+                      uint8_t             *out);
+size_t ibis__task_progress__pack_to_buffer
+                     (const Ibis__TaskProgress   *message,
+                      ProtobufCBuffer     *buffer);
+Ibis__TaskProgress *
+       ibis__task_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ibis__task_progress__free_unpacked
+                     (Ibis__TaskProgress *message,
+                      ProtobufCAllocator *allocator);
+/* Ibis__OccurrenceProgress methods */
+void   ibis__occurrence_progress__init
+                     (Ibis__OccurrenceProgress         *message);
+size_t ibis__occurrence_progress__get_packed_size
+                     (const Ibis__OccurrenceProgress   *message);
+size_t ibis__occurrence_progress__pack
+                     (const Ibis__OccurrenceProgress   *message,
+                      uint8_t             *out);
+size_t ibis__occurrence_progress__pack_to_buffer
+                     (const Ibis__OccurrenceProgress   *message,
+                      ProtobufCBuffer     *buffer);
+Ibis__OccurrenceProgress *
+       ibis__occurrence_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ibis__occurrence_progress__free_unpacked
+                     (Ibis__OccurrenceProgress *message,
+                      ProtobufCAllocator *allocator);
+/* Ibis__JobProgress methods */
+void   ibis__job_progress__init
+                     (Ibis__JobProgress         *message);
+size_t ibis__job_progress__get_packed_size
+                     (const Ibis__JobProgress   *message);
+size_t ibis__job_progress__pack
+                     (const Ibis__JobProgress   *message,
+                      uint8_t             *out);
+size_t ibis__job_progress__pack_to_buffer
+                     (const Ibis__JobProgress   *message,
+                      ProtobufCBuffer     *buffer);
+Ibis__JobProgress *
+       ibis__job_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ibis__job_progress__free_unpacked
+                     (Ibis__JobProgress *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Ibis__JobSpec_Closure)
@@ -1158,6 +1418,21 @@
 typedef void (*Ibis__Confirmation_Closure)
                  (const Ibis__Confirmation *message,
                   void *closure_data);
+typedef void (*Ibis__JobStep_Closure)
+                 (const Ibis__JobStep *message,
+                  void *closure_data);
+typedef void (*Ibis__StepJob_Closure)
+                 (const Ibis__StepJob *message,
+                  void *closure_data);
+typedef void (*Ibis__TaskProgress_Closure)
+                 (const Ibis__TaskProgress *message,
+                  void *closure_data);
+typedef void (*Ibis__OccurrenceProgress_Closure)
+                 (const Ibis__OccurrenceProgress *message,
+                  void *closure_data);
+typedef void (*Ibis__JobProgress_Closure)
+                 (const Ibis__JobProgress *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1169,6 +1444,7 @@
 extern const ProtobufCEnumDescriptor    ibis__request_kind__descriptor;
 extern const ProtobufCEnumDescriptor    ibis__code__descriptor;
 extern const ProtobufCEnumDescriptor    ibis__instance_state__descriptor;
+extern const ProtobufCEnumDescriptor    ibis__step_job_phase__descriptor;
 extern const ProtobufCMessageDescriptor ibis__job_spec__descriptor;
 extern const ProtobufCMessageDescriptor ibis__job_record__descriptor;
 extern const ProtobufCMessageDescriptor ibis__segment__descriptor;
@@ -1194,6 +1470,11 @@
 extern const ProtobufCMessageDescriptor ibis__hand_over__descriptor;
 extern const ProtobufCMessageDescriptor ibis__confirm_fresh__descriptor;
 extern const ProtobufCMessageDescriptor ibis__confirmation__descriptor;
+extern const ProtobufCMessageDescriptor ibis__job_step__descriptor;
+extern const ProtobufCMessageDescriptor ibis__step_job__descriptor;
+extern const ProtobufCMessageDescriptor ibis__task_progress__descriptor;
+extern const ProtobufCMessageDescriptor ibis__occurrence_progress__descriptor;
+extern const ProtobufCMessageDescriptor ibis__job_progress__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- /dev/null
+++ b/src/agent/agent.c
@@ -0,0 +1,263 @@
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include "agent/agent.h"
+#include "agent/agent_state.h"
+#include "process/alloc.h"
+#include "process/clock.h"
+#include "process/counters.h"
+#include "process/log.h"
+
+#define IDLE_MS 1000
+/* After a SIGTERM the balancer needs two looks to send no more callers. */
+#define STOP_NOTICE_MS 2600
+/* Left of the grace period when the process ends at the latest. */
+#define STOP_MARGIN_MS 1200
+#define MS_PER_S       1000
+#define NS_PER_MS      1000000
+
+static atomic_bool stop_asked;
+static atomic_bool reload_asked;
+static struct event_queue *signal_queue;
+
+static void
+on_signal(int number)
+{
+	if (number == SIGHUP)
+		atomic_store(&reload_asked, true);
+	else
+		atomic_store(&stop_asked, true);
+	event_queue_wake(signal_queue);
+}
+
+void
+agent_wake_at(struct agent *agent, int64_t at_ms)
+{
+	if (at_ms < agent->next_ms)
+		agent->next_ms = at_ms;
+}
+
+int64_t
+agent_wall_ms(void)
+{
+	struct timespec now;
+
+	(void)clock_gettime(CLOCK_REALTIME, &now);
+	return (int64_t)now.tv_sec * MS_PER_S + now.tv_nsec / NS_PER_MS;
+}
+
+/* xorshift64*; only for jitter. */
+uint32_t
+agent_random(struct agent *agent, uint32_t below)
+{
+	uint64_t x = agent->random_state;
+
+	x ^= x >> 12;
+	x ^= x << 25;
+	x ^= x >> 27;
+	agent->random_state = x;
+	return (uint32_t)((x * 2685821657736338717ULL) >> 32) % below;
+}
+
+static void
+set_signals(struct event_queue *events)
+{
+	struct sigaction action = {.sa_handler = on_signal};
+
+	signal_queue = events;
+	(void)sigaction(SIGTERM, &action, NULL);
+	(void)sigaction(SIGINT, &action, NULL);
+	(void)sigaction(SIGHUP, &action, NULL);
+	action.sa_handler = SIG_IGN;
+	(void)sigaction(SIGPIPE, &action, NULL);
+}
+
+static void
+reload(struct agent *agent)
+{
+	struct ibis_status status = {0};
+	struct platform_settings fresh;
+
+	if (platform_settings_read(agent->settings_path, &fresh, &status) !=
+	    IBIS_OK) {
+		log_event(LOG_ERROR, "reload_refused", "message",
+		    status.message, NULL);
+		return;
+	}
+	/* Addresses stay those that are open. */
+	agent->settings.grace_ms = fresh.grace_ms;
+	agent->settings.retention_ms = fresh.retention_ms;
+	agent->settings.max_lease_ms = fresh.max_lease_ms;
+	agent->settings.stop_ms = fresh.stop_ms;
+	agent->settings.remote_factor = fresh.remote_factor;
+	log_event(LOG_INFO, "reloaded", NULL);
+}
+
+static enum ibis_code
+listen_all(struct agent *agent, struct ibis_status *status)
+{
+	char metrics[PLATFORM_TEXT_BYTES * 2];
+
+	if (gateway_listen(agent->gateway, agent->settings.caller_address,
+		status) != IBIS_OK ||
+	    gateway_listen(agent->gateway, agent->settings.ready_address,
+		status) != IBIS_OK)
+		return status->code;
+	if (agent->settings.metrics_port == 0)
+		return IBIS_OK;
+	(void)snprintf(metrics, sizeof(metrics), "%s:%d", agent->settings.ip,
+	    (int)agent->settings.metrics_port);
+	return gateway_listen(agent->gateway, metrics, status);
+}
+
+static enum ibis_code
+start(struct agent *agent, struct ibis_status *status)
+{
+	struct gateway_config gateway = {
+	    .ready_path = PLATFORM_READY_PATH,
+	    .metrics_path = PLATFORM_METRICS_PATH,
+	    .deadline_header = PLATFORM_DEADLINE_HEADER,
+	    .max_body_bytes = 1 << 20,
+	    .default_deadline_ms = 3000,
+	    .idle_timeout_s = 30,
+	    .max_connections = 2000,
+	};
+
+	agent->settings_path = getenv(PLATFORM_SETTINGS_ENV);
+	if (agent->settings_path == NULL)
+		return ibis_status_set(status, IBIS_INVALID, "settings", NULL,
+		    "the environment variable %s is not set",
+		    PLATFORM_SETTINGS_ENV);
+	CDS_INIT_LIST_HEAD(&agent->pending);
+	if (platform_settings_read(
+		agent->settings_path, &agent->settings, status) != IBIS_OK)
+		return status->code;
+	log_configure(LOG_INFO, agent->settings.name);
+	agent->random_state =
+	    (uint64_t)agent_wall_ms() * 2654435761U + (uint64_t)clock_now_us();
+	for (const char *c = agent->settings.name; *c != '\0'; c++)
+		agent->random_state = agent->random_state * 31 + (uint64_t)*c;
+	agent->random_state |= 1;
+	agent->events = event_queue_new();
+	agent->pool = http_pool_new(status);
+	if (agent->events == NULL || agent->pool == NULL)
+		return ibis_status_set(status, IBIS_INTERNAL, "start", NULL,
+		    "no descriptor for events");
+	http_pool_watch(agent->pool, event_queue_fd(agent->events));
+	set_signals(agent->events);
+	agent->store = (struct platform_store){
+	    .pool = agent->pool,
+	    .address = agent->settings.store_address,
+	    .timeout_ms = STORE_TIMEOUT_MS,
+	};
+	agent_view_start(agent);
+	agent->gateway = gateway_new(&gateway, agent->events);
+	return listen_all(agent, status);
+}
+
+static void
+take_events(struct agent *agent, int64_t now_ms)
+{
+	struct event event;
+
+	while (event_queue_take(agent->events, 0, &event)) {
+		if (event.kind == EVENT_GATEWAY)
+			agent_callers_request(agent, event.gateway, now_ms);
+	}
+}
+
+static void
+note_ready(struct agent *agent, int64_t now_ms)
+{
+	bool ready = !agent->stopping && agent_view_fresh(agent, now_ms);
+
+	gateway_set_ready(agent->gateway, ready);
+	if (ready == agent->ready)
+		return;
+	agent->ready = ready;
+	gauge_set(GAUGE_STORE_REACHABLE, ready);
+	log_event(LOG_INFO, ready ? "ready" : "not_ready", "view_age_ms",
+	    log_number(now_ms - agent_watch_confirmed_ms(agent->own)),
+	    "config_age_ms",
+	    log_number(now_ms - agent_watch_confirmed_ms(agent->operators)),
+	    NULL);
+}
+
+static void
+begin_stop(struct agent *agent, int64_t now_ms)
+{
+	agent->stopping = true;
+	agent->stopping_since_ms = now_ms;
+	log_event(LOG_INFO, "stopping", "open_requests",
+	    log_number(gateway_open_requests(agent->gateway)), NULL);
+	gateway_drain(agent->gateway);
+	agent_lead_release(agent);
+}
+
+/* Tells whether a planned stop is over. */
+static bool
+stop_is_over(struct agent *agent, int64_t now_ms)
+{
+	int64_t since_ms = now_ms - agent->stopping_since_ms;
+
+	if (!agent->stopping)
+		return false;
+	if (since_ms >= agent->settings.grace_ms - STOP_MARGIN_MS)
+		return true;
+	agent_wake_at(agent, now_ms + 50);
+	return since_ms >= STOP_NOTICE_MS && agent->pending_count == 0 &&
+	    gateway_open_requests(agent->gateway) == 0;
+}
+
+static bool
+step(struct agent *agent)
+{
+	int64_t now_ms = clock_now_ms();
+
+	agent->next_ms = now_ms + IDLE_MS;
+	if (atomic_exchange(&reload_asked, false))
+		reload(agent);
+	if (atomic_load(&stop_asked) && !agent->stopping)
+		begin_stop(agent, now_ms);
+	take_events(agent, now_ms);
+	agent_view_step(agent, now_ms);
+	agent_lead_step(agent, now_ms);
+	agent_workers_decide(agent, now_ms);
+	agent_records_step(agent, now_ms);
+	agent_workers_step(agent, now_ms);
+	agent_callers_step(agent, now_ms);
+	note_ready(agent, now_ms);
+	return !stop_is_over(agent, now_ms);
+}
+
+static void
+free_agent(struct agent *agent)
+{
+	agent_callers_end(agent);
+	gateway_stop(agent->gateway);
+	agent_lead_step_down(agent, "stopped");
+	http_pool_free(agent->pool);
+	agent_view_free(agent);
+	event_queue_free(agent->events);
+}
+
+int
+agent_run(struct ibis_status *status)
+{
+	struct agent agent = {0};
+
+	if (start(&agent, status) != IBIS_OK)
+		return 1;
+	log_event(LOG_INFO, "started", "zone", agent.settings.zone, "callers",
+	    agent.settings.caller_address, "store",
+	    agent.settings.store_address, NULL);
+	while (step(&agent))
+		http_pool_wait(agent.pool, agent.next_ms - clock_now_ms());
+	log_event(LOG_INFO, "stopped", "open_requests",
+	    log_number(gateway_open_requests(agent.gateway)), NULL);
+	free_agent(&agent);
+	return 0;
+}
--- /dev/null
+++ b/src/agent/agent_lead.c
@@ -0,0 +1,277 @@
+/* Leading: the lease on the lead's key, taking over and stepping down. */
+#include <string.h>
+
+#include "agent/agent_state.h"
+#include "process/alloc.h"
+#include "process/clock.h"
+#include "process/counters.h"
+#include "process/log.h"
+#include "process/proto_memory.h"
+
+/* How long the lead's key outlives its holder. */
+#define LEAD_LEASE_MS  1500
+#define LEAD_RENEW_MS  400
+#define LEAD_RETRY_MS  150
+#define LEAD_JITTER_MS 40
+#define LEAD_ANSWER_MS 2000
+/* A lead that the store does not answer goes on renewing what runs so long. */
+#define LEAD_GRACE_MS 8000
+/* Lease of what runs: outlasts a takeover. */
+#define RUN_LEASE_MS 6000
+
+static void
+next_try(struct agent *agent, int64_t now_ms, int64_t delay_ms)
+{
+	agent->lead.state = LEAD_FOLLOWS;
+	agent->lead.next_try_ms =
+	    now_ms + delay_ms + agent_random(agent, LEAD_JITTER_MS);
+}
+
+void
+agent_lead_job(struct agent *agent, struct view_job *job, int64_t now_ms)
+{
+	CLEANUP(buffer_free) struct buffer none = {0};
+	Ibis__JobProgress *progress = NULL;
+	struct fleet_job *known;
+
+	if (agent->fleet == NULL || job->spec == NULL)
+		return;
+	known = fleet_find_job(agent->fleet, job->id);
+	if (known == NULL) {
+		if (job->progress.length > 0)
+			progress = (Ibis__JobProgress *)proto_unpack(
+			    &ibis__job_progress__descriptor, job->progress.data,
+			    job->progress.length);
+		known = fleet_add_job(agent->fleet, job->id,
+		    (Ibis__StepJob *)proto_copy(&job->spec->base), progress,
+		    job->progress_revision, now_ms);
+		if (progress != NULL)
+			proto_free(&progress->base);
+	}
+	if (job->cancelled && known != NULL)
+		fleet_cancel_job(agent->fleet, known, now_ms);
+}
+
+static void
+take_over(struct agent *agent, int64_t now_ms)
+{
+	struct fleet_config config = {
+	    .lease_ms = RUN_LEASE_MS < agent->settings.max_lease_ms
+		? RUN_LEASE_MS
+		: agent->settings.max_lease_ms,
+	    .old_lead_ms = LEAD_GRACE_MS,
+	    .stop_ms = agent->settings.stop_ms,
+	    .remote_factor = agent->settings.remote_factor,
+	};
+
+	agent->lead.state = LEAD_LEADS;
+	agent->lead.epoch = agent->lead_key.revision;
+	agent->lead.term++;
+	agent->lead.lapsed = false;
+	agent->fleet = fleet_new(&config, now_ms);
+	for (size_t i = 0; i < agent->jobs.count; i++)
+		agent_lead_job(agent, agent->jobs.items[i].item, now_ms);
+	for (size_t i = 0; i < agent->zones_out.count; i++)
+		fleet_set_zone(
+		    agent->fleet, agent->zones_out.items[i].name, false);
+	for (size_t i = 0;
+	     agent->routes != NULL && i < agent->routes->workspaces_count; i++)
+		fleet_set_guarantee(agent->fleet,
+		    agent->routes->workspaces[i].name,
+		    agent->routes->workspaces[i].guaranteed_accelerators);
+	agent_workers_start(agent);
+	counter_add(COUNTER_LEADS_TAKEN, 1);
+	gauge_set(GAUGE_LEADING, 1);
+	log_event(LOG_INFO, "lead_taken", "epoch",
+	    log_number((int64_t)agent->lead.epoch), "jobs",
+	    log_number((int64_t)agent->jobs.count), NULL);
+}
+
+void
+agent_lead_step_down(struct agent *agent, const char *reason)
+{
+	if (agent->lead.state != LEAD_LEADS)
+		return;
+	log_event(LOG_WARN, "lead_lost", "epoch",
+	    log_number((int64_t)agent->lead.epoch), "reason", reason, NULL);
+	counter_add(COUNTER_LEADS_LOST, 1);
+	gauge_set(GAUGE_LEADING, 0);
+	agent_records_drop(agent);
+	agent_workers_stop(agent);
+	fleet_free(agent->fleet);
+	agent->fleet = NULL;
+	agent->lead.term++;
+	agent->lead.lease = 0;
+	next_try(agent, clock_now_ms(), LEAD_RETRY_MS);
+}
+
+void
+agent_lead_key_changed(struct agent *agent, int64_t now_ms)
+{
+	const struct lead_key *key = &agent->lead_key;
+
+	if (agent->lead.state == LEAD_LEADS) {
+		if (!key->present || key->revision != agent->lead.epoch)
+			agent_lead_step_down(agent, "key taken or gone");
+		return;
+	}
+	if (key->present && key->lease == agent->lead.lease &&
+	    agent->lead.lease != 0 && !agent->stopping)
+		take_over(agent, now_ms);
+	else if (!key->present && agent->lead.state == LEAD_FOLLOWS)
+		agent->lead.next_try_ms =
+		    now_ms + agent_random(agent, LEAD_JITTER_MS);
+}
+
+static void
+key_answered(void *context, const struct platform_store_answer *answer)
+{
+	struct agent *agent = context;
+
+	if (agent->lead.state != LEAD_ASKS_KEY)
+		return;
+	if (answer->outcome == STORE_DONE || answer->outcome == STORE_UNKNOWN) {
+		agent->lead.state = LEAD_WAITS_KEY;
+		agent->lead.asked_ms = clock_now_ms();
+		return;
+	}
+	next_try(agent, clock_now_ms(), LEAD_RETRY_MS);
+}
+
+static void
+ask_key(struct agent *agent)
+{
+	struct platform_change change = {
+	    .key = AGENT_LEAD_KEY,
+	    .has_condition = true,
+	    .put = true,
+	    .value = agent->settings.name,
+	    .value_length = strlen(agent->settings.name),
+	    .lease = agent->lead.lease,
+	};
+
+	agent->lead.state = LEAD_ASKS_KEY;
+	platform_store_change(&agent->store, &change, 1, key_answered, agent);
+}
+
+static void
+lease_answered(void *context, const struct platform_store_answer *answer)
+{
+	struct agent *agent = context;
+
+	if (agent->lead.state != LEAD_ASKS_LEASE)
+		return;
+	if (answer->outcome != STORE_DONE || agent->lead_key.present) {
+		next_try(agent, clock_now_ms(), LEAD_RETRY_MS);
+		return;
+	}
+	agent->lead.lease = answer->lease;
+	agent->lead.renewed_ms = answer->sent_ms;
+	agent->lead.next_renew_ms = answer->sent_ms + LEAD_RENEW_MS;
+	ask_key(agent);
+}
+
+static void
+try_to_lead(struct agent *agent, int64_t now_ms)
+{
+	int32_t lease_ms = LEAD_LEASE_MS > agent->settings.min_store_lease_ms
+	    ? LEAD_LEASE_MS
+	    : agent->settings.min_store_lease_ms;
+
+	if (agent->lead_key.present || agent->stopping ||
+	    !agent_view_fresh(agent, now_ms))
+		return;
+	if (now_ms < agent->lead.next_try_ms) {
+		agent_wake_at(agent, agent->lead.next_try_ms);
+		return;
+	}
+	agent->lead.state = LEAD_ASKS_LEASE;
+	platform_store_lease(&agent->store, lease_ms, lease_answered, agent);
+}
+
+static void
+renewed(void *context, const struct platform_store_answer *answer)
+{
+	struct agent *agent = context;
+
+	agent->lead.renewing = false;
+	if (agent->lead.state != LEAD_LEADS)
+		return;
+	if (answer->outcome == STORE_DONE) {
+		agent->lead.renewed_ms = answer->sent_ms;
+		agent->lead.next_renew_ms = answer->sent_ms + LEAD_RENEW_MS;
+		if (agent->lead.lapsed)
+			log_event(LOG_INFO, "lead_lease_back", NULL);
+		agent->lead.lapsed = false;
+		return;
+	}
+	agent->lead.next_renew_ms = answer->received_ms + LEAD_RETRY_MS;
+	if (answer->outcome == STORE_MISSING)
+		agent_lead_step_down(agent, "lease ended");
+}
+
+static void
+renew(struct agent *agent, int64_t now_ms)
+{
+	int64_t age_ms = now_ms - agent->lead.renewed_ms;
+
+	if (age_ms > LEAD_GRACE_MS) {
+		agent_lead_step_down(agent, "store silent");
+		return;
+	}
+	if (age_ms > LEAD_LEASE_MS && !agent->lead.lapsed) {
+		agent->lead.lapsed = true;
+		log_event(LOG_WARN, "lead_lease_unsure", "age_ms",
+		    log_number(age_ms), NULL);
+	}
+	if (!agent->lead.renewing && now_ms >= agent->lead.next_renew_ms) {
+		agent->lead.renewing = true;
+		platform_store_renew(
+		    &agent->store, agent->lead.lease, renewed, agent);
+	}
+	if (!agent->lead.renewing)
+		agent_wake_at(agent, agent->lead.next_renew_ms);
+}
+
+void
+agent_lead_step(struct agent *agent, int64_t now_ms)
+{
+	switch (agent->lead.state) {
+	case LEAD_FOLLOWS:
+		try_to_lead(agent, now_ms);
+		break;
+	case LEAD_ASKS_LEASE:
+	case LEAD_ASKS_KEY:
+		break;
+	case LEAD_WAITS_KEY:
+		if (now_ms - agent->lead.asked_ms > LEAD_ANSWER_MS)
+			next_try(agent, now_ms, 0);
+		else
+			agent_wake_at(
+			    agent, agent->lead.asked_ms + LEAD_ANSWER_MS + 1);
+		break;
+	case LEAD_LEADS:
+		renew(agent, now_ms);
+		break;
+	}
+}
+
+static void
+released(void *context, const struct platform_store_answer *answer)
+{
+	(void)context;
+	log_event(LOG_INFO, "lead_released", "done",
+	    answer->outcome == STORE_DONE ? "true" : "false", NULL);
+}
+
+void
+agent_lead_release(struct agent *agent)
+{
+	uint64_t lease = agent->lead.lease;
+
+	if (lease == 0)
+		return;
+	agent_lead_step_down(agent, "stopping");
+	agent->lead.lease = 0;
+	platform_store_end_lease(&agent->store, lease, released, agent);
+}
--- /dev/null
+++ b/src/agent/agent_records.c
@@ -0,0 +1,277 @@
+/*
+ * Writes what the fleet has decided and seen. Each write holds only while this
+ * instance leads, and while nobody has written the records in between, so that
+ * a write that lands late changes nothing.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "agent/agent_state.h"
+#include "process/alloc.h"
+#include "process/clock.h"
+#include "process/counters.h"
+#include "process/log.h"
+
+/* The store takes 32 rows: one for the lead's key and two a job. */
+#define BATCH_JOBS	  15
+#define BATCH_GAP_MS	  6
+#define RETRY_MS	  40
+#define REMOVAL_JOBS	  8
+#define REMOVAL_EVERY_MS  5000
+#define REMOVAL_MARGIN_MS 30000
+
+struct records_batch {
+	struct agent *agent; /* NULL: dropped */
+	struct fleet_job *jobs[BATCH_JOBS];
+	struct buffer values[BATCH_JOBS];
+	char keys[BATCH_JOBS][PLATFORM_KEY_BYTES];
+	uint64_t conditions[BATCH_JOBS];
+	size_t count;
+	bool sent;
+	int64_t again_ms;
+};
+
+static void
+free_batch(struct records_batch *batch)
+{
+	for (size_t i = 0; i < batch->count; i++)
+		buffer_free(&batch->values[i]);
+	mem_free(batch);
+}
+
+void
+agent_records_drop(struct agent *agent)
+{
+	struct records_batch *batch = agent->batch;
+
+	agent->batch = NULL;
+	if (batch == NULL)
+		return;
+	if (batch->sent)
+		batch->agent = NULL; /* its answer frees it */
+	else
+		free_batch(batch);
+}
+
+static void
+batch_done(struct agent *agent, struct records_batch *batch, uint64_t revision)
+{
+	for (size_t i = 0; i < batch->count; i++)
+		fleet_recorded(agent->fleet, batch->jobs[i], revision);
+	agent->batch = NULL;
+	free_batch(batch);
+}
+
+static const struct platform_item *
+find_item(const struct platform_store_answer *answer, const char *key)
+{
+	for (size_t i = 0; i < answer->items_count; i++) {
+		if (strcmp(answer->items[i].key, key) == 0)
+			return &answer->items[i];
+	}
+	return NULL;
+}
+
+/* Some condition did not hold: an earlier try may have landed. */
+static void
+batch_conflict(struct agent *agent, struct records_batch *batch,
+    const struct platform_store_answer *answer)
+{
+	const struct platform_item *lead = find_item(answer, AGENT_LEAD_KEY);
+
+	if (lead == NULL || lead->revision != agent->lead.epoch) {
+		agent_lead_step_down(agent, "another epoch in the store");
+		free_batch(batch);
+		return;
+	}
+	for (size_t i = 0; i < batch->count; i++) {
+		const struct platform_item *item =
+		    find_item(answer, batch->keys[i]);
+		uint64_t revision = item == NULL ? 0 : item->revision;
+
+		if (item != NULL && item->value != NULL &&
+		    item->value_length == batch->values[i].length &&
+		    memcmp(item->value, batch->values[i].data,
+			item->value_length) == 0)
+			fleet_recorded(agent->fleet, batch->jobs[i], revision);
+		else
+			fleet_record_failed(
+			    agent->fleet, batch->jobs[i], revision);
+	}
+	agent->batch = NULL;
+	free_batch(batch);
+}
+
+static void
+batch_answered(void *context, const struct platform_store_answer *answer)
+{
+	struct records_batch *batch = context;
+	struct agent *agent = batch->agent;
+
+	if (agent == NULL) {
+		free_batch(batch);
+		return;
+	}
+	batch->sent = false;
+	duration_observe(
+	    HISTOGRAM_STORE_CALL, answer->received_ms - answer->sent_ms);
+	switch (answer->outcome) {
+	case STORE_DONE:
+		batch_done(agent, batch, answer->revision);
+		agent->next_record_ms = answer->received_ms + BATCH_GAP_MS;
+		break;
+	case STORE_CONFLICT:
+		batch_conflict(agent, batch, answer);
+		break;
+	case STORE_MISSING:
+	case STORE_COMPACTED:
+	case STORE_REFUSED:
+	case STORE_NOT_SENT:
+	case STORE_UNKNOWN:
+		log_event(LOG_WARN, "record_retry", "jobs",
+		    log_number((int64_t)batch->count), "age_ms",
+		    log_number(answer->received_ms - answer->sent_ms), NULL);
+		batch->again_ms = answer->received_ms + RETRY_MS;
+		break;
+	}
+}
+
+static void
+send_batch(struct agent *agent, struct records_batch *batch)
+{
+	struct platform_change changes[BATCH_JOBS + 1] = {
+	    {
+		.key = AGENT_LEAD_KEY,
+		.has_condition = true,
+		.condition = agent->lead.epoch,
+	    },
+	};
+
+	for (size_t i = 0; i < batch->count; i++)
+		changes[i + 1] = (struct platform_change){
+		    .key = batch->keys[i],
+		    .has_condition = true,
+		    .condition = batch->conditions[i],
+		    .put = true,
+		    .value = buffer_string(&batch->values[i]),
+		    .value_length = batch->values[i].length,
+		};
+	batch->sent = true;
+	platform_store_change(
+	    &agent->store, changes, batch->count + 1, batch_answered, batch);
+}
+
+static struct records_batch *
+collect_batch(struct agent *agent)
+{
+	struct records_batch *batch = mem_calloc(1, sizeof(*batch));
+	struct fleet_job *job;
+
+	batch->agent = agent;
+	while (batch->count < BATCH_JOBS &&
+	    (job = fleet_take_unrecorded(agent->fleet)) != NULL) {
+		size_t i = batch->count++;
+
+		batch->jobs[i] = job;
+		batch->conditions[i] = fleet_progress_revision(job);
+		(void)snprintf(batch->keys[i], sizeof(batch->keys[i]), "%s%s",
+		    AGENT_STATE_PREFIX, fleet_job_id(job));
+		fleet_pack_progress(job, agent_wall_ms(), &batch->values[i]);
+	}
+	if (batch->count > 0)
+		return batch;
+	mem_free(batch);
+	return NULL;
+}
+
+/*
+ * Removal of ended jobs whose time is over.
+ */
+
+static void
+removal_answered(void *context, const struct platform_store_answer *answer)
+{
+	struct agent *agent = context;
+
+	agent->removal_on_its_way = false;
+	if (answer->outcome != STORE_DONE)
+		log_event(LOG_INFO, "removal_failed", NULL);
+	for (size_t i = 0; i < agent->jobs.count; i++) {
+		struct view_job *job = agent->jobs.items[i].item;
+
+		job->removing = false;
+	}
+}
+
+static void
+add_removal(struct platform_change *change, char key[PLATFORM_KEY_BYTES],
+    const char *prefix, const char *id)
+{
+	(void)snprintf(key, PLATFORM_KEY_BYTES, "%s%s", prefix, id);
+	*change = (struct platform_change){.key = key, .remove = true};
+}
+
+static void
+remove_old(struct agent *agent, int64_t now_ms)
+{
+	struct platform_change changes[REMOVAL_JOBS * 3 + 1] = {
+	    {
+		.key = AGENT_LEAD_KEY,
+		.has_condition = true,
+		.condition = agent->lead.epoch,
+	    },
+	};
+	char keys[REMOVAL_JOBS * 3][PLATFORM_KEY_BYTES];
+	int64_t before_ms =
+	    agent_wall_ms() - agent->settings.retention_ms - REMOVAL_MARGIN_MS;
+	size_t count = 0;
+
+	agent->next_removal_ms = now_ms + REMOVAL_EVERY_MS;
+	for (size_t i = 0; i < agent->jobs.count && count < COUNT_OF(keys);
+	     i++) {
+		struct view_job *job = agent->jobs.items[i].item;
+
+		if (job->ended_wall_ms == 0 || job->ended_wall_ms > before_ms ||
+		    job->removing)
+			continue;
+		job->removing = true;
+		add_removal(&changes[count + 1], keys[count], AGENT_JOB_PREFIX,
+		    job->id);
+		count++;
+		add_removal(&changes[count + 1], keys[count],
+		    AGENT_STATE_PREFIX, job->id);
+		count++;
+		if (!job->cancelled)
+			continue;
+		add_removal(&changes[count + 1], keys[count], AGENT_STOP_PREFIX,
+		    job->id);
+		count++;
+	}
+	if (count == 0)
+		return;
+	agent->removal_on_its_way = true;
+	platform_store_change(
+	    &agent->store, changes, count + 1, removal_answered, agent);
+}
+
+void
+agent_records_step(struct agent *agent, int64_t now_ms)
+{
+	if (agent->fleet == NULL)
+		return;
+	if (!agent->removal_on_its_way && now_ms >= agent->next_removal_ms)
+		remove_old(agent, now_ms);
+	if (agent->batch == NULL) {
+		if (now_ms < agent->next_record_ms) {
+			agent_wake_at(agent, agent->next_record_ms);
+			return;
+		}
+		agent->batch = collect_batch(agent);
+	}
+	if (agent->batch == NULL || agent->batch->sent)
+		return;
+	if (now_ms >= agent->batch->again_ms)
+		send_batch(agent, agent->batch);
+	else
+		agent_wake_at(agent, agent->batch->again_ms);
+}
--- /dev/null
+++ b/src/agent/agent_state.h
@@ -0,0 +1,159 @@
+/* The control thread's state. Private to the agent's parts. */
+#ifndef IBIS_AGENT_STATE_H
+#define IBIS_AGENT_STATE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <urcu/list.h>
+
+#include "agent/agent_watch.h"
+#include "connection/gateway.h"
+#include "connection/http_pool.h"
+#include "fleet/fleet.h"
+#include "fleet/name_index.h"
+#include "platform.h"
+#include "process/event.h"
+#include "version/routes.h"
+
+/* Keys in the store. */
+#define AGENT_PREFIX	   "ibis/"
+#define AGENT_LEAD_KEY	   "ibis/lead"
+#define AGENT_JOB_PREFIX   "ibis/job/"
+#define AGENT_STATE_PREFIX "ibis/progress/"
+#define AGENT_STOP_PREFIX  "ibis/cancel/"
+
+/* One store call is given this long. */
+#define STORE_TIMEOUT_MS 600
+/* An instance that has not heard from the store for so long is not ready. */
+#define STORE_LOST_MS 2500
+
+/* A job as the store has it. */
+struct view_job {
+	char id[FLEET_ID_BYTES];
+	Ibis__StepJob *spec; /* NULL until its record has come */
+	uint64_t revision;
+	struct buffer progress; /* packed; empty: none */
+	uint64_t progress_revision;
+	Ibis__StepJobPhase phase;
+	int64_t ended_wall_ms; /* 0: not ended */
+	bool cancelled;
+	bool removing;
+};
+
+enum lead_state {
+	LEAD_FOLLOWS,
+	LEAD_ASKS_LEASE,
+	LEAD_ASKS_KEY,
+	LEAD_WAITS_KEY, /* until the watch shows the key as ours */
+	LEAD_LEADS
+};
+
+struct lead_key {
+	bool present;
+	uint64_t revision;
+	uint64_t lease;
+	char holder[FLEET_NAME_BYTES];
+};
+
+struct agent_lead {
+	enum lead_state state;
+	uint64_t lease;
+	uint64_t epoch;	    /* the key's revision */
+	uint64_t term;	    /* counts our own times of leading */
+	int64_t renewed_ms; /* when the last good renewal was sent */
+	int64_t next_renew_ms;
+	int64_t next_try_ms;
+	int64_t asked_ms;
+	bool renewing;
+	bool lapsed; /* told once */
+};
+
+/* What is under way with one worker. */
+struct agent_worker {
+	char id[FLEET_NAME_BYTES];
+	bool looking;
+	bool looking_extra;
+	bool wants_extra;
+	int64_t next_look_ms;
+	int64_t look_sent_ms;
+};
+
+struct records_batch;
+
+struct agent {
+	struct platform_settings settings;
+	const char *settings_path;
+	struct event_queue *events;
+	struct http_pool *pool;
+	struct gateway *gateway;
+	struct platform_store store;
+	uint64_t random_state;
+
+	/* What the store says. */
+	struct agent_watch *own;
+	struct agent_watch *operators;
+	struct name_index jobs;
+	struct lead_key lead_key;
+	struct routes *routes; /* NULL before the first */
+	struct name_index zones_out;
+
+	/* Callers' requests that wait for the store. */
+	struct cds_list_head pending;
+	uint32_t pending_count;
+
+	/* Leading. */
+	struct agent_lead lead;
+	struct fleet *fleet;		  /* NULL when another leads */
+	struct agent_watch *worker_watch; /* the same */
+	struct name_index workers;
+	struct records_batch *batch;
+	int64_t next_record_ms;
+	int64_t next_removal_ms;
+	bool removal_on_its_way;
+
+	bool stopping;
+	int64_t stopping_since_ms;
+	int64_t next_ms; /* of the next step */
+	bool ready;
+};
+
+/* Asks for a step at a time. */
+void agent_wake_at(struct agent *agent, int64_t at_ms);
+int64_t agent_wall_ms(void);
+uint32_t agent_random(struct agent *agent, uint32_t below);
+
+/* View group. */
+void agent_view_start(struct agent *agent);
+void agent_view_free(struct agent *agent);
+void agent_view_step(struct agent *agent, int64_t now_ms);
+bool agent_view_fresh(const struct agent *agent, int64_t now_ms);
+struct view_job *agent_view_job(const struct agent *agent, const char *id);
+
+/* Lead group. */
+void agent_lead_step(struct agent *agent, int64_t now_ms);
+/* The lead's key has changed. */
+void agent_lead_key_changed(struct agent *agent, int64_t now_ms);
+void agent_lead_step_down(struct agent *agent, const char *reason);
+void agent_lead_release(struct agent *agent);
+/* A job's records have come while leading. */
+void agent_lead_job(struct agent *agent, struct view_job *job, int64_t now_ms);
+
+/* Records group. */
+void agent_records_step(struct agent *agent, int64_t now_ms);
+void agent_records_drop(struct agent *agent);
+
+/* Workers group. */
+void agent_workers_start(struct agent *agent);
+void agent_workers_stop(struct agent *agent);
+void agent_workers_step(struct agent *agent, int64_t now_ms);
+void agent_workers_decide(struct agent *agent, int64_t now_ms);
+
+/* Callers group. */
+void agent_callers_request(
+    struct agent *agent, struct gateway_request *request, int64_t now_ms);
+void agent_callers_step(struct agent *agent, int64_t now_ms);
+/* Answers all that wait: their outcome is not known. */
+void agent_callers_end(struct agent *agent);
+
+#endif
--- /dev/null
+++ b/src/agent/agent_view.c
@@ -0,0 +1,287 @@
+/* The instance's copy of what the store says. */
+#include <string.h>
+
+#include "agent/agent_state.h"
+#include "process/alloc.h"
+#include "process/clock.h"
+#include "process/counters.h"
+#include "process/log.h"
+#include "process/proto_memory.h"
+
+#define WATCH_WAIT_MS	  800
+#define OWN_PAUSE_MS	  120
+#define OPERATOR_PAUSE_MS 0
+
+struct view_job *
+agent_view_job(const struct agent *agent, const char *id)
+{
+	return name_index_get(&agent->jobs, id);
+}
+
+static struct view_job *
+want_job(struct agent *agent, const char *id)
+{
+	struct view_job *job = agent_view_job(agent, id);
+
+	if (job != NULL || strlen(id) >= FLEET_ID_BYTES)
+		return job;
+	job = mem_calloc(1, sizeof(*job));
+	STRING_COPY(job->id, id);
+	(void)name_index_add(&agent->jobs, job->id, job);
+	return job;
+}
+
+static void
+free_job(struct view_job *job)
+{
+	if (job->spec != NULL)
+		ibis__step_job__free_unpacked(job->spec, proto_allocator());
+	buffer_free(&job->progress);
+	mem_free(job);
+}
+
+static void
+log_bad_record(const struct platform_item *item, const char *message)
+{
+	log_event(LOG_ERROR, "record_unreadable", "key", item->key, "revision",
+	    log_number((int64_t)item->revision), "message", message, NULL);
+}
+
+static void
+job_item(struct agent *agent, const char *id, const struct platform_item *item)
+{
+	struct view_job *job = want_job(agent, id);
+	ProtobufCMessage *record;
+
+	if (job == NULL)
+		return;
+	if (item->deleted) {
+		(void)name_index_remove(&agent->jobs, id);
+		if (agent->fleet != NULL && fleet_find_job(agent->fleet, id))
+			fleet_remove_job(
+			    agent->fleet, fleet_find_job(agent->fleet, id));
+		free_job(job);
+		return;
+	}
+	if (job->spec != NULL)
+		return; /* a job's record never changes */
+	record = proto_unpack(
+	    &ibis__step_job__descriptor, item->value, item->value_length);
+	if (record == NULL) {
+		log_bad_record(item, "not a job");
+		return;
+	}
+	job->spec = (Ibis__StepJob *)record;
+	job->revision = item->revision;
+	agent_lead_job(agent, job, clock_now_ms());
+}
+
+static void
+progress_item(
+    struct agent *agent, const char *id, const struct platform_item *item)
+{
+	struct view_job *job =
+	    item->deleted ? agent_view_job(agent, id) : want_job(agent, id);
+	Ibis__JobProgress *progress;
+
+	if (job == NULL || item->deleted)
+		return;
+	progress = (Ibis__JobProgress *)proto_unpack(
+	    &ibis__job_progress__descriptor, item->value, item->value_length);
+	if (progress == NULL) {
+		log_bad_record(item, "not a progress");
+		return;
+	}
+	job->phase = progress->phase;
+	job->ended_wall_ms = progress->ended_wall_ms;
+	job->progress_revision = item->revision;
+	buffer_clear(&job->progress);
+	buffer_append(&job->progress, item->value, item->value_length);
+	proto_free(&progress->base);
+}
+
+static void
+cancel_item(
+    struct agent *agent, const char *id, const struct platform_item *item)
+{
+	struct view_job *job =
+	    item->deleted ? agent_view_job(agent, id) : want_job(agent, id);
+
+	if (job == NULL || item->deleted)
+		return;
+	job->cancelled = true;
+	agent_lead_job(agent, job, clock_now_ms());
+}
+
+static void
+lead_item(struct agent *agent, const struct platform_item *item)
+{
+	struct lead_key *key = &agent->lead_key;
+
+	*key = (struct lead_key){
+	    .present = !item->deleted,
+	    .revision = item->revision,
+	    .lease = item->lease,
+	};
+	if (!item->deleted)
+		string_copy(key->holder, sizeof(key->holder),
+		    item->value == NULL ? "" : item->value);
+	log_event(LOG_INFO, "lead_seen", "holder", key->holder, "epoch",
+	    log_number((int64_t)key->revision), NULL);
+	agent_lead_key_changed(agent, clock_now_ms());
+}
+
+static const char *
+behind(const char *key, const char *prefix)
+{
+	size_t length = strlen(prefix);
+
+	return strncmp(key, prefix, length) == 0 ? key + length : NULL;
+}
+
+static void
+own_item(void *context, const struct platform_item *item)
+{
+	struct agent *agent = context;
+	const char *id;
+
+	if ((id = behind(item->key, AGENT_JOB_PREFIX)) != NULL)
+		job_item(agent, id, item);
+	else if ((id = behind(item->key, AGENT_STATE_PREFIX)) != NULL)
+		progress_item(agent, id, item);
+	else if ((id = behind(item->key, AGENT_STOP_PREFIX)) != NULL)
+		cancel_item(agent, id, item);
+	else if (strcmp(item->key, AGENT_LEAD_KEY) == 0)
+		lead_item(agent, item);
+}
+
+/* Tells the fleet what a new version says of routes and guarantees. */
+static void
+apply_routes(struct agent *agent)
+{
+	const struct routes *routes = agent->routes;
+
+	if (agent->fleet == NULL || routes == NULL)
+		return;
+	for (size_t i = 0; i < routes->routes_count; i++)
+		fleet_set_route(agent->fleet, routes->routes[i].name,
+		    routes->routes[i].service);
+	for (size_t i = 0; i < routes->workspaces_count; i++)
+		fleet_set_guarantee(agent->fleet, routes->workspaces[i].name,
+		    routes->workspaces[i].guaranteed_accelerators);
+}
+
+static void
+config_item(struct agent *agent, const struct platform_item *item)
+{
+	struct ibis_status status = {0};
+	struct routes *routes;
+
+	if (item->deleted)
+		return;
+	routes =
+	    platform_config_parse(item->value, item->value_length, &status);
+	if (routes == NULL) {
+		log_bad_record(item, status.message);
+		return;
+	}
+	if (agent->routes != NULL && routes->version < agent->routes->version) {
+		log_event(LOG_WARN, "config_older", "version",
+		    log_number((int64_t)routes->version), "in_force",
+		    log_number((int64_t)agent->routes->version), NULL);
+		routes_free(routes);
+		return;
+	}
+	routes_free(agent->routes);
+	agent->routes = routes;
+	gauge_set(GAUGE_DOCUMENT_VERSION, (int64_t)routes->version);
+	log_event(LOG_INFO, "config_in_force", "version",
+	    log_number((int64_t)routes->version), "revision",
+	    log_number((int64_t)item->revision), "routes",
+	    log_number((int64_t)routes->routes_count), NULL);
+	apply_routes(agent);
+}
+
+static void
+zone_item(
+    struct agent *agent, const char *zone, const struct platform_item *item)
+{
+	char *known = name_index_get(&agent->zones_out, zone);
+
+	if (item->deleted && known != NULL) {
+		mem_free(name_index_remove(&agent->zones_out, zone));
+	} else if (!item->deleted && known == NULL) {
+		known = mem_strdup(zone);
+		(void)name_index_add(&agent->zones_out, known, known);
+	}
+	log_event(LOG_INFO, item->deleted ? "zone_in" : "zone_out", "zone",
+	    zone, "revision", log_number((int64_t)item->revision), NULL);
+	if (agent->fleet != NULL)
+		fleet_set_zone(agent->fleet, zone, item->deleted);
+}
+
+static void
+operator_item(void *context, const struct platform_item *item)
+{
+	struct agent *agent = context;
+	const char *zone;
+
+	if (strcmp(item->key, PLATFORM_CONFIG_KEY) == 0)
+		config_item(agent, item);
+	else if ((zone = behind(item->key, PLATFORM_ZONE_OUT_PREFIX)) != NULL)
+		zone_item(agent, zone, item);
+}
+
+void
+agent_view_start(struct agent *agent)
+{
+	struct agent_watch_config own = {
+	    .prefix = AGENT_PREFIX,
+	    .wait_ms = WATCH_WAIT_MS,
+	    .pause_ms = OWN_PAUSE_MS,
+	    .item = own_item,
+	    .context = agent,
+	};
+	struct agent_watch_config operators = {
+	    .prefix = PLATFORM_OPERATOR_PREFIX,
+	    .wait_ms = WATCH_WAIT_MS,
+	    .pause_ms = OPERATOR_PAUSE_MS,
+	    .item = operator_item,
+	    .context = agent,
+	};
+
+	agent->own = agent_watch_new(&own, &agent->store);
+	agent->operators = agent_watch_new(&operators, &agent->store);
+}
+
+void
+agent_view_free(struct agent *agent)
+{
+	agent_watch_free(agent->own);
+	agent_watch_free(agent->operators);
+	for (size_t i = 0; i < agent->jobs.count; i++)
+		free_job(agent->jobs.items[i].item);
+	name_index_free(&agent->jobs);
+	for (size_t i = 0; i < agent->zones_out.count; i++)
+		mem_free(agent->zones_out.items[i].item);
+	name_index_free(&agent->zones_out);
+	routes_free(agent->routes);
+}
+
+void
+agent_view_step(struct agent *agent, int64_t now_ms)
+{
+	agent_watch_set_pause(
+	    agent->own, agent->fleet != NULL ? 0 : OWN_PAUSE_MS);
+	agent_wake_at(agent, agent_watch_step(agent->own, now_ms));
+	agent_wake_at(agent, agent_watch_step(agent->operators, now_ms));
+}
+
+bool
+agent_view_fresh(const struct agent *agent, int64_t now_ms)
+{
+	return agent->routes != NULL && agent_watch_loaded(agent->own) &&
+	    agent_watch_loaded(agent->operators) &&
+	    now_ms - agent_watch_confirmed_ms(agent->own) < STORE_LOST_MS &&
+	    now_ms - agent_watch_confirmed_ms(agent->operators) < STORE_LOST_MS;
+}
--- /dev/null
+++ b/src/connection/gateway.c
@@ -0,0 +1,336 @@
+#include <inttypes.h>
+#include <poll.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <microhttpd.h>
+
+#include "connection/address.h"
+#include "connection/gateway.h"
+#include "process/alloc.h"
+#include "process/clock.h"
+#include "process/counters.h"
+
+#define LISTEN_BACKLOG	  1024
+#define CONNECTION_MEMORY (20U << 10)
+#define GATEWAY_ADDRESSES 4
+#define STOP_FLUSH_MS	  1000
+#define STOP_POLL_MS	  5
+#define MS_PER_S	  1000
+#define NUMBER_BYTES	  24
+#define BEARER		  "Bearer "
+
+struct gateway_exchange {
+	struct MHD_Connection *connection;
+	struct gateway_request *request; /* NULL once handed over */
+	bool too_large;
+	/* The answer, filled before the connection resumes. */
+	int32_t status;
+	struct buffer answer;
+	int64_t retry_after_ms;
+	bool text; /* plain text, not JSON */
+	int64_t received_ms;
+};
+
+struct gateway {
+	struct gateway_config config;
+	struct event_queue *events;
+	struct MHD_Daemon *daemons[GATEWAY_ADDRESSES];
+	size_t daemons_count;
+	atomic_bool ready;
+	atomic_bool draining;
+	atomic_uint open;
+};
+
+struct gateway *
+gateway_new(const struct gateway_config *config, struct event_queue *events)
+{
+	struct gateway *gateway = mem_calloc(1, sizeof(*gateway));
+
+	gateway->config = *config;
+	gateway->events = events;
+	return gateway;
+}
+
+static enum gateway_method
+method_of(const char *name)
+{
+	if (strcmp(name, MHD_HTTP_METHOD_GET) == 0)
+		return GATEWAY_GET;
+	if (strcmp(name, MHD_HTTP_METHOD_POST) == 0)
+		return GATEWAY_POST;
+	if (strcmp(name, MHD_HTTP_METHOD_DELETE) == 0)
+		return GATEWAY_DELETE;
+	return GATEWAY_OTHER;
+}
+
+static const char *
+header(struct MHD_Connection *connection, const char *name)
+{
+	const char *value =
+	    MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name);
+
+	return value == NULL ? "" : value;
+}
+
+static int64_t
+wait_of(const struct gateway *gateway, const char *text)
+{
+	char *end;
+	long long wait_ms = strtoll(text, &end, 10);
+
+	if (end == text || *end != '\0' || wait_ms <= 0 || wait_ms > INT32_MAX)
+		return gateway->config.default_deadline_ms;
+	return wait_ms;
+}
+
+static struct gateway_request *
+new_request(const struct gateway *gateway, struct MHD_Connection *connection,
+    const char *method, const char *path)
+{
+	struct gateway_request *request = mem_calloc(1, sizeof(*request));
+	const char *key = header(connection, MHD_HTTP_HEADER_AUTHORIZATION);
+
+	request->method = method_of(method);
+	request->received_ms = clock_now_ms();
+	request->deadline_ms = request->received_ms +
+	    wait_of(
+		gateway, header(connection, gateway->config.deadline_header));
+	STRING_COPY(request->host, header(connection, MHD_HTTP_HEADER_HOST));
+	STRING_COPY(request->path, path);
+	if (strncmp(key, BEARER, strlen(BEARER)) == 0)
+		STRING_COPY(request->key, key + strlen(BEARER));
+	return request;
+}
+
+static void
+free_request(struct gateway_request *request)
+{
+	if (request == NULL)
+		return;
+	buffer_free(&request->body);
+	mem_free(request);
+}
+
+static void
+count_answer(int32_t status)
+{
+	if (status < 300)
+		counter_add(COUNTER_ANSWERS_2XX, 1);
+	else if (status == MHD_HTTP_TOO_MANY_REQUESTS)
+		counter_add(COUNTER_ANSWERS_429, 1);
+	else if (status < 500)
+		counter_add(COUNTER_ANSWERS_4XX, 1);
+	else
+		counter_add(COUNTER_ANSWERS_5XX, 1);
+}
+
+static void
+add_headers(const struct gateway *gateway,
+    const struct gateway_exchange *exchange, struct MHD_Response *response)
+{
+	char text[NUMBER_BYTES];
+
+	(void)MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
+	    exchange->text ? "text/plain" : "application/json");
+	if (exchange->retry_after_ms > 0) {
+		(void)snprintf(text, sizeof(text), "%" PRId64,
+		    (exchange->retry_after_ms + MS_PER_S - 1) / MS_PER_S);
+		(void)MHD_add_response_header(
+		    response, MHD_HTTP_HEADER_RETRY_AFTER, text);
+	}
+	if (atomic_load(&gateway->draining))
+		(void)MHD_add_response_header(
+		    response, MHD_HTTP_HEADER_CONNECTION, "close");
+}
+
+static enum MHD_Result
+send_answer(const struct gateway *gateway, struct gateway_exchange *exchange)
+{
+	size_t length = exchange->answer.length;
+	char *body = buffer_detach(&exchange->answer);
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+	    length, body == NULL ? "" : body, MHD_RESPMEM_MUST_COPY);
+	enum MHD_Result result;
+
+	mem_free(body);
+	if (response == NULL)
+		return MHD_NO;
+	add_headers(gateway, exchange, response);
+	count_answer(exchange->status);
+	result = MHD_queue_response(
+	    exchange->connection, (unsigned int)exchange->status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static bool
+answer_probe(struct gateway *gateway, struct gateway_exchange *exchange)
+{
+	const struct gateway_request *request = exchange->request;
+
+	if (request->method != GATEWAY_GET)
+		return false;
+	if (strcmp(request->path, gateway->config.ready_path) == 0) {
+		exchange->status = atomic_load(&gateway->ready)
+		    ? MHD_HTTP_OK
+		    : MHD_HTTP_SERVICE_UNAVAILABLE;
+		return true;
+	}
+	if (strcmp(request->path, gateway->config.metrics_path) == 0) {
+		exchange->status = MHD_HTTP_OK;
+		exchange->text = true;
+		counters_write(&exchange->answer);
+		return true;
+	}
+	return false;
+}
+
+static enum MHD_Result
+finish_request(struct gateway *gateway, struct gateway_exchange *exchange)
+{
+	struct event event = {.kind = EVENT_GATEWAY};
+
+	if (exchange->too_large) {
+		exchange->status = MHD_HTTP_CONTENT_TOO_LARGE;
+		return send_answer(gateway, exchange);
+	}
+	if (answer_probe(gateway, exchange))
+		return send_answer(gateway, exchange);
+	event.gateway = exchange->request;
+	event.gateway->exchange = exchange;
+	exchange->request = NULL;
+	MHD_suspend_connection(exchange->connection);
+	event_queue_post(gateway->events, &event);
+	return MHD_YES;
+}
+
+static enum MHD_Result
+handle(void *context, struct MHD_Connection *connection, const char *path,
+    const char *method, const char *version, const char *bytes, size_t *length,
+    void **request_context)
+{
+	struct gateway *gateway = context;
+	struct gateway_exchange *exchange = *request_context;
+
+	(void)version;
+	if (exchange == NULL) {
+		exchange = mem_calloc(1, sizeof(*exchange));
+		exchange->connection = connection;
+		exchange->request =
+		    new_request(gateway, connection, method, path);
+		exchange->received_ms = exchange->request->received_ms;
+		*request_context = exchange;
+		(void)atomic_fetch_add(&gateway->open, 1);
+		return MHD_YES;
+	}
+	if (*length > 0) {
+		if (exchange->request->body.length + *length >
+		    (size_t)gateway->config.max_body_bytes)
+			exchange->too_large = true;
+		else
+			buffer_append(&exchange->request->body, bytes, *length);
+		*length = 0;
+		return MHD_YES;
+	}
+	if (exchange->request == NULL)
+		return send_answer(gateway, exchange);
+	return finish_request(gateway, exchange);
+}
+
+static void
+completed(void *context, struct MHD_Connection *connection,
+    void **request_context, enum MHD_RequestTerminationCode code)
+{
+	struct gateway *gateway = context;
+	struct gateway_exchange *exchange = *request_context;
+
+	(void)connection;
+	(void)code;
+	if (exchange == NULL)
+		return;
+	*request_context = NULL;
+	duration_observe(
+	    HISTOGRAM_REQUEST, clock_now_ms() - exchange->received_ms);
+	free_request(exchange->request);
+	buffer_free(&exchange->answer);
+	mem_free(exchange);
+	(void)atomic_fetch_sub(&gateway->open, 1);
+}
+
+enum ibis_code
+gateway_listen(
+    struct gateway *gateway, const char *address, struct ibis_status *status)
+{
+	int listen_fd = address_listen(address, LISTEN_BACKLOG, status);
+	struct MHD_Daemon *daemon;
+
+	if (listen_fd < 0)
+		return status->code;
+	daemon = MHD_start_daemon(
+	    MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL,
+	    NULL, handle, gateway, MHD_OPTION_LISTEN_SOCKET, listen_fd,
+	    MHD_OPTION_CONNECTION_LIMIT, gateway->config.max_connections,
+	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+	    MHD_OPTION_CONNECTION_TIMEOUT,
+	    (unsigned int)gateway->config.idle_timeout_s,
+	    MHD_OPTION_NOTIFY_COMPLETED, completed, gateway, MHD_OPTION_END);
+	if (daemon == NULL || gateway->daemons_count == GATEWAY_ADDRESSES) {
+		(void)close(listen_fd);
+		return ibis_status_set(status, IBIS_INTERNAL, "listen", address,
+		    "the HTTP server did not start");
+	}
+	gateway->daemons[gateway->daemons_count++] = daemon;
+	return IBIS_OK;
+}
+
+void
+gateway_set_ready(struct gateway *gateway, bool ready)
+{
+	atomic_store(&gateway->ready, ready);
+}
+
+void
+gateway_drain(struct gateway *gateway)
+{
+	atomic_store(&gateway->draining, true);
+	atomic_store(&gateway->ready, false);
+}
+
+uint32_t
+gateway_open_requests(const struct gateway *gateway)
+{
+	return atomic_load(&gateway->open);
+}
+
+void
+gateway_reply(struct gateway *gateway, struct gateway_request *request,
+    int32_t status, const char *body, int64_t retry_after_ms)
+{
+	struct gateway_exchange *exchange = request->exchange;
+
+	(void)gateway;
+	exchange->status = status;
+	exchange->retry_after_ms = retry_after_ms;
+	if (body != NULL)
+		buffer_puts(&exchange->answer, body);
+	free_request(request);
+	MHD_resume_connection(exchange->connection);
+}
+
+void
+gateway_stop(struct gateway *gateway)
+{
+	int64_t until_ms = clock_now_ms() + STOP_FLUSH_MS;
+
+	if (gateway == NULL)
+		return;
+	while (gateway_open_requests(gateway) > 0 && clock_now_ms() < until_ms)
+		(void)poll(NULL, 0, STOP_POLL_MS);
+	for (size_t i = 0; i < gateway->daemons_count; i++)
+		MHD_stop_daemon(gateway->daemons[i]);
+	mem_free(gateway);
+}
--- /dev/null
+++ b/src/connection/http_pool.c
@@ -0,0 +1,354 @@
+#include <errno.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <curl/curl.h>
+#include <urcu/list.h>
+
+#include "connection/http_pool.h"
+#include "process/alloc.h"
+#include "process/clock.h"
+
+#define CONNECT_TIMEOUT_MS 400
+#define EVENTS_AT_ONCE	   64
+#define KEPT_CONNECTIONS   1024L
+#define IDLE_HANDLES	   128
+#define URL_PREFIX	   "http://"
+#define MAX_BODY_BYTES	   (8U << 20)
+
+struct transfer {
+	struct cds_list_head node;
+	CURL *easy;
+	struct curl_slist *headers;
+	struct buffer body;
+	char *request;
+	http_done *done;
+	void *context;
+	int64_t sent_ms;
+};
+
+struct http_pool {
+	CURLM *multi;
+	int epoll_fd;
+	int64_t timer_ms; /* when libcurl wants to be called; INT64_MAX: not */
+	struct cds_list_head transfers;
+	struct transfer *idle[IDLE_HANDLES];
+	size_t idle_count;
+};
+
+static int
+on_socket(
+    CURL *easy, curl_socket_t fd, int what, void *context, void *socket_context)
+{
+	struct http_pool *pool = context;
+	struct epoll_event event = {.data.fd = fd};
+	static char known;
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		(void)epoll_ctl(pool->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
+		return 0;
+	}
+	if (what == CURL_POLL_IN || what == CURL_POLL_INOUT)
+		event.events |= EPOLLIN;
+	if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
+		event.events |= EPOLLOUT;
+	if (epoll_ctl(pool->epoll_fd,
+		socket_context == NULL ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, fd,
+		&event) != 0 &&
+	    errno == EEXIST)
+		(void)epoll_ctl(pool->epoll_fd, EPOLL_CTL_MOD, fd, &event);
+	(void)curl_multi_assign(pool->multi, fd, &known);
+	return 0;
+}
+
+static int
+on_timer(CURLM *multi, long timeout_ms, void *context)
+{
+	struct http_pool *pool = context;
+
+	(void)multi;
+	pool->timer_ms =
+	    timeout_ms < 0 ? INT64_MAX : clock_now_ms() + timeout_ms;
+	return 0;
+}
+
+struct http_pool *
+http_pool_new(struct ibis_status *status)
+{
+	struct http_pool *pool = mem_calloc(1, sizeof(*pool));
+
+	CDS_INIT_LIST_HEAD(&pool->transfers);
+	pool->timer_ms = INT64_MAX;
+	pool->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	pool->multi = curl_multi_init();
+	if (pool->epoll_fd < 0 || pool->multi == NULL) {
+		(void)ibis_status_set(status, IBIS_INTERNAL, "start", NULL,
+		    "no descriptor or memory for HTTP calls");
+		http_pool_free(pool);
+		return NULL;
+	}
+	(void)curl_multi_setopt(
+	    pool->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	(void)curl_multi_setopt(pool->multi, CURLMOPT_SOCKETDATA, pool);
+	(void)curl_multi_setopt(pool->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+	(void)curl_multi_setopt(pool->multi, CURLMOPT_TIMERDATA, pool);
+	(void)curl_multi_setopt(
+	    pool->multi, CURLMOPT_MAXCONNECTS, KEPT_CONNECTIONS);
+	return pool;
+}
+
+static void
+free_transfer(struct transfer *transfer)
+{
+	curl_easy_cleanup(transfer->easy);
+	curl_slist_free_all(transfer->headers);
+	buffer_free(&transfer->body);
+	mem_free(transfer->request);
+	mem_free(transfer);
+}
+
+void
+http_pool_free(struct http_pool *pool)
+{
+	struct transfer *transfer;
+	struct transfer *next;
+
+	if (pool == NULL)
+		return;
+	cds_list_for_each_entry_safe (transfer, next, &pool->transfers, node) {
+		(void)curl_multi_remove_handle(pool->multi, transfer->easy);
+		free_transfer(transfer);
+	}
+	for (size_t i = 0; i < pool->idle_count; i++)
+		free_transfer(pool->idle[i]);
+	if (pool->multi != NULL)
+		(void)curl_multi_cleanup(pool->multi);
+	if (pool->epoll_fd >= 0)
+		(void)close(pool->epoll_fd);
+	mem_free(pool);
+}
+
+void
+http_pool_watch(struct http_pool *pool, int fd)
+{
+	struct epoll_event event = {.events = EPOLLIN, .data.fd = -1};
+
+	(void)epoll_ctl(pool->epoll_fd, EPOLL_CTL_ADD, fd, &event);
+}
+
+static size_t
+on_body(char *bytes, size_t size, size_t count, void *context)
+{
+	struct transfer *transfer = context;
+
+	if (transfer->body.length + size * count > MAX_BODY_BYTES)
+		return 0;
+	buffer_append(&transfer->body, bytes, size * count);
+	return size * count;
+}
+
+static struct transfer *
+new_transfer(struct http_pool *pool)
+{
+	struct transfer *transfer;
+
+	if (pool->idle_count > 0)
+		return pool->idle[--pool->idle_count];
+	transfer = mem_calloc(1, sizeof(*transfer));
+	transfer->easy = curl_easy_init();
+	return transfer;
+}
+
+static void
+add_header(struct transfer *transfer, const char *header)
+{
+	struct curl_slist *longer =
+	    curl_slist_append(transfer->headers, header);
+
+	if (longer != NULL)
+		transfer->headers = longer;
+}
+
+static void
+set_body(struct transfer *transfer, const struct http_call *call)
+{
+	CURL *easy = transfer->easy;
+
+	if (call->body != NULL) {
+		transfer->request = mem_strndup(call->body, call->body_length);
+		(void)curl_easy_setopt(
+		    easy, CURLOPT_POSTFIELDS, transfer->request);
+		(void)curl_easy_setopt(
+		    easy, CURLOPT_POSTFIELDSIZE, (long)call->body_length);
+		add_header(transfer, "Content-Type: application/json");
+		add_header(transfer, "Expect:");
+	} else if (strcmp(call->method, "POST") == 0) {
+		(void)curl_easy_setopt(easy, CURLOPT_POSTFIELDS, "");
+		(void)curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, 0L);
+	} else {
+		(void)curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+	}
+	(void)curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call->method);
+}
+
+static void
+set_options(struct transfer *transfer, const struct http_call *call)
+{
+	CLEANUP(buffer_free) struct buffer url = {0};
+	CURL *easy = transfer->easy;
+
+	buffer_printf(&url, URL_PREFIX "%s%s", call->address, call->path);
+	(void)curl_easy_setopt(easy, CURLOPT_URL, buffer_string(&url));
+	(void)curl_easy_setopt(
+	    easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	(void)curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	(void)curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+	(void)curl_easy_setopt(
+	    easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
+	(void)curl_easy_setopt(
+	    easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+	(void)curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	(void)curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+	(void)curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+	for (size_t i = 0; i < HTTP_POOL_HEADERS; i++) {
+		if (call->headers[i] != NULL)
+			add_header(transfer, call->headers[i]);
+	}
+	set_body(transfer, call);
+	if (transfer->headers != NULL)
+		(void)curl_easy_setopt(
+		    easy, CURLOPT_HTTPHEADER, transfer->headers);
+}
+
+void
+http_pool_call(struct http_pool *pool, const struct http_call *call,
+    http_done *done, void *context)
+{
+	struct transfer *transfer = new_transfer(pool);
+
+	transfer->done = done;
+	transfer->context = context;
+	transfer->sent_ms = clock_now_ms();
+	set_options(transfer, call);
+	cds_list_add_tail(&transfer->node, &pool->transfers);
+	(void)curl_multi_add_handle(pool->multi, transfer->easy);
+}
+
+static void
+recycle(struct http_pool *pool, struct transfer *transfer)
+{
+	if (pool->idle_count == IDLE_HANDLES) {
+		free_transfer(transfer);
+		return;
+	}
+	curl_easy_reset(transfer->easy);
+	curl_slist_free_all(transfer->headers);
+	transfer->headers = NULL;
+	buffer_clear(&transfer->body);
+	mem_free(transfer->request);
+	transfer->request = NULL;
+	pool->idle[pool->idle_count++] = transfer;
+}
+
+static enum http_outcome
+outcome_of(CURLcode code, CURL *easy)
+{
+	curl_off_t connect_us = 0;
+
+	if (code == CURLE_OK)
+		return HTTP_ANSWERED;
+	if (code == CURLE_COULDNT_CONNECT)
+		return HTTP_NOT_SENT;
+	/* Without a connection by the end nothing can have left. */
+	if (code == CURLE_OPERATION_TIMEDOUT &&
+	    curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &connect_us) ==
+		CURLE_OK &&
+	    connect_us == 0)
+		return HTTP_NOT_SENT;
+	return HTTP_NO_ANSWER;
+}
+
+static void
+finish(struct http_pool *pool, struct transfer *transfer, CURLcode code)
+{
+	long status = 0;
+	struct http_answer answer = {
+	    .outcome = outcome_of(code, transfer->easy),
+	    .body = buffer_string(&transfer->body),
+	    .body_length = transfer->body.length,
+	    .sent_ms = transfer->sent_ms,
+	    .received_ms = clock_now_ms(),
+	};
+
+	(void)curl_easy_getinfo(
+	    transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+	answer.status = (int32_t)status;
+	(void)curl_multi_remove_handle(pool->multi, transfer->easy);
+	cds_list_del(&transfer->node);
+	transfer->done(transfer->context, &answer);
+	recycle(pool, transfer);
+}
+
+static void
+finish_all(struct http_pool *pool)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(pool->multi, &left)) != NULL) {
+		char *transfer = NULL;
+		CURLcode code = message->data.result;
+
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		(void)curl_easy_getinfo(
+		    message->easy_handle, CURLINFO_PRIVATE, &transfer);
+		finish(pool, (struct transfer *)(void *)transfer, code);
+	}
+}
+
+static void
+handle_socket(struct http_pool *pool, const struct epoll_event *event)
+{
+	int running;
+	int flags = 0;
+
+	if (event->events & EPOLLIN)
+		flags |= CURL_CSELECT_IN;
+	if (event->events & EPOLLOUT)
+		flags |= CURL_CSELECT_OUT;
+	if (event->events & (EPOLLERR | EPOLLHUP))
+		flags |= CURL_CSELECT_ERR;
+	(void)curl_multi_socket_action(
+	    pool->multi, event->data.fd, flags, &running);
+}
+
+void
+http_pool_wait(struct http_pool *pool, int64_t timeout_ms)
+{
+	struct epoll_event events[EVENTS_AT_ONCE];
+	int64_t timer_in_ms = pool->timer_ms == INT64_MAX
+	    ? INT64_MAX
+	    : pool->timer_ms - clock_now_ms();
+	int count;
+	int running;
+
+	if (timer_in_ms < timeout_ms)
+		timeout_ms = timer_in_ms;
+	if (timeout_ms < 0)
+		timeout_ms = 0;
+	count =
+	    epoll_wait(pool->epoll_fd, events, EVENTS_AT_ONCE, (int)timeout_ms);
+	for (int i = 0; i < count; i++) {
+		if (events[i].data.fd >= 0)
+			handle_socket(pool, &events[i]);
+	}
+	if (clock_now_ms() >= pool->timer_ms) {
+		pool->timer_ms = INT64_MAX;
+		(void)curl_multi_socket_action(
+		    pool->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	}
+	finish_all(pool);
+}
--- /dev/null
+++ b/src/fleet/fleet.h
@@ -0,0 +1,277 @@
+/*
+ * Decides which tasks of which step jobs run on which workers. Pure: events
+ * and the present time go in, orders and records come out; there is no clock,
+ * thread or I/O inside.
+ *
+ * A task's placement is recorded before its start is ordered, so that another
+ * lead knows where it may run; an end is recorded before the worker may forget
+ * it. Times in _ms are of one monotonic clock but for _wall_ms (time of day)
+ * and _clock_ms (the worker's own).
+ */
+#ifndef IBIS_FLEET_H
+#define IBIS_FLEET_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "ibistrestle.pb-c.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+enum {
+	FLEET_ID_BYTES = 17, /* of a job: 16 hexadecimal digits */
+	FLEET_NAME_BYTES = 64,
+	FLEET_LABELS = 8 /* of one worker; more are left out */
+};
+
+struct fleet;
+struct fleet_job;
+struct fleet_worker;
+
+struct fleet_config {
+	int32_t lease_ms;     /* of what runs on a worker */
+	int32_t old_lead_ms;  /* an earlier lead may renew leases so long */
+	int32_t gang_wait_ms; /* of a rack, before a gang is spread */
+	int32_t stop_ms;      /* that a stop takes at most */
+	double remote_factor; /* run time away from the data or rack */
+};
+
+struct fleet_room {
+	int64_t cpu_milli; /* thousandths of a core */
+	int64_t memory_mb;
+	int64_t accelerators;
+};
+
+struct fleet_task_id {
+	char job[FLEET_ID_BYTES];
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t index;
+};
+
+/* What a worker says of itself. */
+struct fleet_worker_entry {
+	char id[FLEET_NAME_BYTES];
+	char service[FLEET_NAME_BYTES];
+	char address[FLEET_NAME_BYTES]; /* IP:PORT */
+	char zone[FLEET_NAME_BYTES];
+	char rack[FLEET_NAME_BYTES];
+	char labels[FLEET_LABELS][FLEET_NAME_BYTES];
+	uint32_t labels_count;
+	struct fleet_room room;
+	int64_t born_wall_ms; /* start of this incarnation; 0: not told */
+	bool draining;
+};
+
+enum fleet_end {
+	FLEET_END_DONE,
+	FLEET_END_FAILED,
+	FLEET_END_STOPPED,
+	FLEET_END_LAPSED, /* its lease ran out */
+	FLEET_END_BROKEN, /* another member of its gang ended */
+	FLEET_END_ALONE	  /* it waited in vain for its gang */
+};
+
+struct fleet_seen_run {
+	struct fleet_task_id task;
+	uint64_t run;
+	const char *checkpoint; /* the report's */
+	int32_t percent;	/* of the work done */
+};
+
+struct fleet_seen_end {
+	uint64_t number; /* of the end, rising in one incarnation */
+	struct fleet_task_id task;
+	uint64_t run;
+	enum fleet_end how;
+	const char *checkpoint; /* the report's */
+};
+
+/* What a worker has answered to a look at its runs. */
+struct fleet_report {
+	int64_t sent_ms;     /* when it was asked */
+	int64_t received_ms; /* when it answered */
+	int64_t clock_ms;    /* the worker's, when it answered */
+	int64_t born_wall_ms;
+	struct fleet_seen_run *runs;
+	size_t runs_count;
+	struct fleet_seen_end *ends;
+	size_t ends_count;
+};
+
+enum fleet_start_answer {
+	FLEET_STARTED,
+	FLEET_START_REFUSED, /* surely not started, and will not be */
+	FLEET_START_OLD,     /* refused as ended there; the reports tell */
+	FLEET_START_UNKNOWN  /* no answer */
+};
+
+enum fleet_order_kind {
+	FLEET_START,
+	FLEET_STOP
+};
+
+struct fleet_order {
+	enum fleet_order_kind kind;
+	struct fleet_worker *worker;
+	struct fleet_task_id task;
+	uint64_t run;
+	/* For a start; the fleet's, valid until its next call. */
+	const ProtobufCBinaryData *payload;
+	const char *checkpoint; /* empty: from the beginning */
+	const char *reason;	/* for a stop */
+};
+
+struct fleet *fleet_new(const struct fleet_config *config, int64_t now_ms);
+void fleet_free(struct fleet *fleet);
+
+/*
+ * Jobs group. Records are packed StepJob and JobProgress messages.
+ */
+
+/* Takes a job over. progress may be NULL. Returns NULL when it is known. */
+struct fleet_job *fleet_add_job(struct fleet *fleet, const char *id,
+    Ibis__StepJob *spec, const Ibis__JobProgress *progress,
+    uint64_t progress_revision, int64_t now_ms);
+struct fleet_job *fleet_find_job(const struct fleet *fleet, const char *id);
+
+/* A caller has cancelled it: nothing of it starts any more. */
+void fleet_cancel_job(
+    struct fleet *fleet, struct fleet_job *job, int64_t now_ms);
+
+/* Forgets a job whose records have been removed. */
+void fleet_remove_job(struct fleet *fleet, struct fleet_job *job);
+
+const char *fleet_job_id(const struct fleet_job *job);
+Ibis__StepJobPhase fleet_job_phase(const struct fleet_job *job);
+
+/*
+ * Records group: jobs whose progress has to be written.
+ */
+
+/* Takes the job that has waited longest for its record; NULL when none. It
+ * counts as being written until one of the two calls below. */
+struct fleet_job *fleet_take_unrecorded(struct fleet *fleet);
+
+/* Packs the progress; free with mem_free via buffer. */
+struct buffer;
+void fleet_pack_progress(
+    const struct fleet_job *job, int64_t wall_ms, struct buffer *packed);
+
+/* Revision of the record as last written; 0: none. */
+uint64_t fleet_progress_revision(const struct fleet_job *job);
+
+/* The record as last packed is in the store. */
+void fleet_recorded(
+    struct fleet *fleet, struct fleet_job *job, uint64_t revision);
+
+/* It is not, or nobody knows; revision is the present one. */
+void fleet_record_failed(
+    struct fleet *fleet, struct fleet_job *job, uint64_t revision);
+
+/*
+ * Workers group.
+ */
+
+/* A worker is listed, or its entry has changed. */
+struct fleet_worker *fleet_set_worker(struct fleet *fleet,
+    const struct fleet_worker_entry *entry, int64_t now_ms);
+
+/* A worker is no longer listed. */
+void fleet_unlist_worker(struct fleet *fleet, const char *id, int64_t now_ms);
+
+struct fleet_worker *fleet_find_worker(
+    const struct fleet *fleet, const char *id);
+size_t fleet_workers_count(const struct fleet *fleet);
+struct fleet_worker *fleet_worker_at(const struct fleet *fleet, size_t index);
+const struct fleet_worker_entry *fleet_worker_entry(
+    const struct fleet_worker *worker);
+
+/* Tells whether it has answered this lead and does so still. */
+bool fleet_worker_answers(const struct fleet_worker *worker);
+
+/* Tells whether it should be looked at: something runs there, an end is to be
+ * acknowledged, or it has not answered yet. */
+bool fleet_worker_wants_look(const struct fleet_worker *worker);
+
+/* Tells whether something may run there. */
+bool fleet_worker_busy(const struct fleet_worker *worker);
+
+/* Ends up to this number are recorded; the worker may forget them. */
+uint64_t fleet_worker_recorded_ends(
+    const struct fleet *fleet, const struct fleet_worker *worker);
+
+/* A look that told it so has been answered. */
+void fleet_worker_forgot_ends(struct fleet_worker *worker, uint64_t end);
+
+/* Tells whether it listed ends that are not recorded yet. */
+bool fleet_worker_has_unrecorded_ends(
+    const struct fleet *fleet, const struct fleet_worker *worker);
+
+/*
+ * Grants a lease from now on and notes it. Returns the time on the worker's
+ * clock, or 0 when its clock is not known or it does not answer.
+ */
+int64_t fleet_grant_lease(
+    struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms);
+
+void fleet_report(struct fleet *fleet, struct fleet_worker *worker,
+    const struct fleet_report *report, int64_t now_ms);
+
+/* A call to the worker got no answer in time. */
+void fleet_worker_silent(
+    struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms);
+
+void fleet_start_answered(struct fleet *fleet, struct fleet_worker *worker,
+    const struct fleet_task_id *task, uint64_t run,
+    enum fleet_start_answer answer, int64_t now_ms);
+
+/* done: the worker has taken the stop; else it is to be sent again. */
+void fleet_stop_answered(struct fleet *fleet, struct fleet_worker *worker,
+    const struct fleet_task_id *task, uint64_t run, bool done, int64_t now_ms);
+
+/*
+ * Configuration group.
+ */
+
+void fleet_set_zone(struct fleet *fleet, const char *zone, bool in_service);
+void fleet_set_guarantee(
+    struct fleet *fleet, const char *workspace, int64_t accelerators);
+
+/* Moves the jobs of a route to another service. */
+void fleet_set_route(
+    struct fleet *fleet, const char *route, const char *service);
+
+/*
+ * Decision group.
+ */
+
+/* Places what can be placed and returns the orders to send now, which are
+ * valid until the next call. */
+size_t fleet_decide(struct fleet *fleet, int64_t now_ms, int64_t wall_ms,
+    const struct fleet_order **orders);
+
+/* When fleet_decide has something to do without an event. */
+int64_t fleet_next_ms(const struct fleet *fleet);
+
+struct fleet_usage {
+	uint64_t jobs;
+	uint64_t waiting_tasks;
+	uint64_t placed_tasks;
+	uint64_t running_tasks;
+	uint64_t workers;
+	uint64_t silent_workers;
+	int64_t free_accelerators;
+	int64_t accelerators;
+};
+
+void fleet_usage(const struct fleet *fleet, struct fleet_usage *usage);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/fleet/fleet_decide.c
@@ -0,0 +1,359 @@
+/* The decision: who is placed, in which order, and what is sent. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/fleet_model.h"
+#include "process/alloc.h"
+
+/* The longest sleep. */
+#define LATEST_WAKE_MS 1000
+
+/* Waiting tasks of one step: all members of a gang, or any number. */
+struct unit {
+	struct fleet_occurrence *occurrence;
+	uint32_t step;
+	size_t first; /* in waiting */
+	size_t count;
+};
+
+struct round {
+	struct fleet *fleet;
+	int64_t now_ms;
+	struct unit *units; /* owned */
+	size_t units_count;
+	size_t units_capacity;
+	struct fleet_task **waiting; /* owned */
+	size_t waiting_count;
+	size_t waiting_capacity;
+	struct fleet_worker **targets; /* owned */
+	size_t targets_capacity;
+};
+
+static void
+free_round(struct round *round)
+{
+	mem_free(round->units);
+	mem_free(round->waiting);
+	mem_free(round->targets);
+}
+
+void
+fleet_wake_at(struct fleet *fleet, int64_t at_ms)
+{
+	if (at_ms < fleet->next_ms)
+		fleet->next_ms = at_ms;
+}
+
+void
+fleet_place_at(struct fleet *fleet, int64_t at_ms)
+{
+	if (at_ms < fleet->place_ms)
+		fleet->place_ms = at_ms;
+}
+
+int64_t
+fleet_next_ms(const struct fleet *fleet)
+{
+	return fleet->place_ms < fleet->next_ms ? fleet->place_ms
+						: fleet->next_ms;
+}
+
+static void
+add_unit(struct round *round, struct fleet_occurrence *occurrence,
+    uint32_t step_number)
+{
+	const Ibis__JobStep *step = occurrence->job->spec->steps[step_number];
+	struct fleet_task *tasks = fleet_step_tasks(occurrence, step_number);
+	struct unit unit = {
+	    .occurrence = occurrence,
+	    .step = step_number,
+	    .first = round->waiting_count,
+	};
+
+	for (uint32_t i = 0; i < step->tasks; i++) {
+		if (tasks[i].state != TASK_WAITING) {
+			if (step->gang)
+				break;
+			continue;
+		}
+		round->waiting =
+		    mem_grow(round->waiting, &round->waiting_capacity,
+			round->waiting_count + 1, sizeof(struct fleet_task *));
+		round->waiting[round->waiting_count++] = &tasks[i];
+		unit.count++;
+	}
+	if (unit.count == 0 || (step->gang && unit.count < step->tasks)) {
+		round->waiting_count = unit.first;
+		return;
+	}
+	round->units = mem_grow(round->units, &round->units_capacity,
+	    round->units_count + 1, sizeof(*round->units));
+	round->units[round->units_count++] = unit;
+}
+
+static void
+collect_job(struct round *round, struct fleet_job *job)
+{
+	for (size_t i = 0; i < job->occurrences_count; i++) {
+		struct fleet_occurrence *occurrence = job->occurrences[i];
+
+		if (occurrence->done == occurrence->tasks_count)
+			continue;
+		for (uint32_t step = 0; step < job->spec->n_steps; step++) {
+			if (fleet_step_open(occurrence, step))
+				add_unit(round, occurrence, step);
+		}
+	}
+}
+
+static int
+compare_units(const void *left, const void *right)
+{
+	const struct unit *a = left;
+	const struct unit *b = right;
+	const struct fleet_job *job_a = a->occurrence->job;
+	const struct fleet_job *job_b = b->occurrence->job;
+
+	if (job_a->spec->priority != job_b->spec->priority)
+		return job_a->spec->priority < job_b->spec->priority ? -1 : 1;
+	if (a->occurrence->ready_ms != b->occurrence->ready_ms)
+		return a->occurrence->ready_ms < b->occurrence->ready_ms ? -1
+									 : 1;
+	return strcmp(job_a->id, job_b->id);
+}
+
+static void
+place_unit(struct round *round, const struct unit *unit)
+{
+	struct fleet_task *const *tasks = &round->waiting[unit->first];
+	size_t found;
+
+	round->targets = mem_grow(round->targets, &round->targets_capacity,
+	    unit->count, sizeof(struct fleet_worker *));
+	found = fleet_find_places(
+	    round->fleet, tasks, unit->count, round->targets, round->now_ms);
+	if (found == 0 && unit->occurrence->job->spec->priority == 0)
+		found = fleet_reclaim_places(round->fleet, tasks, unit->count,
+		    round->targets, round->now_ms);
+	for (size_t i = 0; i < found; i++)
+		fleet_place_task(
+		    round->fleet, tasks[i], round->targets[i], round->now_ms);
+}
+
+static void
+place_all(struct fleet *fleet, int64_t now_ms)
+{
+	CLEANUP(free_round)
+	struct round round = {.fleet = fleet, .now_ms = now_ms};
+
+	for (size_t i = 0; i < fleet->jobs.count; i++) {
+		struct fleet_job *job = fleet->jobs.items[i].item;
+
+		if (!job->cancelled && !fleet_job_final(job))
+			collect_job(&round, job);
+	}
+	qsort(round.units, round.units_count, sizeof(*round.units),
+	    compare_units);
+	for (size_t i = 0; i < round.units_count; i++)
+		place_unit(&round, &round.units[i]);
+}
+
+static void
+add_order(struct fleet *fleet, const struct fleet_order *order)
+{
+	fleet->orders = mem_grow(fleet->orders, &fleet->orders_capacity,
+	    fleet->orders_count + 1, sizeof(*fleet->orders));
+	fleet->orders[fleet->orders_count++] = *order;
+}
+
+static void
+order_stop(struct fleet *fleet, struct fleet_task *task, int64_t now_ms)
+{
+	struct fleet_order order = {
+	    .kind = FLEET_STOP,
+	    .worker = task->worker,
+	    .run = task->run,
+	    .reason = task->stop_reason,
+	};
+
+	fleet_task_id(task, &order.task);
+	task->stop_sent_ms = now_ms;
+	add_order(fleet, &order);
+}
+
+static void
+order_start(struct fleet *fleet, struct fleet_task *task)
+{
+	struct fleet_order order = {
+	    .kind = FLEET_START,
+	    .worker = task->worker,
+	    .run = task->run,
+	    .payload = &task->occurrence->job->spec->payload,
+	    .checkpoint = fleet_checkpoint(task),
+	};
+
+	fleet_task_id(task, &order.task);
+	fleet_set_state(task, TASK_SENT);
+	add_order(fleet, &order);
+}
+
+/* Tells whether a placed task's record is written and its room is free. */
+static bool
+may_start(const struct fleet_task *task)
+{
+	struct fleet_room need = fleet_task_need(task);
+	struct fleet_room left;
+
+	if (task->state != TASK_PLACED ||
+	    task->placed_generation >
+		task->occurrence->job->recorded_generation)
+		return false;
+	left =
+	    fleet_room_left(&task->worker->entry.room, &task->worker->occupied);
+	return fleet_room_fits(&left, &need, 1) > 0;
+}
+
+/* All members of a gang start in one go. Several on one worker have to fit
+ * beside each other. */
+static bool
+gang_may_start(struct fleet_task *tasks, uint32_t count)
+{
+	uint32_t begun = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (!may_start(&tasks[i]))
+			break;
+		fleet_set_state(&tasks[i], TASK_SENT);
+		begun++;
+	}
+	for (uint32_t i = 0; i < begun; i++)
+		fleet_set_state(&tasks[i], TASK_PLACED);
+	return begun == count;
+}
+
+static void
+start_step(struct fleet *fleet, struct fleet_occurrence *occurrence,
+    uint32_t step_number)
+{
+	const Ibis__JobStep *step = occurrence->job->spec->steps[step_number];
+	struct fleet_task *tasks = fleet_step_tasks(occurrence, step_number);
+
+	if (step->gang && !gang_may_start(tasks, step->tasks))
+		return;
+	for (uint32_t i = 0; i < step->tasks; i++) {
+		if (step->gang || may_start(&tasks[i]))
+			order_start(fleet, &tasks[i]);
+	}
+}
+
+static void
+order_starts(struct fleet *fleet)
+{
+	for (size_t i = 0; i < fleet->jobs.count; i++) {
+		struct fleet_job *job = fleet->jobs.items[i].item;
+
+		if (job->cancelled || fleet_job_final(job))
+			continue;
+		for (size_t j = 0; j < job->occurrences_count; j++) {
+			for (uint32_t k = 0; k < job->spec->n_steps; k++)
+				start_step(fleet, job->occurrences[j], k);
+		}
+	}
+}
+
+static void
+order_stops(struct fleet *fleet, int64_t now_ms)
+{
+	for (size_t i = 0; i < fleet->workers.count; i++) {
+		struct fleet_worker *worker = fleet->workers.items[i].item;
+		struct fleet_task *task;
+
+		cds_list_for_each_entry (task, &worker->tasks, on_worker) {
+			if (task->state != TASK_STOPPING || worker->silent)
+				continue;
+			if (task->stop_sent_ms == 0)
+				order_stop(fleet, task, now_ms);
+		}
+	}
+}
+
+/* Runs that this lead does not know or has given up. */
+static void
+order_stray_stops(struct fleet *fleet)
+{
+	for (size_t i = 0; i < fleet->strays_count; i++) {
+		const struct fleet_stray *stray = &fleet->strays[i];
+		struct fleet_order order = {
+		    .kind = FLEET_STOP,
+		    .worker = stray->worker,
+		    .task = stray->task,
+		    .run = stray->run,
+		    .reason = "unknown run",
+		};
+
+		add_order(fleet, &order);
+	}
+	fleet->strays_count = 0;
+}
+
+/* A failed or cancelled job leaves its workers. */
+static void
+stop_ended_jobs(struct fleet *fleet, int64_t now_ms)
+{
+	for (size_t i = 0; i < fleet->jobs.count; i++) {
+		struct fleet_job *job = fleet->jobs.items[i].item;
+
+		if (job->phase != IBIS__STEP_JOB_PHASE__PHASE_FAILED &&
+		    job->phase != IBIS__STEP_JOB_PHASE__PHASE_CANCELLED)
+			continue;
+		for (size_t j = 0; j < job->occurrences_count; j++) {
+			for (uint32_t k = 0; k < job->tasks_count; k++)
+				fleet_stop_task(fleet,
+				    &job->occurrences[j]->tasks[k], "job ended",
+				    now_ms);
+		}
+	}
+}
+
+size_t
+fleet_decide(struct fleet *fleet, int64_t now_ms, int64_t wall_ms,
+    const struct fleet_order **orders)
+{
+	fleet->orders_count = 0;
+	fleet->next_ms = now_ms + LATEST_WAKE_MS;
+	fleet_expire_leases(fleet, now_ms);
+	order_stray_stops(fleet);
+	fleet_open_due(fleet, now_ms, wall_ms);
+	stop_ended_jobs(fleet, now_ms);
+	if (fleet->changed || now_ms >= fleet->place_ms) {
+		fleet->changed = false;
+		fleet->place_ms = INT64_MAX;
+		place_all(fleet, now_ms);
+	}
+	order_stops(fleet, now_ms);
+	order_starts(fleet);
+	*orders = fleet->orders;
+	return fleet->orders_count;
+}
+
+void
+fleet_usage(const struct fleet *fleet, struct fleet_usage *usage)
+{
+	*usage = (struct fleet_usage){.jobs = fleet->jobs.count};
+	for (size_t i = 0; i < fleet->workers.count; i++) {
+		const struct fleet_worker *worker =
+		    fleet->workers.items[i].item;
+		struct fleet_task *task;
+
+		usage->workers += worker->listed;
+		usage->silent_workers += worker->silent;
+		usage->accelerators += worker->entry.room.accelerators;
+		usage->free_accelerators += worker->entry.room.accelerators -
+		    worker->occupied.accelerators;
+		cds_list_for_each_entry (task, &worker->tasks, on_worker) {
+			usage->placed_tasks += task->state == TASK_PLACED;
+			usage->running_tasks +=
+			    fleet_task_holds_room(task->state);
+		}
+	}
+}
--- /dev/null
+++ b/src/fleet/fleet_jobs.c
@@ -0,0 +1,444 @@
+/* Jobs: their occurrences, phase and records. */
+#include <string.h>
+
+#include "fleet/fleet_model.h"
+#include "process/alloc.h"
+#include "process/buffer.h"
+#include "process/proto_memory.h"
+
+bool
+fleet_job_final(const struct fleet_job *job)
+{
+	return job->phase == IBIS__STEP_JOB_PHASE__PHASE_COMPLETED ||
+	    job->phase == IBIS__STEP_JOB_PHASE__PHASE_FAILED ||
+	    job->phase == IBIS__STEP_JOB_PHASE__PHASE_CANCELLED;
+}
+
+void
+fleet_touch(struct fleet *fleet, struct fleet_job *job)
+{
+	fleet->generation++;
+	fleet->changed = true;
+	if (job->dirty)
+		return;
+	job->dirty = true;
+	job->dirty_generation = fleet->generation;
+	cds_list_add_tail(&job->unrecorded, &fleet->unrecorded);
+}
+
+static uint32_t
+occurrences_of(const Ibis__StepJob *spec)
+{
+	return spec->times == 0 ? 1 : spec->times;
+}
+
+static struct fleet_occurrence *
+open_occurrence(struct fleet_job *job, uint32_t number, int64_t now_ms)
+{
+	struct fleet_occurrence *occurrence =
+	    mem_calloc(1, sizeof(*occurrence));
+	uint32_t next = 0;
+
+	occurrence->job = job;
+	occurrence->number = number;
+	occurrence->ready_ms = now_ms;
+	occurrence->tasks_count = job->tasks_count;
+	occurrence->tasks =
+	    mem_calloc(job->tasks_count, sizeof(*occurrence->tasks));
+	for (uint32_t step = 0; step < job->spec->n_steps; step++) {
+		for (uint32_t i = 0; i < job->spec->steps[step]->tasks; i++) {
+			occurrence->tasks[next] = (struct fleet_task){
+			    .occurrence = occurrence,
+			    .number = next,
+			    .step = step,
+			    .index = i,
+			    .known_ms = INT64_MAX,
+			};
+			next++;
+		}
+	}
+	job->occurrences =
+	    mem_grow(job->occurrences, &job->occurrences_capacity,
+		job->occurrences_count + 1, sizeof(struct fleet_occurrence *));
+	job->occurrences[job->occurrences_count++] = occurrence;
+	if (job->next_occurrence <= number)
+		job->next_occurrence = number + 1;
+	return occurrence;
+}
+
+static void
+free_occurrence(struct fleet_occurrence *occurrence)
+{
+	for (uint32_t i = 0; i < occurrence->tasks_count; i++) {
+		fleet_take_off(&occurrence->tasks[i], TASK_DONE);
+		mem_free(occurrence->tasks[i].checkpoint);
+	}
+	mem_free(occurrence->tasks);
+	mem_free(occurrence);
+}
+
+void
+fleet_open_due(struct fleet *fleet, int64_t now_ms, int64_t wall_ms)
+{
+	for (size_t i = 0; i < fleet->jobs.count; i++) {
+		struct fleet_job *job = fleet->jobs.items[i].item;
+
+		if (job->cancelled || fleet_job_final(job))
+			continue;
+		while (job->next_occurrence < occurrences_of(job->spec)) {
+			int64_t due_ms = 0;
+
+			if (job->spec->times > 0)
+				due_ms = job->spec->first_wall_ms +
+				    (int64_t)job->next_occurrence *
+					job->spec->interval_ms;
+			if (due_ms > wall_ms) {
+				fleet_wake_at(fleet, now_ms + due_ms - wall_ms);
+				break;
+			}
+			(void)open_occurrence(
+			    job, job->next_occurrence, now_ms);
+			fleet->changed = true;
+		}
+	}
+}
+
+/* Puts a recorded task back: it may run where its last run was placed. */
+static void
+restore_task(struct fleet *fleet, struct fleet_task *task,
+    const Ibis__TaskProgress *progress, int64_t now_ms)
+{
+	struct fleet_worker *worker;
+
+	task->run = progress->run;
+	task->failures = progress->failures;
+	fleet_set_checkpoint(task, progress->checkpoint);
+	if (progress->done) {
+		task->state = TASK_DONE;
+		task->occurrence->done++;
+		return;
+	}
+	if (*progress->worker == '\0')
+		return;
+	worker = fleet_find_worker(fleet, progress->worker);
+	if (worker == NULL) {
+		struct fleet_worker_entry entry = {0};
+
+		STRING_COPY(entry.id, progress->worker);
+		worker = fleet_set_worker(fleet, &entry, now_ms);
+		worker->listed = false;
+	}
+	task->worker = worker;
+	cds_list_add_tail(&task->on_worker, &worker->tasks);
+	fleet_set_state(task, TASK_RUNNING);
+	task->started_ms = now_ms;
+	task->known_ms = now_ms;
+}
+
+static void
+restore(struct fleet *fleet, struct fleet_job *job,
+    const Ibis__JobProgress *progress, int64_t now_ms)
+{
+	job->phase = progress->phase;
+	job->finished = progress->finished;
+	job->next_occurrence = progress->finished;
+	job->ended_wall_ms = progress->ended_wall_ms;
+	if (fleet_job_final(job))
+		job->next_occurrence = occurrences_of(job->spec);
+	for (size_t i = 0; i < progress->n_occurrences; i++) {
+		const Ibis__OccurrenceProgress *recorded =
+		    progress->occurrences[i];
+		struct fleet_occurrence *occurrence =
+		    open_occurrence(job, recorded->number, now_ms);
+
+		for (size_t j = 0; j < recorded->n_tasks; j++) {
+			uint32_t number = recorded->tasks[j]->number;
+
+			if (number < occurrence->tasks_count)
+				restore_task(fleet, &occurrence->tasks[number],
+				    recorded->tasks[j], now_ms);
+		}
+	}
+}
+
+struct fleet_job *
+fleet_add_job(struct fleet *fleet, const char *id, Ibis__StepJob *spec,
+    const Ibis__JobProgress *progress, uint64_t progress_revision,
+    int64_t now_ms)
+{
+	struct fleet_job *job = mem_calloc(1, sizeof(*job));
+
+	STRING_COPY(job->id, id);
+	if (!name_index_add(&fleet->jobs, job->id, job)) {
+		mem_free(job);
+		return NULL;
+	}
+	job->spec = spec;
+	job->revision = progress_revision;
+	job->accepted_ms = now_ms;
+	job->first_task =
+	    mem_calloc(spec->n_steps + 1, sizeof(*job->first_task));
+	for (size_t i = 0; i < spec->n_steps; i++) {
+		job->first_task[i] = job->tasks_count;
+		job->tasks_count += spec->steps[i]->tasks;
+	}
+	if (progress != NULL)
+		restore(fleet, job, progress, now_ms);
+	fleet->changed = true;
+	fleet_wake_at(fleet, now_ms);
+	return job;
+}
+
+struct fleet_job *
+fleet_find_job(const struct fleet *fleet, const char *id)
+{
+	return name_index_get(&fleet->jobs, id);
+}
+
+const char *
+fleet_job_id(const struct fleet_job *job)
+{
+	return job->id;
+}
+
+Ibis__StepJobPhase
+fleet_job_phase(const struct fleet_job *job)
+{
+	return job->phase;
+}
+
+void
+fleet_cancel_job(struct fleet *fleet, struct fleet_job *job, int64_t now_ms)
+{
+	if (job->cancelled || fleet_job_final(job))
+		return;
+	job->cancelled = true;
+	for (size_t i = 0; i < job->occurrences_count; i++) {
+		for (uint32_t j = 0; j < job->tasks_count; j++)
+			fleet_stop_task(fleet, &job->occurrences[i]->tasks[j],
+			    "cancelled", now_ms);
+	}
+	job->phase = IBIS__STEP_JOB_PHASE__PHASE_CANCELLED;
+	fleet_touch(fleet, job);
+	fleet_wake_at(fleet, now_ms);
+}
+
+static void
+free_job(struct fleet_job *job)
+{
+	for (size_t i = 0; i < job->occurrences_count; i++)
+		free_occurrence(job->occurrences[i]);
+	mem_free(job->occurrences);
+	mem_free(job->first_task);
+	ibis__step_job__free_unpacked(job->spec, proto_allocator());
+	mem_free(job);
+}
+
+void
+fleet_remove_job(struct fleet *fleet, struct fleet_job *job)
+{
+	(void)name_index_remove(&fleet->jobs, job->id);
+	if (job->dirty)
+		cds_list_del(&job->unrecorded);
+	free_job(job);
+}
+
+bool
+fleet_step_open(const struct fleet_occurrence *occurrence, uint32_t step)
+{
+	const Ibis__StepJob *spec = occurrence->job->spec;
+	const Ibis__JobStep *wanted = spec->steps[step];
+
+	for (size_t i = 0; i < wanted->n_after; i++) {
+		const struct fleet_task *tasks =
+		    fleet_step_tasks(occurrence, wanted->after[i]);
+
+		for (uint32_t j = 0; j < spec->steps[wanted->after[i]]->tasks;
+		     j++) {
+			if (tasks[j].state != TASK_DONE)
+				return false;
+		}
+	}
+	return true;
+}
+
+/* Drops occurrences that are all done, and ends the job after the last. */
+static void
+settle(struct fleet_job *job)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < job->occurrences_count; i++) {
+		struct fleet_occurrence *occurrence = job->occurrences[i];
+
+		if (occurrence->done == occurrence->tasks_count &&
+		    occurrence->number == job->finished &&
+		    job->finished + 1 < occurrences_of(job->spec)) {
+			job->finished++;
+			free_occurrence(occurrence);
+		} else {
+			job->occurrences[kept++] = occurrence;
+		}
+	}
+	job->occurrences_count = kept;
+	if (fleet_job_final(job))
+		return;
+	if (job->finished + 1 == occurrences_of(job->spec) && kept == 1 &&
+	    job->occurrences[0]->done == job->tasks_count)
+		job->phase = IBIS__STEP_JOB_PHASE__PHASE_COMPLETED;
+	else if (kept > 0 || job->finished > 0)
+		job->phase = IBIS__STEP_JOB_PHASE__PHASE_RUNNING;
+}
+
+/* Tells whether a task has anything to record. */
+static bool
+has_progress(const struct fleet_task *task)
+{
+	return task->run > 0 || task->failures > 0;
+}
+
+static void
+init_task_progress(const struct fleet_task *task, Ibis__TaskProgress *progress)
+{
+	ibis__task_progress__init(progress);
+	progress->number = task->number;
+	progress->run = task->run;
+	progress->failures = task->failures;
+	progress->done = task->state == TASK_DONE;
+	if (task->worker != NULL)
+		progress->worker = task->worker->entry.id;
+	if (task->checkpoint != NULL && !progress->done)
+		progress->checkpoint = task->checkpoint;
+}
+
+static void
+add_occurrence(const struct fleet_occurrence *occurrence,
+    Ibis__OccurrenceProgress *progress)
+{
+	ibis__occurrence_progress__init(progress);
+	progress->number = occurrence->number;
+	progress->tasks =
+	    mem_calloc(occurrence->tasks_count, sizeof(*progress->tasks));
+	for (uint32_t i = 0; i < occurrence->tasks_count; i++) {
+		if (!has_progress(&occurrence->tasks[i]))
+			continue;
+		progress->tasks[progress->n_tasks] =
+		    mem_calloc(1, sizeof(Ibis__TaskProgress));
+		init_task_progress(&occurrence->tasks[i],
+		    progress->tasks[progress->n_tasks++]);
+	}
+}
+
+static void
+free_progress(Ibis__JobProgress *progress)
+{
+	for (size_t i = 0; i < progress->n_occurrences; i++) {
+		Ibis__OccurrenceProgress *occurrence = progress->occurrences[i];
+
+		for (size_t j = 0; j < occurrence->n_tasks; j++)
+			mem_free(occurrence->tasks[j]);
+		mem_free(occurrence->tasks);
+		mem_free(occurrence);
+	}
+	mem_free(progress->occurrences);
+}
+
+void
+fleet_pack_progress(
+    const struct fleet_job *job, int64_t wall_ms, struct buffer *packed)
+{
+	Ibis__JobProgress progress;
+
+	ibis__job_progress__init(&progress);
+	progress.phase = job->phase;
+	progress.finished = job->finished;
+	if (fleet_job_final(job))
+		progress.ended_wall_ms =
+		    job->ended_wall_ms == 0 ? wall_ms : job->ended_wall_ms;
+	progress.occurrences = mem_calloc(
+	    job->occurrences_count + 1, sizeof(*progress.occurrences));
+	for (size_t i = 0; i < job->occurrences_count; i++) {
+		progress.occurrences[i] =
+		    mem_calloc(1, sizeof(Ibis__OccurrenceProgress));
+		add_occurrence(job->occurrences[i], progress.occurrences[i]);
+	}
+	progress.n_occurrences = job->occurrences_count;
+	proto_pack(&progress.base, packed);
+	free_progress(&progress);
+}
+
+struct fleet_job *
+fleet_take_unrecorded(struct fleet *fleet)
+{
+	struct fleet_job *job;
+
+	if (fleet->writing_count == COUNT_OF(fleet->writing))
+		return NULL;
+	cds_list_for_each_entry (job, &fleet->unrecorded, unrecorded) {
+		if (job->writing)
+			continue;
+		settle(job);
+		cds_list_del(&job->unrecorded);
+		job->dirty = false;
+		job->writing = true;
+		job->writing_generation = job->dirty_generation;
+		job->packed_generation = fleet->generation;
+		fleet->writing[fleet->writing_count++] = job;
+		return job;
+	}
+	return NULL;
+}
+
+uint64_t
+fleet_progress_revision(const struct fleet_job *job)
+{
+	return job->revision;
+}
+
+static void
+end_writing(struct fleet *fleet, struct fleet_job *job, uint64_t revision)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < fleet->writing_count; i++) {
+		if (fleet->writing[i] != job)
+			fleet->writing[kept++] = fleet->writing[i];
+	}
+	fleet->writing_count = kept;
+	job->writing = false;
+	job->revision = revision;
+}
+
+void
+fleet_recorded(struct fleet *fleet, struct fleet_job *job, uint64_t revision)
+{
+	end_writing(fleet, job, revision);
+	job->recorded_generation = job->packed_generation;
+	fleet_wake_at(fleet, 0);
+}
+
+void
+fleet_record_failed(
+    struct fleet *fleet, struct fleet_job *job, uint64_t revision)
+{
+	end_writing(fleet, job, revision);
+	if (job->dirty)
+		cds_list_del(&job->unrecorded);
+	job->dirty = true;
+	job->dirty_generation = job->writing_generation;
+	cds_list_add(&job->unrecorded, &fleet->unrecorded);
+}
+
+void
+fleet_set_route(struct fleet *fleet, const char *route, const char *service)
+{
+	for (size_t i = 0; i < fleet->jobs.count; i++) {
+		struct fleet_job *job = fleet->jobs.items[i].item;
+
+		if (strcmp(job->spec->route, route) != 0 ||
+		    strcmp(job->spec->service, service) == 0)
+			continue;
+		proto_set_string(&job->spec->service, service);
+		fleet->changed = true;
+	}
+}
--- /dev/null
+++ b/src/fleet/fleet_tasks.c
@@ -0,0 +1,302 @@
+/* Tasks: their need of room, their states and what becomes of them. */
+#include <string.h>
+
+#include "fleet/fleet_model.h"
+#include "process/alloc.h"
+
+struct fleet_room
+fleet_need(const Ibis__JobStep *step)
+{
+	return (struct fleet_room){
+	    /* A step that fills takes what others leave unused. */
+	    .cpu_milli = step->fills ? 0 : step->cpu_milli,
+	    .memory_mb = step->memory_mb,
+	    .accelerators = step->accelerators,
+	};
+}
+
+void
+fleet_room_add(struct fleet_room *room, const struct fleet_room *more)
+{
+	room->cpu_milli += more->cpu_milli;
+	room->memory_mb += more->memory_mb;
+	room->accelerators += more->accelerators;
+}
+
+void
+fleet_room_take(struct fleet_room *room, const struct fleet_room *less)
+{
+	room->cpu_milli -= less->cpu_milli;
+	room->memory_mb -= less->memory_mb;
+	room->accelerators -= less->accelerators;
+}
+
+struct fleet_room
+fleet_room_left(const struct fleet_room *all, const struct fleet_room *used)
+{
+	struct fleet_room left = *all;
+
+	fleet_room_take(&left, used);
+	return left;
+}
+
+static int64_t
+fits_by(int64_t left, int64_t need, int64_t limit)
+{
+	if (need <= 0)
+		return limit;
+	if (left < need)
+		return 0;
+	return left / need < limit ? left / need : limit;
+}
+
+uint32_t
+fleet_room_fits(const struct fleet_room *left, const struct fleet_room *need,
+    uint32_t limit)
+{
+	int64_t fits = limit;
+
+	fits = fits_by(left->cpu_milli, need->cpu_milli, fits);
+	fits = fits_by(left->memory_mb, need->memory_mb, fits);
+	fits = fits_by(left->accelerators, need->accelerators, fits);
+	return (uint32_t)fits;
+}
+
+const Ibis__JobStep *
+fleet_step_of(const struct fleet_task *task)
+{
+	return task->occurrence->job->spec->steps[task->step];
+}
+
+struct fleet_room
+fleet_task_need(const struct fleet_task *task)
+{
+	return fleet_need(fleet_step_of(task));
+}
+
+struct fleet_task *
+fleet_step_tasks(const struct fleet_occurrence *occurrence, uint32_t step)
+{
+	return &occurrence->tasks[occurrence->job->first_task[step]];
+}
+
+void
+fleet_task_id(const struct fleet_task *task, struct fleet_task_id *id)
+{
+	*id = (struct fleet_task_id){
+	    .occurrence = task->occurrence->number,
+	    .step = task->step,
+	    .index = task->index,
+	};
+	STRING_COPY(id->job, task->occurrence->job->id);
+}
+
+struct fleet_task *
+fleet_find_task(const struct fleet *fleet, const struct fleet_task_id *id)
+{
+	struct fleet_job *job = name_index_get(&fleet->jobs, id->job);
+
+	if (job == NULL || id->step >= job->spec->n_steps ||
+	    id->index >= job->spec->steps[id->step]->tasks)
+		return NULL;
+	for (size_t i = 0; i < job->occurrences_count; i++) {
+		if (job->occurrences[i]->number == id->occurrence)
+			return &fleet_step_tasks(
+			    job->occurrences[i], id->step)[id->index];
+	}
+	return NULL;
+}
+
+/* Tells whether a state counts against what may be placed. */
+static bool
+is_committed(enum fleet_task_state state)
+{
+	return state == TASK_PLACED || state == TASK_SENT ||
+	    state == TASK_RUNNING;
+}
+
+bool
+fleet_task_holds_room(enum fleet_task_state state)
+{
+	return state == TASK_SENT || state == TASK_RUNNING ||
+	    state == TASK_STOPPING;
+}
+
+void
+fleet_set_state(struct fleet_task *task, enum fleet_task_state state)
+{
+	struct fleet_room need = fleet_task_need(task);
+
+	if (task->worker != NULL) {
+		if (is_committed(task->state))
+			fleet_room_take(&task->worker->committed, &need);
+		if (fleet_task_holds_room(task->state))
+			fleet_room_take(&task->worker->occupied, &need);
+		if (is_committed(state))
+			fleet_room_add(&task->worker->committed, &need);
+		if (fleet_task_holds_room(state))
+			fleet_room_add(&task->worker->occupied, &need);
+	}
+	task->state = state;
+}
+
+void
+fleet_take_off(struct fleet_task *task, enum fleet_task_state state)
+{
+	fleet_set_state(task, state);
+	if (task->worker == NULL)
+		return;
+	cds_list_del(&task->on_worker);
+	task->worker = NULL;
+}
+
+void
+fleet_place_task(struct fleet *fleet, struct fleet_task *task,
+    struct fleet_worker *worker, int64_t now_ms)
+{
+	task->worker = worker;
+	cds_list_add_tail(&task->on_worker, &worker->tasks);
+	task->run++;
+	task->placed_ms = now_ms;
+	task->stop_sent_ms = 0;
+	task->stop_reason = NULL;
+	task->known_ms = INT64_MAX;
+	task->percent = 0;
+	fleet_set_state(task, TASK_PLACED);
+	fleet_touch(fleet, task->occurrence->job);
+	task->placed_generation = fleet->generation;
+}
+
+void
+fleet_stop_task(struct fleet *fleet, struct fleet_task *task,
+    const char *reason, int64_t now_ms)
+{
+	switch (task->state) {
+	case TASK_PLACED:
+		fleet_take_off(task, TASK_WAITING);
+		fleet_touch(fleet, task->occurrence->job);
+		break;
+	case TASK_SENT:
+	case TASK_RUNNING:
+		task->known_ms = INT64_MAX;
+		task->stop_sent_ms = 0;
+		task->stop_reason = reason;
+		fleet_set_state(task, TASK_STOPPING);
+		break;
+	case TASK_WAITING:
+	case TASK_STOPPING:
+	case TASK_DONE:
+		return;
+	}
+	fleet->changed = true;
+	fleet_wake_at(fleet, now_ms);
+}
+
+void
+fleet_stop_unit(struct fleet *fleet, struct fleet_task *task,
+    const char *reason, int64_t now_ms)
+{
+	const Ibis__JobStep *step = fleet_step_of(task);
+	struct fleet_task *tasks;
+
+	if (!step->gang) {
+		fleet_stop_task(fleet, task, reason, now_ms);
+		return;
+	}
+	tasks = fleet_step_tasks(task->occurrence, task->step);
+	for (uint32_t i = 0; i < step->tasks; i++)
+		fleet_stop_task(fleet, &tasks[i], reason, now_ms);
+}
+
+/* A gang keeps one checkpoint for all, with its first member. */
+static struct fleet_task *
+checkpoint_keeper(struct fleet_task *task)
+{
+	if (!fleet_step_of(task)->gang)
+		return task;
+	return fleet_step_tasks(task->occurrence, task->step);
+}
+
+void
+fleet_set_checkpoint(struct fleet_task *task, const char *checkpoint)
+{
+	struct fleet_task *keeper = checkpoint_keeper(task);
+
+	if (checkpoint == NULL || *checkpoint == '\0')
+		return;
+	if (keeper->checkpoint != NULL &&
+	    strcmp(keeper->checkpoint, checkpoint) == 0)
+		return;
+	mem_free(keeper->checkpoint);
+	keeper->checkpoint = mem_strdup(checkpoint);
+}
+
+const char *
+fleet_checkpoint(const struct fleet_task *task)
+{
+	const struct fleet_task *keeper = task;
+
+	if (fleet_step_of(task)->gang)
+		keeper = fleet_step_tasks(task->occurrence, task->step);
+	return keeper->checkpoint == NULL ? "" : keeper->checkpoint;
+}
+
+static void
+finish_one(struct fleet_task *task)
+{
+	if (task->state == TASK_DONE)
+		return;
+	fleet_take_off(task, TASK_DONE);
+	task->occurrence->done++;
+}
+
+void
+fleet_task_done(struct fleet *fleet, struct fleet_task *task, int64_t now_ms)
+{
+	const Ibis__JobStep *step = fleet_step_of(task);
+
+	if (step->lasting) {
+		fleet_task_lost(fleet, task, NULL, now_ms);
+		return;
+	}
+	if (step->gang) {
+		struct fleet_task *tasks =
+		    fleet_step_tasks(task->occurrence, task->step);
+
+		for (uint32_t i = 0; i < step->tasks; i++)
+			finish_one(&tasks[i]);
+	} else {
+		finish_one(task);
+	}
+	fleet_touch(fleet, task->occurrence->job);
+	fleet_wake_at(fleet, now_ms);
+}
+
+void
+fleet_task_lost(struct fleet *fleet, struct fleet_task *task,
+    const char *checkpoint, int64_t now_ms)
+{
+	fleet_set_checkpoint(task, checkpoint);
+	fleet_take_off(task, TASK_WAITING);
+	if (fleet_step_of(task)->gang)
+		fleet_stop_unit(fleet, task, "gang", now_ms);
+	fleet_touch(fleet, task->occurrence->job);
+	fleet_wake_at(fleet, now_ms);
+}
+
+void
+fleet_task_failed(struct fleet *fleet, struct fleet_task *task, int64_t now_ms)
+{
+	struct fleet_job *job = task->occurrence->job;
+	struct fleet_task *counted = task;
+
+	task->failed_on = task->worker;
+	if (fleet_step_of(task)->gang)
+		counted = fleet_step_tasks(task->occurrence, task->step);
+	if (!fleet_step_of(task)->lasting)
+		counted->failures++;
+	fleet_task_lost(fleet, task, NULL, now_ms);
+	if (counted->failures >= job->spec->attempts && !fleet_job_final(job) &&
+	    !fleet_step_of(task)->lasting)
+		job->phase = IBIS__STEP_JOB_PHASE__PHASE_FAILED;
+}
--- /dev/null
+++ b/src/fleet/fleet_workers.c
@@ -0,0 +1,564 @@
+/* Workers: what they report, their leases and their silence. */
+#include <string.h>
+
+#include "fleet/fleet_model.h"
+#include "process/alloc.h"
+
+/* A grant holds back a little from the worker's lease, for rounding. */
+#define LEASE_MARGIN_MS 30
+/* Failed runs of different jobs in a row before a worker is left alone. */
+#define FAILURES_BEFORE_PAUSE 2
+#define PAUSE_MS	      2500
+#define REFUSED_PAUSE_MS      500
+
+struct fleet *
+fleet_new(const struct fleet_config *config, int64_t now_ms)
+{
+	struct fleet *fleet = mem_calloc(1, sizeof(*fleet));
+
+	fleet->config = *config;
+	fleet->lead_since_ms = now_ms;
+	fleet->next_ms = now_ms;
+	fleet->place_ms = INT64_MAX;
+	CDS_INIT_LIST_HEAD(&fleet->unrecorded);
+	return fleet;
+}
+
+void
+fleet_free(struct fleet *fleet)
+{
+	if (fleet == NULL)
+		return;
+	while (fleet->jobs.count > 0)
+		fleet_remove_job(fleet, fleet->jobs.items[0].item);
+	for (size_t i = 0; i < fleet->workers.count; i++)
+		mem_free(fleet->workers.items[i].item);
+	name_index_free(&fleet->jobs);
+	name_index_free(&fleet->workers);
+	mem_free(fleet->zones_out);
+	mem_free(fleet->guarantees);
+	mem_free(fleet->strays);
+	mem_free(fleet->orders);
+	mem_free(fleet);
+}
+
+struct fleet_worker *
+fleet_find_worker(const struct fleet *fleet, const char *id)
+{
+	return name_index_get(&fleet->workers, id);
+}
+
+size_t
+fleet_workers_count(const struct fleet *fleet)
+{
+	return fleet->workers.count;
+}
+
+struct fleet_worker *
+fleet_worker_at(const struct fleet *fleet, size_t index)
+{
+	return fleet->workers.items[index].item;
+}
+
+const struct fleet_worker_entry *
+fleet_worker_entry(const struct fleet_worker *worker)
+{
+	return &worker->entry;
+}
+
+static bool
+zone_is_out(const struct fleet *fleet, const char *zone)
+{
+	for (size_t i = 0; i < fleet->zones_out_count; i++) {
+		if (strcmp(fleet->zones_out[i], zone) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* All that may run on a worker has ended without a word. */
+static void
+lose_all(struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms)
+{
+	struct fleet_task *task;
+	struct fleet_task *next;
+	bool more = true;
+
+	/* Losing a gang's member may take others off the list as well. */
+	while (more) {
+		more = false;
+		cds_list_for_each_entry_safe (
+		    task, next, &worker->tasks, on_worker) {
+			if (!fleet_task_holds_room(task->state))
+				continue;
+			fleet_task_lost(fleet, task, NULL, now_ms);
+			more = true;
+			break;
+		}
+	}
+	fleet->changed = true;
+}
+
+/* Takes back what was placed but not sent. */
+static void
+unplace_all(struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms)
+{
+	struct fleet_task *task;
+	bool more = true;
+
+	while (more) {
+		more = false;
+		cds_list_for_each_entry (task, &worker->tasks, on_worker) {
+			if (task->state != TASK_PLACED)
+				continue;
+			fleet_stop_unit(fleet, task, "worker", now_ms);
+			more = true;
+			break;
+		}
+	}
+}
+
+static void
+forget_incarnation(
+    struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms)
+{
+	lose_all(fleet, worker, now_ms);
+	worker->reported = false;
+	worker->seen_end = 0;
+	worker->acked_end = 0;
+	worker->seen_generation = 0;
+	worker->lease_until_ms = 0;
+	worker->failures = 0;
+	worker->avoid_until_ms = 0;
+}
+
+struct fleet_worker *
+fleet_set_worker(
+    struct fleet *fleet, const struct fleet_worker_entry *entry, int64_t now_ms)
+{
+	struct fleet_worker *worker = fleet_find_worker(fleet, entry->id);
+
+	if (worker == NULL) {
+		worker = mem_calloc(1, sizeof(*worker));
+		worker->entry = *entry;
+		CDS_INIT_LIST_HEAD(&worker->tasks);
+		(void)name_index_add(&fleet->workers, worker->entry.id, worker);
+		/* An earlier lead may have renewed leases there until its
+		 * own time was over. */
+		worker->lease_until_ms = now_ms + fleet->config.old_lead_ms +
+		    (int64_t)(fleet->config.lease_ms * FLEET_CLOCK_SLOW);
+		fleet->changed = true;
+	}
+	if (!worker->listed || worker->entry.draining != entry->draining ||
+	    strcmp(worker->entry.address, entry->address) != 0) {
+		fleet->changed = true;
+		fleet_wake_at(fleet, now_ms);
+	}
+	worker->entry = *entry;
+	worker->listed = true;
+	worker->evacuated = zone_is_out(fleet, entry->zone);
+	if (entry->draining)
+		unplace_all(fleet, worker, now_ms);
+	return worker;
+}
+
+static void
+remove_worker(struct fleet *fleet, struct fleet_worker *worker)
+{
+	for (size_t i = 0; i < fleet->jobs.count; i++) {
+		struct fleet_job *job = fleet->jobs.items[i].item;
+
+		for (size_t j = 0; j < job->occurrences_count; j++) {
+			for (uint32_t k = 0; k < job->tasks_count; k++) {
+				struct fleet_task *task =
+				    &job->occurrences[j]->tasks[k];
+
+				if (task->failed_on == worker)
+					task->failed_on = NULL;
+			}
+		}
+	}
+	for (size_t i = 0; i < fleet->strays_count; i++) {
+		if (fleet->strays[i].worker == worker)
+			fleet->strays[i--] =
+			    fleet->strays[--fleet->strays_count];
+	}
+	(void)name_index_remove(&fleet->workers, worker->entry.id);
+	mem_free(worker);
+}
+
+void
+fleet_unlist_worker(struct fleet *fleet, const char *id, int64_t now_ms)
+{
+	struct fleet_worker *worker = fleet_find_worker(fleet, id);
+
+	if (worker == NULL)
+		return;
+	worker->listed = false;
+	fleet->changed = true;
+	unplace_all(fleet, worker, now_ms);
+	fleet_wake_at(fleet, now_ms);
+}
+
+bool
+fleet_worker_answers(const struct fleet_worker *worker)
+{
+	return worker->reported && !worker->silent;
+}
+
+bool
+fleet_worker_busy(const struct fleet_worker *worker)
+{
+	return worker->tasks.next != &worker->tasks;
+}
+
+bool
+fleet_worker_wants_look(const struct fleet_worker *worker)
+{
+	if (*worker->entry.address == '\0')
+		return false;
+	return !worker->reported || worker->silent ||
+	    worker->seen_end > worker->acked_end || fleet_worker_busy(worker);
+}
+
+/* Lowest generation that is not recorded yet. */
+static uint64_t
+oldest_unrecorded(const struct fleet *fleet)
+{
+	uint64_t oldest = fleet->generation + 1;
+	struct fleet_job *job;
+
+	cds_list_for_each_entry (job, &fleet->unrecorded, unrecorded) {
+		if (job->dirty_generation < oldest)
+			oldest = job->dirty_generation;
+	}
+	for (size_t i = 0; i < fleet->writing_count; i++) {
+		if (fleet->writing[i]->writing_generation < oldest)
+			oldest = fleet->writing[i]->writing_generation;
+	}
+	return oldest;
+}
+
+bool
+fleet_worker_has_unrecorded_ends(
+    const struct fleet *fleet, const struct fleet_worker *worker)
+{
+	return worker->seen_end > worker->acked_end &&
+	    worker->seen_generation >= oldest_unrecorded(fleet);
+}
+
+uint64_t
+fleet_worker_recorded_ends(
+    const struct fleet *fleet, const struct fleet_worker *worker)
+{
+	if (fleet_worker_has_unrecorded_ends(fleet, worker))
+		return worker->acked_end;
+	return worker->seen_end;
+}
+
+void
+fleet_worker_forgot_ends(struct fleet_worker *worker, uint64_t end)
+{
+	if (end > worker->acked_end)
+		worker->acked_end = end;
+}
+
+static int64_t
+to_our_clock(const struct fleet_worker *worker, int64_t clock_ms)
+{
+	return worker->clock_at_ms +
+	    (int64_t)((double)(clock_ms - worker->clock_ms) *
+		FLEET_CLOCK_SLOW) +
+	    LEASE_MARGIN_MS;
+}
+
+int64_t
+fleet_grant_lease(
+    struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms)
+{
+	int64_t until_ms;
+
+	if (!fleet_worker_answers(worker))
+		return 0;
+	until_ms = worker->clock_ms + (now_ms - worker->clock_at_ms) +
+	    fleet->config.lease_ms;
+	if (to_our_clock(worker, until_ms) > worker->lease_until_ms)
+		worker->lease_until_ms = to_our_clock(worker, until_ms);
+	return until_ms;
+}
+
+/* A worker that fails what it is given is left alone for a while. */
+static void
+blame(struct fleet_worker *worker, int64_t now_ms)
+{
+	worker->failures++;
+	if (worker->failures >= FAILURES_BEFORE_PAUSE)
+		worker->avoid_until_ms = now_ms + PAUSE_MS * worker->failures;
+}
+
+static void
+apply_end(struct fleet *fleet, struct fleet_worker *worker,
+    const struct fleet_seen_end *end, int64_t now_ms)
+{
+	struct fleet_task *task = fleet_find_task(fleet, &end->task);
+
+	if (task == NULL || task->run != end->run || task->state == TASK_DONE ||
+	    task->state == TASK_PLACED)
+		return;
+	if (task->worker != NULL && task->worker != worker)
+		return;
+	switch (end->how) {
+	case FLEET_END_DONE:
+		worker->failures = 0;
+		fleet_task_done(fleet, task, now_ms);
+		break;
+	case FLEET_END_FAILED:
+		blame(worker, now_ms);
+		fleet_task_failed(fleet, task, now_ms);
+		break;
+	case FLEET_END_STOPPED:
+	case FLEET_END_LAPSED:
+	case FLEET_END_BROKEN:
+	case FLEET_END_ALONE:
+		fleet_task_lost(fleet, task, end->checkpoint, now_ms);
+		break;
+	}
+}
+
+static void
+add_stray(struct fleet *fleet, struct fleet_worker *worker,
+    const struct fleet_seen_run *run)
+{
+	fleet->strays = mem_grow(fleet->strays, &fleet->strays_capacity,
+	    fleet->strays_count + 1, sizeof(*fleet->strays));
+	fleet->strays[fleet->strays_count++] = (struct fleet_stray){
+	    .worker = worker, .task = run->task, .run = run->run};
+}
+
+static void
+apply_run(struct fleet *fleet, struct fleet_worker *worker,
+    const struct fleet_seen_run *run, int64_t now_ms)
+{
+	struct fleet_task *task = fleet_find_task(fleet, &run->task);
+
+	if (task == NULL || task->run != run->run || task->worker != worker ||
+	    !fleet_task_holds_room(task->state)) {
+		add_stray(fleet, worker, run);
+		return;
+	}
+	task->seen_look = fleet->looks;
+	task->percent = run->percent;
+	fleet_set_checkpoint(task, run->checkpoint);
+	if (task->state == TASK_SENT) {
+		fleet_set_state(task, TASK_RUNNING);
+		task->started_ms = now_ms;
+		task->known_ms = now_ms;
+	}
+}
+
+/* What a look that was sent late enough did not show is not there. */
+static void
+lose_unseen(struct fleet *fleet, struct fleet_worker *worker, int64_t sent_ms,
+    int64_t now_ms)
+{
+	struct fleet_task *task;
+	bool more = true;
+
+	while (more) {
+		more = false;
+		cds_list_for_each_entry (task, &worker->tasks, on_worker) {
+			if (!fleet_task_holds_room(task->state) ||
+			    task->seen_look == fleet->looks ||
+			    task->known_ms > sent_ms)
+				continue;
+			fleet_task_lost(fleet, task, NULL, now_ms);
+			more = true;
+			break;
+		}
+	}
+}
+
+void
+fleet_report(struct fleet *fleet, struct fleet_worker *worker,
+    const struct fleet_report *report, int64_t now_ms)
+{
+	fleet->looks++;
+	if (worker->born_wall_ms != report->born_wall_ms) {
+		if (worker->born_wall_ms != 0 && worker->reported)
+			forget_incarnation(fleet, worker, now_ms);
+		worker->born_wall_ms = report->born_wall_ms;
+	}
+	if (!fleet_worker_answers(worker))
+		fleet->changed = true;
+	if (!worker->reported) {
+		worker->reported = true;
+		/* Earlier leads are shut out now; only what is listed may
+		 * still hold a lease of theirs. */
+		worker->lease_until_ms = now_ms +
+		    (int64_t)(fleet->config.lease_ms * FLEET_CLOCK_SLOW);
+	}
+	worker->silent = false;
+	worker->clock_ms = report->clock_ms;
+	worker->clock_at_ms = report->received_ms;
+	for (size_t i = 0; i < report->ends_count; i++) {
+		if (report->ends[i].number <= worker->seen_end)
+			continue;
+		worker->seen_end = report->ends[i].number;
+		apply_end(fleet, worker, &report->ends[i], now_ms);
+		worker->seen_generation = fleet->generation;
+	}
+	for (size_t i = 0; i < report->runs_count; i++)
+		apply_run(fleet, worker, &report->runs[i], now_ms);
+	lose_unseen(fleet, worker, report->sent_ms, now_ms);
+	fleet_wake_at(fleet, now_ms);
+}
+
+void
+fleet_worker_silent(
+    struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms)
+{
+	if (!worker->silent)
+		fleet->changed = true;
+	worker->silent = true;
+	unplace_all(fleet, worker, now_ms);
+	fleet_wake_at(fleet, worker->lease_until_ms);
+}
+
+void
+fleet_expire_leases(struct fleet *fleet, int64_t now_ms)
+{
+	for (size_t i = fleet->workers.count; i-- > 0;) {
+		struct fleet_worker *worker = fleet->workers.items[i].item;
+
+		if (fleet_worker_answers(worker) && worker->listed)
+			continue;
+		if (now_ms < worker->lease_until_ms) {
+			if (fleet_worker_busy(worker))
+				fleet_wake_at(fleet, worker->lease_until_ms);
+			continue;
+		}
+		if (!fleet_worker_answers(worker))
+			lose_all(fleet, worker, now_ms);
+		if (!worker->listed && !fleet_worker_busy(worker))
+			remove_worker(fleet, worker);
+	}
+}
+
+void
+fleet_start_answered(struct fleet *fleet, struct fleet_worker *worker,
+    const struct fleet_task_id *id, uint64_t run,
+    enum fleet_start_answer answer, int64_t now_ms)
+{
+	struct fleet_task *task = fleet_find_task(fleet, id);
+
+	if (task == NULL || task->run != run || task->worker != worker ||
+	    !fleet_task_holds_room(task->state))
+		return;
+	switch (answer) {
+	case FLEET_STARTED:
+	case FLEET_START_OLD:
+		if (task->state == TASK_SENT) {
+			fleet_set_state(task, TASK_RUNNING);
+			task->started_ms = now_ms;
+			task->known_ms = now_ms;
+		}
+		break;
+	case FLEET_START_REFUSED:
+		worker->avoid_until_ms = now_ms + REFUSED_PAUSE_MS;
+		if (task->state == TASK_SENT || task->state == TASK_STOPPING)
+			fleet_task_lost(fleet, task, NULL, now_ms);
+		break;
+	case FLEET_START_UNKNOWN:
+		fleet_stop_unit(fleet, task, "no answer to the start", now_ms);
+		break;
+	}
+	fleet_wake_at(fleet, now_ms);
+}
+
+void
+fleet_stop_answered(struct fleet *fleet, struct fleet_worker *worker,
+    const struct fleet_task_id *id, uint64_t run, bool done, int64_t now_ms)
+{
+	struct fleet_task *task = fleet_find_task(fleet, id);
+
+	if (task == NULL || task->run != run || task->worker != worker ||
+	    task->state != TASK_STOPPING)
+		return;
+	if (done)
+		task->known_ms = now_ms;
+	else
+		task->stop_sent_ms = 0;
+	fleet_wake_at(fleet, now_ms);
+}
+
+void
+fleet_set_zone(struct fleet *fleet, const char *zone, bool in_service)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < fleet->zones_out_count; i++) {
+		if (strcmp(fleet->zones_out[i], zone) != 0)
+			memmove(fleet->zones_out[kept++], fleet->zones_out[i],
+			    FLEET_NAME_BYTES);
+	}
+	fleet->zones_out_count = kept;
+	if (!in_service) {
+		fleet->zones_out = mem_grow(fleet->zones_out,
+		    &fleet->zones_out_capacity, kept + 1, FLEET_NAME_BYTES);
+		string_copy(fleet->zones_out[fleet->zones_out_count++],
+		    FLEET_NAME_BYTES, zone);
+	}
+	for (size_t i = 0; i < fleet->workers.count; i++) {
+		struct fleet_worker *worker = fleet->workers.items[i].item;
+
+		worker->evacuated = zone_is_out(fleet, worker->entry.zone);
+	}
+	fleet->changed = true;
+	fleet_wake_at(fleet, 0);
+}
+
+void
+fleet_set_guarantee(
+    struct fleet *fleet, const char *workspace, int64_t accelerators)
+{
+	for (size_t i = 0; i < fleet->guarantees_count; i++) {
+		if (strcmp(fleet->guarantees[i].workspace, workspace) != 0)
+			continue;
+		fleet->guarantees[i].accelerators = accelerators;
+		return;
+	}
+	fleet->guarantees =
+	    mem_grow(fleet->guarantees, &fleet->guarantees_capacity,
+		fleet->guarantees_count + 1, sizeof(*fleet->guarantees));
+	fleet->guarantees[fleet->guarantees_count] =
+	    (struct fleet_guarantee){.accelerators = accelerators};
+	STRING_COPY(
+	    fleet->guarantees[fleet->guarantees_count++].workspace, workspace);
+}
+
+struct fleet_room
+fleet_free_room(const struct fleet_worker *worker)
+{
+	return fleet_room_left(&worker->entry.room, &worker->committed);
+}
+
+static bool
+has_label(const struct fleet_worker_entry *entry, const char *label)
+{
+	for (uint32_t i = 0; i < entry->labels_count; i++) {
+		if (strcmp(entry->labels[i], label) == 0)
+			return true;
+	}
+	return false;
+}
+
+bool
+fleet_worker_usable(const struct fleet_worker *worker,
+    const struct fleet_job *job, const Ibis__JobStep *step, int64_t now_ms)
+{
+	return worker->listed && fleet_worker_answers(worker) &&
+	    !worker->entry.draining && !worker->evacuated &&
+	    now_ms >= worker->avoid_until_ms &&
+	    strcmp(worker->entry.service, job->spec->service) == 0 &&
+	    (*step->label == '\0' || has_label(&worker->entry, step->label));
+}
--- a/src/main/ibistrestled.c
+++ b/src/main/ibistrestled.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "agent/agent.h"
 #include "ibistrestle.h"
 
 #define MAX_OVERRIDES 64
@@ -13,6 +14,7 @@
     {"set", required_argument, NULL, 'o'},
     {"check-settings", required_argument, NULL, 'c'},
     {"print-defaults", no_argument, NULL, 'p'},
+    {"platform", no_argument, NULL, 'f'},
     {"help", no_argument, NULL, 'h'},
     {NULL, 0, NULL, 0},
 };
@@ -22,11 +24,14 @@
 {
 	(void)fputs(
 	    "usage: ibistrestled --settings FILE [--set KEY=VALUE ...]\n"
+	    "       ibistrestled --platform\n"
 	    "       ibistrestled --check-settings FILE\n"
 	    "       ibistrestled --print-defaults\n"
 	    "\n"
 	    "Runs one entry instance until SIGTERM or SIGINT, which make it\n"
-	    "finish what it has begun, hand over and exit.\n"
+	    "finish what it has begun, hand over and exit. --platform runs it\n"
+	    "on the users' platform, whose settings file the environment "
+	    "names.\n"
 	    "\n"
 	    "Exit codes: 0 stopped as asked, 1 could not start,\n"
 	    "2 wrong usage or settings.\n",
@@ -76,6 +81,14 @@
 	return 0;
 }
 
+static int
+run_on_platform(void)
+{
+	struct ibis_status status = {0};
+
+	return agent_run(&status) == 0 ? 0 : fail(&status, 1);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -101,6 +114,8 @@
 			path = optarg;
 			check_only = true;
 			break;
+		case 'f':
+			return run_on_platform();
 		case 'p':
 			ibis_settings_print_defaults();
 			return 0;
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -215,6 +215,7 @@
 		control_worker_result(control, event->worker);
 		worker_result_free(event->worker);
 		break;
+	case EVENT_GATEWAY: /* the agent's; none comes here */
 	case EVENT_STOP:
 		atomic_store(&control->stop_requested, true);
 		break;
--- a/src/process/event.c
+++ b/src/process/event.c
@@ -88,3 +88,9 @@
 		return false;
 	return take_now(queue, event);
 }
+
+int
+event_queue_fd(const struct event_queue *queue)
+{
+	return queue->wake_fd;
+}
--- a/src/process/event.h
+++ b/src/process/event.h
@@ -14,6 +14,7 @@
 #include "request/job.h"
 
 struct caller_request;
+struct gateway_request;
 struct store_result;
 struct worker_result;
 
@@ -25,6 +26,7 @@
 			     * lost; link.up is true */
 	EVENT_STORE,	    /* a store call has ended */
 	EVENT_WORKER,	    /* a worker call has ended */
+	EVENT_GATEWAY,	    /* a request at the gateway */
 	EVENT_STOP	    /* a planned stop was asked for */
 };
 
@@ -34,6 +36,7 @@
 	enum event_kind kind;
 	union {
 		struct caller_request *caller;
+		struct gateway_request *gateway;
 		struct {
 			char peer[JOB_NAME_BYTES];
 			Ibis__Frame *frame;
@@ -59,6 +62,9 @@
 /* Wakes the receiver; safe in a signal handler. */
 void event_queue_wake(struct event_queue *queue);
 
+/* Can be read when there are events; for a loop that waits on more. */
+int event_queue_fd(const struct event_queue *queue);
+
 /*
  * Takes the next event, waiting up to timeout_ms for one. Returns false when
  * there was none.
--- /dev/null
+++ b/src/version/routes.c
@@ -0,0 +1,63 @@
+#include <string.h>
+#include <strings.h>
+
+#include "process/alloc.h"
+#include "version/routes.h"
+
+struct routes *
+routes_new(size_t routes_count, size_t workspaces_count, size_t keys_count)
+{
+	struct routes *routes = mem_calloc(1, sizeof(*routes));
+
+	routes->routes = mem_calloc(routes_count + 1, sizeof(struct route));
+	routes->workspaces =
+	    mem_calloc(workspaces_count + 1, sizeof(struct routes_workspace));
+	routes->keys = mem_calloc(keys_count + 1, sizeof(struct routes_key));
+	return routes;
+}
+
+void
+routes_free(struct routes *routes)
+{
+	if (routes == NULL)
+		return;
+	mem_free(routes->routes);
+	mem_free(routes->workspaces);
+	mem_free(routes->keys);
+	mem_free(routes);
+}
+
+const struct route *
+routes_match(const struct routes *routes, const char *host, const char *path,
+    const char **rest)
+{
+	const struct route *best = NULL;
+	size_t best_length = 0;
+
+	for (size_t i = 0; i < routes->routes_count; i++) {
+		const struct route *route = &routes->routes[i];
+		size_t length = strlen(route->prefix);
+
+		if (strcasecmp(route->host, host) != 0 ||
+		    strncmp(route->prefix, path, length) != 0)
+			continue;
+		if (best == NULL || length > best_length) {
+			best = route;
+			best_length = length;
+		}
+	}
+	*rest = path + best_length;
+	return best;
+}
+
+const struct routes_workspace *
+routes_workspace_of(const struct routes *routes, const char *key)
+{
+	if (*key == '\0')
+		return NULL;
+	for (size_t i = 0; i < routes->keys_count; i++) {
+		if (strcmp(routes->keys[i].key, key) == 0)
+			return &routes->workspaces[routes->keys[i].workspace];
+	}
+	return NULL;
+}
