--- a/src/agent/agent_workers.c
+++ b/src/agent/agent_workers.c
@@ -13,7 +13,7 @@
 #define LOOK_WAIT_MS	 1500
 #define LOOK_TIMEOUT_MS	 700
 #define LOOK_RETRY_MS	 300
-#define ORDER_TIMEOUT_MS 500
+#define ORDER_TIMEOUT_MS 250
 
 /* Context of one call to a worker; it may outlive the lead's time. */
 struct worker_call {
@@ -210,7 +210,8 @@
 		    call->run, start_answer_of(outcome), clock_now_ms());
 		if (outcome == PLATFORM_ORDER_FENCED)
 			fenced(agent);
-		else if (outcome == PLATFORM_ORDER_OLD)
+		else if (outcome == PLATFORM_ORDER_OLD ||
+		    outcome == PLATFORM_ORDER_UNKNOWN)
 			link_of(agent, call->worker)->wants_extra = true;
 	}
 	mem_free(call);
@@ -274,6 +275,46 @@
 	    stop_done, call);
 }
 
+static const char *
+note_event(enum fleet_note_kind kind)
+{
+	switch (kind) {
+	case FLEET_NOTE_PLACED:
+		return "placed";
+	case FLEET_NOTE_ENDED:
+		return "run_ended";
+	case FLEET_NOTE_SETTLED:
+		return "job_settled";
+	case FLEET_NOTE_PAUSED:
+		return "worker_paused";
+	}
+	return "note";
+}
+
+static void
+log_notes(struct agent *agent)
+{
+	const struct fleet_note *notes;
+	size_t count = fleet_take_notes(agent->fleet, &notes);
+
+	for (size_t i = 0; i < count; i++) {
+		const struct fleet_note *note = &notes[i];
+
+		log_event(LOG_INFO, note_event(note->kind), "job",
+		    note->task.job, "occurrence",
+		    log_number(note->task.occurrence), "step",
+		    log_number(note->task.step), "index",
+		    log_number(note->task.index), "run",
+		    log_number((int64_t)note->run), "tasks",
+		    log_number(note->tasks), "priority",
+		    log_number(note->priority), "worker", note->worker,
+		    "outcome", note->outcome, "after_ms",
+		    log_number(note->after_ms), "look_age_ms",
+		    log_number(note->look_age_ms), "epoch",
+		    log_number((int64_t)agent->lead.epoch), NULL);
+	}
+}
+
 void
 agent_workers_decide(struct agent *agent, int64_t now_ms)
 {
@@ -297,6 +338,7 @@
 			break;
 		}
 	}
+	log_notes(agent);
 	agent_wake_at(agent, fleet_next_ms(agent->fleet));
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -226,12 +226,12 @@
     struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms);
 
 void fleet_start_answered(struct fleet *fleet, struct fleet_worker *worker,
-    const struct fleet_task_id *task, uint64_t run,
+    const struct fleet_task_id *id, uint64_t run,
     enum fleet_start_answer answer, int64_t now_ms);
 
 /* done: the worker has taken the stop; else it is to be sent again. */
 void fleet_stop_answered(struct fleet *fleet, struct fleet_worker *worker,
-    const struct fleet_task_id *task, uint64_t run, bool done, int64_t now_ms);
+    const struct fleet_task_id *id, uint64_t run, bool done, int64_t now_ms);
 
 /*
  * Configuration group.
@@ -257,6 +257,30 @@
 /* When fleet_decide has something to do without an event. */
 int64_t fleet_next_ms(const struct fleet *fleet);
 
+/* What the fleet decided or came to believe, for the log. */
+enum fleet_note_kind {
+	FLEET_NOTE_PLACED,  /* tasks of a step got their workers */
+	FLEET_NOTE_ENDED,   /* a run has ended, or is believed to have */
+	FLEET_NOTE_SETTLED, /* a job has reached its last phase */
+	FLEET_NOTE_PAUSED   /* a worker is left alone for a while */
+};
+
+struct fleet_note {
+	enum fleet_note_kind kind;
+	struct fleet_task_id task; /* of a placing: the first */
+	uint64_t run;
+	char worker[FLEET_NAME_BYTES]; /* of a placing: the first's */
+	const char *outcome;
+	uint32_t tasks;
+	uint32_t priority;
+	int64_t after_ms;    /* waited, ran or paused for so long */
+	int64_t look_age_ms; /* of what is known of the worker */
+};
+
+/* Hands out the notes since the last call; valid until the next call that
+ * changes the fleet. */
+size_t fleet_take_notes(struct fleet *fleet, const struct fleet_note **notes);
+
 struct fleet_usage {
 	uint64_t jobs;
 	uint64_t waiting_tasks;
--- a/src/fleet/fleet_decide.c
+++ b/src/fleet/fleet_decide.c
@@ -122,22 +122,38 @@
 	return strcmp(job_a->id, job_b->id);
 }
 
+static void
+note_placed(struct fleet *fleet, const struct fleet_task *first, size_t count,
+    const char *manner, int64_t now_ms)
+{
+	fleet_note_task(fleet, first, FLEET_NOTE_PLACED, manner,
+	    first->occurrence->ready_ms, now_ms);
+	if (fleet->notes_count > 0)
+		fleet->notes[fleet->notes_count - 1].tasks = (uint32_t)count;
+}
+
 static void
 place_unit(struct round *round, const struct unit *unit)
 {
 	struct fleet_task *const *tasks = &round->waiting[unit->first];
+	const char *manner = "free room";
 	size_t found;
 
 	round->targets = mem_grow(round->targets, &round->targets_capacity,
 	    unit->count, sizeof(struct fleet_worker *));
 	found = fleet_find_places(
 	    round->fleet, tasks, unit->count, round->targets, round->now_ms);
-	if (found == 0 && unit->occurrence->job->spec->priority == 0)
+	if (found == 0 && unit->occurrence->job->spec->priority == 0) {
+		manner = "reclaimed room";
 		found = fleet_reclaim_places(round->fleet, tasks, unit->count,
 		    round->targets, round->now_ms);
+	}
 	for (size_t i = 0; i < found; i++)
 		fleet_place_task(
 		    round->fleet, tasks[i], round->targets[i], round->now_ms);
+	if (found > 0)
+		note_placed(
+		    round->fleet, tasks[0], found, manner, round->now_ms);
 }
 
 static void
@@ -152,6 +168,8 @@
 		if (!job->cancelled && !fleet_job_final(job))
 			collect_job(&round, job);
 	}
+	if (round.units_count == 0)
+		return;
 	qsort(round.units, round.units_count, sizeof(*round.units),
 	    compare_units);
 	for (size_t i = 0; i < round.units_count; i++)
@@ -320,6 +338,7 @@
     const struct fleet_order **orders)
 {
 	fleet->orders_count = 0;
+	fleet->now_ms = now_ms;
 	fleet->next_ms = now_ms + LATEST_WAKE_MS;
 	fleet_expire_leases(fleet, now_ms);
 	order_stray_stops(fleet);
--- a/src/fleet/fleet_jobs.c
+++ b/src/fleet/fleet_jobs.c
@@ -219,6 +219,7 @@
 			    "cancelled", now_ms);
 	}
 	job->phase = IBIS__STEP_JOB_PHASE__PHASE_CANCELLED;
+	fleet_note_job(fleet, job, "cancelled", now_ms);
 	fleet_touch(fleet, job);
 	fleet_wake_at(fleet, now_ms);
 }
@@ -262,9 +263,16 @@
 	return true;
 }
 
+static void
+complete(struct fleet *fleet, struct fleet_job *job)
+{
+	job->phase = IBIS__STEP_JOB_PHASE__PHASE_COMPLETED;
+	fleet_note_job(fleet, job, "completed", fleet->now_ms);
+}
+
 /* Drops occurrences that are all done, and ends the job after the last. */
 static void
-settle(struct fleet_job *job)
+settle(struct fleet *fleet, struct fleet_job *job)
 {
 	size_t kept = 0;
 
@@ -285,7 +293,7 @@
 		return;
 	if (job->finished + 1 == occurrences_of(job->spec) && kept == 1 &&
 	    job->occurrences[0]->done == job->tasks_count)
-		job->phase = IBIS__STEP_JOB_PHASE__PHASE_COMPLETED;
+		complete(fleet, job);
 	else if (kept > 0 || job->finished > 0)
 		job->phase = IBIS__STEP_JOB_PHASE__PHASE_RUNNING;
 }
@@ -377,7 +385,7 @@
 	cds_list_for_each_entry (job, &fleet->unrecorded, unrecorded) {
 		if (job->writing)
 			continue;
-		settle(job);
+		settle(fleet, job);
 		cds_list_del(&job->unrecorded);
 		job->dirty = false;
 		job->writing = true;
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -119,7 +119,8 @@
 	uint64_t generation;
 	uint64_t looks;
 	int64_t lead_since_ms;
-	bool changed; /* since the last placing */
+	int64_t now_ms; /* of the last decision */
+	bool changed;	/* since the last placing */
 	int64_t next_ms;
 	int64_t place_ms; /* of a placing without a change */
 	char (*zones_out)[FLEET_NAME_BYTES];
@@ -134,6 +135,10 @@
 	struct fleet_order *orders;
 	size_t orders_count;
 	size_t orders_capacity;
+	struct fleet_note *notes;
+	size_t notes_count;
+	size_t notes_capacity;
+	bool notes_taken;
 };
 
 /* Room group. */
@@ -172,6 +177,15 @@
 void fleet_set_checkpoint(struct fleet_task *task, const char *checkpoint);
 const char *fleet_checkpoint(const struct fleet_task *task);
 
+/* Note group. */
+void fleet_note_task(struct fleet *fleet, const struct fleet_task *task,
+    enum fleet_note_kind kind, const char *outcome, int64_t since_ms,
+    int64_t now_ms);
+void fleet_note_job(struct fleet *fleet, const struct fleet_job *job,
+    const char *outcome, int64_t now_ms);
+void fleet_note_pause(
+    struct fleet *fleet, const struct fleet_worker *worker, int64_t pause_ms);
+
 /* Job group. */
 void fleet_touch(struct fleet *fleet, struct fleet_job *job);
 void fleet_open_due(struct fleet *fleet, int64_t now_ms, int64_t wall_ms);
@@ -179,8 +193,9 @@
     struct fleet *fleet, struct fleet_task *task, int64_t now_ms);
 void fleet_task_failed(
     struct fleet *fleet, struct fleet_task *task, int64_t now_ms);
+/* It runs no more, and waits again. checkpoint may be NULL. */
 void fleet_task_lost(struct fleet *fleet, struct fleet_task *task,
-    const char *checkpoint, int64_t now_ms);
+    const char *outcome, const char *checkpoint, int64_t now_ms);
 bool fleet_step_open(const struct fleet_occurrence *occurrence, uint32_t step);
 bool fleet_job_final(const struct fleet_job *job);
 
--- a/src/fleet/fleet_place.c
+++ b/src/fleet/fleet_place.c
@@ -111,8 +111,9 @@
 		search->candidates[search->count++] = (struct candidate){
 		    .worker = worker, .fits = fits, .left = weigh(&left)};
 	}
-	qsort(search->candidates, search->count, sizeof(*search->candidates),
-	    compare_left);
+	if (search->count > 0)
+		qsort(search->candidates, search->count,
+		    sizeof(*search->candidates), compare_left);
 }
 
 static bool
@@ -365,8 +366,9 @@
 			.fits = fits,
 			.left = cost_of_worker(search, worker)};
 	}
-	qsort(search->candidates, search->count, sizeof(*search->candidates),
-	    compare_left);
+	if (search->count > 0)
+		qsort(search->candidates, search->count,
+		    sizeof(*search->candidates), compare_left);
 }
 
 /* The rack whose cheapest workers take all at the lowest cost, or NULL. */
--- a/src/fleet/fleet_tasks.c
+++ b/src/fleet/fleet_tasks.c
@@ -242,10 +242,12 @@
 }
 
 static void
-finish_one(struct fleet_task *task)
+finish_one(struct fleet *fleet, struct fleet_task *task, int64_t now_ms)
 {
 	if (task->state == TASK_DONE)
 		return;
+	fleet_note_task(
+	    fleet, task, FLEET_NOTE_ENDED, "done", task->started_ms, now_ms);
 	fleet_take_off(task, TASK_DONE);
 	task->occurrence->done++;
 }
@@ -256,7 +258,7 @@
 	const Ibis__JobStep *step = fleet_step_of(task);
 
 	if (step->lasting) {
-		fleet_task_lost(fleet, task, NULL, now_ms);
+		fleet_task_lost(fleet, task, "done", NULL, now_ms);
 		return;
 	}
 	if (step->gang) {
@@ -264,9 +266,9 @@
 		    fleet_step_tasks(task->occurrence, task->step);
 
 		for (uint32_t i = 0; i < step->tasks; i++)
-			finish_one(&tasks[i]);
+			finish_one(fleet, &tasks[i], now_ms);
 	} else {
-		finish_one(task);
+		finish_one(fleet, task, now_ms);
 	}
 	fleet_touch(fleet, task->occurrence->job);
 	fleet_wake_at(fleet, now_ms);
@@ -274,8 +276,10 @@
 
 void
 fleet_task_lost(struct fleet *fleet, struct fleet_task *task,
-    const char *checkpoint, int64_t now_ms)
+    const char *outcome, const char *checkpoint, int64_t now_ms)
 {
+	fleet_note_task(
+	    fleet, task, FLEET_NOTE_ENDED, outcome, task->started_ms, now_ms);
 	fleet_set_checkpoint(task, checkpoint);
 	fleet_take_off(task, TASK_WAITING);
 	if (fleet_step_of(task)->gang)
@@ -295,8 +299,10 @@
 		counted = fleet_step_tasks(task->occurrence, task->step);
 	if (!fleet_step_of(task)->lasting)
 		counted->failures++;
-	fleet_task_lost(fleet, task, NULL, now_ms);
+	fleet_task_lost(fleet, task, "failed", NULL, now_ms);
 	if (counted->failures >= job->spec->attempts && !fleet_job_final(job) &&
-	    !fleet_step_of(task)->lasting)
+	    !fleet_step_of(task)->lasting) {
 		job->phase = IBIS__STEP_JOB_PHASE__PHASE_FAILED;
+		fleet_note_job(fleet, job, "failed", now_ms);
+	}
 }
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -39,6 +39,7 @@
 	mem_free(fleet->guarantees);
 	mem_free(fleet->strays);
 	mem_free(fleet->orders);
+	mem_free(fleet->notes);
 	mem_free(fleet);
 }
 
@@ -91,7 +92,8 @@
 		    task, next, &worker->tasks, on_worker) {
 			if (!fleet_task_holds_room(task->state))
 				continue;
-			fleet_task_lost(fleet, task, NULL, now_ms);
+			fleet_task_lost(
+			    fleet, task, "lost with worker", NULL, now_ms);
 			more = true;
 			break;
 		}
@@ -289,11 +291,16 @@
 
 /* A worker that fails what it is given is left alone for a while. */
 static void
-blame(struct fleet_worker *worker, int64_t now_ms)
+blame(struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms)
 {
+	int64_t pause_ms;
+
 	worker->failures++;
-	if (worker->failures >= FAILURES_BEFORE_PAUSE)
-		worker->avoid_until_ms = now_ms + PAUSE_MS * worker->failures;
+	if (worker->failures < FAILURES_BEFORE_PAUSE)
+		return;
+	pause_ms = (int64_t)PAUSE_MS * worker->failures;
+	worker->avoid_until_ms = now_ms + pause_ms;
+	fleet_note_pause(fleet, worker, pause_ms);
 }
 
 static void
@@ -313,14 +320,21 @@
 		fleet_task_done(fleet, task, now_ms);
 		break;
 	case FLEET_END_FAILED:
-		blame(worker, now_ms);
+		blame(fleet, worker, now_ms);
 		fleet_task_failed(fleet, task, now_ms);
 		break;
 	case FLEET_END_STOPPED:
+		fleet_task_lost(
+		    fleet, task, "stopped", end->checkpoint, now_ms);
+		break;
 	case FLEET_END_LAPSED:
+		fleet_task_lost(fleet, task, "lapsed", end->checkpoint, now_ms);
+		break;
 	case FLEET_END_BROKEN:
+		fleet_task_lost(fleet, task, "broken", end->checkpoint, now_ms);
+		break;
 	case FLEET_END_ALONE:
-		fleet_task_lost(fleet, task, end->checkpoint, now_ms);
+		fleet_task_lost(fleet, task, "alone", end->checkpoint, now_ms);
 		break;
 	}
 }
@@ -356,6 +370,17 @@
 	}
 }
 
+/* A start without an answer may still be carried out late: the stop of the
+ * same run forbids that. */
+static void
+lose_unseen_task(struct fleet *fleet, struct fleet_task *task, int64_t now_ms)
+{
+	if (task->state == TASK_SENT)
+		fleet_stop_unit(fleet, task, "no answer to the start", now_ms);
+	else
+		fleet_task_lost(fleet, task, "not there", NULL, now_ms);
+}
+
 /* What a look that was sent late enough did not show is not there. */
 static void
 lose_unseen(struct fleet *fleet, struct fleet_worker *worker, int64_t sent_ms,
@@ -371,7 +396,7 @@
 			    task->seen_look == fleet->looks ||
 			    task->known_ms > sent_ms)
 				continue;
-			fleet_task_lost(fleet, task, NULL, now_ms);
+			lose_unseen_task(fleet, task, now_ms);
 			more = true;
 			break;
 		}
@@ -466,10 +491,11 @@
 	case FLEET_START_REFUSED:
 		worker->avoid_until_ms = now_ms + REFUSED_PAUSE_MS;
 		if (task->state == TASK_SENT || task->state == TASK_STOPPING)
-			fleet_task_lost(fleet, task, NULL, now_ms);
+			fleet_task_lost(fleet, task, "refused", NULL, now_ms);
 		break;
 	case FLEET_START_UNKNOWN:
-		fleet_stop_unit(fleet, task, "no answer to the start", now_ms);
+		if (task->state == TASK_SENT)
+			task->known_ms = now_ms;
 		break;
 	}
 	fleet_wake_at(fleet, now_ms);
@@ -533,7 +559,8 @@
 	fleet->guarantees[fleet->guarantees_count] =
 	    (struct fleet_guarantee){.accelerators = accelerators};
 	STRING_COPY(
-	    fleet->guarantees[fleet->guarantees_count++].workspace, workspace);
+	    fleet->guarantees[fleet->guarantees_count].workspace, workspace);
+	fleet->guarantees_count++;
 }
 
 struct fleet_room
