--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -88,6 +88,7 @@
 	int64_t clock_ms; /* sample of its clock, taken at clock_at_ms */
 	int64_t clock_at_ms;
 	int64_t lease_until_ms; /* on our clock, at the latest */
+	int64_t granted_ms;	/* when the last lease was granted */
 	uint64_t seen_end;
 	uint64_t seen_generation;
 	uint64_t acked_end;
--- a/src/fleet/fleet_place.c
+++ b/src/fleet/fleet_place.c
@@ -84,6 +84,14 @@
 	return strcmp(a->worker->entry.id, b->worker->entry.id);
 }
 
+static void
+sort_candidates(struct search *search)
+{
+	if (search->candidates != NULL)
+		qsort(search->candidates, search->count,
+		    sizeof(*search->candidates), compare_left);
+}
+
 static void
 open_search(struct search *search)
 {
@@ -111,9 +119,7 @@
 		search->candidates[search->count++] = (struct candidate){
 		    .worker = worker, .fits = fits, .left = weigh(&left)};
 	}
-	if (search->count > 0)
-		qsort(search->candidates, search->count,
-		    sizeof(*search->candidates), compare_left);
+	sort_candidates(search);
 }
 
 static bool
@@ -366,9 +372,7 @@
 			.fits = fits,
 			.left = cost_of_worker(search, worker)};
 	}
-	if (search->count > 0)
-		qsort(search->candidates, search->count,
-		    sizeof(*search->candidates), compare_left);
+	sort_candidates(search);
 }
 
 /* The rack whose cheapest workers take all at the lowest cost, or NULL. */
--- a/src/fleet/fleet_tasks.c
+++ b/src/fleet/fleet_tasks.c
@@ -158,10 +158,12 @@
 	cds_list_add_tail(&task->on_worker, &worker->tasks);
 	task->run++;
 	task->placed_ms = now_ms;
+	task->started_ms = now_ms;
 	task->stop_sent_ms = 0;
 	task->stop_reason = NULL;
 	task->known_ms = INT64_MAX;
 	task->percent = 0;
+	task->seen_look = 0;
 	fleet_set_state(task, TASK_PLACED);
 	fleet_touch(fleet, task->occurrence->job);
 	task->placed_generation = fleet->generation;
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -10,6 +10,8 @@
 #define FAILURES_BEFORE_PAUSE 2
 #define PAUSE_MS	      2500
 #define REFUSED_PAUSE_MS      500
+/* An order to it was left unanswered and not carried out. */
+#define UNANSWERED_PAUSE_MS 1500
 
 struct fleet *
 fleet_new(const struct fleet_config *config, int64_t now_ms)
@@ -77,9 +79,50 @@
 	return false;
 }
 
-/* All that may run on a worker has ended without a word. */
+/* What no look has shown, or was stopped without an answer, may have been sent
+ * to the new incarnation: the next look or a stop settles that. */
+static bool
+survives_rebirth(const struct fleet_task *task)
+{
+	return task->state == TASK_SENT || task->seen_look == 0 ||
+	    (task->state == TASK_STOPPING && task->known_ms == INT64_MAX);
+}
+
+/* Why all that may run on a worker has ended without a word. */
+enum loss {
+	LOSS_REBIRTH,
+	LOSS_LEASES
+};
+
+/*
+ * A worker may have crashed and come back unseen: a start that no look has
+ * shown may have been read by the new clock, as the longest lease there is.
+ */
+static bool
+outlives_leases(
+    const struct fleet *fleet, const struct fleet_task *task, int64_t now_ms)
+{
+	return task->seen_look == 0 && task->worker->reported &&
+	    now_ms < task->worker->granted_ms +
+		(int64_t)(fleet->config.max_lease_ms * FLEET_CLOCK_SLOW);
+}
+
+static bool
+survives(const struct fleet *fleet, const struct fleet_task *task,
+    enum loss loss, int64_t now_ms)
+{
+	switch (loss) {
+	case LOSS_REBIRTH:
+		return survives_rebirth(task);
+	case LOSS_LEASES:
+		return outlives_leases(fleet, task, now_ms);
+	}
+	return true;
+}
+
 static void
-lose_all(struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms)
+lose_all(struct fleet *fleet, struct fleet_worker *worker, enum loss loss,
+    int64_t now_ms)
 {
 	struct fleet_task *task;
 	struct fleet_task *next;
@@ -90,7 +133,8 @@
 		more = false;
 		cds_list_for_each_entry_safe (
 		    task, next, &worker->tasks, on_worker) {
-			if (!fleet_task_holds_room(task->state))
+			if (!fleet_task_holds_room(task->state) ||
+			    survives(fleet, task, loss, now_ms))
 				continue;
 			fleet_task_lost(
 			    fleet, task, "lost with worker", NULL, now_ms);
@@ -124,12 +168,16 @@
 forget_incarnation(
     struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms)
 {
-	lose_all(fleet, worker, now_ms);
+	lose_all(fleet, worker, LOSS_REBIRTH, now_ms);
 	worker->reported = false;
 	worker->seen_end = 0;
 	worker->acked_end = 0;
 	worker->seen_generation = 0;
-	worker->lease_until_ms = 0;
+	/* Leases that were granted by the old clock may have been read by the
+	 * new one. */
+	worker->lease_until_ms = worker->granted_ms == 0 ? 0
+							 : worker->granted_ms +
+		(int64_t)(fleet->config.max_lease_ms * FLEET_CLOCK_SLOW);
 	worker->failures = 0;
 	worker->avoid_until_ms = 0;
 }
@@ -284,6 +332,7 @@
 		return 0;
 	until_ms = worker->clock_ms + (now_ms - worker->clock_at_ms) +
 	    fleet->config.lease_ms;
+	worker->granted_ms = now_ms;
 	if (to_our_clock(worker, until_ms) > worker->lease_until_ms)
 		worker->lease_until_ms = to_our_clock(worker, until_ms);
 	return until_ms;
@@ -375,10 +424,12 @@
 static void
 lose_unseen_task(struct fleet *fleet, struct fleet_task *task, int64_t now_ms)
 {
-	if (task->state == TASK_SENT)
+	if (task->state == TASK_SENT) {
+		task->worker->avoid_until_ms = now_ms + UNANSWERED_PAUSE_MS;
 		fleet_stop_unit(fleet, task, "no answer to the start", now_ms);
-	else
+	} else {
 		fleet_task_lost(fleet, task, "not there", NULL, now_ms);
+	}
 }
 
 /* What a look that was sent late enough did not show is not there. */
@@ -419,8 +470,10 @@
 		worker->reported = true;
 		/* Earlier leads are shut out now; only what is listed may
 		 * still hold a lease of theirs. */
-		worker->lease_until_ms = now_ms +
-		    (int64_t)(fleet->config.lease_ms * FLEET_CLOCK_SLOW);
+		if (worker->granted_ms == 0)
+			worker->lease_until_ms = now_ms +
+			    (int64_t)(fleet->config.lease_ms *
+				FLEET_CLOCK_SLOW);
 	}
 	worker->silent = false;
 	worker->clock_ms = report->clock_ms;
@@ -463,7 +516,7 @@
 			continue;
 		}
 		if (!fleet_worker_answers(worker))
-			lose_all(fleet, worker, now_ms);
+			lose_all(fleet, worker, LOSS_LEASES, now_ms);
 		if (!worker->listed && !fleet_worker_busy(worker))
 			remove_worker(fleet, worker);
 	}
--- /dev/null
+++ b/tests/test_fleet.c
@@ -0,0 +1,424 @@
+/* The fleet's decisions, against a small world of workers. */
+#include <stdio.h>
+
+#include "common_cunit.h"
+#include "common_world.h"
+#include "process/alloc.h"
+
+#define COMPLETED IBIS__STEP_JOB_PHASE__PHASE_COMPLETED
+#define FAILED	  IBIS__STEP_JOB_PHASE__PHASE_FAILED
+#define CANCELLED IBIS__STEP_JOB_PHASE__PHASE_CANCELLED
+
+static void
+check_rules(const struct world *world)
+{
+	if (world->broken[0] != '\0')
+		(void)printf("broken: %s\n", world->broken);
+	CU_ASSERT_EQUAL(world->broken[0], '\0');
+}
+
+static void
+test_steps_run_in_order(void)
+{
+	CLEANUP(world_close) struct world world;
+	size_t job;
+
+	world_open(&world, 4, 2);
+	job = world_submit(&world, world_new_job(1, 3, 4, 1), 500);
+	world_run(&world, 5000);
+	CU_ASSERT_EQUAL(world_phase(&world, job), COMPLETED);
+	CU_ASSERT_EQUAL(world.starts, 12);
+	check_rules(&world);
+}
+
+static void
+test_gang_waits_until_all_fit(void)
+{
+	CLEANUP(world_close) struct world world;
+	Ibis__StepJob *gang = world_new_job(1, 1, 4, 8);
+	size_t small;
+	size_t job;
+
+	gang->steps[0]->gang = true;
+	world_open(&world, 4, 4);
+	small = world_submit(&world, world_new_job(1, 1, 1, 4), 1000);
+	world_run(&world, 200);
+	job = world_submit(&world, gang, 500);
+	world_run(&world, 400);
+	CU_ASSERT_EQUAL(world_running(&world, job), 0);
+	world_run(&world, 2000);
+	CU_ASSERT_EQUAL(world_phase(&world, small), COMPLETED);
+	CU_ASSERT_EQUAL(world_phase(&world, job), COMPLETED);
+	check_rules(&world);
+}
+
+static void
+test_gang_keeps_to_one_rack(void)
+{
+	CLEANUP(world_close) struct world world;
+	Ibis__StepJob *gang = world_new_job(1, 1, 2, 8);
+	Ibis__StepJob *filler = world_new_job(1, 1, 1, 1);
+	uint32_t in_first = 0;
+	size_t job;
+
+	gang->steps[0]->gang = true;
+	gang->steps[0]->same_rack = true;
+	world_open(&world, 4, 2);
+	(void)world_submit(&world, filler, 60000);
+	world_run(&world, 200);
+	job = world_submit(&world, gang, 2000);
+	world_run(&world, 300);
+	CU_ASSERT_EQUAL(world_running(&world, job), 2);
+	for (size_t i = 0; i < WORLD_RUNS; i++) {
+		in_first += world.workers[0].runs[i].used;
+		in_first += world.workers[1].runs[i].used;
+	}
+	CU_ASSERT_TRUE(in_first == 1 || in_first == 2);
+	check_rules(&world);
+}
+
+static void
+test_urgent_job_takes_room_back(void)
+{
+	CLEANUP(world_close) struct world world;
+	Ibis__StepJob *urgent = world_new_job(0, 1, 2, 8);
+	size_t first;
+	size_t job;
+
+	urgent->steps[0]->gang = true;
+	world_open(&world, 2, 2);
+	first = world_submit(&world, world_new_job(2, 1, 16, 1), 60000);
+	world_run(&world, 300);
+	CU_ASSERT_EQUAL(world_running(&world, first), 16);
+	job = world_submit(&world, urgent, 500);
+	world_run(&world, 300);
+	CU_ASSERT_EQUAL(world_running(&world, job), 2);
+	world_run(&world, 70000);
+	CU_ASSERT_EQUAL(world_phase(&world, first), COMPLETED);
+	check_rules(&world);
+}
+
+static void
+test_hopeless_job_fails_after_its_attempts(void)
+{
+	CLEANUP(world_close) struct world world;
+	size_t job;
+
+	world_open(&world, 4, 2);
+	job = world_submit(&world, world_new_job(1, 1, 1, 1), 200);
+	world.jobs[job].poison = true;
+	world_run(&world, 20000);
+	CU_ASSERT_EQUAL(world_phase(&world, job), FAILED);
+	CU_ASSERT_EQUAL(world.starts, 3);
+	check_rules(&world);
+}
+
+static void
+test_cancelled_job_leaves(void)
+{
+	CLEANUP(world_close) struct world world;
+	size_t job;
+
+	world_open(&world, 2, 2);
+	job = world_submit(&world, world_new_job(1, 1, 4, 1), 60000);
+	world_run(&world, 500);
+	CU_ASSERT_EQUAL(world_running(&world, job), 4);
+	world_cancel(&world, job);
+	world_run(&world, 500);
+	CU_ASSERT_EQUAL(world_running(&world, job), 0);
+	CU_ASSERT_EQUAL(world_phase(&world, job), CANCELLED);
+	check_rules(&world);
+}
+
+/* Pattern: a worker is cut off and runs on; its work may only start elsewhere
+ * once its lease has run out. */
+static void
+test_cut_worker_keeps_its_work_until_the_lease_ends(void)
+{
+	CLEANUP(world_close) struct world world;
+	size_t job;
+
+	world_open(&world, 2, 2);
+	job = world_submit(&world, world_new_job(1, 1, 1, 1), 30000);
+	world_run(&world, 500);
+	world.workers[0].cut = true;
+	world_run(&world, 5000);
+	CU_ASSERT_EQUAL(world.starts, 1);
+	world_run(&world, 40000);
+	CU_ASSERT_EQUAL(world.starts, 2);
+	CU_ASSERT_EQUAL(world_phase(&world, job), COMPLETED);
+	check_rules(&world);
+}
+
+/* Pattern: the worker runs the order and its answer is lost. */
+static void
+test_lost_answer_is_looked_up(void)
+{
+	CLEANUP(world_close) struct world world;
+	Ibis__StepJob *gang = world_new_job(0, 1, 2, 8);
+	size_t job;
+
+	gang->steps[0]->gang = true;
+	world_open(&world, 2, 2);
+	world_run(&world, 200);
+	world.workers[0].loses_answers = true;
+	world.workers[1].loses_answers = true;
+	job = world_submit(&world, gang, 1000);
+	world_run(&world, 3000);
+	CU_ASSERT_EQUAL(world_phase(&world, job), COMPLETED);
+	CU_ASSERT_EQUAL(world.starts, 2);
+	CU_ASSERT_EQUAL(world.stops, 0);
+	check_rules(&world);
+}
+
+/* Pattern: orders are carried out seconds later, after the task has gone to
+ * another worker. */
+static void
+test_late_order_starts_nothing_twice(void)
+{
+	CLEANUP(world_close) struct world world;
+	size_t job;
+
+	world_open(&world, 2, 2);
+	world_run(&world, 200);
+	world.workers[0].late = true;
+	world.workers[1].late = true;
+	job = world_submit(&world, world_new_job(1, 1, 4, 1), 4000);
+	world_run(&world, 1000);
+	world.workers[0].late = false;
+	world.workers[1].late = false;
+	world_run(&world, 20000);
+	CU_ASSERT_EQUAL(world_phase(&world, job), COMPLETED);
+	check_rules(&world);
+}
+
+/* Pattern: the lead dies; the next one has the records and asks the workers. */
+static void
+test_takeover_goes_on_with_what_runs(void)
+{
+	CLEANUP(world_close) struct world world;
+	size_t job;
+
+	world_open(&world, 4, 2);
+	job = world_submit(&world, world_new_job(1, 2, 6, 2), 3000);
+	world_run(&world, 1000);
+	world_take_over(&world);
+	world_run(&world, 20000);
+	CU_ASSERT_EQUAL(world_phase(&world, job), COMPLETED);
+	CU_ASSERT_EQUAL(world.starts, 12);
+	check_rules(&world);
+}
+
+/* Pattern: the lead dies while a worker with work is cut off. */
+static void
+test_takeover_beside_a_cut_worker(void)
+{
+	CLEANUP(world_close) struct world world;
+	size_t job;
+
+	world_open(&world, 2, 2);
+	job = world_submit(&world, world_new_job(1, 1, 16, 1), 20000);
+	world_run(&world, 1000);
+	world.workers[1].cut = true;
+	world_take_over(&world);
+	world_run(&world, 60000);
+	CU_ASSERT_EQUAL(world_phase(&world, job), COMPLETED);
+	check_rules(&world);
+}
+
+static void
+test_reborn_worker_has_lost_its_work(void)
+{
+	CLEANUP(world_close) struct world world;
+	size_t job;
+
+	world_open(&world, 1, 1);
+	job = world_submit(&world, world_new_job(1, 1, 2, 1), 5000);
+	world_run(&world, 1000);
+	world_reborn(&world, 0);
+	world_run(&world, 8000);
+	CU_ASSERT_EQUAL(world_phase(&world, job), COMPLETED);
+	CU_ASSERT_EQUAL(world.starts, 4);
+	check_rules(&world);
+}
+
+/* Pattern: a start reaches the new incarnation late, before its rebirth is
+ * known. */
+static void
+test_late_order_to_reborn_worker(void)
+{
+	CLEANUP(world_close) struct world world;
+	size_t job;
+
+	world_open(&world, 4, 2);
+	world_run(&world, 100);
+	world.workers[0].late = true;
+	job = world_submit(&world, world_new_job(0, 1, 1, 1), 200);
+	world_reborn(&world, 0);
+	world_run(&world, 4000);
+	world.workers[0].late = false;
+	world_run(&world, 20000);
+	CU_ASSERT_EQUAL(world_phase(&world, job), COMPLETED);
+	check_rules(&world);
+}
+
+/* Pattern: a lease by the old clock is read by the new one, and the worker is
+ * cut off: it runs on for the longest lease there is. */
+static void
+test_lease_by_the_old_clock(void)
+{
+	CLEANUP(world_close) struct world world;
+
+	world_open(&world, 4, 2);
+	(void)world_submit(&world, world_new_job(0, 1, 1, 1), 8000);
+	world_reborn(&world, 0);
+	world_run(&world, 90);
+	world.workers[0].cut = true;
+	world_run(&world, 30000);
+	CU_ASSERT_EQUAL(world_phase(&world, 0), COMPLETED);
+	check_rules(&world);
+}
+
+/* Nothing starts while its placement can't be recorded. */
+static void
+test_store_outage_holds_starts_back(void)
+{
+	CLEANUP(world_close) struct world world;
+	size_t running;
+	size_t job;
+
+	world_open(&world, 2, 2);
+	running = world_submit(&world, world_new_job(1, 1, 2, 1), 9000);
+	world_run(&world, 500);
+	world.store_down = true;
+	job = world_submit(&world, world_new_job(1, 1, 2, 1), 500);
+	world_run(&world, 7000);
+	CU_ASSERT_EQUAL(world_running(&world, job), 0);
+	CU_ASSERT_EQUAL(world_running(&world, running), 2);
+	world.store_down = false;
+	world_run(&world, 5000);
+	CU_ASSERT_EQUAL(world_phase(&world, job), COMPLETED);
+	CU_ASSERT_EQUAL(world_phase(&world, running), COMPLETED);
+	check_rules(&world);
+}
+
+/* Pattern: a worker fails all that it is given. */
+static void
+test_failing_worker_costs_no_job(void)
+{
+	CLEANUP(world_close) struct world world;
+	size_t done = 0;
+
+	world_open(&world, 4, 2);
+	world_run(&world, 200);
+	world.workers[0].fails_all = true;
+	for (size_t i = 0; i < 10; i++) {
+		(void)world_submit(&world, world_new_job(1, 1, 2, 2), 400);
+		world_run(&world, 300);
+	}
+	world_run(&world, 30000);
+	for (size_t i = 0; i < world.jobs_count; i++)
+		done += world_phase(&world, i) == COMPLETED;
+	CU_ASSERT_EQUAL(done, 10);
+	check_rules(&world);
+}
+
+static void
+test_zone_taken_out_gets_no_starts(void)
+{
+	CLEANUP(world_close) struct world world;
+	uint32_t in_zone = 0;
+
+	world_open(&world, 4, 2);
+	fleet_set_zone(world.fleet, "z0", false);
+	(void)world_submit(&world, world_new_job(1, 1, 32, 1), 2000);
+	world_run(&world, 1000);
+	for (size_t i = 0; i < WORLD_RUNS; i++)
+		in_zone += world.workers[0].runs[i].used +
+		    world.workers[2].runs[i].used;
+	CU_ASSERT_EQUAL(in_zone, 0);
+	CU_ASSERT_EQUAL(world_running(&world, 0), 16);
+	fleet_set_zone(world.fleet, "z0", true);
+	world_run(&world, 300);
+	CU_ASSERT_EQUAL(world_running(&world, 0), 32);
+	check_rules(&world);
+}
+
+static void
+test_occurrences_start_when_due(void)
+{
+	CLEANUP(world_close) struct world world;
+	Ibis__StepJob *timed = world_new_job(1, 1, 1, 1);
+	size_t job;
+
+	world_open(&world, 2, 2);
+	timed->times = 3;
+	timed->first_wall_ms = world.now_ms + 1000;
+	timed->interval_ms = 2000;
+	job = world_submit(&world, timed, 300);
+	world_run(&world, 900);
+	CU_ASSERT_EQUAL(world.starts, 0);
+	world_run(&world, 500);
+	CU_ASSERT_EQUAL(world.starts, 1);
+	world_run(&world, 5000);
+	CU_ASSERT_EQUAL(world.starts, 3);
+	CU_ASSERT_EQUAL(world_phase(&world, job), COMPLETED);
+	check_rules(&world);
+}
+
+static void
+test_lasting_tasks_are_started_again(void)
+{
+	CLEANUP(world_close) struct world world;
+	Ibis__StepJob *lasting = world_new_job(1, 1, 2, 1);
+	size_t job;
+
+	world_open(&world, 2, 2);
+	lasting->steps[0]->lasting = true;
+	job = world_submit(&world, lasting, 60000);
+	world.jobs[job].run_ms = 1000;
+	world_run(&world, 500);
+	world_reborn(&world, 0);
+	world_run(&world, 3000);
+	CU_ASSERT_EQUAL(world_running(&world, job), 2);
+	world_cancel(&world, job);
+	world_run(&world, 500);
+	CU_ASSERT_EQUAL(world_running(&world, job), 0);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"steps run in order", test_steps_run_in_order},
+	    {"gang waits until all fit", test_gang_waits_until_all_fit},
+	    {"gang keeps to one rack", test_gang_keeps_to_one_rack},
+	    {"urgent job takes room back", test_urgent_job_takes_room_back},
+	    {"hopeless job fails after its attempts",
+		test_hopeless_job_fails_after_its_attempts},
+	    {"cancelled job leaves", test_cancelled_job_leaves},
+	    {"cut worker keeps its work until the lease ends",
+		test_cut_worker_keeps_its_work_until_the_lease_ends},
+	    {"lost answer is looked up", test_lost_answer_is_looked_up},
+	    {"late order starts nothing twice",
+		test_late_order_starts_nothing_twice},
+	    {"takeover goes on with what runs",
+		test_takeover_goes_on_with_what_runs},
+	    {"takeover beside a cut worker", test_takeover_beside_a_cut_worker},
+	    {"reborn worker has lost its work",
+		test_reborn_worker_has_lost_its_work},
+	    {"late order to reborn worker", test_late_order_to_reborn_worker},
+	    {"lease by the old clock", test_lease_by_the_old_clock},
+	    {"store outage holds starts back",
+		test_store_outage_holds_starts_back},
+	    {"failing worker costs no job", test_failing_worker_costs_no_job},
+	    {"zone taken out gets no starts",
+		test_zone_taken_out_gets_no_starts},
+	    {"occurrences start when due", test_occurrences_start_when_due},
+	    {"lasting tasks are started again",
+		test_lasting_tasks_are_started_again},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("fleet", tests);
+}
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,300 @@
+/* What the adapter makes of the platform's texts, good and bad. */
+#include <string.h>
+
+#include "common_cunit.h"
+#include "platform.h"
+#include "process/alloc.h"
+#include "process/proto_memory.h"
+
+#define SETTINGS                                                              \
+	"{\"NodeName\":\"edge-a-1\",\"Zone\":\"a\",\"Ip\":\"10.1.0.1\","      \
+	"\"Future\":{\"x\":1},"                                               \
+	"\"ListenAddresses\":{\"Frontend\":\"10.1.0.1:80\","                  \
+	"\"Readiness\":\"10.1.0.1:81\"},\"InternalPortRange\":[7000,7015],"   \
+	"\"Bounds\":{\"GraceS\":6,\"MaxHoldMs\":9000,\"RemotePenalty\":2.5}," \
+	"\"platform\":{\"Address\":\"10.2.0.1:90\",\"MinTtlMs\":1200}}"
+
+static void
+test_settings(void)
+{
+	struct platform_settings settings;
+	struct ibis_status status = {0};
+
+	CU_ASSERT_EQUAL(platform_settings_parse(
+			    SETTINGS, strlen(SETTINGS), &settings, &status),
+	    IBIS_OK);
+	CU_ASSERT_STRING_EQUAL(settings.name, "edge-a-1");
+	CU_ASSERT_STRING_EQUAL(settings.store_address, "10.2.0.1:90");
+	CU_ASSERT_EQUAL(settings.grace_ms, 6000);
+	CU_ASSERT_EQUAL(settings.max_lease_ms, 9000);
+	CU_ASSERT_EQUAL(settings.metrics_port, 7000);
+	CU_ASSERT_EQUAL(settings.min_store_lease_ms, 1200);
+	CU_ASSERT_DOUBLE_EQUAL(settings.remote_factor, 2.5, 0.001);
+}
+
+static void
+test_bad_settings(void)
+{
+	static const char *const texts[] = {
+	    "",
+	    "[]",
+	    "{",
+	    "{}",
+	    "{\"NodeName\":7}",
+	    "{\"NodeName\":\"a\",\"ListenAddresses\":[]}",
+	    "{\"NodeName\":\"a\",\"ListenAddresses\":{\"Frontend\":\"x:1\"}}",
+	};
+
+	for (size_t i = 0; i < COUNT_OF(texts); i++) {
+		struct platform_settings settings;
+		struct ibis_status status = {0};
+
+		CU_ASSERT_EQUAL(platform_settings_parse(texts[i],
+				    strlen(texts[i]), &settings, &status),
+		    IBIS_INVALID);
+		CU_ASSERT_NOT_EQUAL(status.message[0], '\0');
+	}
+}
+
+#define CONFIG                                                              \
+	"{\"Version\":7,\"Routes\":["                                       \
+	"{\"Name\":\"r1\",\"Host\":\"h\",\"Prefix\":\"/a/\",\"Service\":"   \
+	"\"s\",\"Priority\":0,\"Attempts\":3,\"Stretch\":1.5,"              \
+	"\"TargetLatencyMs\":250},"                                         \
+	"{\"Name\":\"r2\",\"Host\":\"h\",\"Prefix\":\"/a/b/\",\"Service\":" \
+	"\"t\",\"Public\":true,\"Advice\":{\"DecisionMs\":5}},"             \
+	"{\"Name\":\"broken\",\"Host\":3}],"                                \
+	"\"Tenants\":[{\"Name\":\"w\",\"ApiKeys\":[\"k1\",8,\"k2\"],"       \
+	"\"Guaranteed\":{\"Gpus\":72}}]}"
+
+static void
+test_config(void)
+{
+	struct ibis_status status = {0};
+	struct routes *routes =
+	    platform_config_parse(CONFIG, strlen(CONFIG), &status);
+	const struct route *route;
+	const char *rest;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(routes);
+	if (routes == NULL)
+		return;
+	CU_ASSERT_EQUAL(routes->version, 7);
+	CU_ASSERT_EQUAL(routes->routes_count, 2);
+	route = routes_match(routes, "h", "/a/b/0123", &rest);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(route);
+	if (route == NULL)
+		return;
+	CU_ASSERT_STRING_EQUAL(route->name, "r2");
+	CU_ASSERT_STRING_EQUAL(rest, "0123");
+	CU_ASSERT_TRUE(route->open);
+	CU_ASSERT_TRUE(route->advice.needed);
+	route = routes_match(routes, "H", "/a/x", &rest);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(route);
+	CU_ASSERT_STRING_EQUAL(route->name, "r1");
+	CU_ASSERT_EQUAL(route->stretch_milli, 1500);
+	CU_ASSERT_PTR_NULL(routes_match(routes, "h", "/c/", &rest));
+	CU_ASSERT_PTR_NULL(routes_match(routes, "other", "/a/", &rest));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(routes_workspace_of(routes, "k2"));
+	CU_ASSERT_EQUAL(
+	    routes_workspace_of(routes, "k2")->guaranteed_accelerators, 72);
+	CU_ASSERT_PTR_NULL(routes_workspace_of(routes, "k3"));
+	CU_ASSERT_PTR_NULL(routes_workspace_of(routes, ""));
+	routes_free(routes);
+}
+
+static void
+test_bad_config(void)
+{
+	static const char *const texts[] = {"", "7", "{}", "{\"Version\":1}",
+	    "{\"Routes\":[]}", "{\"Version\":\"1\",\"Routes\":[]}"};
+
+	for (size_t i = 0; i < COUNT_OF(texts); i++) {
+		struct ibis_status status = {0};
+
+		CU_ASSERT_PTR_NULL(
+		    platform_config_parse(texts[i], strlen(texts[i]), &status));
+		CU_ASSERT_NOT_EQUAL(status.message[0], '\0');
+	}
+}
+
+#define JOB                                                                   \
+	"{\"Spec\":\"te\\u00e9xt\",\"Times\":2,\"FirstMs\":5,\"IntervalMs\":" \
+	"9,\"Steps\":[{\"Count\":4,\"Cpu\":500,\"MemMb\":256,\"Gpus\":2,"     \
+	"\"EstimateMs\":900,\"DataRack\":\"r1-3\",\"Gang\":true},"            \
+	"{\"Count\":20,\"After\":[0],\"Checkpointing\":true,"                 \
+	"\"Requires\":\"a\",\"MaxPerServer\":3}]}"
+
+static void
+test_job(void)
+{
+	struct ibis_status status = {0};
+	Ibis__StepJob *job = platform_job_parse(JOB, strlen(JOB), &status);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(job);
+	if (job == NULL)
+		return;
+	CU_ASSERT_EQUAL(job->n_steps, 2);
+	CU_ASSERT_EQUAL(job->times, 2);
+	CU_ASSERT_EQUAL(job->payload.len, 6);
+	CU_ASSERT_EQUAL(job->steps[0]->accelerators, 2);
+	CU_ASSERT_TRUE(job->steps[0]->gang);
+	CU_ASSERT_STRING_EQUAL(job->steps[0]->data_rack, "r1-3");
+	CU_ASSERT_EQUAL(job->steps[1]->n_after, 1);
+	CU_ASSERT_STRING_EQUAL(job->steps[1]->label, "a");
+	CU_ASSERT_EQUAL(job->steps[1]->max_per_worker, 3);
+	ibis__step_job__free_unpacked(job, proto_allocator());
+}
+
+static void
+test_bad_jobs(void)
+{
+	static const char *const texts[] = {
+	    "",
+	    "[]",
+	    "{}",
+	    "{\"Steps\":[]}",
+	    "{\"Steps\":[7]}",
+	    "{\"Steps\":[{}]}",
+	    "{\"Steps\":[{\"Count\":0}]}",
+	    "{\"Steps\":[{\"Count\":1,\"Cpu\":-1}]}",
+	    "{\"Steps\":[{\"Count\":1,\"After\":[0]}]}",
+	    "{\"Steps\":[{\"Count\":1,\"After\":[-1]}]}",
+	    "{\"Steps\":[{\"Count\":1}],\"Spec\":7}",
+	    "{\"Steps\":[{\"Count\":1}],\"Times\":-1}",
+	    "{\"Steps\":[{\"Count\":99999999}]}",
+	};
+
+	for (size_t i = 0; i < COUNT_OF(texts); i++) {
+		struct ibis_status status = {0};
+
+		CU_ASSERT_PTR_NULL(
+		    platform_job_parse(texts[i], strlen(texts[i]), &status));
+		CU_ASSERT_NOT_EQUAL(status.message[0], '\0');
+	}
+	CU_ASSERT_TRUE(platform_is_job_id("5c0e7a21d94b36f8"));
+	CU_ASSERT_FALSE(platform_is_job_id("5c0e7a21d94b36f"));
+	CU_ASSERT_FALSE(platform_is_job_id("5c0e7a21d94b36fx"));
+}
+
+#define ENTRY                                                              \
+	"{\"Service\":\"s\",\"Address\":\"10.0.0.9:80\",\"Zone\":\"a\","   \
+	"\"State\":\"draining\",\"Capacity\":{\"Cpu\":16000,\"MemMb\":32," \
+	"\"Gpus\":8},\"Labels\":[\"a\",\"r1-3\"],\"born\":77,\"New\":null}"
+
+static void
+test_worker_entry(void)
+{
+	struct fleet_worker_entry entry;
+	struct ibis_status status = {0};
+
+	CU_ASSERT_TRUE(platform_worker_parse(
+	    "i-1", ENTRY, strlen(ENTRY), &entry, &status));
+	CU_ASSERT_STRING_EQUAL(entry.id, "i-1");
+	CU_ASSERT_STRING_EQUAL(entry.rack, "r1-3");
+	CU_ASSERT_TRUE(entry.draining);
+	CU_ASSERT_EQUAL(entry.room.accelerators, 8);
+	CU_ASSERT_EQUAL(entry.born_wall_ms, 77);
+}
+
+static void
+test_bad_worker_entries(void)
+{
+	static const char *const texts[] = {
+	    "",
+	    "\xff\xfe",
+	    "{}",
+	    "{\"Service\":\"s\",\"Address\":\"x\",\"Zone\":\"a\","
+	    "\"State\":\"odd\"}",
+	    "{\"Service\":1,\"Address\":\"x\",\"Zone\":\"a\","
+	    "\"State\":\"ready\"}",
+	    "{\"Service\":\"s\",\"Address\":\"x\",\"Zone\":\"a\","
+	    "\"State\":\"ready\",\"Capacity\":{\"Cpu\":\"many\"}}",
+	};
+
+	for (size_t i = 0; i < COUNT_OF(texts); i++) {
+		struct fleet_worker_entry entry;
+		struct ibis_status status = {0};
+
+		CU_ASSERT_FALSE(platform_worker_parse(
+		    "i-1", texts[i], strlen(texts[i]), &entry, &status));
+		CU_ASSERT_NOT_EQUAL(status.message[0], '\0');
+	}
+}
+
+#define REPORT                                                                 \
+	"{\"ClockMs\":482113,\"born\":5,\"Running\":[[\"5c0e7a21d94b36f8.0.1." \
+	"17\",2,\"cp\",41,8],[\"bad\",1],7],\"EndedRuns\":["                   \
+	"[58,\"5c0e7a21d94b36f8.2.1.9\",1,\"done\",\"\"],"                     \
+	"[59,\"5c0e7a21d94b36f8.2.1.9\",1,\"odd\",\"\"]]}"
+
+static void
+test_report(void)
+{
+	struct ibis_status status = {0};
+	struct fleet_report *report =
+	    platform_report_parse(REPORT, strlen(REPORT), &status);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(report);
+	if (report == NULL)
+		return;
+	CU_ASSERT_EQUAL(report->clock_ms, 482113);
+	CU_ASSERT_EQUAL(report->runs_count, 1);
+	CU_ASSERT_STRING_EQUAL(report->runs[0].task.job, "5c0e7a21d94b36f8");
+	CU_ASSERT_EQUAL(report->runs[0].task.index, 17);
+	CU_ASSERT_EQUAL(report->runs[0].percent, 41);
+	CU_ASSERT_EQUAL(report->ends_count, 1);
+	CU_ASSERT_EQUAL(report->ends[0].how, FLEET_END_DONE);
+	CU_ASSERT_EQUAL(report->ends[0].task.occurrence, 2);
+	platform_report_free(report);
+	CU_ASSERT_PTR_NULL(platform_report_parse("{}", 2, &status));
+	CU_ASSERT_PTR_NULL(platform_report_parse("", 0, &status));
+}
+
+#define EVENTS                                                                \
+	"{\"events\":[{\"Key\":\"my/leader\",\"Value\":\"bm9kZS0x\","         \
+	"\"Revision\":412,\"Lease\":77120},{\"Key\":\"my/old\",\"Revision\":" \
+	"413,\"Deleted\":true},{\"Key\":5,\"Value\":\"%%%\"}],\"At\":413}"
+
+static void
+test_store_events(void)
+{
+	struct platform_store_reply *reply =
+	    platform_store_parse(EVENTS, strlen(EVENTS));
+	const struct platform_store_answer *answer;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(reply);
+	if (reply == NULL)
+		return;
+	answer = platform_store_reply_answer(reply);
+	CU_ASSERT_EQUAL(answer->items_count, 3);
+	CU_ASSERT_EQUAL(answer->at, 413);
+	CU_ASSERT_EQUAL(answer->items[0].value_length, 6);
+	CU_ASSERT_EQUAL(memcmp(answer->items[0].value, "node-1", 6), 0);
+	CU_ASSERT_EQUAL(answer->items[0].lease, 77120);
+	CU_ASSERT_TRUE(answer->items[1].deleted);
+	CU_ASSERT_STRING_EQUAL(answer->items[2].key, "");
+	platform_store_reply_free(reply);
+	CU_ASSERT_PTR_NULL(platform_store_parse("", 0));
+	CU_ASSERT_PTR_NULL(platform_store_parse("[]", 2));
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"settings", test_settings},
+	    {"bad settings", test_bad_settings},
+	    {"config", test_config},
+	    {"bad config", test_bad_config},
+	    {"job", test_job},
+	    {"bad jobs", test_bad_jobs},
+	    {"worker entry", test_worker_entry},
+	    {"bad worker entries", test_bad_worker_entries},
+	    {"report", test_report},
+	    {"store events", test_store_events},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("platform", tests);
+}
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -9,5 +9,5 @@
 cppcheck -q --library=tools/urcu.cfg -j "${JOBS:-4}" --std=c11 --enable=warning,performance,portability \
 	--inline-suppr --suppress=missingIncludeSystem --error-exitcode=1 \
 	--suppress=normalCheckLevelMaxBranches -D_GNU_SOURCE \
-	-Iinclude -Isrc -Ifakes src fakes bench || failed=1
+	-Iinclude -Isrc -Ifakes -Iplatform src platform fakes bench || failed=1
 exit $failed
