--- a/proto/ibistrestle.pb-c.c
+++ b/proto/ibistrestle.pb-c.c
@@ -1357,6 +1357,96 @@
   assert(message->base.descriptor == &ibis__job_progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ibis__store_relay_call__init
+                     (Ibis__StoreRelayCall         *message)
+{
+  static const Ibis__StoreRelayCall init_value = IBIS__STORE_RELAY_CALL__INIT;
+  *message = init_value;
+}
+size_t ibis__store_relay_call__get_packed_size
+                     (const Ibis__StoreRelayCall *message)
+{
+  assert(message->base.descriptor == &ibis__store_relay_call__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ibis__store_relay_call__pack
+                     (const Ibis__StoreRelayCall *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ibis__store_relay_call__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ibis__store_relay_call__pack_to_buffer
+                     (const Ibis__StoreRelayCall *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ibis__store_relay_call__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ibis__StoreRelayCall *
+       ibis__store_relay_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ibis__StoreRelayCall *)
+     protobuf_c_message_unpack (&ibis__store_relay_call__descriptor,
+                                allocator, len, data);
+}
+void   ibis__store_relay_call__free_unpacked
+                     (Ibis__StoreRelayCall *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ibis__store_relay_call__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ibis__store_relay_answer__init
+                     (Ibis__StoreRelayAnswer         *message)
+{
+  static const Ibis__StoreRelayAnswer init_value = IBIS__STORE_RELAY_ANSWER__INIT;
+  *message = init_value;
+}
+size_t ibis__store_relay_answer__get_packed_size
+                     (const Ibis__StoreRelayAnswer *message)
+{
+  assert(message->base.descriptor == &ibis__store_relay_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ibis__store_relay_answer__pack
+                     (const Ibis__StoreRelayAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ibis__store_relay_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ibis__store_relay_answer__pack_to_buffer
+                     (const Ibis__StoreRelayAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ibis__store_relay_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ibis__StoreRelayAnswer *
+       ibis__store_relay_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ibis__StoreRelayAnswer *)
+     protobuf_c_message_unpack (&ibis__store_relay_answer__descriptor,
+                                allocator, len, data);
+}
+void   ibis__store_relay_answer__free_unpacked
+                     (Ibis__StoreRelayAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ibis__store_relay_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor ibis__job_spec__field_descriptors[11] =
 {
   {
@@ -4161,6 +4251,160 @@
   (ProtobufCMessageInit) ibis__job_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ibis__store_relay_call__field_descriptors[5] =
+{
+  {
+    "method",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StoreRelayCall, method),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StoreRelayCall, path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StoreRelayCall, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_body",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StoreRelayCall, has_body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeout_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StoreRelayCall, timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ibis__store_relay_call__field_indices_by_name[] = {
+  2,   /* field[2] = body */
+  3,   /* field[3] = has_body */
+  0,   /* field[0] = method */
+  1,   /* field[1] = path */
+  4,   /* field[4] = timeout_ms */
+};
+static const ProtobufCIntRange ibis__store_relay_call__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor ibis__store_relay_call__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ibis.StoreRelayCall",
+  "StoreRelayCall",
+  "Ibis__StoreRelayCall",
+  "ibis",
+  sizeof(Ibis__StoreRelayCall),
+  5,
+  ibis__store_relay_call__field_descriptors,
+  ibis__store_relay_call__field_indices_by_name,
+  1,  ibis__store_relay_call__number_ranges,
+  (ProtobufCMessageInit) ibis__store_relay_call__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ibis__store_relay_answer__field_descriptors[3] =
+{
+  {
+    "outcome",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StoreRelayAnswer, outcome),
+    &ibis__store_relay_outcome__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StoreRelayAnswer, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StoreRelayAnswer, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ibis__store_relay_answer__field_indices_by_name[] = {
+  2,   /* field[2] = body */
+  0,   /* field[0] = outcome */
+  1,   /* field[1] = status */
+};
+static const ProtobufCIntRange ibis__store_relay_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ibis__store_relay_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ibis.StoreRelayAnswer",
+  "StoreRelayAnswer",
+  "Ibis__StoreRelayAnswer",
+  "ibis",
+  sizeof(Ibis__StoreRelayAnswer),
+  3,
+  ibis__store_relay_answer__field_descriptors,
+  ibis__store_relay_answer__field_indices_by_name,
+  1,  ibis__store_relay_answer__number_ranges,
+  (ProtobufCMessageInit) ibis__store_relay_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue ibis__adjacency__enum_values_by_number[4] =
 {
   { "ADJACENCY_ANY", "IBIS__ADJACENCY__ADJACENCY_ANY", 0 },
@@ -4401,3 +4645,33 @@
   ibis__step_job_phase__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue ibis__store_relay_outcome__enum_values_by_number[3] =
+{
+  { "RELAY_ANSWERED", "IBIS__STORE_RELAY_OUTCOME__RELAY_ANSWERED", 0 },
+  { "RELAY_NOT_SENT", "IBIS__STORE_RELAY_OUTCOME__RELAY_NOT_SENT", 1 },
+  { "RELAY_NO_ANSWER", "IBIS__STORE_RELAY_OUTCOME__RELAY_NO_ANSWER", 2 },
+};
+static const ProtobufCIntRange ibis__store_relay_outcome__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex ibis__store_relay_outcome__enum_values_by_name[3] =
+{
+  { "RELAY_ANSWERED", 0 },
+  { "RELAY_NOT_SENT", 1 },
+  { "RELAY_NO_ANSWER", 2 },
+};
+const ProtobufCEnumDescriptor ibis__store_relay_outcome__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "ibis.StoreRelayOutcome",
+  "StoreRelayOutcome",
+  "Ibis__StoreRelayOutcome",
+  "ibis",
+  3,
+  ibis__store_relay_outcome__enum_values_by_number,
+  3,
+  ibis__store_relay_outcome__enum_values_by_name,
+  1,
+  ibis__store_relay_outcome__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/proto/ibistrestle.pb-c.h
+++ b/proto/ibistrestle.pb-c.h
@@ -45,6 +45,8 @@
 typedef struct Ibis__TaskProgress Ibis__TaskProgress;
 typedef struct Ibis__OccurrenceProgress Ibis__OccurrenceProgress;
 typedef struct Ibis__JobProgress Ibis__JobProgress;
+typedef struct Ibis__StoreRelayCall Ibis__StoreRelayCall;
+typedef struct Ibis__StoreRelayAnswer Ibis__StoreRelayAnswer;
 
 
 /* --- enums --- */
@@ -145,6 +147,18 @@
   IBIS__STEP_JOB_PHASE__PHASE_CANCELLED = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(IBIS__STEP_JOB_PHASE)
 } Ibis__StepJobPhase;
+typedef enum _Ibis__StoreRelayOutcome {
+  IBIS__STORE_RELAY_OUTCOME__RELAY_ANSWERED = 0,
+  /*
+   * the peer can't reach the store either
+   */
+  IBIS__STORE_RELAY_OUTCOME__RELAY_NOT_SENT = 1,
+  /*
+   * it may have been carried out
+   */
+  IBIS__STORE_RELAY_OUTCOME__RELAY_NO_ANSWER = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(IBIS__STORE_RELAY_OUTCOME)
+} Ibis__StoreRelayOutcome;
 
 /* --- messages --- */
 
@@ -771,6 +785,39 @@
     , IBIS__STEP_JOB_PHASE__PHASE_PENDING, 0,NULL, 0, 0 }
 
 
+/*
+ * A call to the platform's store that a peer carries out for an instance
+ * which can't reach it.
+ */
+struct  Ibis__StoreRelayCall
+{
+  ProtobufCMessage base;
+  char *method;
+  /*
+   * with its query
+   */
+  char *path;
+  ProtobufCBinaryData body;
+  protobuf_c_boolean has_body;
+  int32_t timeout_ms;
+};
+#define IBIS__STORE_RELAY_CALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ibis__store_relay_call__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
+
+
+struct  Ibis__StoreRelayAnswer
+{
+  ProtobufCMessage base;
+  Ibis__StoreRelayOutcome outcome;
+  int32_t status;
+  ProtobufCBinaryData body;
+};
+#define IBIS__STORE_RELAY_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ibis__store_relay_answer__descriptor) \
+    , IBIS__STORE_RELAY_OUTCOME__RELAY_ANSWERED, 0, {0,NULL} }
+
+
 /* Ibis__JobSpec methods */
 void   ibis__job_spec__init
                      (Ibis__JobSpec         *message);
@@ -1341,6 +1388,44 @@
 void   ibis__job_progress__free_unpacked
                      (Ibis__JobProgress *message,
                       ProtobufCAllocator *allocator);
+/* Ibis__StoreRelayCall methods */
+void   ibis__store_relay_call__init
+                     (Ibis__StoreRelayCall         *message);
+size_t ibis__store_relay_call__get_packed_size
+                     (const Ibis__StoreRelayCall   *message);
+size_t ibis__store_relay_call__pack
+                     (const Ibis__StoreRelayCall   *message,
+                      uint8_t             *out);
+size_t ibis__store_relay_call__pack_to_buffer
+                     (const Ibis__StoreRelayCall   *message,
+                      ProtobufCBuffer     *buffer);
+Ibis__StoreRelayCall *
+       ibis__store_relay_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ibis__store_relay_call__free_unpacked
+                     (Ibis__StoreRelayCall *message,
+                      ProtobufCAllocator *allocator);
+/* Ibis__StoreRelayAnswer methods */
+void   ibis__store_relay_answer__init
+                     (Ibis__StoreRelayAnswer         *message);
+size_t ibis__store_relay_answer__get_packed_size
+                     (const Ibis__StoreRelayAnswer   *message);
+size_t ibis__store_relay_answer__pack
+                     (const Ibis__StoreRelayAnswer   *message,
+                      uint8_t             *out);
+size_t ibis__store_relay_answer__pack_to_buffer
+                     (const Ibis__StoreRelayAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Ibis__StoreRelayAnswer *
+       ibis__store_relay_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ibis__store_relay_answer__free_unpacked
+                     (Ibis__StoreRelayAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Ibis__JobSpec_Closure)
@@ -1433,6 +1518,12 @@
 typedef void (*Ibis__JobProgress_Closure)
                  (const Ibis__JobProgress *message,
                   void *closure_data);
+typedef void (*Ibis__StoreRelayCall_Closure)
+                 (const Ibis__StoreRelayCall *message,
+                  void *closure_data);
+typedef void (*Ibis__StoreRelayAnswer_Closure)
+                 (const Ibis__StoreRelayAnswer *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1445,6 +1536,7 @@
 extern const ProtobufCEnumDescriptor    ibis__code__descriptor;
 extern const ProtobufCEnumDescriptor    ibis__instance_state__descriptor;
 extern const ProtobufCEnumDescriptor    ibis__step_job_phase__descriptor;
+extern const ProtobufCEnumDescriptor    ibis__store_relay_outcome__descriptor;
 extern const ProtobufCMessageDescriptor ibis__job_spec__descriptor;
 extern const ProtobufCMessageDescriptor ibis__job_record__descriptor;
 extern const ProtobufCMessageDescriptor ibis__segment__descriptor;
@@ -1475,6 +1567,8 @@
 extern const ProtobufCMessageDescriptor ibis__task_progress__descriptor;
 extern const ProtobufCMessageDescriptor ibis__occurrence_progress__descriptor;
 extern const ProtobufCMessageDescriptor ibis__job_progress__descriptor;
+extern const ProtobufCMessageDescriptor ibis__store_relay_call__descriptor;
+extern const ProtobufCMessageDescriptor ibis__store_relay_answer__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -99,18 +99,17 @@
 static enum ibis_code
 listen_all(struct agent *agent, struct ibis_status *status)
 {
-	char metrics[PLATFORM_TEXT_BYTES * 2];
-
 	if (gateway_listen(agent->gateway, agent->settings.caller_address,
-		status) != IBIS_OK ||
-	    gateway_listen(agent->gateway, agent->settings.ready_address,
+		false, status) != IBIS_OK ||
+	    gateway_listen(agent->gateway, agent->settings.ready_address, false,
 		status) != IBIS_OK)
 		return status->code;
-	if (agent->settings.metrics_port == 0)
+	if (agent->settings.internal_port == 0)
 		return IBIS_OK;
-	(void)snprintf(metrics, sizeof(metrics), "%s:%d", agent->settings.ip,
-	    (int)agent->settings.metrics_port);
-	return gateway_listen(agent->gateway, metrics, status);
+	(void)snprintf(agent->internal_address, sizeof(agent->internal_address),
+	    "%s:%d", agent->settings.ip, (int)agent->settings.internal_port);
+	return gateway_listen(
+	    agent->gateway, agent->internal_address, true, status);
 }
 
 static enum ibis_code
@@ -132,6 +131,7 @@
 		    "the environment variable %s is not set",
 		    PLATFORM_SETTINGS_ENV);
 	CDS_INIT_LIST_HEAD(&agent->pending);
+	CDS_INIT_LIST_HEAD(&agent->relay.serving);
 	if (platform_settings_read(
 		agent->settings_path, &agent->settings, status) != IBIS_OK)
 		return status->code;
@@ -149,7 +149,8 @@
 	http_pool_watch(agent->pool, event_queue_fd(agent->events));
 	set_signals(agent->events);
 	agent->store = (struct platform_store){
-	    .pool = agent->pool,
+	    .carry = agent_relay_carry,
+	    .carry_context = agent,
 	    .address = agent->settings.store_address,
 	    .timeout_ms = STORE_TIMEOUT_MS,
 	};
@@ -164,7 +165,11 @@
 	struct event event;
 
 	while (event_queue_take(agent->events, 0, &event)) {
-		if (event.kind == EVENT_GATEWAY)
+		if (event.kind != EVENT_GATEWAY)
+			continue;
+		if (event.gateway->internal)
+			agent_relay_request(agent, event.gateway);
+		else
 			agent_callers_request(agent, event.gateway, now_ms);
 	}
 }
@@ -224,6 +229,7 @@
 		begin_stop(agent, now_ms);
 	take_events(agent, now_ms);
 	agent_view_step(agent, now_ms);
+	agent_relay_step(agent, now_ms);
 	agent_lead_step(agent, now_ms);
 	agent_workers_decide(agent, now_ms);
 	agent_records_step(agent, now_ms);
@@ -237,6 +243,7 @@
 free_agent(struct agent *agent)
 {
 	agent_callers_end(agent);
+	agent_relay_end(agent);
 	gateway_stop(agent->gateway);
 	agent_lead_step_down(agent, "stopped");
 	http_pool_free(agent->pool);
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -22,6 +22,7 @@
 #define AGENT_JOB_PREFIX   "ibis/job/"
 #define AGENT_STATE_PREFIX "ibis/progress/"
 #define AGENT_STOP_PREFIX  "ibis/cancel/"
+#define AGENT_PEER_PREFIX  "ibis/instance/"
 
 /* One store call is given this long. */
 #define STORE_TIMEOUT_MS 600
@@ -81,6 +82,27 @@
 
 struct records_batch;
 
+/* Another instance that may reach the store when this one can't. */
+struct agent_peer {
+	char name[FLEET_NAME_BYTES];
+	char address[PLATFORM_TEXT_BYTES * 2];
+	int64_t avoid_until_ms;
+};
+
+struct agent_relay {
+	struct name_index peers;
+	size_t next_peer;
+	bool by_peer; /* calls go by a peer, as the store does not answer */
+	int64_t since_ms;
+	bool probing;
+	int64_t next_probe_ms;
+	struct cds_list_head serving; /* calls carried out for peers */
+	/* Our own entry in the store. */
+	uint64_t lease;
+	bool registering;
+	int64_t next_register_ms;
+};
+
 struct agent {
 	struct platform_settings settings;
 	const char *settings_path;
@@ -88,6 +110,8 @@
 	struct http_pool *pool;
 	struct gateway *gateway;
 	struct platform_store store;
+	struct agent_relay relay;
+	char internal_address[PLATFORM_TEXT_BYTES * 2];
 	uint64_t random_state;
 
 	/* What the store says. */
@@ -130,6 +154,19 @@
 bool agent_view_fresh(const struct agent *agent, int64_t now_ms);
 struct view_job *agent_view_job(const struct agent *agent, const char *id);
 
+/* Relay group: calls to the store go through a peer while this instance can't
+ * reach it. */
+void agent_relay_carry(void *context, const struct http_call *call,
+    http_done *done, void *done_context);
+void agent_relay_step(struct agent *agent, int64_t now_ms);
+/* A peer's request at the internal address. */
+void agent_relay_request(struct agent *agent, struct gateway_request *request);
+/* A peer's entry in the store has changed. */
+void agent_relay_peer(
+    struct agent *agent, const char *name, const struct platform_item *item);
+/* Answers what peers wait for and forgets all. */
+void agent_relay_end(struct agent *agent);
+
 /* Lead group. */
 void agent_lead_step(struct agent *agent, int64_t now_ms);
 /* The lead's key has changed. */
--- a/src/connection/gateway.c
+++ b/src/connection/gateway.c
@@ -35,11 +35,17 @@
 	int64_t received_ms;
 };
 
+struct gateway_port {
+	struct gateway *gateway;
+	struct MHD_Daemon *daemon;
+	bool internal;
+};
+
 struct gateway {
 	struct gateway_config config;
 	struct event_queue *events;
-	struct MHD_Daemon *daemons[GATEWAY_ADDRESSES];
-	size_t daemons_count;
+	struct gateway_port ports[GATEWAY_ADDRESSES];
+	size_t ports_count;
 	atomic_bool ready;
 	atomic_bool draining;
 	atomic_uint open;
@@ -213,7 +219,8 @@
     const char *method, const char *version, const char *bytes, size_t *length,
     void **request_context)
 {
-	struct gateway *gateway = context;
+	const struct gateway_port *port = context;
+	struct gateway *gateway = port->gateway;
 	struct gateway_exchange *exchange = *request_context;
 
 	(void)version;
@@ -222,6 +229,7 @@
 		exchange->connection = connection;
 		exchange->request =
 		    new_request(gateway, connection, method, path);
+		exchange->request->internal = port->internal;
 		exchange->received_ms = exchange->request->received_ms;
 		*request_context = exchange;
 		(void)atomic_fetch_add(&gateway->open, 1);
@@ -245,7 +253,8 @@
 completed(void *context, struct MHD_Connection *connection,
     void **request_context, enum MHD_RequestTerminationCode code)
 {
-	struct gateway *gateway = context;
+	const struct gateway_port *port = context;
+	struct gateway *gateway = port->gateway;
 	struct gateway_exchange *exchange = *request_context;
 
 	(void)connection;
@@ -262,28 +271,33 @@
 }
 
 enum ibis_code
-gateway_listen(
-    struct gateway *gateway, const char *address, struct ibis_status *status)
+gateway_listen(struct gateway *gateway, const char *address, bool internal,
+    struct ibis_status *status)
 {
-	int listen_fd = address_listen(address, LISTEN_BACKLOG, status);
-	struct MHD_Daemon *daemon;
+	struct gateway_port *port = &gateway->ports[gateway->ports_count];
+	int listen_fd;
 
+	if (gateway->ports_count == GATEWAY_ADDRESSES)
+		return ibis_status_set(status, IBIS_INTERNAL, "listen", address,
+		    "too many addresses");
+	listen_fd = address_listen(address, LISTEN_BACKLOG, status);
 	if (listen_fd < 0)
 		return status->code;
-	daemon = MHD_start_daemon(
+	*port = (struct gateway_port){.gateway = gateway, .internal = internal};
+	port->daemon = MHD_start_daemon(
 	    MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL,
-	    NULL, handle, gateway, MHD_OPTION_LISTEN_SOCKET, listen_fd,
+	    NULL, handle, port, MHD_OPTION_LISTEN_SOCKET, listen_fd,
 	    MHD_OPTION_CONNECTION_LIMIT, gateway->config.max_connections,
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
 	    MHD_OPTION_CONNECTION_TIMEOUT,
 	    (unsigned int)gateway->config.idle_timeout_s,
-	    MHD_OPTION_NOTIFY_COMPLETED, completed, gateway, MHD_OPTION_END);
-	if (daemon == NULL || gateway->daemons_count == GATEWAY_ADDRESSES) {
+	    MHD_OPTION_NOTIFY_COMPLETED, completed, port, MHD_OPTION_END);
+	if (port->daemon == NULL) {
 		(void)close(listen_fd);
 		return ibis_status_set(status, IBIS_INTERNAL, "listen", address,
 		    "the HTTP server did not start");
 	}
-	gateway->daemons[gateway->daemons_count++] = daemon;
+	gateway->ports_count++;
 	return IBIS_OK;
 }
 
@@ -306,21 +320,37 @@
 	return atomic_load(&gateway->open);
 }
 
-void
-gateway_reply(struct gateway *gateway, struct gateway_request *request,
-    int32_t status, const char *body, int64_t retry_after_ms)
+static void
+resume(struct gateway_request *request, int32_t status, const void *bytes,
+    size_t length, int64_t retry_after_ms)
 {
 	struct gateway_exchange *exchange = request->exchange;
 
-	(void)gateway;
 	exchange->status = status;
 	exchange->retry_after_ms = retry_after_ms;
-	if (body != NULL)
-		buffer_puts(&exchange->answer, body);
+	buffer_append(&exchange->answer, bytes, length);
 	free_request(request);
 	MHD_resume_connection(exchange->connection);
 }
 
+void
+gateway_reply(struct gateway *gateway, struct gateway_request *request,
+    int32_t status, const char *body, int64_t retry_after_ms)
+{
+	(void)gateway;
+	if (body == NULL)
+		body = "";
+	resume(request, status, body, strlen(body), retry_after_ms);
+}
+
+void
+gateway_reply_bytes(struct gateway *gateway, struct gateway_request *request,
+    int32_t status, const void *bytes, size_t length)
+{
+	(void)gateway;
+	resume(request, status, bytes, length, 0);
+}
+
 void
 gateway_stop(struct gateway *gateway)
 {
@@ -330,7 +360,7 @@
 		return;
 	while (gateway_open_requests(gateway) > 0 && clock_now_ms() < until_ms)
 		(void)poll(NULL, 0, STOP_POLL_MS);
-	for (size_t i = 0; i < gateway->daemons_count; i++)
-		MHD_stop_daemon(gateway->daemons[i]);
+	for (size_t i = 0; i < gateway->ports_count; i++)
+		MHD_stop_daemon(gateway->ports[i].daemon);
 	mem_free(gateway);
 }
--- a/src/connection/gateway.h
+++ b/src/connection/gateway.h
@@ -36,6 +36,7 @@
 /* A request that waits for its answer; owned by whoever has the event. */
 struct gateway_request {
 	enum gateway_method method;
+	bool internal; /* came to an internal address */
 	char host[GATEWAY_HOST_BYTES];
 	char path[GATEWAY_PATH_BYTES];
 	char key[GATEWAY_KEY_BYTES]; /* bearer key; empty: none */
@@ -60,9 +61,9 @@
 struct gateway *gateway_new(
     const struct gateway_config *config, struct event_queue *events);
 
-/* Opens one more address. All addresses serve the same. */
-enum ibis_code gateway_listen(
-    struct gateway *gateway, const char *address, struct ibis_status *status);
+/* Opens one more address; requests at an internal one are marked so. */
+enum ibis_code gateway_listen(struct gateway *gateway, const char *address,
+    bool internal, struct ibis_status *status);
 
 /* What readiness says; from any thread. */
 void gateway_set_ready(struct gateway *gateway, bool ready);
@@ -80,6 +81,11 @@
 void gateway_reply(struct gateway *gateway, struct gateway_request *request,
     int32_t status, const char *body, int64_t retry_after_ms);
 
+/* The same with an answer of any bytes. */
+void gateway_reply_bytes(struct gateway *gateway,
+    struct gateway_request *request, int32_t status, const void *bytes,
+    size_t length);
+
 /* Stops listening, waits briefly for open answers and frees the gateway. */
 void gateway_stop(struct gateway *gateway);
 
--- a/src/fleet/fleet_place.c
+++ b/src/fleet/fleet_place.c
@@ -125,7 +125,9 @@
 static bool
 in_rack(const struct fleet_worker *worker, const char *rack)
 {
-	return rack == NULL || strcmp(worker->entry.rack, rack) == 0;
+	if (rack == NULL)
+		return true;
+	return worker != NULL && strcmp(worker->entry.rack, rack) == 0;
 }
 
 static uint32_t
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -27,7 +27,7 @@
 	CU_ASSERT_STRING_EQUAL(settings.store_address, "10.2.0.1:90");
 	CU_ASSERT_EQUAL(settings.grace_ms, 6000);
 	CU_ASSERT_EQUAL(settings.max_lease_ms, 9000);
-	CU_ASSERT_EQUAL(settings.metrics_port, 7000);
+	CU_ASSERT_EQUAL(settings.internal_port, 7000);
 	CU_ASSERT_EQUAL(settings.min_store_lease_ms, 1200);
 	CU_ASSERT_DOUBLE_EQUAL(settings.remote_factor, 2.5, 0.001);
 }
@@ -91,6 +91,8 @@
 	CU_ASSERT_TRUE(route->advice.needed);
 	route = routes_match(routes, "H", "/a/x", &rest);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(route);
+	if (route == NULL)
+		return;
 	CU_ASSERT_STRING_EQUAL(route->name, "r1");
 	CU_ASSERT_EQUAL(route->stretch_milli, 1500);
 	CU_ASSERT_PTR_NULL(routes_match(routes, "h", "/c/", &rest));
