--- a/src/agent/agent_records.c
+++ b/src/agent/agent_records.c
@@ -80,8 +80,8 @@
 	const struct platform_item *lead = find_item(answer, AGENT_LEAD_KEY);
 
 	if (lead == NULL || lead->revision != agent->lead.epoch) {
+		/* Stepping down drops the batch as well. */
 		agent_lead_step_down(agent, "another epoch in the store");
-		free_batch(batch);
 		return;
 	}
 	for (size_t i = 0; i < batch->count; i++) {
--- a/src/fleet/fleet_jobs.c
+++ b/src/fleet/fleet_jobs.c
@@ -241,7 +241,11 @@
 	(void)name_index_remove(&fleet->jobs, job->id);
 	if (job->dirty)
 		cds_list_del(&job->unrecorded);
-	free_job(job);
+	job->dirty = false;
+	if (job->writing)
+		job->removed = true;
+	else
+		free_job(job);
 }
 
 bool
@@ -403,7 +407,8 @@
 	return job->revision;
 }
 
-static void
+/* Returns false when the job has been removed in the meantime. */
+static bool
 end_writing(struct fleet *fleet, struct fleet_job *job, uint64_t revision)
 {
 	size_t kept = 0;
@@ -415,12 +420,17 @@
 	fleet->writing_count = kept;
 	job->writing = false;
 	job->revision = revision;
+	if (!job->removed)
+		return true;
+	free_job(job);
+	return false;
 }
 
 void
 fleet_recorded(struct fleet *fleet, struct fleet_job *job, uint64_t revision)
 {
-	end_writing(fleet, job, revision);
+	if (!end_writing(fleet, job, revision))
+		return;
 	job->recorded_generation = job->packed_generation;
 	fleet_wake_at(fleet, 0);
 }
@@ -429,7 +439,8 @@
 fleet_record_failed(
     struct fleet *fleet, struct fleet_job *job, uint64_t revision)
 {
-	end_writing(fleet, job, revision);
+	if (!end_writing(fleet, job, revision))
+		return;
 	if (job->dirty)
 		cds_list_del(&job->unrecorded);
 	job->dirty = true;
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -69,6 +69,7 @@
 	bool cancelled;
 	bool dirty;
 	bool writing;
+	bool removed; /* while its record was being written */
 	uint64_t dirty_generation;
 	uint64_t writing_generation; /* of the dirt being written */
 	uint64_t packed_generation;  /* state of the record being written */
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -31,6 +31,8 @@
 {
 	if (fleet == NULL)
 		return;
+	while (fleet->writing_count > 0)
+		fleet_recorded(fleet, fleet->writing[0], 0);
 	while (fleet->jobs.count > 0)
 		fleet_remove_job(fleet, fleet->jobs.items[0].item);
 	for (size_t i = 0; i < fleet->workers.count; i++)
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -386,6 +386,24 @@
 	CU_ASSERT_EQUAL(world_running(&world, job), 0);
 }
 
+static void
+test_job_removed_while_it_is_written(void)
+{
+	CLEANUP(world_close) struct world world;
+	struct fleet_job *taken;
+
+	world_open(&world, 2, 2);
+	world.store_down = true;
+	(void)world_submit(&world, world_new_job(1, 1, 2, 1), 500);
+	world_run(&world, 200);
+	taken = fleet_take_unrecorded(world.fleet);
+	CU_ASSERT_PTR_NOT_NULL(taken);
+	fleet_remove_job(world.fleet, taken);
+	fleet_record_failed(world.fleet, taken, 7);
+	CU_ASSERT_PTR_NULL(fleet_find_job(world.fleet, world.jobs[0].id));
+	CU_ASSERT_PTR_NULL(fleet_take_unrecorded(world.fleet));
+}
+
 int
 main(void)
 {
@@ -417,6 +435,8 @@
 	    {"occurrences start when due", test_occurrences_start_when_due},
 	    {"lasting tasks are started again",
 		test_lasting_tasks_are_started_again},
+	    {"job removed while it is written",
+		test_job_removed_while_it_is_written},
 	    CU_TEST_INFO_NULL,
 	};
 
