--- a/src/agent/agent_workers.c
+++ b/src/agent/agent_workers.c
@@ -10,7 +10,7 @@
 #define WORKER_WATCH_WAIT_MS  800
 #define WORKER_WATCH_PAUSE_MS 200
 /* A look at a worker with work waits so long for an end. */
-#define LOOK_WAIT_MS	 1500
+#define LOOK_WAIT_MS	 700
 #define LOOK_TIMEOUT_MS	 700
 #define LOOK_RETRY_MS	 300
 #define ORDER_TIMEOUT_MS 250
--- a/src/fleet/fleet_decide.c
+++ b/src/fleet/fleet_decide.c
@@ -5,6 +5,8 @@
 #include "fleet/fleet_model.h"
 #include "process/alloc.h"
 
+/* A run that was to be stopped is not stopped again for so long. */
+#define STRAY_MS 500
 /* The longest sleep. */
 #define LATEST_WAKE_MS 1000
 
@@ -295,12 +297,15 @@
 	}
 }
 
-/* Runs that this lead does not know or has given up. */
+/* Runs that this lead does not know or has given up. One that is still there
+ * after a while is stopped again. */
 static void
-order_stray_stops(struct fleet *fleet)
+order_stray_stops(struct fleet *fleet, int64_t now_ms)
 {
+	size_t kept = 0;
+
 	for (size_t i = 0; i < fleet->strays_count; i++) {
-		const struct fleet_stray *stray = &fleet->strays[i];
+		struct fleet_stray *stray = &fleet->strays[i];
 		struct fleet_order order = {
 		    .kind = FLEET_STOP,
 		    .worker = stray->worker,
@@ -309,9 +314,16 @@
 		    .reason = "unknown run",
 		};
 
-		add_order(fleet, &order);
+		if (stray->ordered_ms != 0 &&
+		    now_ms - stray->ordered_ms > STRAY_MS)
+			continue;
+		if (stray->ordered_ms == 0) {
+			add_order(fleet, &order);
+			stray->ordered_ms = now_ms;
+		}
+		fleet->strays[kept++] = *stray;
 	}
-	fleet->strays_count = 0;
+	fleet->strays_count = kept;
 }
 
 /* A failed or cancelled job leaves its workers. */
@@ -341,7 +353,7 @@
 	fleet->now_ms = now_ms;
 	fleet->next_ms = now_ms + LATEST_WAKE_MS;
 	fleet_expire_leases(fleet, now_ms);
-	order_stray_stops(fleet);
+	order_stray_stops(fleet, now_ms);
 	fleet_open_due(fleet, now_ms, wall_ms);
 	stop_ended_jobs(fleet, now_ms);
 	if (fleet->changed || now_ms >= fleet->place_ms) {
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -42,6 +42,11 @@
 	uint32_t index;
 	uint32_t failures;
 	int32_t percent;
+	int32_t mark_percent; /* when the rate was last measured */
+	int64_t mark_ms;
+	double rate; /* percent a millisecond; 0: not known */
+	double best_rate;
+	uint32_t moves; /* because of slow workers */
 	enum fleet_task_state state;
 };
 
@@ -95,7 +100,9 @@
 	uint64_t acked_end;
 	struct fleet_room committed; /* placed there to stay */
 	struct fleet_room occupied;  /* may run there now */
-	uint32_t failures;	     /* in a row, of different tasks */
+	double slowness; /* run time over that of a sound worker; 0: unknown */
+	int64_t slowness_ms; /* when that was last seen */
+	uint32_t failures;   /* in a row, of different tasks */
 	int64_t avoid_until_ms;
 	bool evacuated;
 };
@@ -104,6 +111,7 @@
 	struct fleet_worker *worker;
 	struct fleet_task_id task;
 	uint64_t run;
+	int64_t ordered_ms; /* when its stop was ordered; 0: not yet */
 };
 
 struct fleet_guarantee {
@@ -158,6 +166,8 @@
 struct fleet_room fleet_task_need(const struct fleet_task *task);
 struct fleet_task *fleet_step_tasks(
     const struct fleet_occurrence *occurrence, uint32_t step);
+bool fleet_same_task(
+    const struct fleet_task_id *a, const struct fleet_task_id *b);
 void fleet_task_id(const struct fleet_task *task, struct fleet_task_id *id);
 struct fleet_task *fleet_find_task(
     const struct fleet *fleet, const struct fleet_task_id *id);
@@ -207,6 +217,12 @@
     const struct fleet_job *job, const Ibis__JobStep *step, int64_t now_ms);
 void fleet_expire_leases(struct fleet *fleet, int64_t now_ms);
 
+/* Progress group. */
+double fleet_slowness(const struct fleet_worker *worker, int64_t now_ms);
+/* Takes in what a look showed of a task, and moves it if that is better. */
+void fleet_check_progress(struct fleet *fleet, struct fleet_task *task,
+    int32_t percent, int64_t now_ms);
+
 /* Placement group: tasks is the first of count tasks of one step that wait;
  * targets gets a worker for each. Returns how many were found. */
 size_t fleet_find_places(struct fleet *fleet, struct fleet_task *const *tasks,
--- a/src/fleet/fleet_place.c
+++ b/src/fleet/fleet_place.c
@@ -9,6 +9,7 @@
 struct candidate {
 	struct fleet_worker *worker;
 	uint32_t fits;
+	uint32_t speed_rank; /* by how well its speed suits; 0 is best */
 	int64_t left; /* accelerators and cores that stay free, weighed */
 };
 
@@ -24,6 +25,9 @@
 	int64_t now_ms;
 };
 
+/* From here on a worker is slower than it ought to be. */
+#define SOMEWHAT_SLOW 1.15
+#define VERY_SLOW     2.0
 /* One accelerator weighs as much as this many cores. */
 #define CORES_PER_ACCELERATOR 16
 #define MILLI_PER_CORE	      1000
@@ -73,12 +77,27 @@
 	    room->cpu_milli / MILLI_PER_CORE;
 }
 
+/* Urgent work goes to the fastest; other work leaves these to it. */
+static uint32_t
+speed_rank(const struct search *search, const struct fleet_worker *worker)
+{
+	double slowness = fleet_slowness(worker, search->now_ms);
+
+	if (slowness >= VERY_SLOW)
+		return 2;
+	if (search->job->spec->priority == 0)
+		return slowness >= SOMEWHAT_SLOW;
+	return 0;
+}
+
 static int
 compare_left(const void *left, const void *right)
 {
 	const struct candidate *a = left;
 	const struct candidate *b = right;
 
+	if (a->speed_rank != b->speed_rank)
+		return a->speed_rank < b->speed_rank ? -1 : 1;
 	if (a->left != b->left)
 		return a->left < b->left ? -1 : 1;
 	return strcmp(a->worker->entry.id, b->worker->entry.id);
@@ -117,7 +136,11 @@
 		if (fits == 0)
 			continue;
 		search->candidates[search->count++] = (struct candidate){
-		    .worker = worker, .fits = fits, .left = weigh(&left)};
+		    .worker = worker,
+		    .fits = fits,
+		    .speed_rank = speed_rank(search, worker),
+		    .left = weigh(&left),
+		};
 	}
 	sort_candidates(search);
 }
--- /dev/null
+++ b/src/fleet/fleet_progress.c
@@ -0,0 +1,222 @@
+/*
+ * How fast tasks get on: workers that are slow or stand still show in the
+ * progress that they report, and work that would end sooner elsewhere moves.
+ *
+ * Members of a gang do the same amount of work, so their rates compare the
+ * workers; a task alone is compared with its own best rate.
+ */
+#include <string.h>
+
+#include "fleet/fleet_model.h"
+
+/* A rate is measured over so many percent, or over so long a time: a reading
+ * is a whole number, and less would be rounded too much. */
+#define RATE_PERCENT 8
+#define RATE_MS	     1500
+/* A task without any progress for so long stands still. */
+#define STALL_MS 1500
+/* What a move costs beside the work done again. */
+#define MOVE_MS 600
+/* A move has to be worth so much, in parts of the time until the end. */
+#define MOVE_GAIN 1.5
+#define MAX_MOVES 2
+/* Slowness of this much passes, and is forgotten after a while. */
+#define PASSING_SLOWNESS 2.0
+#define PASSING_MS	 8000
+#define FULL_PERCENT	 100
+/* Weight of a new sample. */
+#define SAMPLE_WEIGHT 0.5
+
+double
+fleet_slowness(const struct fleet_worker *worker, int64_t now_ms)
+{
+	if (worker->slowness == 0)
+		return 1;
+	if (worker->slowness >= PASSING_SLOWNESS &&
+	    now_ms - worker->slowness_ms > PASSING_MS)
+		return 1;
+	return worker->slowness;
+}
+
+static void
+note_slowness(struct fleet_worker *worker, double sample, int64_t now_ms)
+{
+	double before = fleet_slowness(worker, now_ms);
+
+	if (worker->slowness == 0)
+		before = sample;
+	worker->slowness =
+	    before * (1 - SAMPLE_WEIGHT) + sample * SAMPLE_WEIGHT;
+	worker->slowness_ms = now_ms;
+}
+
+/* What the task's rate would be beside its data. */
+static double
+local_rate(const struct fleet *fleet, const struct fleet_task *task)
+{
+	const char *rack = fleet_step_of(task)->data_rack;
+
+	if (*rack == '\0' || strcmp(rack, task->worker->entry.rack) == 0)
+		return task->rate;
+	return task->rate * fleet->config.remote_factor;
+}
+
+/* The fastest member of a gang, or NULL. */
+static const struct fleet_task *
+fastest_member(
+    const struct fleet *fleet, const struct fleet_task *tasks, uint32_t count)
+{
+	const struct fleet_task *best = NULL;
+	double best_rate = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		double rate;
+
+		if (tasks[i].state != TASK_RUNNING)
+			continue;
+		rate = local_rate(fleet, &tasks[i]);
+		if (rate <= best_rate)
+			continue;
+		best = &tasks[i];
+		best_rate = rate;
+	}
+	return best;
+}
+
+/* Takes a new reading in. Returns true when there is a new rate. */
+static bool
+measure(struct fleet_task *task, int32_t percent, int64_t now_ms)
+{
+	int64_t passed_ms = now_ms - task->mark_ms;
+
+	if (task->mark_ms == 0 || percent < task->mark_percent) {
+		task->mark_ms = now_ms;
+		task->mark_percent = percent;
+		task->rate = 0;
+		task->best_rate = 0;
+		return false;
+	}
+	if (percent >= FULL_PERCENT)
+		task->mark_percent = FULL_PERCENT;
+	if (percent >= FULL_PERCENT || percent == task->mark_percent ||
+	    (percent - task->mark_percent < RATE_PERCENT &&
+		passed_ms < RATE_MS))
+		return false;
+	task->rate = (double)(percent - task->mark_percent) / (double)passed_ms;
+	if (task->rate > task->best_rate)
+		task->best_rate = task->rate;
+	task->mark_ms = now_ms;
+	task->mark_percent = percent;
+	return true;
+}
+
+static bool
+stands_still(const struct fleet_task *task, int64_t now_ms)
+{
+	return task->mark_ms != 0 && task->mark_percent < FULL_PERCENT &&
+	    now_ms - task->mark_ms > STALL_MS;
+}
+
+/* Time until a task ends where it is; INT64_MAX when it stands still. */
+static int64_t
+time_left(const struct fleet_task *task, int64_t now_ms)
+{
+	if (stands_still(task, now_ms))
+		return INT64_MAX;
+	if (task->rate == 0 || task->percent >= FULL_PERCENT)
+		return 0;
+	return (int64_t)((FULL_PERCENT - task->percent) / task->rate);
+}
+
+static bool
+worth_moving(
+    const struct fleet_task *task, double rate_elsewhere, int64_t now_ms)
+{
+	int64_t left_ms = time_left(task, now_ms);
+	double elsewhere_ms;
+
+	if (left_ms == INT64_MAX)
+		return true;
+	if (rate_elsewhere == 0)
+		return false;
+	elsewhere_ms = FULL_PERCENT / rate_elsewhere + MOVE_MS;
+	return (double)left_ms > elsewhere_ms * MOVE_GAIN;
+}
+
+static void
+move(struct fleet *fleet, struct fleet_task *task, int64_t now_ms)
+{
+	struct fleet_task *first = fleet_step_of(task)->gang
+	    ? fleet_step_tasks(task->occurrence, task->step)
+	    : task;
+
+	/* Other work can wait for its worker to recover. */
+	if (task->occurrence->job->spec->priority > 0 ||
+	    first->moves >= MAX_MOVES)
+		return;
+	first->moves++;
+	note_slowness(task->worker, PASSING_SLOWNESS * 2, now_ms);
+	fleet_stop_unit(fleet, task,
+	    stands_still(task, now_ms) ? "stands still" : "slow worker",
+	    now_ms);
+}
+
+static bool
+gang_works(const struct fleet_task *tasks, uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		if (tasks[i].state != TASK_RUNNING || tasks[i].seen_look == 0)
+			return false;
+	}
+	return true;
+}
+
+static void
+check_gang(
+    struct fleet *fleet, struct fleet_task *task, bool measured, int64_t now_ms)
+{
+	const Ibis__JobStep *step = fleet_step_of(task);
+	struct fleet_task *tasks =
+	    fleet_step_tasks(task->occurrence, task->step);
+	const struct fleet_task *best;
+	double best_rate = 0;
+
+	if (!gang_works(tasks, step->tasks)) {
+		/* It waits for its members. */
+		task->mark_ms = now_ms;
+		task->mark_percent = task->percent;
+		return;
+	}
+	best = fastest_member(fleet, tasks, step->tasks);
+	if (best != NULL)
+		best_rate = local_rate(fleet, best);
+	if (best != NULL && measured)
+		note_slowness(task->worker,
+		    best_rate / local_rate(fleet, task) *
+			fleet_slowness(best->worker, now_ms),
+		    now_ms);
+	/* Elsewhere it would be as far from its data as it is here. */
+	if (task->rate > 0)
+		best_rate *= task->rate / local_rate(fleet, task);
+	if (worth_moving(task, best_rate, now_ms))
+		move(fleet, task, now_ms);
+}
+
+void
+fleet_check_progress(struct fleet *fleet, struct fleet_task *task,
+    int32_t percent, int64_t now_ms)
+{
+	const Ibis__JobStep *step = fleet_step_of(task);
+	bool measured;
+
+	task->percent = percent;
+	if (step->lasting || step->fills || task->state != TASK_RUNNING)
+		return;
+	measured = measure(task, percent, now_ms);
+	if (step->gang) {
+		check_gang(fleet, task, measured, now_ms);
+	} else if (worth_moving(
+		       task, task->rate == 0 ? 0 : task->best_rate, now_ms)) {
+		move(fleet, task, now_ms);
+	}
+}
--- a/src/fleet/fleet_tasks.c
+++ b/src/fleet/fleet_tasks.c
@@ -80,6 +80,13 @@
 	return &occurrence->tasks[occurrence->job->first_task[step]];
 }
 
+bool
+fleet_same_task(const struct fleet_task_id *a, const struct fleet_task_id *b)
+{
+	return a->occurrence == b->occurrence && a->step == b->step &&
+	    a->index == b->index && strcmp(a->job, b->job) == 0;
+}
+
 void
 fleet_task_id(const struct fleet_task *task, struct fleet_task_id *id)
 {
@@ -163,6 +170,9 @@
 	task->stop_reason = NULL;
 	task->known_ms = INT64_MAX;
 	task->percent = 0;
+	task->mark_ms = 0;
+	task->rate = 0;
+	task->best_rate = 0;
 	task->seen_look = 0;
 	fleet_set_state(task, TASK_PLACED);
 	fleet_touch(fleet, task->occurrence->job);
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -390,10 +390,27 @@
 	}
 }
 
+/* Tells whether its stop was ordered a short while ago. */
+static bool
+is_known_stray(const struct fleet *fleet, const struct fleet_worker *worker,
+    const struct fleet_seen_run *run)
+{
+	for (size_t i = 0; i < fleet->strays_count; i++) {
+		const struct fleet_stray *stray = &fleet->strays[i];
+
+		if (stray->worker == worker && stray->run == run->run &&
+		    fleet_same_task(&stray->task, &run->task))
+			return true;
+	}
+	return false;
+}
+
 static void
 add_stray(struct fleet *fleet, struct fleet_worker *worker,
     const struct fleet_seen_run *run)
 {
+	if (is_known_stray(fleet, worker, run))
+		return;
 	fleet->strays = mem_grow(fleet->strays, &fleet->strays_capacity,
 	    fleet->strays_count + 1, sizeof(*fleet->strays));
 	fleet->strays[fleet->strays_count++] = (struct fleet_stray){
@@ -412,13 +429,13 @@
 		return;
 	}
 	task->seen_look = fleet->looks;
-	task->percent = run->percent;
 	fleet_set_checkpoint(task, run->checkpoint);
 	if (task->state == TASK_SENT) {
 		fleet_set_state(task, TASK_RUNNING);
 		task->started_ms = now_ms;
 		task->known_ms = now_ms;
 	}
+	fleet_check_progress(fleet, task, run->percent, now_ms);
 }
 
 /* A start without an answer may still be carried out late: the stop of the
@@ -447,7 +464,7 @@
 		cds_list_for_each_entry (task, &worker->tasks, on_worker) {
 			if (!fleet_task_holds_room(task->state) ||
 			    task->seen_look == fleet->looks ||
-			    task->known_ms > sent_ms)
+			    task->known_ms >= sent_ms)
 				continue;
 			lose_unseen_task(fleet, task, now_ms);
 			more = true;
--- a/tests/common_world.c
+++ b/tests/common_world.c
@@ -346,6 +346,8 @@
 		job = job_of(world, run->task.job);
 		if (run->ends_ms == INT64_MAX)
 			begin_gang(world, run);
+		else if (worker->stalled)
+			run->ends_ms += TICK_MS;
 		if (run->ends_ms == INT64_MAX &&
 		    world->now_ms - run->since_ms > GANG_WAIT_MS)
 			stop_run(world, worker, run, FLEET_END_ALONE);
@@ -440,6 +442,17 @@
 	}
 }
 
+static int32_t
+percent_of(struct world *world, const struct world_run *run)
+{
+	int64_t run_ms = job_of(world, run->task.job)->run_ms;
+	int64_t left_ms = run->ends_ms - world->now_ms;
+
+	if (run->ends_ms == INT64_MAX || left_ms > run_ms)
+		return 0;
+	return (int32_t)(100 - left_ms * 100 / run_ms);
+}
+
 static void
 look(struct world *world, struct fleet_worker *fleet_worker)
 {
@@ -474,7 +487,7 @@
 			    .task = worker->runs[i].task,
 			    .run = worker->runs[i].run,
 			    .checkpoint = worker->runs[i].checkpoint,
-			    .percent = 50,
+			    .percent = percent_of(world, &worker->runs[i]),
 			};
 	}
 	for (size_t i = 0; i < worker->ends_count; i++) {
--- a/tests/common_world.h
+++ b/tests/common_world.h
@@ -61,6 +61,7 @@
 	bool cut; /* unreachable; runs on */
 	bool fails_all;
 	bool loses_answers; /* carries out, and does not answer */
+	bool stalled;	    /* its tasks get no further */
 	bool late;	    /* carries out later, and does not answer */
 };
 
@@ -97,6 +98,7 @@
 	size_t done_count;
 	bool store_down;
 	uint64_t starts;
+	uint32_t stalled; /* workers */
 	uint64_t stops;
 	char broken[WORLD_MESSAGE_BYTES]; /* the first broken rule; empty */
 };
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -386,6 +386,56 @@
 	CU_ASSERT_EQUAL(world_running(&world, job), 0);
 }
 
+/* Pattern: a look and a start cross within one millisecond; the look does not
+ * show the run, which was begun a moment later. */
+static void
+test_look_that_crossed_a_start(void)
+{
+	CLEANUP(world_close) struct world world;
+	struct fleet_report report = {.born_wall_ms = 1};
+	struct fleet_worker *worker;
+
+	world_open(&world, 1, 1);
+	(void)world_submit(&world, world_new_job(1, 1, 8, 1), 2000);
+	world_run(&world, 300);
+	CU_ASSERT_EQUAL(world_running(&world, 0), 8);
+	worker = fleet_worker_at(world.fleet, 0);
+	world_reborn(&world, 0);
+	world_run(&world, 60);
+	report.sent_ms = world.now_ms;
+	report.received_ms = world.now_ms;
+	report.clock_ms = world.now_ms + world.workers[0].clock_offset_ms;
+	report.born_wall_ms = world.workers[0].born_wall_ms;
+	fleet_report(world.fleet, worker, &report, world.now_ms);
+	world_run(&world, 20);
+	CU_ASSERT_EQUAL(world_running(&world, 0), 8);
+	world_run(&world, 8000);
+	CU_ASSERT_EQUAL(world_phase(&world, 0), COMPLETED);
+	check_rules(&world);
+}
+
+/* Pattern: tasks on one worker stand still while it answers. */
+static void
+test_urgent_gang_leaves_a_worker_that_stands_still(void)
+{
+	CLEANUP(world_close) struct world world;
+	Ibis__StepJob *gang = world_new_job(0, 1, 2, 8);
+	size_t job;
+
+	gang->steps[0]->gang = true;
+	world_open(&world, 4, 2);
+	world_run(&world, 200);
+	job = world_submit(&world, gang, 2000);
+	world_run(&world, 400);
+	CU_ASSERT_EQUAL(world_running(&world, job), 2);
+	for (size_t i = 0; i < world.workers_count; i++)
+		world.workers[i].stalled =
+		    world.workers[i].runs[0].used && world.stalled++ == 0;
+	world_run(&world, 6000);
+	CU_ASSERT_EQUAL(world_phase(&world, job), COMPLETED);
+	check_rules(&world);
+}
+
 static void
 test_job_removed_while_it_is_written(void)
 {
@@ -435,6 +485,9 @@
 	    {"occurrences start when due", test_occurrences_start_when_due},
 	    {"lasting tasks are started again",
 		test_lasting_tasks_are_started_again},
+	    {"look that crossed a start", test_look_that_crossed_a_start},
+	    {"urgent gang leaves a worker that stands still",
+		test_urgent_gang_leaves_a_worker_that_stands_still},
 	    {"job removed while it is written",
 		test_job_removed_while_it_is_written},
 	    CU_TEST_INFO_NULL,
