--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -132,6 +132,7 @@
 		    PLATFORM_SETTINGS_ENV);
 	CDS_INIT_LIST_HEAD(&agent->pending);
 	CDS_INIT_LIST_HEAD(&agent->relay.serving);
+	CDS_INIT_LIST_HEAD(&agent->relay.asked);
 	if (platform_settings_read(
 		agent->settings_path, &agent->settings, status) != IBIS_OK)
 		return status->code;
--- a/src/agent/agent_callers.c
+++ b/src/agent/agent_callers.c
@@ -12,12 +12,16 @@
 /* Left of the caller's time when the last answer goes out. */
 #define ANSWER_MARGIN_MS 150
 /* A store that did not answer is asked again after this time. */
-#define STORE_RETRY_MS 60
-#define RETRY_AFTER_MS 1000
+#define STORE_RETRY_MS		  60
+#define RETRY_AFTER_MS		  1000
+#define STORE_LOST_RETRY_AFTER_MS 2000
 /* What the store surely refuses is tried this long before the caller is told.
  */
 #define REFUSED_PATIENCE_MS 400
 #define MAX_PENDING	    2000
+/* A submission that has not left waits so long for a doubtful store. */
+#define DOUBT_PATIENCE_MS 500
+#define DOUBT_STEP_MS	  20
 
 enum http_status {
 	STATUS_OK = 200,
@@ -48,6 +52,7 @@
 	int64_t give_up_ms;
 	int64_t again_ms;
 	bool calling;
+	bool sent;	 /* some try has left this instance */
 	bool cancelling; /* the job is there: its mark is being written */
 	bool uncertain;	 /* a try had no answer */
 };
@@ -120,7 +125,11 @@
 static void
 finish_unavailable(struct pending *pending)
 {
-	finish(pending, STATUS_UNAVAILABLE, NULL, RETRY_AFTER_MS);
+	bool lost =
+	    agent_relay_health(pending->agent, clock_now_ms()) == STORE_LOST;
+
+	finish(pending, STATUS_UNAVAILABLE, NULL,
+	    lost ? STORE_LOST_RETRY_AFTER_MS : RETRY_AFTER_MS);
 }
 
 static void
@@ -237,6 +246,7 @@
 	struct platform_change change = {.key = key, .put = true};
 
 	pending->calling = true;
+	pending->sent = true;
 	if (pending->kind == PENDING_SUBMIT) {
 		(void)snprintf(
 		    key, sizeof(key), "%s%s", AGENT_JOB_PREFIX, pending->id);
@@ -274,10 +284,35 @@
 	return pending;
 }
 
+/*
+ * Sends a first try. While the store is doubtful it stays here instead, so
+ * that a refusal is true: it has not run and never will.
+ */
+static void
+first_try(struct pending *pending, int64_t now_ms)
+{
+	switch (agent_relay_health(pending->agent, now_ms)) {
+	case STORE_ANSWERS:
+		call_store(pending);
+		return;
+	case STORE_DOUBTFUL:
+		if (now_ms - pending->request->received_ms <
+		    DOUBT_PATIENCE_MS) {
+			pending->again_ms = now_ms + DOUBT_STEP_MS;
+			agent_wake_at(pending->agent, pending->again_ms);
+			return;
+		}
+		break;
+	case STORE_LOST:
+		break;
+	}
+	finish_unavailable(pending);
+}
+
 static void
 submit(struct agent *agent, struct gateway_request *request,
     const struct route *route, const struct routes_workspace *workspace,
-    const char *id)
+    const char *id, int64_t now_ms)
 {
 	struct ibis_status status = {0};
 	struct pending *pending;
@@ -311,7 +346,7 @@
 	pending = new_pending(agent, request, PENDING_SUBMIT, id);
 	proto_pack(&spec->base, &pending->value);
 	ibis__step_job__free_unpacked(spec, proto_allocator());
-	call_store(pending);
+	first_try(pending, now_ms);
 }
 
 static void
@@ -370,7 +405,7 @@
 {
 	switch (request->method) {
 	case GATEWAY_POST:
-		submit(agent, request, route, workspace, id);
+		submit(agent, request, route, workspace, id, clock_now_ms());
 		break;
 	case GATEWAY_GET:
 		read_state(agent, request, id);
@@ -440,8 +475,10 @@
 		agent_wake_at(agent, pending->give_up_ms);
 		if (pending->calling)
 			continue;
-		if (now_ms >= pending->again_ms)
+		if (now_ms >= pending->again_ms && pending->sent)
 			call_store(pending);
+		else if (now_ms >= pending->again_ms)
+			first_try(pending, now_ms);
 		else
 			agent_wake_at(agent, pending->again_ms);
 	}
--- a/src/agent/agent_relay.c
+++ b/src/agent/agent_relay.c
@@ -13,7 +13,7 @@
 #include "process/proto_memory.h"
 
 #define RELAY_PATH	 "/relay"
-#define PROBE_EVERY_MS	 500
+#define PROBE_EVERY_MS	 250
 #define PROBE_TIMEOUT_MS 400
 #define PEER_SLACK_MS	 100
 #define PEER_PAUSE_MS	 1000
@@ -27,8 +27,17 @@
 #define STATUS_BUSY	   429
 #define STATUS_UNAVAILABLE 503
 
+/* An answer that takes so long is overdue. */
+#define OVERDUE_MS 350
+/* Failing, and silent for so long, the store counts as lost. */
+#define LOST_MS 1500
+/* Calls with more time than this wait for changes. */
+#define SHORT_CALL_MS STORE_TIMEOUT_MS
+
 /* A call of our own on its way. */
 struct carried {
+	struct cds_list_head node; /* in relay.asked */
+	int64_t sent_ms;
 	struct agent *agent;
 	http_done *done;
 	void *context;
@@ -63,6 +72,58 @@
 	    answer->status == STATUS_UNAVAILABLE;
 }
 
+static void
+note_result(struct agent *agent, bool failed, int64_t now_ms)
+{
+	struct agent_relay *relay = &agent->relay;
+
+	relay->failing = failed;
+	if (!failed)
+		relay->answered_ms = now_ms;
+}
+
+static struct carried *
+new_carried(struct agent *agent, const struct http_call *call, http_done *done,
+    void *context)
+{
+	struct carried *carried = mem_calloc(1, sizeof(*carried));
+
+	carried->agent = agent;
+	carried->done = done;
+	carried->context = context;
+	carried->sent_ms = clock_now_ms();
+	CDS_INIT_LIST_HEAD(&carried->node);
+	if (call->timeout_ms <= SHORT_CALL_MS)
+		cds_list_add_tail(&carried->node, &agent->relay.asked);
+	return carried;
+}
+
+static void
+finish_carried(struct carried *carried, const struct http_answer *answer)
+{
+	cds_list_del(&carried->node);
+	note_result(carried->agent, turned_away(answer), answer->received_ms);
+	carried->done(carried->context, answer);
+}
+
+enum store_health
+agent_relay_health(const struct agent *agent, int64_t now_ms)
+{
+	const struct agent_relay *relay = &agent->relay;
+	const struct cds_list_head *oldest = relay->asked.next;
+
+	if (now_ms - relay->answered_ms <= OVERDUE_MS)
+		return STORE_ANSWERS;
+	if (relay->failing)
+		return now_ms - relay->answered_ms > LOST_MS ? STORE_LOST
+							     : STORE_DOUBTFUL;
+	if (oldest != &relay->asked &&
+	    now_ms - caa_container_of(oldest, struct carried, node)->sent_ms >
+		OVERDUE_MS)
+		return STORE_DOUBTFUL;
+	return STORE_ANSWERS;
+}
+
 static void
 straight_answered(void *context, const struct http_answer *answer)
 {
@@ -79,7 +140,7 @@
 	} else {
 		counter_add(COUNTER_STORE_OK, 1);
 	}
-	carried->done(carried->context, answer);
+	finish_carried(carried, answer);
 	mem_free(carried);
 }
 
@@ -87,12 +148,8 @@
 carry_straight(struct agent *agent, const struct http_call *call,
     http_done *done, void *done_context)
 {
-	struct carried *carried = mem_calloc(1, sizeof(*carried));
-
-	carried->agent = agent;
-	carried->done = done;
-	carried->context = done_context;
-	http_pool_call(agent->pool, call, straight_answered, carried);
+	http_pool_call(agent->pool, call, straight_answered,
+	    new_carried(agent, call, done, done_context));
 }
 
 static enum http_outcome
@@ -132,7 +189,7 @@
 	unpacked.body_length = body.length;
 	if (turned_away(&unpacked))
 		avoid_peer(carried->agent, carried->peer);
-	carried->done(carried->context, &unpacked);
+	finish_carried(carried, &unpacked);
 }
 
 static void
@@ -153,7 +210,7 @@
 		avoid_peer(carried->agent, carried->peer);
 		if (failed.outcome == HTTP_ANSWERED)
 			failed.outcome = HTTP_NOT_SENT;
-		carried->done(carried->context, &failed);
+		finish_carried(carried, &failed);
 	}
 	mem_free(carried);
 }
@@ -180,7 +237,7 @@
     const struct http_call *call, http_done *done, void *done_context)
 {
 	CLEANUP(buffer_free) struct buffer body = {0};
-	struct carried *carried = mem_calloc(1, sizeof(*carried));
+	struct carried *carried = new_carried(agent, call, done, done_context);
 	Ibis__StoreRelayCall message;
 	struct http_call http = {
 	    .method = "POST",
@@ -189,9 +246,6 @@
 	    .timeout_ms = call->timeout_ms + PEER_SLACK_MS,
 	};
 
-	carried->agent = agent;
-	carried->done = done;
-	carried->context = done_context;
 	STRING_COPY(carried->peer, peer->name);
 	ibis__store_relay_call__init(&message);
 	message.method = (char *)call->method;
@@ -351,8 +405,10 @@
 
 	agent->relay.probing = false;
 	agent->relay.next_probe_ms = answer->received_ms + PROBE_EVERY_MS;
-	if (!turned_away(answer))
-		switch_way(agent, false);
+	if (turned_away(answer))
+		return;
+	switch_way(agent, false);
+	note_result(agent, false, answer->received_ms);
 }
 
 static void
@@ -361,7 +417,8 @@
 	CLEANUP(buffer_free) struct buffer path = {0};
 	struct http_call call;
 
-	if (!agent->relay.by_peer || agent->relay.probing)
+	if ((!agent->relay.by_peer && !agent->relay.failing) ||
+	    agent->relay.probing)
 		return;
 	if (now_ms < agent->relay.next_probe_ms) {
 		agent_wake_at(agent, agent->relay.next_probe_ms);
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -97,6 +97,9 @@
 	bool probing;
 	int64_t next_probe_ms;
 	struct cds_list_head serving; /* calls carried out for peers */
+	struct cds_list_head asked;   /* our short calls on their way */
+	bool failing;	     /* the last call was turned away or unanswered */
+	int64_t answered_ms; /* the store's last answer */
 	/* Our own entry in the store. */
 	uint64_t lease;
 	bool registering;
@@ -164,6 +167,15 @@
 /* A peer's entry in the store has changed. */
 void agent_relay_peer(
     struct agent *agent, const char *name, const struct platform_item *item);
+enum store_health {
+	STORE_ANSWERS,
+	STORE_DOUBTFUL, /* an answer is overdue, or the last one failed */
+	STORE_LOST	/* that has lasted */
+};
+
+/* What is known of the store by now, by whatever way. */
+enum store_health agent_relay_health(const struct agent *agent, int64_t now_ms);
+
 /* Answers what peers wait for and forgets all. */
 void agent_relay_end(struct agent *agent);
 
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -365,6 +365,10 @@
 		return;
 	if (task->worker != NULL && task->worker != worker)
 		return;
+	/* A run that holds no room has been accounted for: by an earlier lead,
+	 * or as lost. Only its work may still count. */
+	if (!fleet_task_holds_room(task->state) && end->how != FLEET_END_DONE)
+		return;
 	switch (end->how) {
 	case FLEET_END_DONE:
 		worker->failures = 0;
@@ -487,11 +491,11 @@
 		fleet->changed = true;
 	if (!worker->reported) {
 		worker->reported = true;
-		/* Earlier leads are shut out now; only what is listed may
-		 * still hold a lease of theirs. */
+		/* Earlier leads are shut out now, but what is listed may hold
+		 * the longest lease: they may have misread its clock. */
 		if (worker->granted_ms == 0)
 			worker->lease_until_ms = now_ms +
-			    (int64_t)(fleet->config.lease_ms *
+			    (int64_t)(fleet->config.max_lease_ms *
 				FLEET_CLOCK_SLOW);
 	}
 	worker->silent = false;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -436,6 +436,33 @@
 	check_rules(&world);
 }
 
+/* Pattern: the lead dies between the record of an end and the worker's
+ * forgetting it, so that the next lead is told of it again. */
+static void
+test_failure_counts_once_over_takeovers(void)
+{
+	CLEANUP(world_close) struct world world;
+	size_t job;
+
+	world_open(&world, 1, 1);
+	job = world_submit(&world, world_new_job(1, 1, 1, 1), 200);
+	world.jobs[job].poison = true;
+	while (world.starts < 2)
+		world_run(&world, 10);
+	/* Nothing may start, so that the run that failed stays the last. */
+	fleet_set_zone(world.fleet, "z0", false);
+	for (size_t i = 0; i < 30; i++) {
+		world_run(&world, 20);
+		world_take_over(&world);
+		fleet_set_zone(world.fleet, "z0", false);
+	}
+	fleet_set_zone(world.fleet, "z0", true);
+	world_run(&world, 20000);
+	CU_ASSERT_EQUAL(world_phase(&world, job), FAILED);
+	CU_ASSERT_EQUAL(world.starts, 3);
+	check_rules(&world);
+}
+
 static void
 test_job_removed_while_it_is_written(void)
 {
@@ -488,6 +515,8 @@
 	    {"look that crossed a start", test_look_that_crossed_a_start},
 	    {"urgent gang leaves a worker that stands still",
 		test_urgent_gang_leaves_a_worker_that_stands_still},
+	    {"failure counts once over takeovers",
+		test_failure_counts_once_over_takeovers},
 	    {"job removed while it is written",
 		test_job_removed_while_it_is_written},
 	    CU_TEST_INFO_NULL,
