--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -136,6 +136,7 @@
 	if (platform_settings_read(
 		agent->settings_path, &agent->settings, status) != IBIS_OK)
 		return status->code;
+	log_to_stdout();
 	log_configure(LOG_INFO, agent->settings.name);
 	agent->random_state =
 	    (uint64_t)agent_wall_ms() * 2654435761U + (uint64_t)clock_now_us();
--- a/src/agent/agent_callers.c
+++ b/src/agent/agent_callers.c
@@ -78,17 +78,23 @@
 	    log_number(now_ms - agent_watch_confirmed_ms(agent->own)), NULL);
 }
 
-static const char *
-submit_outcome(int32_t status)
+/* Refusals have an event of their own, so that a flood of accepted jobs does
+ * not crowd their lines out. */
+static void
+log_submit(const struct pending *pending, int32_t status)
 {
-	switch (status) {
-	case STATUS_OK:
-		return "accepted";
-	case STATUS_TIMEOUT:
-		return "unknown";
-	default:
-		return "refused";
+	const char *event = "submit";
+	const char *outcome = "accepted";
+
+	if (status == STATUS_TIMEOUT) {
+		event = "submit_unknown";
+		outcome = "no answer of the store";
+	} else if (status != STATUS_OK) {
+		event = "submit_refused";
+		outcome = pending->sent ? "store refused" : "store not asked";
 	}
+	log_answer(pending->agent, event, pending->id, outcome,
+	    pending->request->received_ms);
 }
 
 static void
@@ -102,8 +108,7 @@
 			? COUNTER_JOBS_ACCEPTED
 			: COUNTER_JOBS_REFUSED_UNAVAILABLE,
 		    1);
-		log_answer(agent, "submit", pending->id, submit_outcome(status),
-		    pending->request->received_ms);
+		log_submit(pending, status);
 	}
 	reply(agent, pending->request, status, body, retry_after_ms);
 	pending->request = NULL;
--- a/src/agent/agent_workers.c
+++ b/src/agent/agent_workers.c
@@ -22,6 +22,7 @@
 	char worker[FLEET_NAME_BYTES];
 	struct fleet_task_id task;
 	uint64_t run;
+	int64_t sent_ms;
 	uint64_t recorded_ends; /* told to a look */
 	bool extra;
 	bool was_unknown;
@@ -34,6 +35,7 @@
 
 	call->agent = agent;
 	call->term = agent->lead.term;
+	call->sent_ms = clock_now_ms();
 	STRING_COPY(call->worker, worker);
 	return call;
 }
@@ -275,6 +277,18 @@
 	    stop_done, call);
 }
 
+static void
+set_gauges(const struct agent *agent)
+{
+	struct fleet_usage usage;
+
+	fleet_usage(agent->fleet, &usage);
+	gauge_set(GAUGE_JOBS_RUNNING, (int64_t)usage.jobs);
+	gauge_set(GAUGE_ACCELERATORS, usage.accelerators);
+	gauge_set(GAUGE_ACCELERATORS_FREE, usage.free_accelerators);
+	gauge_set(GAUGE_PEERS_ALIVE, (int64_t)agent->relay.peers.count);
+}
+
 static const char *
 note_event(enum fleet_note_kind kind)
 {
@@ -339,6 +353,8 @@
 		}
 	}
 	log_notes(agent);
+	set_gauges(agent);
+	duration_observe(HISTOGRAM_DECISION, clock_now_ms() - now_ms);
 	agent_wake_at(agent, fleet_next_ms(agent->fleet));
 }
 
--- a/src/process/counters.c
+++ b/src/process/counters.c
@@ -88,6 +88,12 @@
 	"Times that this instance became the pool's lead."},
     [COUNTER_LEADS_LOST] = {"ibis_leads_lost_total", "",
 	"Times that it lost the lead without handing it over."},
+    [COUNTER_LOG_LINES_DROPPED] = {"ibis_log_lines_total",
+	"outcome=\"dropped\"",
+	"Log lines not written: the reader was behind, or the limit a second "
+	"of their event was reached."},
+    [COUNTER_LOG_LINES_LEFT_OUT] = {"ibis_log_lines_total",
+	"outcome=\"left_out\"", NULL},
 };
 
 static const struct metric gauge_metrics[GAUGES] = {
--- a/src/process/log.c
+++ b/src/process/log.c
@@ -1,5 +1,6 @@
 #include <ctype.h>
 #include <inttypes.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <stdbool.h>
@@ -10,6 +11,7 @@
 #include "process/alloc.h"
 #include "process/buffer.h"
 #include "process/clock.h"
+#include "process/counters.h"
 #include "process/log.h"
 
 #define REPEAT_SLOTS	 64
@@ -18,6 +20,7 @@
 #define NUMBER_BUFFERS	 16
 #define NUMBER_BYTES	 24
 #define NAME_BYTES	 64
+#define MAX_LINE_BYTES	 4096
 
 /* How often an event was written in the running window. */
 struct repeat {
@@ -29,6 +32,9 @@
 
 static enum log_level lowest_level = LOG_INFO;
 static char instance_name[NAME_BYTES];
+static int log_fd = STDERR_FILENO;
+static bool may_drop; /* rather than wait for the reader */
+static pthread_mutex_t write_lock = PTHREAD_MUTEX_INITIALIZER;
 static struct repeat repeats[REPEAT_SLOTS];
 static pthread_mutex_t repeat_lock = PTHREAD_MUTEX_INITIALIZER;
 
@@ -39,6 +45,13 @@
 	STRING_COPY(instance_name, name);
 }
 
+void
+log_to_stdout(void)
+{
+	log_fd = STDOUT_FILENO;
+	may_drop = true;
+}
+
 static const char *
 level_name(enum log_level level)
 {
@@ -131,6 +144,32 @@
 	buffer_puts(line, "\"");
 }
 
+/* A pipe that can be written to takes at least PIPE_BUF bytes at once, which
+ * is more than a line has. */
+static bool
+can_write(void)
+{
+	struct pollfd target = {.fd = log_fd, .events = POLLOUT};
+
+	return poll(&target, 1, 0) == 1 && (target.revents & POLLOUT) != 0;
+}
+
+/* One write keeps lines of several threads apart. */
+static void
+write_line(const struct buffer *line)
+{
+	if (!may_drop) {
+		if (write(log_fd, line->data, line->length) < 0)
+			return;
+		return;
+	}
+	(void)pthread_mutex_lock(&write_lock);
+	if (line->length > MAX_LINE_BYTES || !can_write() ||
+	    write(log_fd, line->data, line->length) < 0)
+		counter_add(COUNTER_LOG_LINES_DROPPED, 1);
+	(void)pthread_mutex_unlock(&write_lock);
+}
+
 void
 log_event(enum log_level level, const char *event, ...)
 {
@@ -139,8 +178,12 @@
 	const char *key;
 	va_list pairs;
 
-	if (level < lowest_level || !allow_line(event, &suppressed))
+	if (level < lowest_level)
+		return;
+	if (!allow_line(event, &suppressed)) {
+		counter_add(COUNTER_LOG_LINES_LEFT_OUT, 1);
 		return;
+	}
 	buffer_printf(&line, "t_ms=%" PRId64 " level=%s event=%s",
 	    clock_now_ms(), level_name(level), event);
 	if (instance_name[0] != '\0') {
@@ -156,9 +199,7 @@
 	if (suppressed > 0)
 		buffer_printf(&line, " repeated=%" PRIu32, suppressed);
 	buffer_puts(&line, "\n");
-	/* One write keeps lines of several threads apart. */
-	if (write(STDERR_FILENO, line.data, line.length) < 0)
-		return;
+	write_line(&line);
 }
 
 const char *
--- a/src/process/log.h
+++ b/src/process/log.h
@@ -22,6 +22,13 @@
  * name may be NULL. Call it before other threads start. */
 void log_configure(enum log_level lowest, const char *name);
 
+/*
+ * Lines go to standard output from now on, in place of standard error. A line
+ * that would have to wait for the reader is dropped and counted. Call it before
+ * other threads start.
+ */
+void log_to_stdout(void);
+
 /*
  * Writes one event. The arguments after event are pairs of a key and a
  * string value, ended by NULL; values are quoted where needed:
