--- /dev/null
+++ b/tests/fail_users_platform.c
@@ -0,0 +1,231 @@
+/*
+ * Real instances on a stand-in of the users' platform: the whole path, a lead
+ * that dies, one that freezes and wakes, a store that turns one instance away,
+ * a silent store, and planned stops.
+ */
+#include <stdio.h>
+
+#include "common_cunit.h"
+#include "common_users_platform.h"
+#include "process/alloc.h"
+#include "process/clock.h"
+
+#define START_MS    8000
+#define TAKEOVER_MS 6000
+#define FINISH_MS   20000
+#define JOBS	    12
+#define TASKS	    3
+
+static struct users_platform *platform;
+
+static void
+start_all(void)
+{
+	platform = users_platform_start();
+	CU_ASSERT_PTR_NOT_NULL_FATAL(platform);
+	for (uint32_t i = 0; i < USERS_INSTANCES; i++)
+		CU_ASSERT_TRUE_FATAL(users_start_instance(platform, i));
+	CU_ASSERT_TRUE_FATAL(users_wait_ready(platform, START_MS));
+	CU_ASSERT_TRUE_FATAL(users_wait_lead(platform, -1, START_MS));
+}
+
+static void
+end_all(void)
+{
+	CU_ASSERT_EQUAL(users_doubled(platform), 0);
+	users_platform_stop(platform);
+}
+
+/* Hands jobs in at all instances but one; -1 leaves none out. */
+static void
+submit_jobs(uint32_t first, int left_out)
+{
+	for (uint32_t i = 0; i < JOBS; i++) {
+		uint32_t instance = i % USERS_INSTANCES;
+
+		if ((int)instance == left_out)
+			instance = (instance + 1) % USERS_INSTANCES;
+		CU_ASSERT_EQUAL(
+		    users_submit(platform, instance, first + i, TASKS), 200);
+	}
+}
+
+static void
+expect_completed(uint32_t first, uint32_t instance)
+{
+	for (uint32_t i = 0; i < JOBS; i++)
+		CU_ASSERT_TRUE(users_wait_completed(
+		    platform, instance, first + i, FINISH_MS));
+}
+
+static void
+test_whole_path(void)
+{
+	CLEANUP(buffer_free) struct buffer answer = {0};
+
+	start_all();
+	submit_jobs(1, -1);
+	expect_completed(1, 1);
+	CU_ASSERT_EQUAL(users_starts(platform), JOBS * TASKS);
+	CU_ASSERT_EQUAL(users_submit(platform, 2, 1, TASKS), 200);
+	CU_ASSERT_EQUAL(
+	    users_call(platform, 0, "GET", "/q/", "", &answer), 200);
+	CU_ASSERT_EQUAL(
+	    users_call(platform, 0, "GET", "/q/00000000000000ff", "", &answer),
+	    410);
+	CU_ASSERT_EQUAL(
+	    users_call(platform, 0, "GET", "/other/", "", &answer), 404);
+	CU_ASSERT_EQUAL(users_call(platform, 0, "POST", "/q/00000000000000fe",
+			    "{", &answer),
+	    400);
+	end_all();
+}
+
+static void
+test_lead_dies(void)
+{
+	int lead;
+
+	start_all();
+	users_set_run_ms(platform, 2000);
+	submit_jobs(1, -1);
+	lead = users_lead(platform);
+	process_kill(users_instance(platform, (uint32_t)lead));
+	CU_ASSERT_TRUE(users_wait_lead(platform, lead, TAKEOVER_MS));
+	submit_jobs(100, lead);
+	expect_completed(1, ((uint32_t)lead + 1) % USERS_INSTANCES);
+	expect_completed(100, ((uint32_t)lead + 1) % USERS_INSTANCES);
+	CU_ASSERT_EQUAL(users_starts(platform), 2 * JOBS * TASKS);
+	end_all();
+}
+
+/* The woken lead finds another epoch in the store and steps down. */
+static void
+test_lead_freezes_and_wakes(void)
+{
+	int lead;
+
+	start_all();
+	users_set_run_ms(platform, 1000);
+	for (uint32_t round = 0; round < 3; round++) {
+		lead = users_lead(platform);
+		submit_jobs(1 + round * 100, -1);
+		process_freeze(users_instance(platform, (uint32_t)lead));
+		CU_ASSERT_TRUE(users_wait_lead(platform, lead, TAKEOVER_MS));
+		process_wake(users_instance(platform, (uint32_t)lead));
+		expect_completed(1 + round * 100, (uint32_t)lead);
+	}
+	for (uint32_t i = 0; i < USERS_INSTANCES; i++)
+		CU_ASSERT_EQUAL(
+		    process_wait(users_instance(platform, i), 0), -1);
+	CU_ASSERT_TRUE(users_wait_ready(platform, START_MS));
+	end_all();
+}
+
+/* Pattern: the lead hears nothing of its successor and goes on writing. */
+static void
+test_lead_is_replaced_unheard(void)
+{
+	start_all();
+	users_set_run_ms(platform, 400);
+	for (uint32_t round = 0; round < 4; round++) {
+		int lead = users_lead(platform);
+
+		submit_jobs(1 + round * 100, lead);
+		users_blind(platform, (uint32_t)lead, true);
+		process_pause(150);
+		users_drop_lead(platform);
+		CU_ASSERT_TRUE(users_wait_lead(platform, lead, TAKEOVER_MS));
+		process_pause(600);
+		users_blind(platform, (uint32_t)lead, false);
+		expect_completed(
+		    1 + round * 100, ((uint32_t)lead + 1) % USERS_INSTANCES);
+	}
+	for (uint32_t i = 0; i < USERS_INSTANCES; i++)
+		CU_ASSERT_EQUAL(
+		    process_wait(users_instance(platform, i), 0), -1);
+	CU_ASSERT_TRUE(users_wait_ready(platform, START_MS));
+	end_all();
+}
+
+/* Its callers are served through a peer. */
+static void
+test_store_turns_one_away(void)
+{
+	start_all();
+	for (uint32_t i = 0; i < USERS_INSTANCES; i++) {
+		uint32_t refused = 0;
+
+		users_turn_away(platform, i, true);
+		process_pause(1500);
+		for (uint32_t j = 0; j < JOBS; j++)
+			refused += users_submit(platform, i, 1 + i * 100 + j,
+				       TASKS) != 200;
+		CU_ASSERT_EQUAL(refused, 0);
+		expect_completed(1 + i * 100, i);
+		users_turn_away(platform, i, false);
+		process_pause(600);
+	}
+	CU_ASSERT_EQUAL(users_starts(platform), USERS_INSTANCES * JOBS * TASKS);
+	end_all();
+}
+
+/* What runs goes on; what can't be stored is refused, truly. */
+static void
+test_store_is_silent(void)
+{
+	uint32_t refused = 0;
+	int64_t sent_ms;
+
+	start_all();
+	users_set_run_ms(platform, 6000);
+	submit_jobs(1, -1);
+	process_pause(500);
+	users_store_silent(platform, true);
+	process_pause(3500);
+	for (uint32_t i = 0; i < USERS_INSTANCES; i++) {
+		sent_ms = clock_now_ms();
+		refused += users_submit(platform, i, 200 + i, TASKS) == 503;
+		CU_ASSERT_TRUE(clock_now_ms() - sent_ms < 1000);
+	}
+	CU_ASSERT_EQUAL(refused, USERS_INSTANCES);
+	users_store_silent(platform, false);
+	expect_completed(1, 0);
+	CU_ASSERT_EQUAL(users_starts(platform), JOBS * TASKS);
+	end_all();
+}
+
+static void
+test_planned_stops(void)
+{
+	start_all();
+	for (uint32_t i = 0; i < USERS_INSTANCES; i++) {
+		submit_jobs(1 + i * 100, -1);
+		process_terminate(users_instance(platform, i));
+		CU_ASSERT_EQUAL(
+		    users_submit(platform, i, 90 + i * 100, TASKS), 200);
+		CU_ASSERT_EQUAL(
+		    process_wait(users_instance(platform, i), 6000), 0);
+		CU_ASSERT_TRUE_FATAL(users_start_instance(platform, i));
+		CU_ASSERT_TRUE(users_wait_ready(platform, START_MS));
+		expect_completed(1 + i * 100, i);
+	}
+	end_all();
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"whole path", test_whole_path},
+	    {"lead dies", test_lead_dies},
+	    {"lead freezes and wakes", test_lead_freezes_and_wakes},
+	    {"lead is replaced unheard", test_lead_is_replaced_unheard},
+	    {"store turns one away", test_store_turns_one_away},
+	    {"store is silent", test_store_is_silent},
+	    {"planned stops", test_planned_stops},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("users_platform", tests);
+}
