--- a/src/agent/agent_workers.c
+++ b/src/agent/agent_workers.c
@@ -187,11 +187,13 @@
 log_order(
     const char *event, const struct worker_call *call, const char *outcome)
 {
-	log_event(LOG_INFO, event, "job", call->task.job, "occurrence",
-	    log_number(call->task.occurrence), "step",
-	    log_number(call->task.step), "index", log_number(call->task.index),
-	    "run", log_number((int64_t)call->run), "worker", call->worker,
-	    "outcome", *outcome == '\0' ? "done" : outcome, NULL);
+	/* The placing has told of all tasks; here only what went wrong. */
+	log_event(*outcome == '\0' ? LOG_DEBUG : LOG_INFO, event, "job",
+	    call->task.job, "occurrence", log_number(call->task.occurrence),
+	    "step", log_number(call->task.step), "index",
+	    log_number(call->task.index), "run", log_number((int64_t)call->run),
+	    "worker", call->worker, "outcome",
+	    *outcome == '\0' ? "done" : outcome, NULL);
 }
 
 static void
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -32,6 +32,7 @@
 	uint64_t run;	  /* highest ever placed */
 	uint64_t placed_generation;
 	int64_t placed_ms;
+	int64_t waits_since_ms; /* 0: from the start */
 	int64_t started_ms;
 	int64_t known_ms; /* a look sent from then on shows it if it is there */
 	int64_t stop_sent_ms; /* 0: to be sent */
--- a/src/fleet/fleet_place.c
+++ b/src/fleet/fleet_place.c
@@ -242,8 +242,12 @@
 static bool
 still_patient(const struct search *search)
 {
-	int64_t until_ms =
-	    search->tasks[0]->occurrence->ready_ms + patience_ms(search);
+	int64_t since_ms = search->tasks[0]->waits_since_ms;
+	int64_t until_ms;
+
+	if (since_ms == 0)
+		since_ms = search->tasks[0]->occurrence->ready_ms;
+	until_ms = since_ms + patience_ms(search);
 
 	if (search->now_ms >= until_ms)
 		return false;
--- a/src/fleet/fleet_tasks.c
+++ b/src/fleet/fleet_tasks.c
@@ -293,6 +293,7 @@
 	fleet_note_task(
 	    fleet, task, FLEET_NOTE_ENDED, outcome, task->started_ms, now_ms);
 	fleet_set_checkpoint(task, checkpoint);
+	task->waits_since_ms = now_ms;
 	fleet_take_off(task, TASK_WAITING);
 	if (fleet_step_of(task)->gang)
 		fleet_stop_unit(fleet, task, "gang", now_ms);
