--- a/src/agent/agent_lead.c
+++ b/src/agent/agent_lead.c
@@ -9,8 +9,10 @@
 #include "process/proto_memory.h"
 
 /* How long the lead's key outlives its holder. */
-#define LEAD_LEASE_MS  1500
-#define LEAD_RENEW_MS  400
+#define LEAD_LEASE_MS 1400
+#define LEAD_RENEW_MS 300
+/* Renewals that may be without an answer: some answers get lost. */
+#define LEAD_RENEWALS  4
 #define LEAD_RETRY_MS  150
 #define LEAD_JITTER_MS 40
 #define LEAD_ANSWER_MS 2000
@@ -30,7 +32,6 @@
 void
 agent_lead_job(struct agent *agent, struct view_job *job, int64_t now_ms)
 {
-	CLEANUP(buffer_free) struct buffer none = {0};
 	Ibis__JobProgress *progress = NULL;
 	struct fleet_job *known;
 
@@ -190,27 +191,46 @@
 	platform_store_lease(&agent->store, lease_ms, lease_answered, agent);
 }
 
+/* A renewal on its way; a later lease may be ours when it is answered. */
+struct renewal {
+	struct agent *agent;
+	uint64_t lease;
+};
+
 static void
 renewed(void *context, const struct platform_store_answer *answer)
 {
-	struct agent *agent = context;
+	struct renewal *renewal = context;
+	struct agent *agent = renewal->agent;
+	bool current = agent->lead.state == LEAD_LEADS &&
+	    agent->lead.lease == renewal->lease;
 
-	agent->lead.renewing = false;
-	if (agent->lead.state != LEAD_LEADS)
+	mem_free(renewal);
+	agent->lead.renewing--;
+	if (!current)
 		return;
 	if (answer->outcome == STORE_DONE) {
-		agent->lead.renewed_ms = answer->sent_ms;
-		agent->lead.next_renew_ms = answer->sent_ms + LEAD_RENEW_MS;
+		if (answer->sent_ms > agent->lead.renewed_ms)
+			agent->lead.renewed_ms = answer->sent_ms;
 		if (agent->lead.lapsed)
 			log_event(LOG_INFO, "lead_lease_back", NULL);
 		agent->lead.lapsed = false;
 		return;
 	}
-	agent->lead.next_renew_ms = answer->received_ms + LEAD_RETRY_MS;
 	if (answer->outcome == STORE_MISSING)
 		agent_lead_step_down(agent, "lease ended");
 }
 
+static void
+send_renewal(struct agent *agent)
+{
+	struct renewal *renewal = mem_calloc(1, sizeof(*renewal));
+
+	renewal->agent = agent;
+	renewal->lease = agent->lead.lease;
+	platform_store_renew(&agent->store, renewal->lease, renewed, renewal);
+}
+
 static void
 renew(struct agent *agent, int64_t now_ms)
 {
@@ -225,12 +245,13 @@
 		log_event(LOG_WARN, "lead_lease_unsure", "age_ms",
 		    log_number(age_ms), NULL);
 	}
-	if (!agent->lead.renewing && now_ms >= agent->lead.next_renew_ms) {
-		agent->lead.renewing = true;
-		platform_store_renew(
-		    &agent->store, agent->lead.lease, renewed, agent);
+	if (agent->lead.renewing < LEAD_RENEWALS &&
+	    now_ms >= agent->lead.next_renew_ms) {
+		agent->lead.renewing++;
+		agent->lead.next_renew_ms = now_ms + LEAD_RENEW_MS;
+		send_renewal(agent);
 	}
-	if (!agent->lead.renewing)
+	if (agent->lead.renewing < LEAD_RENEWALS)
 		agent_wake_at(agent, agent->lead.next_renew_ms);
 }
 
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -66,8 +66,8 @@
 	int64_t next_renew_ms;
 	int64_t next_try_ms;
 	int64_t asked_ms;
-	bool renewing;
-	bool lapsed; /* told once */
+	uint32_t renewing; /* renewals on their way */
+	bool lapsed;	   /* told once */
 };
 
 /* What is under way with one worker. */
--- a/src/agent/agent_watch.c
+++ b/src/agent/agent_watch.c
@@ -6,6 +6,8 @@
 #include "process/log.h"
 
 #define RETRY_MS 100
+/* A watch that has failed asks shortly first, to learn that it is back. */
+#define BACK_WAIT_MS 1
 /* A watch may skip changes shortly before its history is dropped, so it
  * starts again from a revision that was current this long ago. */
 #define SETTLE_MS 3000
