--- a/src/agent/agent_lead.c
+++ b/src/agent/agent_lead.c
@@ -9,10 +9,10 @@
 #include "process/proto_memory.h"
 
 /* How long the lead's key outlives its holder. */
-#define LEAD_LEASE_MS 1400
-#define LEAD_RENEW_MS 300
+#define LEAD_LEASE_MS 1000
+#define LEAD_RENEW_MS 220
 /* Renewals that may be without an answer: some answers get lost. */
-#define LEAD_RENEWALS  4
+#define LEAD_RENEWALS  5
 #define LEAD_RETRY_MS  150
 #define LEAD_JITTER_MS 40
 #define LEAD_ANSWER_MS 2000
