--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -16,8 +16,6 @@
 #define STOP_NOTICE_MS 2600
 /* Left of the grace period when the process ends at the latest. */
 #define STOP_MARGIN_MS 1200
-#define MS_PER_S       1000
-#define NS_PER_MS      1000000
 
 static atomic_bool stop_asked;
 static atomic_bool reload_asked;
@@ -40,15 +38,6 @@
 		agent->next_ms = at_ms;
 }
 
-int64_t
-agent_wall_ms(void)
-{
-	struct timespec now;
-
-	(void)clock_gettime(CLOCK_REALTIME, &now);
-	return (int64_t)now.tv_sec * MS_PER_S + now.tv_nsec / NS_PER_MS;
-}
-
 /* xorshift64*; only for jitter. */
 uint32_t
 agent_random(struct agent *agent, uint32_t below)
@@ -139,7 +128,7 @@
 	log_to_stdout();
 	log_configure(LOG_INFO, agent->settings.name);
 	agent->random_state =
-	    (uint64_t)agent_wall_ms() * 2654435761U + (uint64_t)clock_now_us();
+	    (uint64_t)clock_wall_ms() * 2654435761U + (uint64_t)clock_now_us();
 	for (const char *c = agent->settings.name; *c != '\0'; c++)
 		agent->random_state = agent->random_state * 31 + (uint64_t)*c;
 	agent->random_state |= 1;
--- a/src/agent/agent_callers.c
+++ b/src/agent/agent_callers.c
@@ -343,7 +343,7 @@
 	proto_set_string(&spec->service, route->service);
 	proto_set_string(
 	    &spec->workspace, workspace == NULL ? "" : workspace->name);
-	spec->accepted_wall_ms = agent_wall_ms();
+	spec->accepted_wall_ms = clock_wall_ms();
 	spec->priority = route->priority;
 	spec->attempts = route->attempts;
 	spec->stretch_milli = route->stretch_milli;
--- a/src/agent/agent_lead.c
+++ b/src/agent/agent_lead.c
@@ -62,7 +62,6 @@
 		: agent->settings.max_lease_ms,
 	    .max_lease_ms = agent->settings.max_lease_ms,
 	    .old_lead_ms = LEAD_GRACE_MS,
-	    .stop_ms = agent->settings.stop_ms,
 	    .remote_factor = agent->settings.remote_factor,
 	};
 
--- a/src/agent/agent_records.c
+++ b/src/agent/agent_records.c
@@ -176,7 +176,7 @@
 		batch->conditions[i] = fleet_progress_revision(job);
 		(void)snprintf(batch->keys[i], sizeof(batch->keys[i]), "%s%s",
 		    AGENT_STATE_PREFIX, fleet_job_id(job));
-		fleet_pack_progress(job, agent_wall_ms(), &batch->values[i]);
+		fleet_pack_progress(job, clock_wall_ms(), &batch->values[i]);
 	}
 	if (batch->count > 0)
 		return batch;
@@ -223,7 +223,7 @@
 	};
 	char keys[REMOVAL_JOBS * 3][PLATFORM_KEY_BYTES];
 	int64_t before_ms =
-	    agent_wall_ms() - agent->settings.retention_ms - REMOVAL_MARGIN_MS;
+	    clock_wall_ms() - agent->settings.retention_ms - REMOVAL_MARGIN_MS;
 	size_t count = 0;
 
 	agent->next_removal_ms = now_ms + REMOVAL_EVERY_MS;
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -147,7 +147,6 @@
 
 /* Asks for a step at a time. */
 void agent_wake_at(struct agent *agent, int64_t at_ms);
-int64_t agent_wall_ms(void);
 uint32_t agent_random(struct agent *agent, uint32_t below);
 
 /* View group. */
--- a/src/agent/agent_workers.c
+++ b/src/agent/agent_workers.c
@@ -343,7 +343,7 @@
 		agent_wake_at(agent, fleet_next_ms(agent->fleet));
 		return;
 	}
-	count = fleet_decide(agent->fleet, now_ms, agent_wall_ms(), &orders);
+	count = fleet_decide(agent->fleet, now_ms, clock_wall_ms(), &orders);
 	for (size_t i = 0; i < count; i++) {
 		switch (orders[i].kind) {
 		case FLEET_START:
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -35,8 +35,6 @@
 	int32_t lease_ms;     /* of what runs on a worker */
 	int32_t max_lease_ms; /* that a worker grants at most */
 	int32_t old_lead_ms;  /* an earlier lead may renew leases so long */
-	int32_t gang_wait_ms; /* of a rack, before a gang is spread */
-	int32_t stop_ms;      /* that a stop takes at most */
 	double remote_factor; /* run time away from the data or rack */
 };
 
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -216,6 +216,9 @@
 struct fleet_room fleet_free_room(const struct fleet_worker *worker);
 bool fleet_worker_usable(const struct fleet_worker *worker,
     const struct fleet_job *job, const Ibis__JobStep *step, int64_t now_ms);
+/* Another incarnation has been seen under the worker's id. */
+void fleet_forget_incarnation(
+    struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms);
 void fleet_expire_leases(struct fleet *fleet, int64_t now_ms);
 
 /* Progress group. */
--- /dev/null
+++ b/src/fleet/fleet_reclaim.c
@@ -0,0 +1,200 @@
+/* Frees places for urgent tasks: work that has to give way stops. */
+#include "fleet/fleet_search.h"
+#include "process/alloc.h"
+
+/* Room on a worker if all work of lower priority left. */
+static struct fleet_room
+room_without_lower(const struct fleet_worker *worker, uint32_t priority)
+{
+	struct fleet_room room = fleet_free_room(worker);
+	struct fleet_task *task;
+
+	cds_list_for_each_entry (task, &worker->tasks, on_worker) {
+		struct fleet_room need = fleet_task_need(task);
+
+		if (task->occurrence->job->spec->priority > priority &&
+		    task->state != TASK_STOPPING)
+			fleet_room_add(&room, &need);
+	}
+	return room;
+}
+
+static uint32_t
+fits_without_lower(
+    const struct fleet_search *search, const struct fleet_worker *worker)
+{
+	struct fleet_room room =
+	    room_without_lower(worker, search->job->spec->priority);
+
+	return fleet_room_fits(
+	    &room, &search->need, fleet_search_limit(search, worker));
+}
+
+/* What stopping a task would lose, in weighed room times run time. */
+static int64_t
+loss_of(const struct fleet_task *task, int64_t now_ms)
+{
+	struct fleet_room need = fleet_task_need(task);
+	int64_t ran_ms = now_ms - task->started_ms;
+
+	if (task->state == TASK_PLACED || task->state == TASK_SENT)
+		ran_ms = 0;
+	if (fleet_step_of(task)->checkpoints && ran_ms > 1000)
+		ran_ms = 1000;
+	if (fleet_step_of(task)->gang)
+		ran_ms *= fleet_step_of(task)->tasks;
+	return fleet_weigh(&need) * (ran_ms + 200);
+}
+
+/* Cost of freeing a worker for fits tasks: the work of lower priority on it,
+ * in the share that has to leave. */
+static int64_t
+cost_of_worker(
+    const struct fleet_search *search, const struct fleet_worker *worker)
+{
+	struct fleet_room left = fleet_free_room(worker);
+	int64_t cost = 0;
+	struct fleet_task *task;
+
+	if (fleet_room_fits(&left, &search->need, 1) > 0)
+		return 0;
+	cds_list_for_each_entry (task, &worker->tasks, on_worker) {
+		if (task->occurrence->job->spec->priority >
+			search->job->spec->priority &&
+		    task->state != TASK_STOPPING)
+			cost += loss_of(task, search->now_ms);
+	}
+	return cost;
+}
+
+static void
+open_reclaim(struct fleet_search *search)
+{
+	struct fleet *fleet = search->fleet;
+
+	for (size_t i = 0; i < fleet->workers.count; i++) {
+		struct fleet_worker *worker = fleet->workers.items[i].item;
+		uint32_t fits;
+
+		if (!fleet_worker_usable(
+			worker, search->job, search->step, search->now_ms))
+			continue;
+		fits = fits_without_lower(search, worker);
+		if (fits == 0)
+			continue;
+		search->candidates[search->count++] =
+		    (struct fleet_candidate){.worker = worker,
+			.fits = fits,
+			.left = cost_of_worker(search, worker)};
+	}
+	fleet_search_sort(search);
+}
+
+/* The rack whose cheapest workers take all at the lowest cost, or NULL. */
+static const char *
+cheapest_rack(const struct fleet_search *search)
+{
+	const char *best = NULL;
+	int64_t best_cost = 0;
+
+	for (size_t i = 0; i < search->count; i++) {
+		const char *rack = search->candidates[i].worker->entry.rack;
+		uint32_t fits = 0;
+		int64_t cost = 0;
+
+		for (size_t j = 0; j < search->count && fits < search->wanted;
+		     j++) {
+			if (!fleet_search_in_rack(
+				search->candidates[j].worker, rack))
+				continue;
+			fits += search->candidates[j].fits;
+			cost += search->candidates[j].left;
+		}
+		if (fits < search->wanted)
+			continue;
+		if (best == NULL || cost < best_cost) {
+			best = rack;
+			best_cost = cost;
+		}
+	}
+	return best;
+}
+
+static struct fleet_task *
+cheapest_victim(
+    const struct fleet_search *search, const struct fleet_worker *worker)
+{
+	struct fleet_task *best = NULL;
+	struct fleet_task *task;
+
+	cds_list_for_each_entry (task, &worker->tasks, on_worker) {
+		if (task->occurrence->job->spec->priority <=
+			search->job->spec->priority ||
+		    task->state == TASK_STOPPING)
+			continue;
+		if (best == NULL ||
+		    loss_of(task, search->now_ms) <
+			loss_of(best, search->now_ms))
+			best = task;
+	}
+	return best;
+}
+
+/* Stops work of lower priority on a worker until count tasks fit. */
+static void
+make_room(const struct fleet_search *search, struct fleet_worker *worker,
+    uint32_t count)
+{
+	struct fleet_room left = fleet_free_room(worker);
+	struct fleet_task *victim;
+
+	while (fleet_room_fits(&left, &search->need, count) < count &&
+	    (victim = cheapest_victim(search, worker)) != NULL) {
+		fleet_stop_unit(
+		    search->fleet, victim, "reclaimed", search->now_ms);
+		left = fleet_free_room(worker);
+	}
+}
+
+static size_t
+take_places(const struct fleet_search *search, const char *rack,
+    struct fleet_worker **targets)
+{
+	size_t found = 0;
+
+	for (size_t i = 0; i < search->count && found < search->wanted; i++) {
+		const struct fleet_candidate *candidate =
+		    &search->candidates[i];
+		uint32_t taken = 0;
+
+		if (!fleet_search_in_rack(candidate->worker, rack))
+			continue;
+		while (taken < candidate->fits && found < search->wanted) {
+			targets[found++] = candidate->worker;
+			taken++;
+		}
+		make_room(search, candidate->worker, taken);
+	}
+	return found;
+}
+
+size_t
+fleet_reclaim_places(struct fleet *fleet, struct fleet_task *const *tasks,
+    size_t count, struct fleet_worker **targets, int64_t now_ms)
+{
+	CLEANUP(fleet_search_free)
+	struct fleet_search search =
+	    fleet_search_begin(fleet, tasks, count, now_ms);
+	const char *rack = NULL;
+
+	open_reclaim(&search);
+	if (fleet_search_fits(&search, NULL) < count)
+		return 0;
+	if (search.step->same_rack) {
+		rack = cheapest_rack(&search);
+		if (rack == NULL && fleet_search_could_ever(&search) &&
+		    fleet_search_patient(&search))
+			return 0;
+	}
+	return take_places(&search, rack, targets);
+}
--- a/src/process/clock.h
+++ b/src/process/clock.h
@@ -14,6 +14,9 @@
 /* Returns microseconds of the monotonic clock. */
 int64_t clock_now_us(void);
 
+/* Returns milliseconds of the time of day, which may jump. */
+int64_t clock_wall_ms(void);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -9,8 +9,6 @@
 
 #define TICK_MS		  20
 #define EVENTS_PER_ROUND  512
-#define MS_PER_SECOND	  1000
-#define NS_PER_MS	  1000000
 #define STORE_DOWN_MS	  600
 #define LEAD_POLL_MS	  500
 #define LEAD_JITTER_MS	  150
@@ -18,15 +16,6 @@
 #define RELEASE_GRACE_MS  3000
 #define SILENT_HEARTBEATS 8
 
-int64_t
-control_wall_ms(void)
-{
-	struct timespec now;
-
-	(void)clock_gettime(CLOCK_REALTIME, &now);
-	return (int64_t)now.tv_sec * MS_PER_SECOND + now.tv_nsec / NS_PER_MS;
-}
-
 uint32_t
 control_random(struct control *control, uint32_t bound)
 {
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -119,7 +119,6 @@
 void control_free(struct control *control);
 void *control_run(void *argument);
 uint32_t control_random(struct control *control, uint32_t bound);
-int64_t control_wall_ms(void);
 
 /* Tells whether this instance leads and has finished its recovery. */
 bool control_leading(const struct control *control);
--- a/src/process/control_gangs.c
+++ b/src/process/control_gangs.c
@@ -309,7 +309,7 @@
 	counter_add(COUNTER_ATTEMPTS_RUNNING, 1);
 	job->record->state = IBIS__JOB_STATE__JOB_RUNNING;
 	if (job->record->started_at_ms == 0)
-		job->record->started_at_ms = control_wall_ms();
+		job->record->started_at_ms = clock_wall_ms();
 	scheduler_running(control->scheduler, job->id, control->now_ms);
 	control_job_note(control, job);
 	log_event(LOG_INFO, "job_running", "job", job->record->id, "attempt",
--- a/src/process/control_jobs.c
+++ b/src/process/control_jobs.c
@@ -4,6 +4,7 @@
 #include <json-c/json.h>
 
 #include "process/alloc.h"
+#include "process/clock.h"
 #include "process/control.h"
 #include "process/counters.h"
 #include "process/log.h"
@@ -33,7 +34,7 @@
     struct scheduler_job *out)
 {
 	const Ibis__JobSpec *spec = job->record->spec;
-	int64_t age_ms = control_wall_ms() - job->record->accepted_at_ms;
+	int64_t age_ms = clock_wall_ms() - job->record->accepted_at_ms;
 
 	*out = (struct scheduler_job){
 	    .id = job->id,
@@ -74,7 +75,7 @@
 		    "from", job_state_name(record->state), "to",
 		    job_state_name(state), NULL);
 	record->state = state;
-	record->ended_at_ms = control_wall_ms();
+	record->ended_at_ms = clock_wall_ms();
 	proto_set_string(&record->reason, reason);
 	control_metrics_job_ended(control, job);
 	cut_down(record);
@@ -224,7 +225,7 @@
 	proto_set_string(&record->id, text);
 	record->spec = (Ibis__JobSpec *)proto_copy(&request->spec->base);
 	record->state = IBIS__JOB_STATE__JOB_ACCEPTED;
-	record->accepted_at_ms = control_wall_ms();
+	record->accepted_at_ms = clock_wall_ms();
 	record->fingerprint = job_spec_fingerprint(request->spec);
 	return record;
 }
@@ -467,7 +468,7 @@
 {
 	return job->ended_durable && cds_list_empty(&job->waiters) &&
 	    job->gang == NULL &&
-	    control_wall_ms() - job->record->ended_at_ms >
+	    clock_wall_ms() - job->record->ended_at_ms >
 	    control->settings->tombstone_retention_ms;
 }
 
--- a/src/process/daemon.c
+++ b/src/process/daemon.c
@@ -140,7 +140,7 @@
 		return NULL;
 	}
 	daemon->control =
-	    control_new(settings, daemon->events, (uint64_t)control_wall_ms());
+	    control_new(settings, daemon->events, (uint64_t)clock_wall_ms());
 	if (start_traffic(daemon->control, daemon->events, status) != IBIS_OK ||
 	    pthread_create(
 		&daemon->thread, NULL, control_run, daemon->control) != 0) {
