--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -73,6 +73,7 @@
 	uint32_t finished; /* occurrences, from the first on */
 	Ibis__StepJobPhase phase;
 	bool cancelled;
+	bool borrows; /* urgent, beyond its workspace's guarantee */
 	bool dirty;
 	bool writing;
 	bool removed; /* while its record was being written */
--- a/src/fleet/fleet_reclaim.c
+++ b/src/fleet/fleet_reclaim.c
@@ -1,10 +1,82 @@
 /* Frees places for urgent tasks: work that has to give way stops. */
+#include <string.h>
+
 #include "fleet/fleet_search.h"
 #include "process/alloc.h"
 
-/* Room on a worker if all work of lower priority left. */
+/* Accelerators that the urgent jobs of a workspace still need. */
+static int64_t
+urgent_need(const struct fleet *fleet, const char *workspace)
+{
+	int64_t need = 0;
+
+	for (size_t i = 0; i < fleet->jobs.count; i++) {
+		const struct fleet_job *job = fleet->jobs.items[i].item;
+
+		if (job->spec->priority > 0 || fleet_job_final(job) ||
+		    strcmp(job->spec->workspace, workspace) != 0)
+			continue;
+		for (size_t j = 0; j < job->occurrences_count; j++) {
+			for (uint32_t k = 0; k < job->tasks_count; k++) {
+				const struct fleet_task *task =
+				    &job->occurrences[j]->tasks[k];
+
+				if (task->state != TASK_DONE)
+					need +=
+					    fleet_step_of(task)->accelerators;
+			}
+		}
+	}
+	return need;
+}
+
+static int64_t
+guarantee_of(const struct fleet *fleet, const char *workspace)
+{
+	for (size_t i = 0; i < fleet->guarantees_count; i++) {
+		if (strcmp(fleet->guarantees[i].workspace, workspace) == 0)
+			return fleet->guarantees[i].accelerators;
+	}
+	return 0;
+}
+
+static bool
+within_guarantee(const struct fleet *fleet, const char *workspace)
+{
+	return urgent_need(fleet, workspace) <= guarantee_of(fleet, workspace);
+}
+
+/* Notes which urgent jobs stand on room that is not their workspace's. */
+static void
+find_borrowers(const struct fleet *fleet)
+{
+	for (size_t i = 0; i < fleet->jobs.count; i++) {
+		struct fleet_job *job = fleet->jobs.items[i].item;
+
+		job->borrows = job->spec->priority == 0 &&
+		    !fleet_job_final(job) &&
+		    !within_guarantee(fleet, job->spec->workspace);
+	}
+}
+
+/* Lower priorities give way to all urgent work, urgent borrowers to that which
+ * is guaranteed. */
+static bool
+gives_way(const struct fleet_search *search, const struct fleet_task *task)
+{
+	const struct fleet_job *job = task->occurrence->job;
+
+	if (task->state == TASK_STOPPING)
+		return false;
+	if (job->spec->priority > search->job->spec->priority)
+		return true;
+	return search->guaranteed && job->borrows;
+}
+
+/* Room on a worker if all work that gives way left. */
 static struct fleet_room
-room_without_lower(const struct fleet_worker *worker, uint32_t priority)
+room_without_lower(
+    const struct fleet_search *search, const struct fleet_worker *worker)
 {
 	struct fleet_room room = fleet_free_room(worker);
 	struct fleet_task *task;
@@ -12,8 +84,7 @@
 	cds_list_for_each_entry (task, &worker->tasks, on_worker) {
 		struct fleet_room need = fleet_task_need(task);
 
-		if (task->occurrence->job->spec->priority > priority &&
-		    task->state != TASK_STOPPING)
+		if (gives_way(search, task))
 			fleet_room_add(&room, &need);
 	}
 	return room;
@@ -23,13 +94,19 @@
 fits_without_lower(
     const struct fleet_search *search, const struct fleet_worker *worker)
 {
-	struct fleet_room room =
-	    room_without_lower(worker, search->job->spec->priority);
+	struct fleet_room room = room_without_lower(search, worker);
 
 	return fleet_room_fits(
 	    &room, &search->need, fleet_search_limit(search, worker));
 }
 
+/* What a stop costs beside the work, and the most work that a task loses which
+ * saves it. */
+#define STOP_COST_MS  200
+#define SAVED_LOSS_MS 1000
+/* Urgent borrowers go after all other work. */
+#define BORROWER_WEIGHT 20
+
 /* What stopping a task would lose, in weighed room times run time. */
 static int64_t
 loss_of(const struct fleet_task *task, int64_t now_ms)
@@ -39,11 +116,13 @@
 
 	if (task->state == TASK_PLACED || task->state == TASK_SENT)
 		ran_ms = 0;
-	if (fleet_step_of(task)->checkpoints && ran_ms > 1000)
-		ran_ms = 1000;
+	if (fleet_step_of(task)->checkpoints && ran_ms > SAVED_LOSS_MS)
+		ran_ms = SAVED_LOSS_MS;
 	if (fleet_step_of(task)->gang)
 		ran_ms *= fleet_step_of(task)->tasks;
-	return fleet_weigh(&need) * (ran_ms + 200);
+	if (task->occurrence->job->spec->priority == 0)
+		ran_ms *= BORROWER_WEIGHT;
+	return fleet_weigh(&need) * (ran_ms + STOP_COST_MS);
 }
 
 /* Cost of freeing a worker for fits tasks: the work of lower priority on it,
@@ -59,9 +138,7 @@
 	if (fleet_room_fits(&left, &search->need, 1) > 0)
 		return 0;
 	cds_list_for_each_entry (task, &worker->tasks, on_worker) {
-		if (task->occurrence->job->spec->priority >
-			search->job->spec->priority &&
-		    task->state != TASK_STOPPING)
+		if (gives_way(search, task))
 			cost += loss_of(task, search->now_ms);
 	}
 	return cost;
@@ -128,9 +205,7 @@
 	struct fleet_task *task;
 
 	cds_list_for_each_entry (task, &worker->tasks, on_worker) {
-		if (task->occurrence->job->spec->priority <=
-			search->job->spec->priority ||
-		    task->state == TASK_STOPPING)
+		if (!gives_way(search, task))
 			continue;
 		if (best == NULL ||
 		    loss_of(task, search->now_ms) <
@@ -187,6 +262,10 @@
 	    fleet_search_begin(fleet, tasks, count, now_ms);
 	const char *rack = NULL;
 
+	search.guaranteed =
+	    within_guarantee(fleet, search.job->spec->workspace);
+	if (search.guaranteed)
+		find_borrowers(fleet);
 	open_reclaim(&search);
 	if (fleet_search_fits(&search, NULL) < count)
 		return 0;
--- a/src/fleet/fleet_search.h
+++ b/src/fleet/fleet_search.h
@@ -26,6 +26,7 @@
 	struct fleet_candidate *candidates; /* owned */
 	size_t count;
 	int64_t now_ms;
+	bool guaranteed; /* the job is within its workspace's guarantee */
 };
 
 /* Begins a search for count waiting tasks of one step; free it. */
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -4,6 +4,7 @@
 #include "common_cunit.h"
 #include "common_world.h"
 #include "process/alloc.h"
+#include "process/proto_memory.h"
 
 #define COMPLETED IBIS__STEP_JOB_PHASE__PHASE_COMPLETED
 #define FAILED	  IBIS__STEP_JOB_PHASE__PHASE_FAILED
@@ -98,6 +99,62 @@
 	check_rules(&world);
 }
 
+static Ibis__StepJob *
+urgent_gang(const char *workspace)
+{
+	Ibis__StepJob *job = world_new_job(0, 1, 2, 8);
+
+	job->steps[0]->gang = true;
+	proto_set_string(&job->workspace, workspace);
+	return job;
+}
+
+/* Pattern: urgent work of others stands on room that a workspace is
+ * guaranteed. */
+static void
+test_guarantee_is_reclaimed_from_urgent_borrowers(void)
+{
+	CLEANUP(world_close) struct world world;
+	size_t borrower;
+	size_t owner;
+
+	world_open(&world, 2, 2);
+	fleet_set_guarantee(world.fleet, "owner", 16);
+	borrower = world_submit(&world, urgent_gang("borrower"), 5000);
+	world_run(&world, 300);
+	CU_ASSERT_EQUAL(world_running(&world, borrower), 2);
+	owner = world_submit(&world, urgent_gang("owner"), 2000);
+	world_run(&world, 300);
+	CU_ASSERT_EQUAL(world_running(&world, owner), 2);
+	CU_ASSERT_EQUAL(world_running(&world, borrower), 0);
+	world_run(&world, 20000);
+	CU_ASSERT_EQUAL(world_phase(&world, owner), COMPLETED);
+	CU_ASSERT_EQUAL(world_phase(&world, borrower), COMPLETED);
+	check_rules(&world);
+}
+
+static void
+test_urgent_work_within_its_guarantee_stays(void)
+{
+	CLEANUP(world_close) struct world world;
+	size_t first;
+	size_t second;
+
+	world_open(&world, 2, 2);
+	fleet_set_guarantee(world.fleet, "one", 16);
+	fleet_set_guarantee(world.fleet, "two", 16);
+	first = world_submit(&world, urgent_gang("one"), 5000);
+	world_run(&world, 300);
+	second = world_submit(&world, urgent_gang("two"), 2000);
+	world_run(&world, 1000);
+	CU_ASSERT_EQUAL(world_running(&world, first), 2);
+	CU_ASSERT_EQUAL(world_running(&world, second), 0);
+	world_run(&world, 10000);
+	CU_ASSERT_EQUAL(world_phase(&world, second), COMPLETED);
+	CU_ASSERT_EQUAL(world.starts, 4);
+	check_rules(&world);
+}
+
 static void
 test_hopeless_job_fails_after_its_attempts(void)
 {
@@ -489,6 +546,10 @@
 	    {"gang waits until all fit", test_gang_waits_until_all_fit},
 	    {"gang keeps to one rack", test_gang_keeps_to_one_rack},
 	    {"urgent job takes room back", test_urgent_job_takes_room_back},
+	    {"guarantee is reclaimed from urgent borrowers",
+		test_guarantee_is_reclaimed_from_urgent_borrowers},
+	    {"urgent work within its guarantee stays",
+		test_urgent_work_within_its_guarantee_stays},
 	    {"hopeless job fails after its attempts",
 		test_hopeless_job_fails_after_its_attempts},
 	    {"cancelled job leaves", test_cancelled_job_leaves},
