--- a/src/agent/agent_callers.c
+++ b/src/agent/agent_callers.c
@@ -319,11 +319,12 @@
     const struct route *route, const struct routes_workspace *workspace,
     const char *id, int64_t now_ms)
 {
+	const struct view_job *known = agent_view_job(agent, id);
 	struct ibis_status status = {0};
 	struct pending *pending;
 	Ibis__StepJob *spec;
 
-	if (agent_view_job(agent, id) != NULL) {
+	if (known != NULL && known->spec != NULL) {
 		counter_add(COUNTER_JOBS_REPEATED, 1);
 		log_answer(
 		    agent, "submit", id, "repeated", request->received_ms);
--- a/src/connection/gateway.c
+++ b/src/connection/gateway.c
@@ -186,7 +186,8 @@
 		    : MHD_HTTP_SERVICE_UNAVAILABLE;
 		return true;
 	}
-	if (strcmp(request->path, gateway->config.metrics_path) == 0) {
+	if (request->internal &&
+	    strcmp(request->path, gateway->config.metrics_path) == 0) {
 		exchange->status = MHD_HTTP_OK;
 		exchange->text = true;
 		counters_write(&exchange->answer);
--- a/src/connection/gateway.h
+++ b/src/connection/gateway.h
@@ -48,7 +48,7 @@
 
 struct gateway_config {
 	const char *ready_path;
-	const char *metrics_path;
+	const char *metrics_path;    /* at internal addresses only */
 	const char *deadline_header; /* milliseconds that a caller waits */
 	int32_t max_body_bytes;
 	int32_t default_deadline_ms;
