--- a/tests/common_world.c
+++ b/tests/common_world.c
@@ -547,7 +547,8 @@
 	    fleet_decide(world->fleet, world->now_ms, world->now_ms, &orders);
 	if (count > COUNT_OF(copies))
 		count = COUNT_OF(copies);
-	memcpy(copies, orders, count * sizeof(*copies));
+	for (size_t i = 0; i < count; i++)
+		copies[i] = orders[i];
 	for (size_t i = 0; i < count; i++)
 		deliver(world, &copies[i]);
 	record(world);
