Tell a job's story from the logs; bounds and levels as settings

Change: lines carry wall_ms; `ibisctl log story` aligns each process by the median of its two clocks, marks the job's lines and adds those of workers, leads and instances that it met. Warnings may be 20 times as many. The own interface logs to standard output too. `--log-level`, `--log-lines`, `log_event_lines_per_s`. `ibisctl job why` and `status` at the internal address: lead, epoch, dependencies with ages, what each step waits for. tools/check_docs.sh, in make check, keeps metrics, events and commands of docs and code alike.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -80,7 +80,6 @@
 	agent->settings.grace_ms = fresh.grace_ms;
 	agent->settings.retention_ms = fresh.retention_ms;
 	agent->settings.max_lease_ms = fresh.max_lease_ms;
-	agent->settings.stop_ms = fresh.stop_ms;
 	agent->settings.remote_factor = fresh.remote_factor;
 	log_event(LOG_INFO, "reloaded", NULL);
 }
@@ -102,7 +101,8 @@
 }
 
 static enum ibis_code
-start(struct agent *agent, struct ibis_status *status)
+start(struct agent *agent, const struct agent_options *options,
+    struct ibis_status *status)
 {
 	struct gateway_config gateway = {
 	    .ready_path = PLATFORM_READY_PATH,
@@ -125,8 +125,12 @@
 	if (platform_settings_read(
 		agent->settings_path, &agent->settings, status) != IBIS_OK)
 		return status->code;
-	log_to_stdout();
-	log_configure(LOG_INFO, agent->settings.name);
+	log_configure(&(struct log_config){
+	    .lowest = options->log_level,
+	    .name = agent->settings.name,
+	    .event_lines_per_s = options->log_event_lines_per_s,
+	    .to_stdout = true,
+	});
 	agent->random_state =
 	    (uint64_t)clock_wall_ms() * 2654435761U + (uint64_t)clock_now_us();
 	for (const char *c = agent->settings.name; *c != '\0'; c++)
@@ -158,10 +162,11 @@
 	while (event_queue_take(agent->events, 0, &event)) {
 		if (event.kind != EVENT_GATEWAY)
 			continue;
-		if (event.gateway->internal)
-			agent_relay_request(agent, event.gateway);
-		else
+		if (!event.gateway->internal)
 			agent_callers_request(agent, event.gateway, now_ms);
+		else if (!agent_hint_request(agent, event.gateway) &&
+		    !agent_status_request(agent, event.gateway))
+			agent_relay_request(agent, event.gateway);
 	}
 }
 
@@ -243,11 +248,11 @@
 }
 
 int
-agent_run(struct ibis_status *status)
+agent_run(const struct agent_options *options, struct ibis_status *status)
 {
 	struct agent agent = {0};
 
-	if (start(&agent, status) != IBIS_OK)
+	if (start(&agent, options, status) != IBIS_OK)
 		return 1;
 	log_event(LOG_INFO, "started", "zone", agent.settings.zone, "callers",
 	    agent.settings.caller_address, "store",
@@ -259,3 +264,17 @@
 	free_agent(&agent);
 	return 0;
 }
+
+enum ibis_code
+agent_check_settings(const char *path, struct ibis_status *status)
+{
+	struct platform_settings settings;
+
+	return platform_settings_read(path, &settings, status);
+}
+
+bool
+agent_settings_recognise(const char *path)
+{
+	return platform_settings_recognise_file(path);
+}
--- a/src/connection/address.c
+++ b/src/connection/address.c
@@ -1,6 +1,9 @@
 #include <errno.h>
 #include <netdb.h>
+#include <stdbool.h>
+#include <stdint.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -8,7 +11,8 @@
 #include "connection/address.h"
 #include "process/alloc.h"
 
-#define STEP "listen"
+#define STEP	"listen"
+#define DECIMAL 10
 
 /* Splits "IP:PORT" or "[IP]:PORT"; returns false when there is no port. */
 static bool
@@ -31,6 +35,16 @@
 	return true;
 }
 
+/* getaddrinfo cuts larger numbers off. */
+static bool
+is_port(const char *text)
+{
+	char *end;
+	long port = strtol(text, &end, DECIMAL);
+
+	return *text != '\0' && *end == '\0' && port >= 0 && port <= UINT16_MAX;
+}
+
 enum ibis_code
 address_parse(const char *text, struct sockaddr_storage *address,
     socklen_t *length, struct ibis_status *status)
@@ -44,7 +58,7 @@
 	char host[ADDRESS_TEXT_BYTES] = "";
 	const char *port = NULL;
 
-	if (!split(text, host, &port) ||
+	if (!split(text, host, &port) || !is_port(port) ||
 	    getaddrinfo(host, port, &hints, &found) != 0)
 		return ibis_status_set(status, IBIS_INVALID, "address", text,
 		    "address \"%s\"; expected IP:PORT", text);
--- a/src/main/ibistrestled.c
+++ b/src/main/ibistrestled.c
@@ -8,13 +8,16 @@
 #include "ibistrestle.h"
 
 #define MAX_OVERRIDES 64
+#define MAX_LOG_LINES 100000
 
-static const struct option options[] = {
+static const struct option long_options[] = {
     {"settings", required_argument, NULL, 's'},
     {"set", required_argument, NULL, 'o'},
     {"check-settings", required_argument, NULL, 'c'},
     {"print-defaults", no_argument, NULL, 'p'},
     {"platform", no_argument, NULL, 'f'},
+    {"log-level", required_argument, NULL, 'l'},
+    {"log-lines", required_argument, NULL, 'n'},
     {"help", no_argument, NULL, 'h'},
     {NULL, 0, NULL, 0},
 };
@@ -24,14 +27,18 @@
 {
 	(void)fputs(
 	    "usage: ibistrestled --settings FILE [--set KEY=VALUE ...]\n"
-	    "       ibistrestled --platform\n"
+	    "       ibistrestled --platform [--log-level LEVEL] [--log-lines "
+	    "N]\n"
 	    "       ibistrestled --check-settings FILE\n"
 	    "       ibistrestled --print-defaults\n"
 	    "\n"
 	    "Runs one entry instance until SIGTERM or SIGINT, which make it\n"
 	    "finish what it has begun, hand over and exit. --platform runs it\n"
 	    "on the users' platform, whose settings file the environment "
-	    "names.\n"
+	    "names;\n"
+	    "there --log-level is debug, info, warn or error, and --log-lines\n"
+	    "bounds the lines of one event a second. --check-settings takes a\n"
+	    "file of either form.\n"
 	    "\n"
 	    "Exit codes: 0 stopped as asked, 1 could not start,\n"
 	    "2 wrong usage or settings.\n",
@@ -82,11 +89,52 @@
 }
 
 static int
-run_on_platform(void)
+run_on_platform(const struct agent_options *options)
 {
 	struct ibis_status status = {0};
 
-	return agent_run(&status) == 0 ? 0 : fail(&status, 1);
+	return agent_run(options, &status) == 0 ? 0 : fail(&status, 1);
+}
+
+static int
+check_platform_settings(const char *path)
+{
+	struct ibis_status status = {0};
+
+	return agent_check_settings(path, &status) == IBIS_OK
+	    ? 0
+	    : fail(&status, 2);
+}
+
+/* Takes a number of lines; false after telling what was expected. */
+static bool
+take_lines(const char *text, int32_t *lines)
+{
+	char *end;
+	long number = strtol(text, &end, 10);
+
+	if (*text != '\0' && *end == '\0' && number >= 1 &&
+	    number <= MAX_LOG_LINES) {
+		*lines = (int32_t)number;
+		return true;
+	}
+	(void)fprintf(stderr,
+	    "ibistrestled: --log-lines: '%s'; expected lines a second from 1 "
+	    "to %d\n",
+	    text, MAX_LOG_LINES);
+	return false;
+}
+
+static bool
+take_level(const char *text, enum log_level *level)
+{
+	if (log_level_parse(text, level))
+		return true;
+	(void)fprintf(stderr,
+	    "ibistrestled: --log-level: '%s'; expected debug, info, warn or "
+	    "error\n",
+	    text);
+	return false;
 }
 
 int
@@ -96,12 +144,15 @@
 	struct ibis_status status = {0};
 	struct ibis_settings *settings;
 	const char *path = NULL;
+	struct agent_options agent = {.log_level = LOG_INFO};
 	bool check_only = false;
+	bool platform = false;
 	size_t count = 0;
 	int option;
 	int code = 0;
 
-	while ((option = getopt_long(argc, argv, "h", options, NULL)) != -1) {
+	while (
+	    (option = getopt_long(argc, argv, "h", long_options, NULL)) != -1) {
 		switch (option) {
 		case 's':
 			path = optarg;
@@ -115,7 +166,16 @@
 			check_only = true;
 			break;
 		case 'f':
-			return run_on_platform();
+			platform = true;
+			break;
+		case 'l':
+			if (!take_level(optarg, &agent.log_level))
+				return 2;
+			break;
+		case 'n':
+			if (!take_lines(optarg, &agent.log_event_lines_per_s))
+				return 2;
+			break;
 		case 'p':
 			ibis_settings_print_defaults();
 			return 0;
@@ -127,10 +187,14 @@
 			return 2;
 		}
 	}
-	if (path == NULL || optind != argc) {
+	if (platform && path == NULL && optind == argc)
+		return run_on_platform(&agent);
+	if (path == NULL || platform || optind != argc) {
 		usage(stderr);
 		return 2;
 	}
+	if (check_only && agent_settings_recognise(path))
+		return check_platform_settings(path);
 	settings = ibis_settings_read(path, overrides, count, &status);
 	if (settings == NULL)
 		return fail(&status, 2);
--- a/src/process/daemon.c
+++ b/src/process/daemon.c
@@ -131,7 +131,12 @@
 {
 	struct ibis_daemon *daemon = mem_calloc(1, sizeof(*daemon));
 
-	log_configure(settings->log_level, settings->name);
+	log_configure(&(struct log_config){
+	    .lowest = settings->log_level,
+	    .name = settings->name,
+	    .event_lines_per_s = settings->log_event_lines_per_s,
+	    .to_stdout = true,
+	});
 	daemon->events = event_queue_new();
 	if (daemon->events == NULL) {
 		ibis_status_set(status, IBIS_INTERNAL, "start", NULL,
--- a/src/process/log.c
+++ b/src/process/log.c
@@ -16,7 +16,6 @@
 
 #define REPEAT_SLOTS	 64
 #define REPEAT_WINDOW_MS 1000
-#define REPEAT_LINES	 50
 #define NUMBER_BUFFERS	 16
 #define NUMBER_BYTES	 24
 #define NAME_BYTES	 64
@@ -34,38 +33,39 @@
 static char instance_name[NAME_BYTES];
 static int log_fd = STDERR_FILENO;
 static bool may_drop; /* rather than wait for the reader */
+static uint32_t event_lines = LOG_EVENT_LINES_PER_S;
 static pthread_mutex_t write_lock = PTHREAD_MUTEX_INITIALIZER;
 static struct repeat repeats[REPEAT_SLOTS];
 static pthread_mutex_t repeat_lock = PTHREAD_MUTEX_INITIALIZER;
 
-void
-log_configure(enum log_level lowest, const char *name)
-{
-	lowest_level = lowest;
-	STRING_COPY(instance_name, name);
-}
+static const char *const level_names[] = {
+    [LOG_DEBUG] = "debug",
+    [LOG_INFO] = "info",
+    [LOG_WARN] = "warn",
+    [LOG_ERROR] = "error",
+};
 
 void
-log_to_stdout(void)
+log_configure(const struct log_config *config)
 {
-	log_fd = STDOUT_FILENO;
-	may_drop = true;
+	lowest_level = config->lowest;
+	STRING_COPY(instance_name, config->name);
+	if (config->event_lines_per_s > 0)
+		event_lines = (uint32_t)config->event_lines_per_s;
+	may_drop = config->to_stdout;
+	log_fd = config->to_stdout ? STDOUT_FILENO : STDERR_FILENO;
 }
 
-static const char *
-level_name(enum log_level level)
+bool
+log_level_parse(const char *name, enum log_level *level)
 {
-	switch (level) {
-	case LOG_DEBUG:
-		return "debug";
-	case LOG_INFO:
-		return "info";
-	case LOG_WARN:
-		return "warn";
-	case LOG_ERROR:
-		return "error";
+	for (size_t i = 0; i < COUNT_OF(level_names); i++) {
+		if (strcmp(level_names[i], name) == 0) {
+			*level = (enum log_level)i;
+			return true;
+		}
 	}
-	return "error";
+	return false;
 }
 
 static struct repeat *
@@ -81,8 +81,10 @@
 /* Tells whether a line may be written; *suppressed gets the lines left out
  * since the last one written. */
 static bool
-allow_line(const char *event, uint32_t *suppressed)
+allow_line(enum log_level level, const char *event, uint32_t *suppressed)
 {
+	uint32_t bound =
+	    level >= LOG_WARN ? event_lines * LOG_WARNINGS_TIMES : event_lines;
 	struct repeat *repeat = find_repeat(event);
 	int64_t now_ms = clock_now_ms();
 	bool allowed;
@@ -96,7 +98,7 @@
 		repeat->window_start_ms = now_ms;
 		repeat->written = 0;
 	}
-	allowed = repeat->written < REPEAT_LINES;
+	allowed = repeat->written < bound;
 	if (allowed) {
 		repeat->written++;
 		*suppressed = repeat->suppressed;
@@ -180,12 +182,13 @@
 
 	if (level < lowest_level)
 		return;
-	if (!allow_line(event, &suppressed)) {
+	if (!allow_line(level, event, &suppressed)) {
 		counter_add(COUNTER_LOG_LINES_LEFT_OUT, 1);
 		return;
 	}
-	buffer_printf(&line, "t_ms=%" PRId64 " level=%s event=%s",
-	    clock_now_ms(), level_name(level), event);
+	buffer_printf(&line,
+	    "t_ms=%" PRId64 " wall_ms=%" PRId64 " level=%s event=%s",
+	    clock_now_ms(), clock_wall_ms(), level_names[level], event);
 	if (instance_name[0] != '\0') {
 		buffer_puts(&line, " instance=");
 		append_value(&line, instance_name);
--- a/src/process/log.h
+++ b/src/process/log.h
@@ -1,10 +1,11 @@
 /*
- * Logger: one line of key=value pairs for each event, on standard error.
- * Safe from every thread.
+ * Logger: one line of key=value pairs for each event. Safe from every thread.
+ * log_line.h reads the lines.
  */
 #ifndef IBIS_LOG_H
 #define IBIS_LOG_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #ifdef __cplusplus
@@ -18,22 +19,33 @@
 	LOG_ERROR
 };
 
-/* Sets the lowest level written and the instance=NAME that each line carries.
- * name may be NULL. Call it before other threads start. */
-void log_configure(enum log_level lowest, const char *name);
+struct log_config {
+	enum log_level lowest;
+	const char *name;	   /* instance=NAME of each line; may be NULL */
+	int32_t event_lines_per_s; /* of one event; 0: LOG_EVENT_LINES_PER_S */
+	/* Lines go to standard output in place of standard error. One that
+	 * would have to wait for the reader is dropped and counted. */
+	bool to_stdout;
+};
 
-/*
- * Lines go to standard output from now on, in place of standard error. A line
- * that would have to wait for the reader is dropped and counted. Call it before
- * other threads start.
- */
-void log_to_stdout(void);
+enum {
+	LOG_EVENT_LINES_PER_S = 50,
+	/* Warnings and errors may be so many times more, so that lines of
+	 * failed requests survive a flood. */
+	LOG_WARNINGS_TIMES = 20
+};
+
+/* Call it before other threads start. */
+void log_configure(const struct log_config *config);
+
+/* Returns the level of a name; false when there is none. */
+bool log_level_parse(const char *name, enum log_level *level);
 
 /*
  * Writes one event. The arguments after event are pairs of a key and a
  * string value, ended by NULL; values are quoted where needed:
  *     log_event(LOG_INFO, "job_accepted", "job", id, "class", name, NULL);
- * Lines of one event over a limit in one second are counted, not written,
+ * Lines of one event over its bound in one second are counted, not written,
  * and the next line written of that event carries repeated=N.
  */
 void log_event(enum log_level level, const char *event, ...)
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -83,6 +83,8 @@
     TEXT_KEY(store_address, JSONC_TEXT, true, "\"127.0.0.1:7300\"",
 	"IP:PORT of the platform's key-value service", true),
     CHOICE_KEY(log_level, log_levels, "\"info\"", "Lowest level logged"),
+    NUMBER_KEY(log_event_lines_per_s, 1, 100000, "lines", "50",
+	"Lines of one event a second; 20 times as many of warnings"),
     CHOICE_KEY(policy, policies, "\"guaranteed\"",
 	"Placement policy; first-fit is a baseline for measurements"),
     NUMBER_KEY(segments, 1, 256, "keys", "16",
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -32,6 +32,7 @@
 	char peer_address[SETTINGS_TEXT_BYTES];	  /* IP:PORT; port 0 any */
 	char store_address[SETTINGS_TEXT_BYTES];  /* IP:PORT */
 	enum log_level log_level;
+	int32_t log_event_lines_per_s; /* 50 */
 	enum settings_policy policy;
 	int32_t segments;		/* 16 */
 	int32_t lead_lease_ms;		/* 3000 */
--- a/src/request/cli.c
+++ b/src/request/cli.c
@@ -38,6 +38,7 @@
     {cli_job_commands, &cli_job_commands_count},
     {cli_document_commands, &cli_document_commands_count},
     {cli_site_commands, &cli_site_commands_count},
+    {cli_log_commands, &cli_log_commands_count},
 };
 
 static void
--- a/src/request/cli.h
+++ b/src/request/cli.h
@@ -29,7 +29,8 @@
 
 enum {
 	CLI_MAX_OPTIONS = 24,
-	CLI_MAX_SERVERS = 32
+	CLI_MAX_SERVERS = 32,
+	CLI_INPUT_BYTES = 1 << 20 /* largest input of a command */
 };
 
 /* One long option of a command. */
@@ -105,8 +106,8 @@
 int cli_show(struct cli *cli);
 
 /* Reads a whole file, "-" being standard input. */
-enum ibis_code cli_read_file(
-    const char *path, struct buffer *text, struct ibis_status *status);
+enum ibis_code cli_read_file(const char *path, size_t max_bytes,
+    struct buffer *text, struct ibis_status *status);
 
 /* Commands by concern. */
 extern const struct cli_command cli_job_commands[];
@@ -115,5 +116,7 @@
 extern const size_t cli_document_commands_count;
 extern const struct cli_command cli_site_commands[];
 extern const size_t cli_site_commands_count;
+extern const struct cli_command cli_log_commands[];
+extern const size_t cli_log_commands_count;
 
 #endif
--- a/src/request/cli_job.c
+++ b/src/request/cli_job.c
@@ -15,6 +15,7 @@
 #define DEFAULT_WAIT_MS 3600000
 #define KEY_BYTES	33
 #define MS_PER_SECOND	1000
+#define LEAD_TIMEOUT_MS 3000
 
 static const struct cli_option submit_options[] = {
     {"workspace", "NAME", "workspace that the job belongs to"},
@@ -171,7 +172,7 @@
 
 	if (path == NULL)
 		return add_text(cli, body, "payload", false);
-	if (cli_read_file(path, &text, &status) != IBIS_OK) {
+	if (cli_read_file(path, CLI_INPUT_BYTES, &text, &status) != IBIS_OK) {
 		(void)cli_fail(status.code, &status);
 		return false;
 	}
@@ -382,6 +383,69 @@
 	return CLI_OK;
 }
 
+/* Asks one server for what a job waits for. */
+static enum ibis_code
+ask_waits(const struct cli *cli, struct client *client,
+    struct client_answer *answer, struct ibis_status *status)
+{
+	CLEANUP(buffer_free) struct buffer path = {0};
+
+	buffer_puts(&path, "/v1/jobs/");
+	client_escape(&path, cli->arguments[0]);
+	buffer_puts(&path, "/waits");
+	return client_get(client, path.data, answer, status);
+}
+
+static bool
+is_leading(struct json_object *answer)
+{
+	struct json_object *leading = NULL;
+
+	return json_object_object_get_ex(answer, "leading", &leading) != 0 &&
+	    json_object_get_boolean(leading) != 0;
+}
+
+static enum ibis_code
+ask_lead(const struct cli *cli, const char *lead, struct client_answer *answer,
+    struct ibis_status *status)
+{
+	struct client_config config = {
+	    .servers = &lead,
+	    .servers_count = 1,
+	    .call_timeout_ms = LEAD_TIMEOUT_MS,
+	    .retry_ms = cli->retry_ms,
+	};
+	struct client *client = client_new(&config);
+	enum ibis_code code = ask_waits(cli, client, answer, status);
+
+	client_free(client);
+	return code;
+}
+
+/* Only the lead knows what a job waits for; the others name it. */
+static int
+run_why(struct cli *cli)
+{
+	CLEANUP(client_answer_free) struct client_answer first = {0};
+	CLEANUP(client_answer_free) struct client_answer second = {0};
+	struct ibis_status status = {0};
+	enum ibis_code code = ask_waits(cli, cli->client, &first, &status);
+	const char *lead;
+
+	if (code != IBIS_OK)
+		return cli_fail(code, &status);
+	lead = client_string(first.json, "lead_address", "");
+	if (is_leading(first.json) || *lead == '\0') {
+		cli_print(cli, first.json);
+		return CLI_OK;
+	}
+	code = ask_lead(cli, lead, &second, &status);
+	if (code != IBIS_OK)
+		return cli_fail(code, &status);
+	cli_print(cli, second.json);
+	return CLI_OK;
+}
+
 const struct cli_command cli_job_commands[] = {
     {.group = "job",
 	.name = "submit",
@@ -420,6 +484,13 @@
 	.min_arguments = 1,
 	.max_arguments = 1,
 	.run = run_cancel},
+    {.group = "job",
+	.name = "why",
+	.arguments = "ID",
+	.summary = "Tells what a job waits for, on the users' platform.",
+	.min_arguments = 1,
+	.max_arguments = 1,
+	.run = run_why},
     {.group = "job",
 	.name = "list",
 	.arguments = "",
--- a/src/request/cli_output.c
+++ b/src/request/cli_output.c
@@ -9,7 +9,6 @@
 #define MAX_COLUMNS	 16
 #define COLUMN_GAP	 2
 #define READ_BYTES	 65536
-#define MAX_FILE_BYTES	 (1 << 20)
 #define NESTED_SEPARATOR ","
 #define MAX_JOINED_BYTES 64
 #define NAME_BYTES	 64
@@ -302,7 +301,8 @@
 }
 
 enum ibis_code
-cli_read_file(const char *path, struct buffer *text, struct ibis_status *status)
+cli_read_file(const char *path, size_t max_bytes, struct buffer *text,
+    struct ibis_status *status)
 {
 	CLEANUP(close_file) FILE *file = NULL;
 	CLEANUP(mem_free_string) char *chunk = mem_calloc(READ_BYTES, 1);
@@ -314,10 +314,9 @@
 		    "%s: %s", path, strerror(errno));
 	while ((length = fread(chunk, 1, READ_BYTES, file)) > 0) {
 		buffer_append(text, chunk, length);
-		if (text->length > MAX_FILE_BYTES)
+		if (text->length > max_bytes)
 			return ibis_status_set(status, IBIS_INVALID, "read",
-			    NULL, "%s: larger than %d bytes", path,
-			    MAX_FILE_BYTES);
+			    NULL, "%s: larger than %zu bytes", path, max_bytes);
 	}
 	if (ferror(file) != 0)
 		return ibis_status_set(status, IBIS_INVALID, "read", NULL,
--- /dev/null
+++ b/src/request/log_story.c
@@ -0,0 +1,371 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "process/alloc.h"
+#include "request/log_story.h"
+
+/* What happened so long before the job's first line, or after its last, is
+ * part of its story. */
+#define AROUND_MS   2000
+#define MS_PER_S    1000
+#define DECIMAL	    10
+#define START_EVENT "started"
+
+/* Events that tell of the instance that wrote them or of who leads. */
+static const char *const process_events[] = {"started", "stopping", "stopped",
+    "reloaded", "ready", "not_ready", "config_in_force", "store_watch_lost",
+    "store_watch_back", "store_history_gone", "store_by_peer",
+    "store_straight"};
+static const char *const lead_events[] = {
+    "lead_taken", "lead_lost", "lead_lease_unsure", "lead_released"};
+static const char *const worker_events[] = {"worker_silent", "worker_answers",
+    "worker_unlisted", "worker_paused", "worker_entry_unusable"};
+
+static bool
+is_one_of(const char *event, const char *const *events, size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (strcmp(event, events[i]) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* The last source of an instance, or count when there is none. */
+static uint32_t
+last_source(const struct log_story *story, const char *instance, uint32_t none)
+{
+	for (size_t i = story->count; i > 0; i--) {
+		if (strcmp(story->lines[i - 1].line.instance, instance) == 0)
+			return story->lines[i - 1].source;
+	}
+	return none;
+}
+
+static uint32_t
+next_source(const struct log_story *story)
+{
+	uint32_t next = 0;
+
+	for (size_t i = 0; i < story->count; i++) {
+		if (story->lines[i].source >= next)
+			next = story->lines[i].source + 1;
+	}
+	return next;
+}
+
+static void
+add_line(struct log_story *story, char *text, uint32_t *sources)
+{
+	struct story_line added = {.number = story->count};
+
+	if (!log_line_parse(text, &added.line)) {
+		story->skipped += *text != '\0';
+		return;
+	}
+	added.source = strcmp(added.line.event, START_EVENT) == 0
+	    ? *sources
+	    : last_source(story, added.line.instance, *sources);
+	if (added.source == *sources)
+		(*sources)++;
+	story->lines = mem_grow(story->lines, &story->capacity,
+	    story->count + 1, sizeof(*story->lines));
+	story->lines[story->count++] = added;
+}
+
+void
+log_story_add(struct log_story *story, struct buffer *text)
+{
+	uint32_t sources = next_source(story);
+	char *rest;
+	char *line;
+
+	story->texts = mem_grow(story->texts, &story->texts_capacity,
+	    story->texts_count + 1, sizeof(*story->texts));
+	story->texts[story->texts_count++] = *text;
+	*text = (struct buffer){0};
+	rest = story->texts[story->texts_count - 1].data;
+	while (rest != NULL && (line = strsep(&rest, "\n")) != NULL)
+		add_line(story, line, &sources);
+}
+
+static int
+compare_numbers(const void *left, const void *right)
+{
+	int64_t a = *(const int64_t *)left;
+	int64_t b = *(const int64_t *)right;
+
+	return a < b ? -1 : a > b;
+}
+
+/* Sets the times of one source's lines. */
+static void
+set_times(struct log_story *story, uint32_t source, int64_t *offsets)
+{
+	size_t count = 0;
+	int64_t offset_ms;
+
+	for (size_t i = 0; i < story->count; i++) {
+		const struct log_line *line = &story->lines[i].line;
+
+		if (story->lines[i].source == source)
+			offsets[count++] =
+			    line->wall_ms == 0 ? 0 : line->wall_ms - line->t_ms;
+	}
+	if (count == 0)
+		return;
+	qsort(offsets, count, sizeof(*offsets), compare_numbers);
+	offset_ms = offsets[count / 2];
+	for (size_t i = 0; i < story->count; i++) {
+		if (story->lines[i].source == source)
+			story->lines[i].at_ms =
+			    story->lines[i].line.t_ms + offset_ms;
+	}
+}
+
+static void
+set_all_times(struct log_story *story)
+{
+	int64_t *offsets = mem_calloc(story->count + 1, sizeof(*offsets));
+	uint32_t sources = next_source(story);
+
+	for (uint32_t source = 0; source < sources; source++)
+		set_times(story, source, offsets);
+	mem_free(offsets);
+}
+
+/* The job's lines stand first: count of them. */
+static bool
+job_met_worker(const struct log_story *story, size_t count, const char *worker)
+{
+	for (size_t i = 0; i < count; i++) {
+		const char *named =
+		    log_line_value(&story->lines[i].line, "worker");
+
+		if (named != NULL && strcmp(named, worker) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool
+job_met_instance(
+    const struct log_story *story, size_t count, const char *instance)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (strcmp(story->lines[i].line.instance, instance) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Tells whether a line that does not name the job explains it. The job's
+ * lines stand first: count of them. */
+static bool
+is_around(
+    const struct log_story *story, size_t count, const struct log_line *line)
+{
+	const char *worker = log_line_value(line, "worker");
+
+	if (is_one_of(line->event, lead_events, COUNT_OF(lead_events)))
+		return true;
+	if (is_one_of(line->event, worker_events, COUNT_OF(worker_events)))
+		return worker != NULL && job_met_worker(story, count, worker);
+	return is_one_of(
+		   line->event, process_events, COUNT_OF(process_events)) &&
+	    job_met_instance(story, count, line->instance);
+}
+
+static int
+compare_lines(const void *left, const void *right)
+{
+	const struct story_line *a = left;
+	const struct story_line *b = right;
+
+	if (a->at_ms != b->at_ms)
+		return a->at_ms < b->at_ms ? -1 : 1;
+	if (a->source != b->source)
+		return a->source < b->source ? -1 : 1;
+	return a->number < b->number ? -1 : a->number > b->number;
+}
+
+/* Moves the job's lines to the front; *from_ms and *to_ms get the first and
+ * last time. Returns how many there are. */
+static size_t
+front_job(
+    struct log_story *story, const char *job, int64_t *from_ms, int64_t *to_ms)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < story->count; i++) {
+		struct story_line told = story->lines[i];
+		const char *named = log_line_value(&told.line, "job");
+
+		if (named == NULL || strcmp(named, job) != 0)
+			continue;
+		told.of_job = true;
+		if (count == 0 || told.at_ms < *from_ms)
+			*from_ms = told.at_ms;
+		if (count == 0 || told.at_ms > *to_ms)
+			*to_ms = told.at_ms;
+		story->lines[i] = story->lines[count];
+		story->lines[count++] = told;
+	}
+	return count;
+}
+
+size_t
+log_story_select(struct log_story *story, const char *job)
+{
+	int64_t from_ms = 0;
+	int64_t to_ms = 0;
+	size_t named;
+	size_t kept;
+
+	set_all_times(story);
+	named = front_job(story, job, &from_ms, &to_ms);
+	kept = named;
+	for (size_t i = named; named > 0 && i < story->count; i++) {
+		const struct story_line *told = &story->lines[i];
+
+		if (told->at_ms >= from_ms - AROUND_MS &&
+		    told->at_ms <= to_ms + AROUND_MS &&
+		    is_around(story, named, &told->line))
+			story->lines[kept++] = *told;
+	}
+	story->count = kept;
+	if (kept > 0)
+		qsort(story->lines, kept, sizeof(*story->lines), compare_lines);
+	return named;
+}
+
+/* Writes the time since the job's first line, in seconds. */
+static void
+write_time(struct buffer *text, int64_t since_ms)
+{
+	int64_t amount_ms = since_ms < 0 ? -since_ms : since_ms;
+
+	buffer_printf(text, "%c%" PRId64 ".%03" PRId64,
+	    since_ms < 0 ? '-' : '+', amount_ms / MS_PER_S,
+	    amount_ms % MS_PER_S);
+}
+
+static void
+write_line(struct buffer *text, const struct story_line *told, int64_t zero_ms)
+{
+	const struct log_line *line = &told->line;
+
+	write_time(text, told->at_ms - zero_ms);
+	buffer_printf(text, " %c %s %s", told->of_job ? '*' : ' ',
+	    line->instance, line->event);
+	for (size_t i = 0; i < line->count; i++) {
+		const struct log_pair *pair = &line->pairs[i];
+		bool quoted =
+		    *pair->value == '\0' || strchr(pair->value, ' ') != NULL;
+
+		if (strcmp(pair->key, "level") == 0 ||
+		    (told->of_job && strcmp(pair->key, "job") == 0))
+			continue;
+		buffer_printf(text, quoted ? " %s=\"%s\"" : " %s=%s", pair->key,
+		    pair->value);
+	}
+	buffer_puts(text, "\n");
+}
+
+static size_t
+count_event(const struct log_story *story, const char *event)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < story->count; i++)
+		count += story->lines[i].of_job &&
+		    strcmp(story->lines[i].line.event, event) == 0;
+	return count;
+}
+
+/* Lines that their processes left out near the job, by their own count. */
+static int64_t
+count_left_out(const struct log_story *story)
+{
+	int64_t count = 0;
+
+	for (size_t i = 0; i < story->count; i++) {
+		const char *repeated =
+		    log_line_value(&story->lines[i].line, "repeated");
+
+		if (repeated != NULL)
+			count += strtoll(repeated, NULL, DECIMAL);
+	}
+	return count;
+}
+
+/* The last line of the job with an event, or NULL. */
+static const struct story_line *
+last_event(const struct log_story *story, const char *event)
+{
+	for (size_t i = story->count; i > 0; i--) {
+		if (story->lines[i - 1].of_job &&
+		    strcmp(story->lines[i - 1].line.event, event) == 0)
+			return &story->lines[i - 1];
+	}
+	return NULL;
+}
+
+static void
+write_summary(const struct log_story *story, const char *job, int64_t zero_ms,
+    struct buffer *text)
+{
+	const struct story_line *settled = last_event(story, "job_settled");
+	const char *outcome =
+	    settled == NULL ? NULL : log_line_value(&settled->line, "outcome");
+
+	buffer_printf(text,
+	    "job %s: submit %zu, refused %zu, unknown %zu, placed %zu, "
+	    "ended runs %zu, stops %zu; ",
+	    job, count_event(story, "submit"),
+	    count_event(story, "submit_refused"),
+	    count_event(story, "submit_unknown"), count_event(story, "placed"),
+	    count_event(story, "run_ended"),
+	    count_event(story, "stop_ordered"));
+	if (settled == NULL) {
+		buffer_puts(text, "not settled in these logs\n");
+	} else {
+		buffer_printf(text, "%s at ", outcome == NULL ? "?" : outcome);
+		write_time(text, settled->at_ms - zero_ms);
+		buffer_puts(text, " s\n");
+	}
+	if (count_left_out(story) > 0)
+		buffer_printf(text,
+		    "the instances left out %" PRId64
+		    " lines of these events: the story may have gaps\n",
+		    count_left_out(story));
+	if (story->skipped > 0)
+		buffer_printf(text, "%zu lines of the input are no log lines\n",
+		    story->skipped);
+}
+
+void
+log_story_write(
+    const struct log_story *story, const char *job, struct buffer *text)
+{
+	int64_t zero_ms = 0;
+
+	for (size_t i = story->count; i > 0; i--) {
+		if (story->lines[i - 1].of_job)
+			zero_ms = story->lines[i - 1].at_ms;
+	}
+	for (size_t i = 0; i < story->count; i++)
+		write_line(text, &story->lines[i], zero_ms);
+	write_summary(story, job, zero_ms, text);
+}
+
+void
+log_story_free(struct log_story *story)
+{
+	for (size_t i = 0; i < story->texts_count; i++)
+		buffer_free(&story->texts[i]);
+	mem_free(story->texts);
+	mem_free(story->lines);
+	*story = (struct log_story){0};
+}
--- a/tests/common_process.c
+++ b/tests/common_process.c
@@ -1,6 +1,5 @@
 #include <errno.h>
 #include <fcntl.h>
-#include <poll.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -20,6 +19,9 @@
 #define EXIT_NO_EXEC   127
 #define MS_PER_SECOND  1000
 #define NS_PER_MS      1000000
+#define READ_BYTES     65536
+#define READY_WORD     "ready "
+#define STARTED_EVENT  "event=started "
 #define BUILD_VARIABLE "IBIS_BIN"
 #define BUILD_DEFAULT  "build"
 
@@ -48,19 +50,16 @@
 	_exit(EXIT_NO_EXEC);
 }
 
+/* output gets the child's standard output; -1: the log as well. */
 static bool
 fork_child(struct process *process, const char *program,
-    const char *const *arguments, const char *log_path, int output)
+    const char *const *arguments, int log, int output)
 {
 	CLEANUP(buffer_free) struct buffer path = {0};
 	const char *folder = getenv(BUILD_VARIABLE);
 	char *copies[PROCESS_ARGUMENTS] = {0};
-	int log =
-	    open(log_path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, LOG_MODE);
 	size_t count = 1;
 
-	if (log < 0)
-		return false;
 	buffer_printf(
 	    &path, "%s/%s", folder == NULL ? BUILD_DEFAULT : folder, program);
 	copies[0] = path.data;
@@ -69,57 +68,91 @@
 		copies[count++] = mem_strdup(arguments[i]);
 	process->pid = fork();
 	if (process->pid == 0)
-		run_child(path.data, copies, output, log);
+		run_child(path.data, copies, output < 0 ? log : output, log);
 	for (size_t i = 1; i < count; i++)
 		mem_free(copies[i]);
-	(void)close(log);
 	if (process->pid > 0)
 		return true;
 	process->pid = 0;
 	return false;
 }
 
-/* Reads up to the first line break within a time. */
+/* Opens a log for a child that adds to it, and for reading what it adds. */
+static int
+open_log(const char *path)
+{
+	return open(path, O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, LOG_MODE);
+}
+
 static bool
-read_line(int input, char *line, size_t bytes, int32_t timeout_ms)
+has_ended(const struct process *process)
 {
-	int64_t end_ms = clock_now_ms() + timeout_ms;
-	size_t length = 0;
-
-	while (length + 1 < bytes) {
-		struct pollfd waiting = {.fd = input, .events = POLLIN};
-		int64_t left_ms = end_ms - clock_now_ms();
-
-		if (left_ms <= 0 || poll(&waiting, 1, (int)left_ms) <= 0)
-			return false;
-		if (read(input, line + length, 1) != 1)
-			return false;
-		if (line[length] == '\n') {
-			line[length] = '\0';
-			return true;
-		}
-		length++;
+	siginfo_t info = {0};
+
+	return waitid(P_PID, (id_t)process->pid, &info,
+		   WEXITED | WNOHANG | WNOWAIT) != 0 ||
+	    info.si_pid != 0;
+}
+
+/* Finds the line that tells that the program's ports are open. */
+static bool
+take_ready_line(struct process *process, char *text)
+{
+	char *line;
+
+	/* A last line without its break is still being written. */
+	for (char *end; (end = strchr(text, '\n')) != NULL; text = end + 1) {
+		*end = '\0';
+		line = strncmp(text, READY_WORD, strlen(READY_WORD)) == 0
+		    ? text
+		    : strstr(text, STARTED_EVENT);
+		if (line == NULL)
+			continue;
+		STRING_COPY(process->ready, line);
+		return true;
 	}
 	return false;
 }
 
+/* Reads what the child adds to its log from an offset on. */
+static bool
+wait_ready_line(
+    struct process *process, int log, off_t from, int32_t timeout_ms)
+{
+	int64_t end_ms = clock_now_ms() + timeout_ms;
+	char *text = mem_calloc(READ_BYTES, 1);
+	bool found = false;
+	bool ended = false;
+
+	while (!found && !ended && clock_now_ms() < end_ms) {
+		ssize_t length;
+
+		ended = has_ended(process);
+		length = pread(log, text, READ_BYTES - 1, from);
+		text[length < 0 ? 0 : length] = '\0';
+		found = take_ready_line(process, text);
+		if (!found)
+			process_pause(STEP_MS);
+	}
+	mem_free(text);
+	return found;
+}
+
 bool
 process_start(struct process *process, const char *program,
     const char *const *arguments, const char *log_path, int32_t timeout_ms)
 {
-	int ends[2];
+	int log = open_log(log_path);
+	off_t from;
 	bool ready;
 
 	*process = (struct process){0};
-	if (pipe2(ends, O_CLOEXEC) != 0)
+	if (log < 0)
 		return false;
-	ready = fork_child(process, program, arguments, log_path, ends[1]);
-	(void)close(ends[1]);
-	if (ready)
-		ready = read_line(ends[0], process->ready,
-		    sizeof(process->ready), timeout_ms);
-	/* What the process prints later goes nowhere. */
-	(void)close(ends[0]);
+	from = lseek(log, 0, SEEK_END);
+	ready = fork_child(process, program, arguments, log, -1) &&
+	    wait_ready_line(process, log, from, timeout_ms);
+	(void)close(log);
 	if (ready)
 		return true;
 	(void)fprintf(stderr, "%s: no ready line within %d ms; see %s\n",
@@ -128,6 +161,21 @@
 	return false;
 }
 
+bool
+process_start_unread(struct process *process, const char *program,
+    const char *const *arguments, const char *log_path, int output)
+{
+	int log = open_log(log_path);
+	bool started;
+
+	*process = (struct process){0};
+	if (log < 0)
+		return false;
+	started = fork_child(process, program, arguments, log, output);
+	(void)close(log);
+	return started;
+}
+
 bool
 process_ready_value(
     const struct process *process, const char *key, char *value, size_t bytes)
--- a/tests/common_process.h
+++ b/tests/common_process.h
@@ -14,18 +14,22 @@
 struct process {
 	pid_t pid; /* 0: not running */
 	bool frozen;
-	char ready[PROCESS_READY_BYTES]; /* its first line on standard output */
+	char ready[PROCESS_READY_BYTES]; /* the line that its ports are open */
 };
 
 /*
- * Starts a program of the build folder, with arguments up to a NULL, standard
- * error added to log_path, and waits for its first line on standard output.
- * False with a message on standard error when none comes. From the main
+ * Starts a program of the build folder, with arguments up to a NULL, its output
+ * and errors added to log_path, and waits for the line that its ports are
+ * open. False with a message on standard error when none comes. From the main
  * thread only: the child is killed when the thread that started it ends.
  */
 bool process_start(struct process *process, const char *program,
     const char *const *arguments, const char *log_path, int32_t timeout_ms);
 
+/* The same with its output to a descriptor, and without waiting. */
+bool process_start_unread(struct process *process, const char *program,
+    const char *const *arguments, const char *log_path, int output);
+
 /* Copies the value of key=value in the ready line; false when absent. */
 bool process_ready_value(
     const struct process *process, const char *key, char *value, size_t bytes);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1,4 +1,5 @@
 /* What the adapter makes of the platform's texts, good and bad. */
+#include <stdio.h>
 #include <string.h>
 
 #include "common_cunit.h"
@@ -14,6 +15,11 @@
 	"\"Bounds\":{\"GraceS\":6,\"MaxHoldMs\":9000,\"RemotePenalty\":2.5}," \
 	"\"platform\":{\"Address\":\"10.2.0.1:90\",\"MinTtlMs\":1200}}"
 
+#define GOOD_START                                               \
+	"{\"NodeName\":\"a\",\"ListenAddresses\":{\"Frontend\":" \
+	"\"1.2.3.4:5\",\"Readiness\":\"1.2.3.4:6\"},"
+#define GOOD_STORE GOOD_START "\"platform\":{\"Address\":\"1.2.3.4:7\"},"
+
 static void
 test_settings(void)
 {
@@ -32,30 +38,70 @@
 	CU_ASSERT_DOUBLE_EQUAL(settings.remote_factor, 2.5, 0.001);
 }
 
+/* Tried inputs, and what the error has to name. */
+static const struct {
+	const char *text;
+	const char *names;
+} bad_settings[] = {
+    {"", "not a JSON object"},
+    {"[]", "not a JSON object"},
+    {"{", "not a JSON object"},
+    {"{}", "NodeName"},
+    {"{\"NodeName\":7}", "NodeName"},
+    {"{\"NodeName\":\"a\",\"ListenAddresses\":[]}", "ListenAddresses.Frontend"},
+    {"{\"NodeName\":\"a\",\"ListenAddresses\":{\"Frontend\":\"x:1\"}}",
+	"ListenAddresses.Frontend: x:1; expected IP:PORT"},
+    {"{\"NodeName\":\"a\",\"ListenAddresses\":{\"Frontend\":"
+     "\"1.2.3.4:5\"}}",
+	"ListenAddresses.Readiness"},
+    {GOOD_START "\"platform\":{}}", "platform.Address"},
+    {GOOD_START "\"platform\":{\"Address\":\"1.2.3.4\"}}",
+	"platform.Address: 1.2.3.4; expected IP:PORT"},
+    {GOOD_START "\"platform\":{\"Address\":\"1.2.3.4:5\","
+		"\"MinTtlMs\":\"soon\"}}",
+	"platform.MinTtlMs: \"soon\"; expected a number from 1 to 600000 ms"},
+    {GOOD_STORE "\"Advice\":\"there\"}", "Advice: there; expected IP:PORT"},
+    {GOOD_STORE "\"InternalPortRange\":[0,1]}", "InternalPortRange"},
+    {GOOD_STORE "\"InternalPortRange\":7000}", "InternalPortRange"},
+    {GOOD_STORE "\"Bounds\":{\"GraceS\":0}}",
+	"Bounds.GraceS: 0; expected a number from 1 to 3600 s"},
+    {GOOD_STORE "\"Bounds\":{\"MaxHoldMs\":true}}",
+	"Bounds.MaxHoldMs: true; expected a number from 500 to 3600000 ms"},
+    {GOOD_STORE "\"Bounds\":{\"status_s\":1e99}}", "Bounds.status_s"},
+    {GOOD_STORE "\"Bounds\":{\"RemotePenalty\":-1}}", "Bounds.RemotePenalty"},
+};
+
 static void
 test_bad_settings(void)
 {
-	static const char *const texts[] = {
-	    "",
-	    "[]",
-	    "{",
-	    "{}",
-	    "{\"NodeName\":7}",
-	    "{\"NodeName\":\"a\",\"ListenAddresses\":[]}",
-	    "{\"NodeName\":\"a\",\"ListenAddresses\":{\"Frontend\":\"x:1\"}}",
-	};
-
-	for (size_t i = 0; i < COUNT_OF(texts); i++) {
+	for (size_t i = 0; i < COUNT_OF(bad_settings); i++) {
+		const char *text = bad_settings[i].text;
 		struct platform_settings settings;
 		struct ibis_status status = {0};
 
-		CU_ASSERT_EQUAL(platform_settings_parse(texts[i],
-				    strlen(texts[i]), &settings, &status),
+		CU_ASSERT_EQUAL(platform_settings_parse(
+				    text, strlen(text), &settings, &status),
 		    IBIS_INVALID);
-		CU_ASSERT_NOT_EQUAL(status.message[0], '\0');
+		if (strstr(status.message, bad_settings[i].names) == NULL)
+			(void)printf("%s: %s\n", text, status.message);
+		CU_ASSERT_PTR_NOT_NULL(
+		    strstr(status.message, bad_settings[i].names));
 	}
 }
 
+static void
+test_settings_are_recognised(void)
+{
+	static const char ours[] = "{\"name\":\"entry-1\"}";
+
+	CU_ASSERT_TRUE(platform_settings_recognise(SETTINGS, strlen(SETTINGS)));
+	CU_ASSERT_TRUE(platform_settings_recognise(
+	    "{\"NodeName\":7}", strlen("{\"NodeName\":7}")));
+	CU_ASSERT_FALSE(platform_settings_recognise(ours, strlen(ours)));
+	CU_ASSERT_FALSE(platform_settings_recognise("", 0));
+	CU_ASSERT_FALSE(platform_settings_recognise("// x\n{}", 7));
+}
+
 #define CONFIG                                                              \
 	"{\"Version\":7,\"Routes\":["                                       \
 	"{\"Name\":\"r1\",\"Host\":\"h\",\"Prefix\":\"/a/\",\"Service\":"   \
@@ -287,6 +333,7 @@
 	CU_TestInfo tests[] = {
 	    {"settings", test_settings},
 	    {"bad settings", test_bad_settings},
+	    {"settings are recognised", test_settings_are_recognised},
 	    {"config", test_config},
 	    {"bad config", test_bad_config},
 	    {"job", test_job},
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -55,6 +55,7 @@
 step format make -s format-check
 step lint env BUILD=build tools/lint.sh
 step generated tools/check_generated.sh
+step docs tools/check_docs.sh
 step clang env CC=clang CXX=clang++ make -s build BUILD=build-clang
 tests build
 export ASAN_OPTIONS=detect_leaks=1 UBSAN_OPTIONS=halt_on_error=1
