Tell the lead of an accepted job at once

Ruled out: room, the records (both at once after the watch came back).

Change: the accepting instance sends the record to the lead's internal address and takes it into its own copy. A lost hint costs that time only.

--- a/proto/ibistrestle.pb-c.c
+++ b/proto/ibistrestle.pb-c.c
@@ -1447,6 +1447,51 @@
   assert(message->base.descriptor == &ibis__store_relay_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ibis__accepted_job__init
+                     (Ibis__AcceptedJob         *message)
+{
+  static const Ibis__AcceptedJob init_value = IBIS__ACCEPTED_JOB__INIT;
+  *message = init_value;
+}
+size_t ibis__accepted_job__get_packed_size
+                     (const Ibis__AcceptedJob *message)
+{
+  assert(message->base.descriptor == &ibis__accepted_job__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ibis__accepted_job__pack
+                     (const Ibis__AcceptedJob *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ibis__accepted_job__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ibis__accepted_job__pack_to_buffer
+                     (const Ibis__AcceptedJob *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ibis__accepted_job__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ibis__AcceptedJob *
+       ibis__accepted_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ibis__AcceptedJob *)
+     protobuf_c_message_unpack (&ibis__accepted_job__descriptor,
+                                allocator, len, data);
+}
+void   ibis__accepted_job__free_unpacked
+                     (Ibis__AcceptedJob *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ibis__accepted_job__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor ibis__job_spec__field_descriptors[11] =
 {
   {
@@ -4405,6 +4450,70 @@
   (ProtobufCMessageInit) ibis__store_relay_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ibis__accepted_job__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__AcceptedJob, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__AcceptedJob, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spec",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__AcceptedJob, spec),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ibis__accepted_job__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = revision */
+  2,   /* field[2] = spec */
+};
+static const ProtobufCIntRange ibis__accepted_job__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ibis__accepted_job__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ibis.AcceptedJob",
+  "AcceptedJob",
+  "Ibis__AcceptedJob",
+  "ibis",
+  sizeof(Ibis__AcceptedJob),
+  3,
+  ibis__accepted_job__field_descriptors,
+  ibis__accepted_job__field_indices_by_name,
+  1,  ibis__accepted_job__number_ranges,
+  (ProtobufCMessageInit) ibis__accepted_job__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue ibis__adjacency__enum_values_by_number[4] =
 {
   { "ADJACENCY_ANY", "IBIS__ADJACENCY__ADJACENCY_ANY", 0 },
--- a/proto/ibistrestle.pb-c.h
+++ b/proto/ibistrestle.pb-c.h
@@ -47,6 +47,7 @@
 typedef struct Ibis__JobProgress Ibis__JobProgress;
 typedef struct Ibis__StoreRelayCall Ibis__StoreRelayCall;
 typedef struct Ibis__StoreRelayAnswer Ibis__StoreRelayAnswer;
+typedef struct Ibis__AcceptedJob Ibis__AcceptedJob;
 
 
 /* --- enums --- */
@@ -818,6 +819,28 @@
     , IBIS__STORE_RELAY_OUTCOME__RELAY_ANSWERED, 0, {0,NULL} }
 
 
+/*
+ * From the instance that accepted a job to the lead, which would hear of it
+ * later by its watch.
+ */
+struct  Ibis__AcceptedJob
+{
+  ProtobufCMessage base;
+  char *id;
+  /*
+   * of the job's record
+   */
+  uint64_t revision;
+  /*
+   * the record: a packed StepJob
+   */
+  ProtobufCBinaryData spec;
+};
+#define IBIS__ACCEPTED_JOB__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ibis__accepted_job__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, {0,NULL} }
+
+
 /* Ibis__JobSpec methods */
 void   ibis__job_spec__init
                      (Ibis__JobSpec         *message);
@@ -1426,6 +1449,25 @@
 void   ibis__store_relay_answer__free_unpacked
                      (Ibis__StoreRelayAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Ibis__AcceptedJob methods */
+void   ibis__accepted_job__init
+                     (Ibis__AcceptedJob         *message);
+size_t ibis__accepted_job__get_packed_size
+                     (const Ibis__AcceptedJob   *message);
+size_t ibis__accepted_job__pack
+                     (const Ibis__AcceptedJob   *message,
+                      uint8_t             *out);
+size_t ibis__accepted_job__pack_to_buffer
+                     (const Ibis__AcceptedJob   *message,
+                      ProtobufCBuffer     *buffer);
+Ibis__AcceptedJob *
+       ibis__accepted_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ibis__accepted_job__free_unpacked
+                     (Ibis__AcceptedJob *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Ibis__JobSpec_Closure)
@@ -1524,6 +1566,9 @@
 typedef void (*Ibis__StoreRelayAnswer_Closure)
                  (const Ibis__StoreRelayAnswer *message,
                   void *closure_data);
+typedef void (*Ibis__AcceptedJob_Closure)
+                 (const Ibis__AcceptedJob *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1569,6 +1614,7 @@
 extern const ProtobufCMessageDescriptor ibis__job_progress__descriptor;
 extern const ProtobufCMessageDescriptor ibis__store_relay_call__descriptor;
 extern const ProtobufCMessageDescriptor ibis__store_relay_answer__descriptor;
+extern const ProtobufCMessageDescriptor ibis__accepted_job__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/agent/agent_callers.c
+++ b/src/agent/agent_callers.c
@@ -65,17 +65,19 @@
 }
 
 static void
-log_answer(const struct agent *agent, const char *event, const char *id,
-    const char *outcome, int64_t received_ms)
+log_answer(const struct agent *agent, enum log_level level, const char *event,
+    const char *id, const char *outcome, int64_t received_ms)
 {
 	int64_t now_ms = clock_now_ms();
 
-	log_event(LOG_INFO, event, "job", id, "outcome", outcome, "took_ms",
+	log_event(level, event, "job", id, "outcome", outcome, "took_ms",
 	    log_number(now_ms - received_ms), "config",
 	    log_number(
 		agent->routes == NULL ? -1 : (int64_t)agent->routes->version),
 	    "view_age_ms",
-	    log_number(now_ms - agent_watch_confirmed_ms(agent->own)), NULL);
+	    log_number(now_ms - agent_watch_confirmed_ms(agent->own)),
+	    "store_answer_age_ms",
+	    log_number(now_ms - agent->relay.answered_ms), NULL);
 }
 
 /* Refusals have an event of their own, so that a flood of accepted jobs does
@@ -83,6 +85,7 @@
 static void
 log_submit(const struct pending *pending, int32_t status)
 {
+	enum log_level level = status == STATUS_OK ? LOG_INFO : LOG_WARN;
 	const char *event = "submit";
 	const char *outcome = "accepted";
 
@@ -93,7 +96,7 @@
 		event = "submit_refused";
 		outcome = pending->sent ? "store refused" : "store not asked";
 	}
-	log_answer(pending->agent, event, pending->id, outcome,
+	log_answer(pending->agent, level, event, pending->id, outcome,
 	    pending->request->received_ms);
 }
 
@@ -155,6 +158,10 @@
 {
 	switch (answer->outcome) {
 	case STORE_DONE:
+		agent_hint_send(pending->agent, pending->id, answer->revision,
+		    &pending->value);
+		finish(pending, STATUS_OK, NULL, 0);
+		return;
 	case STORE_CONFLICT: /* it is there: from an earlier try */
 		finish(pending, STATUS_OK, NULL, 0);
 		return;
@@ -214,8 +221,8 @@
     struct pending *pending, const struct platform_store_answer *answer)
 {
 	if (answer->outcome == STORE_DONE) {
-		log_answer(pending->agent, "cancel", pending->id, "stored",
-		    pending->request->received_ms);
+		log_answer(pending->agent, LOG_INFO, "cancel", pending->id,
+		    "stored", pending->request->received_ms);
 		finish(pending, STATUS_OK, NULL, 0);
 		return;
 	}
@@ -326,8 +333,8 @@
 
 	if (known != NULL && known->spec != NULL) {
 		counter_add(COUNTER_JOBS_REPEATED, 1);
-		log_answer(
-		    agent, "submit", id, "repeated", request->received_ms);
+		log_answer(agent, LOG_INFO, "submit", id, "repeated",
+		    request->received_ms);
 		reply(agent, request, STATUS_OK, NULL, 0);
 		return;
 	}
@@ -335,8 +342,8 @@
 	    buffer_string(&request->body), request->body.length, &status);
 	if (spec == NULL) {
 		counter_add(COUNTER_JOBS_REFUSED_INVALID, 1);
-		log_answer(
-		    agent, "submit", id, status.message, request->received_ms);
+		log_answer(agent, LOG_WARN, "submit_invalid", id,
+		    status.message, request->received_ms);
 		reply(agent, request, STATUS_BAD_REQUEST, NULL, 0);
 		return;
 	}
@@ -436,23 +443,23 @@
 	(void)now_ms;
 	if (agent->routes == NULL || !agent_watch_loaded(agent->own) ||
 	    agent->pending_count >= MAX_PENDING) {
-		log_answer(agent, "request", request->path, "not ready",
-		    request->received_ms);
+		log_answer(agent, LOG_WARN, "request_refused", request->path,
+		    "not ready", request->received_ms);
 		reply(agent, request, STATUS_UNAVAILABLE, NULL, RETRY_AFTER_MS);
 		return;
 	}
 	route =
 	    routes_match(agent->routes, request->host, request->path, &rest);
 	if (route == NULL) {
-		log_answer(agent, "request", request->path, "no route",
-		    request->received_ms);
+		log_answer(agent, LOG_WARN, "request_refused", request->path,
+		    "no route", request->received_ms);
 		reply(agent, request, STATUS_NOT_FOUND, NULL, 0);
 		return;
 	}
 	workspace = routes_workspace_of(agent->routes, request->key);
 	if (workspace == NULL && !route->open) {
-		log_answer(agent, "request", request->path, "unknown key",
-		    request->received_ms);
+		log_answer(agent, LOG_WARN, "request_refused", request->path,
+		    "unknown key", request->received_ms);
 		reply(agent, request, STATUS_UNAUTHORIZED, NULL, 0);
 		return;
 	}
--- /dev/null
+++ b/src/agent/agent_hint.c
@@ -0,0 +1,79 @@
+/*
+ * Tells the lead of an accepted job at once. The lead would hear of it by its
+ * watch, but a watch gathers changes and may stand still for a while. A hint
+ * that is lost costs nothing but that time.
+ */
+#include <string.h>
+
+#include "agent/agent_state.h"
+#include "process/alloc.h"
+#include "process/counters.h"
+#include "process/proto_memory.h"
+
+#define HINT_PATH	"/hint"
+#define HINT_TIMEOUT_MS 500
+#define STATUS_OK	200
+#define STATUS_BAD	400
+
+static void
+hint_answered(void *context, const struct http_answer *answer)
+{
+	(void)context;
+	if (answer->outcome != HTTP_ANSWERED || answer->status != STATUS_OK)
+		counter_add(COUNTER_HINTS_LOST, 1);
+}
+
+void
+agent_hint_send(struct agent *agent, const char *id, uint64_t revision,
+    const struct buffer *record)
+{
+	CLEANUP(buffer_free) struct buffer body = {0};
+	char name[FLEET_ID_BYTES];
+	const struct agent_peer *lead;
+	Ibis__AcceptedJob message = IBIS__ACCEPTED_JOB__INIT;
+	struct http_call call = {
+	    .method = "POST",
+	    .path = HINT_PATH,
+	    .timeout_ms = HINT_TIMEOUT_MS,
+	};
+
+	agent_view_take_job(agent, id, revision, record->data, record->length);
+	lead = agent->lead_key.present
+	    ? name_index_get(&agent->relay.peers, agent->lead_key.holder)
+	    : NULL;
+	if (lead == NULL)
+		return;
+	STRING_COPY(name, id);
+	message.id = name;
+	message.revision = revision;
+	message.spec.data = (uint8_t *)record->data;
+	message.spec.len = record->length;
+	proto_pack(&message.base, &body);
+	call.address = lead->address;
+	call.body = body.data;
+	call.body_length = body.length;
+	http_pool_call(agent->pool, &call, hint_answered, NULL);
+}
+
+bool
+agent_hint_request(struct agent *agent, struct gateway_request *request)
+{
+	Ibis__AcceptedJob *message;
+
+	if (request->method != GATEWAY_POST ||
+	    strcmp(request->path, HINT_PATH) != 0)
+		return false;
+	message =
+	    (Ibis__AcceptedJob *)proto_unpack(&ibis__accepted_job__descriptor,
+		request->body.data, request->body.length);
+	if (message == NULL || !platform_is_job_id(message->id)) {
+		gateway_reply(agent->gateway, request, STATUS_BAD, NULL, 0);
+	} else {
+		agent_view_take_job(agent, message->id, message->revision,
+		    (const char *)message->spec.data, message->spec.len);
+		gateway_reply(agent->gateway, request, STATUS_OK, NULL, 0);
+	}
+	if (message != NULL)
+		proto_free(&message->base);
+	return true;
+}
--- a/src/agent/agent_records.c
+++ b/src/agent/agent_records.c
@@ -113,8 +113,6 @@
 		return;
 	}
 	batch->sent = false;
-	duration_observe(
-	    HISTOGRAM_STORE_CALL, answer->received_ms - answer->sent_ms);
 	switch (answer->outcome) {
 	case STORE_DONE:
 		batch_done(agent, batch, answer->revision);
--- a/src/agent/agent_relay.c
+++ b/src/agent/agent_relay.c
@@ -41,6 +41,7 @@
 	struct agent *agent;
 	http_done *done;
 	void *context;
+	bool brief;		     /* does not wait for changes */
 	char peer[FLEET_NAME_BYTES]; /* empty: sent straight */
 };
 
@@ -93,7 +94,8 @@
 	carried->context = context;
 	carried->sent_ms = clock_now_ms();
 	CDS_INIT_LIST_HEAD(&carried->node);
-	if (call->timeout_ms <= SHORT_CALL_MS)
+	carried->brief = call->timeout_ms <= SHORT_CALL_MS;
+	if (carried->brief)
 		cds_list_add_tail(&carried->node, &agent->relay.asked);
 	return carried;
 }
@@ -102,6 +104,9 @@
 finish_carried(struct carried *carried, const struct http_answer *answer)
 {
 	cds_list_del(&carried->node);
+	if (carried->brief)
+		duration_observe(HISTOGRAM_STORE_CALL,
+		    answer->received_ms - carried->sent_ms);
 	note_result(carried->agent, turned_away(answer), answer->received_ms);
 	carried->done(carried->context, answer);
 }
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -156,6 +156,19 @@
 bool agent_view_fresh(const struct agent *agent, int64_t now_ms);
 struct view_job *agent_view_job(const struct agent *agent, const char *id);
 
+/* Takes a job's record before the watch brings it. */
+void agent_view_take_job(struct agent *agent, const char *id, uint64_t revision,
+    const char *record, size_t length);
+
+/* Hint group: a record of a job that this instance has accepted. */
+void agent_hint_send(struct agent *agent, const char *id, uint64_t revision,
+    const struct buffer *record);
+/* A peer's hint; false when the request is something else. */
+bool agent_hint_request(struct agent *agent, struct gateway_request *request);
+
+/* Status group: an operator's question; false when it is something else. */
+bool agent_status_request(struct agent *agent, struct gateway_request *request);
+
 /* Relay group: calls to the store go through a peer while this instance can't
  * reach it. */
 void agent_relay_carry(void *context, const struct http_call *call,
@@ -184,6 +197,9 @@
 void agent_lead_key_changed(struct agent *agent, int64_t now_ms);
 void agent_lead_step_down(struct agent *agent, const char *reason);
 void agent_lead_release(struct agent *agent);
+/* The time from which leases of what runs may be granted: now, or earlier when
+ * the lead's own lease has not been renewed for a while. */
+int64_t agent_lead_grant_from(const struct agent *agent, int64_t now_ms);
 /* A job's records have come while leading. */
 void agent_lead_job(struct agent *agent, struct view_job *job, int64_t now_ms);
 
--- a/src/agent/agent_view.c
+++ b/src/agent/agent_view.c
@@ -76,6 +76,20 @@
 	agent_lead_job(agent, job, clock_now_ms());
 }
 
+void
+agent_view_take_job(struct agent *agent, const char *id, uint64_t revision,
+    const char *record, size_t length)
+{
+	struct platform_item item = {
+	    .key = id,
+	    .value = record,
+	    .value_length = length,
+	    .revision = revision,
+	};
+
+	job_item(agent, id, &item);
+}
+
 static void
 progress_item(
     struct agent *agent, const char *id, const struct platform_item *item)
@@ -126,6 +140,7 @@
 	if (!item->deleted)
 		string_copy(key->holder, sizeof(key->holder),
 		    item->value == NULL ? "" : item->value);
+	gauge_set(GAUGE_EPOCH, (int64_t)key->revision);
 	log_event(LOG_INFO, "lead_seen", "holder", key->holder, "epoch",
 	    log_number((int64_t)key->revision), NULL);
 	agent_lead_key_changed(agent, clock_now_ms());
--- a/src/process/counters.c
+++ b/src/process/counters.c
@@ -88,6 +88,8 @@
 	"Times that this instance became the pool's lead."},
     [COUNTER_LEADS_LOST] = {"ibis_leads_lost_total", "",
 	"Times that it lost the lead without handing it over."},
+    [COUNTER_HINTS_LOST] = {"ibis_hints_lost_total", "",
+	"Hints of accepted jobs that the lead did not take."},
     [COUNTER_LOG_LINES_DROPPED] = {"ibis_log_lines_total",
 	"outcome=\"dropped\"",
 	"Log lines not written: the reader was behind, or the limit a second "
@@ -124,6 +126,10 @@
     [GAUGE_WORKERS_QUARANTINED] = {"ibis_workers_quarantined", "",
 	"Workers kept out of use because they fail more than others; on the "
 	"lead only."},
+    [GAUGE_WORKERS_SILENT] = {"ibis_workers_silent", "",
+	"Workers that do not answer the lead; on the lead only."},
+    [GAUGE_EPOCH] = {"ibis_lead_epoch", "",
+	"Epoch of the lead that this instance has seen last."},
 };
 
 static const struct metric histogram_metrics[HISTOGRAMS] = {
