Send nothing to workers without an address; bear one lost answer

The control thread stood still for 0.75 s of each second. A lead that takes over knows some workers from the records only, without an address; the stop of a run there called "http:///...", libcurl took the path for a host name and its timeout waits for the thread that looks it up. Ruled out by a log of each phase of the loop: epoll, log, gateway. Also: descriptors opened anew are watched anew, and libcurl's timer is not called before its time (these two were not seen red). 2. One lost answer of a look made a worker silent and took placements back, and was noticed after 1.4 s. Now two in a row do, the second is asked at once, and an answer is overdue after 0.3 s in place of 0.7. 3. After a takeover, work on a worker that can't be reached waited 14.1 s: 8 s in which the old lead may renew without the store and 6.15 s of lease. Leases are now granted from the last proof of the lead's own lease plus 2.5 s at most, so 8.65 s do. The steady clock counts suspended time (CLOCK_BOOTTIME), so that a woken lead knows its lease is over.

Members of a gang that has ended are no stray runs, and end in one log line.

--- a/src/agent/agent_lead.c
+++ b/src/agent/agent_lead.c
@@ -16,7 +16,10 @@
 #define LEAD_RETRY_MS  150
 #define LEAD_JITTER_MS 40
 #define LEAD_ANSWER_MS 2000
-/* A lead that the store does not answer goes on renewing what runs so long. */
+/* A lead that the store does not answer goes on renewing what runs so long: a
+ * new lead waits for these leases where it can't reach a worker. */
+#define RUN_GRACE_MS 2500
+/* It goes on looking after its workers so long. */
 #define LEAD_GRACE_MS 8000
 /* Lease of what runs: outlasts a takeover. */
 #define RUN_LEASE_MS 6000
@@ -61,7 +64,7 @@
 		? RUN_LEASE_MS
 		: agent->settings.max_lease_ms,
 	    .max_lease_ms = agent->settings.max_lease_ms,
-	    .old_lead_ms = LEAD_GRACE_MS,
+	    .old_lead_ms = RUN_GRACE_MS,
 	    .remote_factor = agent->settings.remote_factor,
 	};
 
@@ -230,6 +233,14 @@
 	platform_store_renew(&agent->store, renewal->lease, renewed, renewal);
 }
 
+int64_t
+agent_lead_grant_from(const struct agent *agent, int64_t now_ms)
+{
+	int64_t latest_ms = agent->lead.renewed_ms + RUN_GRACE_MS;
+
+	return now_ms < latest_ms ? now_ms : latest_ms;
+}
+
 static void
 renew(struct agent *agent, int64_t now_ms)
 {
--- a/src/agent/agent_workers.c
+++ b/src/agent/agent_workers.c
@@ -11,7 +11,7 @@
 #define WORKER_WATCH_PAUSE_MS 200
 /* A look at a worker with work waits so long for an end. */
 #define LOOK_WAIT_MS	 700
-#define LOOK_TIMEOUT_MS	 700
+#define LOOK_TIMEOUT_MS	 300
 #define LOOK_RETRY_MS	 300
 #define ORDER_TIMEOUT_MS 250
 
@@ -70,6 +70,25 @@
 	agent_lead_step_down(agent, "a worker has seen a later epoch");
 }
 
+static void
+look_unanswered(const struct worker_call *call, struct fleet_worker *worker,
+    enum platform_order_outcome outcome, int64_t now_ms)
+{
+	struct agent *agent = call->agent;
+	bool doubted = fleet_worker_doubtful(worker);
+
+	if (fleet_look_unanswered(agent->fleet, worker,
+		outcome == PLATFORM_ORDER_REFUSED, now_ms)) {
+		counter_add(COUNTER_WORKERS_LOST, 1);
+		log_event(LOG_WARN, "worker_silent", "worker", call->worker,
+		    "took_ms", log_number(now_ms - call->sent_ms), "epoch",
+		    log_number((int64_t)agent->lead.epoch), NULL);
+	}
+	link_of(agent, call->worker)->next_look_ms =
+	    doubted || !fleet_worker_answers(worker) ? now_ms + LOOK_RETRY_MS
+						     : now_ms;
+}
+
 static void
 look_done(void *context, enum platform_order_outcome outcome,
     const struct fleet_report *report)
@@ -100,14 +119,7 @@
 	} else if (outcome == PLATFORM_ORDER_FENCED) {
 		fenced(agent);
 	} else {
-		if (answered_before) {
-			counter_add(COUNTER_WORKERS_LOST, 1);
-			log_event(LOG_WARN, "worker_silent", "worker",
-			    call->worker, NULL);
-		}
-		fleet_worker_silent(agent->fleet, worker, now_ms);
-		link_of(agent, call->worker)->next_look_ms =
-		    now_ms + LOOK_RETRY_MS;
+		look_unanswered(call, worker, outcome, now_ms);
 	}
 	mem_free(call);
 }
@@ -119,6 +131,7 @@
 	const struct fleet_worker_entry *entry = fleet_worker_entry(worker);
 	struct worker_call *call = new_call(agent, entry->id);
 	bool wait = !extra && fleet_worker_answers(worker) &&
+	    !fleet_worker_doubtful(worker) &&
 	    !fleet_worker_has_unrecorded_ends(agent->fleet, worker);
 	struct platform_look look = {
 	    .worker = entry,
@@ -129,8 +142,8 @@
 	};
 
 	if (fleet_worker_busy(worker))
-		look.lease_clock_ms =
-		    fleet_grant_lease(agent->fleet, worker, now_ms);
+		look.lease_clock_ms = fleet_grant_lease(agent->fleet, worker,
+		    agent_lead_grant_from(agent, now_ms), now_ms);
 	call->recorded_ends = look.recorded_ends;
 	call->extra = extra;
 	platform_look(agent->pool, &look, look_done, call);
@@ -183,6 +196,19 @@
 	return FLEET_START_REFUSED;
 }
 
+static void
+count_call(const struct worker_call *call, enum platform_order_outcome outcome)
+{
+	enum counter counter = COUNTER_WORKER_CALLS_OK;
+
+	if (outcome == PLATFORM_ORDER_UNKNOWN)
+		counter = COUNTER_WORKER_CALLS_UNKNOWN;
+	else if (outcome == PLATFORM_ORDER_REFUSED)
+		counter = COUNTER_WORKER_CALLS_UNAVAILABLE;
+	counter_add(counter, 1);
+	duration_observe(HISTOGRAM_WORKER_CALL, clock_now_ms() - call->sent_ms);
+}
+
 static void
 log_order(
     const char *event, const struct worker_call *call, const char *outcome)
@@ -204,6 +230,7 @@
 	struct agent *agent = call->agent;
 	struct fleet_worker *worker = worker_of(call);
 
+	count_call(call, outcome);
 	if (worker != NULL) {
 		log_order("start", call, reason);
 		counter_add(outcome == PLATFORM_ORDER_DONE
@@ -229,6 +256,7 @@
 	struct agent *agent = call->agent;
 	struct fleet_worker *worker = worker_of(call);
 
+	count_call(call, outcome);
 	if (worker != NULL) {
 		log_order("stop", call, reason);
 		fleet_stop_answered(agent->fleet, worker, &call->task,
@@ -252,8 +280,8 @@
 	struct platform_start start = {
 	    .order = order,
 	    .epoch = agent->lead.epoch,
-	    .lease_clock_ms =
-		fleet_grant_lease(agent->fleet, order->worker, now_ms),
+	    .lease_clock_ms = fleet_grant_lease(agent->fleet, order->worker,
+		agent_lead_grant_from(agent, now_ms), now_ms),
 	    .timeout_ms = ORDER_TIMEOUT_MS,
 	};
 
@@ -285,7 +313,9 @@
 	struct fleet_usage usage;
 
 	fleet_usage(agent->fleet, &usage);
-	gauge_set(GAUGE_JOBS_RUNNING, (int64_t)usage.jobs);
+	gauge_set(GAUGE_JOBS_QUEUED, (int64_t)usage.jobs_pending);
+	gauge_set(GAUGE_JOBS_RUNNING, (int64_t)usage.jobs_running);
+	gauge_set(GAUGE_WORKERS_SILENT, (int64_t)usage.silent_workers);
 	gauge_set(GAUGE_ACCELERATORS, usage.accelerators);
 	gauge_set(GAUGE_ACCELERATORS_FREE, usage.free_accelerators);
 	gauge_set(GAUGE_PEERS_ALIVE, (int64_t)agent->relay.peers.count);
@@ -307,6 +337,16 @@
 	return "note";
 }
 
+/* Lines of what went wrong for a job have the wider bound. */
+static enum log_level
+note_level(const struct fleet_note *note)
+{
+	return strcmp(note->outcome, "failed") == 0 ||
+		strcmp(note->outcome, "lost with worker") == 0
+	    ? LOG_WARN
+	    : LOG_INFO;
+}
+
 static void
 log_notes(struct agent *agent)
 {
@@ -316,7 +356,7 @@
 	for (size_t i = 0; i < count; i++) {
 		const struct fleet_note *note = &notes[i];
 
-		log_event(LOG_INFO, note_event(note->kind), "job",
+		log_event(note_level(note), note_event(note->kind), "job",
 		    note->task.job, "occurrence",
 		    log_number(note->task.occurrence), "step",
 		    log_number(note->task.step), "index",
--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -6,9 +6,11 @@
 #include <curl/curl.h>
 #include <urcu/list.h>
 
+#include "connection/address.h"
 #include "connection/http_pool.h"
 #include "process/alloc.h"
 #include "process/clock.h"
+#include "process/log.h"
 
 #define CONNECT_TIMEOUT_MS 400
 #define EVENTS_AT_ONCE	   64
@@ -33,10 +35,25 @@
 	int epoll_fd;
 	int64_t timer_ms; /* when libcurl wants to be called; INT64_MAX: not */
 	struct cds_list_head transfers;
+	struct cds_list_head refused; /* never begun; to be told so */
 	struct transfer *idle[IDLE_HANDLES];
 	size_t idle_count;
 };
 
+/* A descriptor may have been closed and opened anew without a word. */
+static void
+watch_socket(struct http_pool *pool, curl_socket_t fd, bool known,
+    struct epoll_event *event)
+{
+	int first = known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
+	int second = known ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
+
+	if (epoll_ctl(pool->epoll_fd, first, fd, event) == 0 ||
+	    (errno != EEXIST && errno != ENOENT))
+		return;
+	(void)epoll_ctl(pool->epoll_fd, second, fd, event);
+}
+
 static int
 on_socket(
     CURL *easy, curl_socket_t fd, int what, void *context, void *socket_context)
@@ -54,11 +71,7 @@
 		event.events |= EPOLLIN;
 	if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
 		event.events |= EPOLLOUT;
-	if (epoll_ctl(pool->epoll_fd,
-		socket_context == NULL ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, fd,
-		&event) != 0 &&
-	    errno == EEXIST)
-		(void)epoll_ctl(pool->epoll_fd, EPOLL_CTL_MOD, fd, &event);
+	watch_socket(pool, fd, socket_context != NULL, &event);
 	(void)curl_multi_assign(pool->multi, fd, &known);
 	return 0;
 }
@@ -69,8 +82,11 @@
 	struct http_pool *pool = context;
 
 	(void)multi;
-	pool->timer_ms =
-	    timeout_ms < 0 ? INT64_MAX : clock_now_ms() + timeout_ms;
+	/* Called before its time, libcurl would do nothing and not ask again;
+	 * our clock is cut to milliseconds. */
+	pool->timer_ms = timeout_ms < 0
+	    ? INT64_MAX
+	    : clock_now_ms() + timeout_ms + (timeout_ms > 0);
 	return 0;
 }
 
@@ -80,6 +96,7 @@
 	struct http_pool *pool = mem_calloc(1, sizeof(*pool));
 
 	CDS_INIT_LIST_HEAD(&pool->transfers);
+	CDS_INIT_LIST_HEAD(&pool->refused);
 	pool->timer_ms = INT64_MAX;
 	pool->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
 	pool->multi = curl_multi_init();
@@ -121,6 +138,8 @@
 		(void)curl_multi_remove_handle(pool->multi, transfer->easy);
 		free_transfer(transfer);
 	}
+	cds_list_for_each_entry_safe (transfer, next, &pool->refused, node)
+		free_transfer(transfer);
 	for (size_t i = 0; i < pool->idle_count; i++)
 		free_transfer(pool->idle[i]);
 	if (pool->multi != NULL)
@@ -222,6 +241,17 @@
 		    easy, CURLOPT_HTTPHEADER, transfer->headers);
 }
 
+/* A name in its place would be looked up, and that blocks. */
+static bool
+is_address(const char *text)
+{
+	struct ibis_status status = {0};
+	struct sockaddr_storage address;
+	socklen_t length;
+
+	return address_parse(text, &address, &length, &status) == IBIS_OK;
+}
+
 void
 http_pool_call(struct http_pool *pool, const struct http_call *call,
     http_done *done, void *context)
@@ -231,6 +261,12 @@
 	transfer->done = done;
 	transfer->context = context;
 	transfer->sent_ms = clock_now_ms();
+	if (!is_address(call->address)) {
+		log_event(LOG_ERROR, "call_refused", "address", call->address,
+		    "path", call->path, NULL);
+		cds_list_add_tail(&transfer->node, &pool->refused);
+		return;
+	}
 	set_options(transfer, call);
 	cds_list_add_tail(&transfer->node, &pool->transfers);
 	(void)curl_multi_add_handle(pool->multi, transfer->easy);
@@ -291,6 +327,25 @@
 	recycle(pool, transfer);
 }
 
+static void
+finish_refused(struct http_pool *pool)
+{
+	while (!cds_list_empty(&pool->refused)) {
+		struct transfer *transfer =
+		    cds_list_first_entry(&pool->refused, struct transfer, node);
+		struct http_answer answer = {
+		    .outcome = HTTP_NOT_SENT,
+		    .body = "",
+		    .sent_ms = transfer->sent_ms,
+		    .received_ms = clock_now_ms(),
+		};
+
+		cds_list_del(&transfer->node);
+		transfer->done(transfer->context, &answer);
+		recycle(pool, transfer);
+	}
+}
+
 static void
 finish_all(struct http_pool *pool)
 {
@@ -337,7 +392,7 @@
 
 	if (timer_in_ms < timeout_ms)
 		timeout_ms = timer_in_ms;
-	if (timeout_ms < 0)
+	if (timeout_ms < 0 || !cds_list_empty(&pool->refused))
 		timeout_ms = 0;
 	count =
 	    epoll_wait(pool->epoll_fd, events, EVENTS_AT_ONCE, (int)timeout_ms);
@@ -351,4 +406,5 @@
 		    pool->multi, CURL_SOCKET_TIMEOUT, 0, &running);
 	}
 	finish_all(pool);
+	finish_refused(pool);
 }
--- a/src/connection/http_pool.h
+++ b/src/connection/http_pool.h
@@ -35,7 +35,7 @@
 
 struct http_call {
 	const char *method;
-	const char *address; /* IP:PORT */
+	const char *address; /* IP:PORT; others are not sent */
 	const char *path;    /* with its query */
 	const char *body;    /* JSON; NULL: none */
 	size_t body_length;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -211,18 +211,26 @@
     const struct fleet *fleet, const struct fleet_worker *worker);
 
 /*
- * Grants a lease from now on and notes it. Returns the time on the worker's
- * clock, or 0 when its clock is not known or it does not answer.
+ * Grants a lease that runs from a time on, now or earlier, and notes it.
+ * Returns its end on the worker's clock, or 0 when that clock is not known or
+ * the worker does not answer.
  */
-int64_t fleet_grant_lease(
-    struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms);
+int64_t fleet_grant_lease(struct fleet *fleet, struct fleet_worker *worker,
+    int64_t from_ms, int64_t now_ms);
 
 void fleet_report(struct fleet *fleet, struct fleet_worker *worker,
     const struct fleet_report *report, int64_t now_ms);
 
-/* A call to the worker got no answer in time. */
-void fleet_worker_silent(
-    struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms);
+/*
+ * A look got no answer in time, or found nobody there (unreached). Answers get
+ * lost: a worker counts as silent when it is unreached or two looks on end had
+ * no answer. Returns whether it has become silent now.
+ */
+bool fleet_look_unanswered(struct fleet *fleet, struct fleet_worker *worker,
+    bool unreached, int64_t now_ms);
+
+/* Tells whether the last look had no answer, and the next is to ask at once. */
+bool fleet_worker_doubtful(const struct fleet_worker *worker);
 
 void fleet_start_answered(struct fleet *fleet, struct fleet_worker *worker,
     const struct fleet_task_id *id, uint64_t run,
@@ -266,11 +274,11 @@
 
 struct fleet_note {
 	enum fleet_note_kind kind;
-	struct fleet_task_id task; /* of a placing: the first */
+	struct fleet_task_id task; /* the first of several of one step */
 	uint64_t run;
-	char worker[FLEET_NAME_BYTES]; /* of a placing: the first's */
+	char worker[FLEET_NAME_BYTES]; /* the first's */
 	const char *outcome;
-	uint32_t tasks;
+	uint32_t tasks; /* that it tells of */
 	uint32_t priority;
 	int64_t after_ms;    /* waited, ran or paused for so long */
 	int64_t look_age_ms; /* of what is known of the worker */
@@ -280,8 +288,48 @@
  * changes the fleet. */
 size_t fleet_take_notes(struct fleet *fleet, const struct fleet_note **notes);
 
+/*
+ * Explanation group.
+ */
+
+/* What a step's tasks wait for. */
+enum fleet_wait_cause {
+	FLEET_WAITS_DUE,     /* the next occurrence's time */
+	FLEET_WAITS_STEPS,   /* the steps before it */
+	FLEET_WAITS_SERVICE, /* no worker of its service is listed */
+	FLEET_WAITS_LABEL,   /* none of them has the label */
+	FLEET_WAITS_WORKERS, /* none of these may be used now */
+	FLEET_WAITS_SIZE,    /* it would not fit on them if they were empty */
+	FLEET_WAITS_ROOM,
+	FLEET_WAITS_RACK,   /* there is room, but not where it wants it */
+	FLEET_WAITS_RECORD, /* placed; the record is being written */
+	FLEET_WAITS_STOPS   /* placed; what is there is being stopped */
+};
+
+struct fleet_wait {
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t tasks; /* that wait */
+	enum fleet_wait_cause cause;
+	int64_t wait_ms;	/* since its time had come; DUE: until then */
+	uint32_t listed;	/* workers of the service with the label */
+	uint32_t usable;	/* those that may be used now */
+	uint32_t fitting;	/* tasks that would fit on these now */
+	uint32_t ahead;		/* tasks of jobs that come first */
+	int64_t oldest_look_ms; /* age of the oldest look at these workers */
+};
+
+/* Tells what the job's steps wait for; at most capacity rows. Returns how many
+ * there are. */
+size_t fleet_explain(const struct fleet *fleet, const struct fleet_job *job,
+    int64_t now_ms, int64_t wall_ms, struct fleet_wait *waits, size_t capacity);
+
+const char *fleet_wait_name(enum fleet_wait_cause cause);
+
 struct fleet_usage {
 	uint64_t jobs;
+	uint64_t jobs_pending;
+	uint64_t jobs_running;
 	uint64_t waiting_tasks;
 	uint64_t placed_tasks;
 	uint64_t running_tasks;
--- a/src/fleet/fleet_decide.c
+++ b/src/fleet/fleet_decide.c
@@ -108,20 +108,45 @@
 	}
 }
 
+/* Order of two occurrences: less than 0 when the first is served first. */
+static int
+compare_occurrences(
+    const struct fleet_occurrence *a, const struct fleet_occurrence *b)
+{
+	uint32_t priority_a = a->job->spec->priority;
+	uint32_t priority_b = b->job->spec->priority;
+
+	if (priority_a != priority_b)
+		return priority_a < priority_b ? -1 : 1;
+	if (a->ready_ms != b->ready_ms)
+		return a->ready_ms < b->ready_ms ? -1 : 1;
+	return strcmp(a->job->id, b->job->id);
+}
+
+bool
+fleet_comes_first(
+    const struct fleet_occurrence *a, const struct fleet_occurrence *b)
+{
+	return compare_occurrences(a, b) < 0;
+}
+
+uint32_t
+fleet_waiting_tasks(const struct fleet_occurrence *occurrence)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < occurrence->tasks_count; i++)
+		count += occurrence->tasks[i].state == TASK_WAITING;
+	return count;
+}
+
 static int
 compare_units(const void *left, const void *right)
 {
 	const struct unit *a = left;
 	const struct unit *b = right;
-	const struct fleet_job *job_a = a->occurrence->job;
-	const struct fleet_job *job_b = b->occurrence->job;
-
-	if (job_a->spec->priority != job_b->spec->priority)
-		return job_a->spec->priority < job_b->spec->priority ? -1 : 1;
-	if (a->occurrence->ready_ms != b->occurrence->ready_ms)
-		return a->occurrence->ready_ms < b->occurrence->ready_ms ? -1
-									 : 1;
-	return strcmp(job_a->id, job_b->id);
+
+	return compare_occurrences(a->occurrence, b->occurrence);
 }
 
 static void
@@ -288,10 +313,12 @@
 		struct fleet_worker *worker = fleet->workers.items[i].item;
 		struct fleet_task *task;
 
+		/* One known from the records only has no address. */
+		if (worker->silent || *worker->entry.address == '\0')
+			continue;
 		cds_list_for_each_entry (task, &worker->tasks, on_worker) {
-			if (task->state != TASK_STOPPING || worker->silent)
-				continue;
-			if (task->stop_sent_ms == 0)
+			if (task->state == TASK_STOPPING &&
+			    task->stop_sent_ms == 0)
 				order_stop(fleet, task, now_ms);
 		}
 	}
@@ -371,6 +398,19 @@
 fleet_usage(const struct fleet *fleet, struct fleet_usage *usage)
 {
 	*usage = (struct fleet_usage){.jobs = fleet->jobs.count};
+	for (size_t i = 0; i < fleet->jobs.count; i++) {
+		const struct fleet_job *job = fleet->jobs.items[i].item;
+
+		if (job->cancelled || fleet_job_final(job))
+			continue;
+		if (job->phase == IBIS__STEP_JOB_PHASE__PHASE_RUNNING)
+			usage->jobs_running++;
+		else
+			usage->jobs_pending++;
+		for (size_t j = 0; j < job->occurrences_count; j++)
+			usage->waiting_tasks +=
+			    fleet_waiting_tasks(job->occurrences[j]);
+	}
 	for (size_t i = 0; i < fleet->workers.count; i++) {
 		const struct fleet_worker *worker =
 		    fleet->workers.items[i].item;
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -34,6 +34,7 @@
 	int64_t placed_ms;
 	int64_t waits_since_ms; /* 0: from the start */
 	int64_t started_ms;
+	int64_t ended_ms; /* when its work was done */
 	int64_t known_ms; /* a look sent from then on shows it if it is there */
 	int64_t stop_sent_ms; /* 0: to be sent */
 	uint64_t seen_look;   /* last look that showed it */
@@ -92,6 +93,7 @@
 	bool listed;
 	bool reported; /* to this lead, in this incarnation */
 	bool silent;
+	uint32_t unanswered; /* looks, since the last answer */
 	int64_t born_wall_ms;
 	int64_t clock_ms; /* sample of its clock, taken at clock_at_ms */
 	int64_t clock_at_ms;
@@ -217,6 +219,9 @@
 struct fleet_room fleet_free_room(const struct fleet_worker *worker);
 bool fleet_worker_usable(const struct fleet_worker *worker,
     const struct fleet_job *job, const Ibis__JobStep *step, int64_t now_ms);
+/* Tells whether a worker has a label; any has an empty one. */
+bool fleet_worker_has_label(
+    const struct fleet_worker *worker, const char *label);
 /* Another incarnation has been seen under the worker's id. */
 void fleet_forget_incarnation(
     struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms);
@@ -228,6 +233,12 @@
 void fleet_check_progress(struct fleet *fleet, struct fleet_task *task,
     int32_t percent, int64_t now_ms);
 
+/* Order group. */
+/* Tells whether an occurrence's tasks are placed before another's. */
+bool fleet_comes_first(
+    const struct fleet_occurrence *a, const struct fleet_occurrence *b);
+uint32_t fleet_waiting_tasks(const struct fleet_occurrence *occurrence);
+
 /* Placement group: tasks is the first of count tasks of one step that wait;
  * targets gets a worker for each. Returns how many were found. */
 size_t fleet_find_places(struct fleet *fleet, struct fleet_task *const *tasks,
--- a/src/fleet/fleet_notes.c
+++ b/src/fleet/fleet_notes.c
@@ -1,4 +1,6 @@
 /* Notes of what the fleet decided, for whoever keeps the log. */
+#include <string.h>
+
 #include "fleet/fleet_model.h"
 #include "process/alloc.h"
 
@@ -23,13 +25,38 @@
 	return note;
 }
 
+/* Tells whether the last note tells the same of another task of the run, as
+ * the members of a gang end together. */
+static bool
+adds_to_last(const struct fleet *fleet, const struct fleet_task *task,
+    enum fleet_note_kind kind, const char *outcome)
+{
+	const struct fleet_note *last;
+	struct fleet_task_id id;
+
+	if (fleet->notes_taken || fleet->notes_count == 0 ||
+	    kind != FLEET_NOTE_ENDED)
+		return false;
+	last = &fleet->notes[fleet->notes_count - 1];
+	fleet_task_id(task, &id);
+	id.index = last->task.index;
+	return last->kind == kind && last->run == task->run &&
+	    strcmp(last->outcome, outcome) == 0 &&
+	    fleet_same_task(&last->task, &id);
+}
+
 void
 fleet_note_task(struct fleet *fleet, const struct fleet_task *task,
     enum fleet_note_kind kind, const char *outcome, int64_t since_ms,
     int64_t now_ms)
 {
-	struct fleet_note *note = add_note(fleet, kind);
+	struct fleet_note *note;
 
+	if (adds_to_last(fleet, task, kind, outcome)) {
+		fleet->notes[fleet->notes_count - 1].tasks++;
+		return;
+	}
+	note = add_note(fleet, kind);
 	if (note == NULL)
 		return;
 	fleet_task_id(task, &note->task);
--- a/src/fleet/fleet_reports.c
+++ b/src/fleet/fleet_reports.c
@@ -8,6 +8,8 @@
 #define REFUSED_PAUSE_MS      500
 /* An order to it was left unanswered and not carried out. */
 #define UNANSWERED_PAUSE_MS 1500
+/* The members of a gang end within so long of each other. */
+#define GANG_END_MS 1000
 
 /* A worker that fails what it is given is left alone for a while. */
 static void
@@ -90,6 +92,15 @@
 	    .worker = worker, .task = run->task, .run = run->run};
 }
 
+/* One end of a gang stands for all: its members on other workers, or later in
+ * the same report, end by themselves a moment later. */
+static bool
+ends_by_itself(const struct fleet_task *task, uint64_t run, int64_t now_ms)
+{
+	return task != NULL && task->state == TASK_DONE && task->run == run &&
+	    fleet_step_of(task)->gang && now_ms - task->ended_ms < GANG_END_MS;
+}
+
 static void
 apply_run(struct fleet *fleet, struct fleet_worker *worker,
     const struct fleet_seen_run *run, int64_t now_ms)
@@ -98,7 +109,8 @@
 
 	if (task == NULL || task->run != run->run || task->worker != worker ||
 	    !fleet_task_holds_room(task->state)) {
-		add_stray(fleet, worker, run);
+		if (!ends_by_itself(task, run->run, now_ms))
+			add_stray(fleet, worker, run);
 		return;
 	}
 	task->seen_look = fleet->looks;
@@ -168,6 +180,7 @@
 				FLEET_CLOCK_SLOW);
 	}
 	worker->silent = false;
+	worker->unanswered = 0;
 	worker->clock_ms = report->clock_ms;
 	worker->clock_at_ms = report->received_ms;
 	for (size_t i = 0; i < report->ends_count; i++) {
--- a/src/fleet/fleet_tasks.c
+++ b/src/fleet/fleet_tasks.c
@@ -261,6 +261,7 @@
 	fleet_note_task(
 	    fleet, task, FLEET_NOTE_ENDED, "done", task->started_ms, now_ms);
 	fleet_take_off(task, TASK_DONE);
+	task->ended_ms = now_ms;
 	task->occurrence->done++;
 }
 
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -4,6 +4,9 @@
 #include "fleet/fleet_model.h"
 #include "process/alloc.h"
 
+/* Looks on end without an answer that make a worker silent. */
+#define SILENT_LOOKS 2
+
 /* A grant holds back a little from the worker's lease, for rounding. */
 #define LEASE_MARGIN_MS 30
 
@@ -319,14 +322,14 @@
 }
 
 int64_t
-fleet_grant_lease(
-    struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms)
+fleet_grant_lease(struct fleet *fleet, struct fleet_worker *worker,
+    int64_t from_ms, int64_t now_ms)
 {
 	int64_t until_ms;
 
 	if (!fleet_worker_answers(worker))
 		return 0;
-	until_ms = worker->clock_ms + (now_ms - worker->clock_at_ms) +
+	until_ms = worker->clock_ms + (from_ms - worker->clock_at_ms) +
 	    fleet->config.lease_ms;
 	worker->granted_ms = now_ms;
 	if (to_our_clock(worker, until_ms) > worker->lease_until_ms)
@@ -334,15 +337,27 @@
 	return until_ms;
 }
 
-void
-fleet_worker_silent(
-    struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms)
+bool
+fleet_look_unanswered(struct fleet *fleet, struct fleet_worker *worker,
+    bool unreached, int64_t now_ms)
 {
-	if (!worker->silent)
-		fleet->changed = true;
+	bool before = worker->silent;
+
+	worker->unanswered++;
+	if (worker->reported && !before && !unreached &&
+	    worker->unanswered < SILENT_LOOKS)
+		return false;
 	worker->silent = true;
+	fleet->changed |= !before;
 	unplace_all(fleet, worker, now_ms);
 	fleet_wake_at(fleet, worker->lease_until_ms);
+	return worker->reported && !before;
+}
+
+bool
+fleet_worker_doubtful(const struct fleet_worker *worker)
+{
+	return worker->unanswered > 0;
 }
 
 void
@@ -417,11 +432,13 @@
 	return fleet_room_left(&worker->entry.room, &worker->committed);
 }
 
-static bool
-has_label(const struct fleet_worker_entry *entry, const char *label)
+bool
+fleet_worker_has_label(const struct fleet_worker *worker, const char *label)
 {
-	for (uint32_t i = 0; i < entry->labels_count; i++) {
-		if (strcmp(entry->labels[i], label) == 0)
+	if (*label == '\0')
+		return true;
+	for (uint32_t i = 0; i < worker->entry.labels_count; i++) {
+		if (strcmp(worker->entry.labels[i], label) == 0)
 			return true;
 	}
 	return false;
@@ -435,5 +452,5 @@
 	    !worker->entry.draining && !worker->evacuated &&
 	    now_ms >= worker->avoid_until_ms &&
 	    strcmp(worker->entry.service, job->spec->service) == 0 &&
-	    (*step->label == '\0' || has_label(&worker->entry, step->label));
+	    fleet_worker_has_label(worker, step->label);
 }
--- a/src/process/clock.c
+++ b/src/process/clock.c
@@ -13,7 +13,7 @@
 {
 	struct timespec now;
 
-	(void)clock_gettime(CLOCK_MONOTONIC, &now);
+	(void)clock_gettime(CLOCK_BOOTTIME, &now);
 	return (int64_t)now.tv_sec * US_PER_SECOND + now.tv_nsec / NS_PER_US;
 }
 
--- a/tests/common_users_platform.c
+++ b/tests/common_users_platform.c
@@ -89,6 +89,7 @@
 	struct process process;
 	char ip[32];
 	char settings_path[80];
+	char log_path[80];
 };
 
 struct users_platform {
@@ -744,6 +745,8 @@
 		fake_server_stop(platform->ports[i].server);
 		if (platform->instances[i].settings_path[0] != '\0')
 			(void)unlink(platform->instances[i].settings_path);
+		if (platform->instances[i].log_path[0] != '\0')
+			(void)unlink(platform->instances[i].log_path);
 	}
 	for (uint32_t i = 0; i < USERS_WORKERS; i++)
 		fake_server_stop(platform->workers[i].server);
@@ -787,10 +790,25 @@
 	struct instance *instance = &platform->instances[index];
 	const char *const arguments[] = {"--platform", NULL};
 
+	(void)snprintf(instance->log_path, sizeof(instance->log_path),
+	    "%s/%u.log", platform->folder, (unsigned int)index);
 	write_settings(platform, index);
 	(void)setenv("IBISTRESTLE_CONFIG", instance->settings_path, 1);
 	return process_start(&instance->process, "ibistrestled", arguments,
-	    "/dev/null", READY_MS);
+	    instance->log_path, READY_MS);
+}
+
+bool
+users_start_unread(struct users_platform *platform, uint32_t index, int output)
+{
+	struct instance *instance = &platform->instances[index];
+	const char *const arguments[] = {
+	    "--platform", "--log-level", "debug", NULL};
+
+	write_settings(platform, index);
+	(void)setenv("IBISTRESTLE_CONFIG", instance->settings_path, 1);
+	return process_start_unread(
+	    &instance->process, "ibistrestled", arguments, "/dev/null", output);
 }
 
 struct process *
@@ -891,18 +909,17 @@
 	return true;
 }
 
-int
-users_call(struct users_platform *platform, uint32_t instance,
-    const char *method, const char *path, const char *body,
-    struct buffer *answer)
+/* One call to an instance's port; the status, or 0 without an answer. */
+static int
+call_port(const struct instance *instance, int port, const char *method,
+    const char *path, const char *body, struct buffer *answer)
 {
 	CLEANUP(buffer_free) struct buffer request = {0};
 	char address[64];
 	int status = 0;
 	int fd;
 
-	(void)snprintf(address, sizeof(address), "%s:%d",
-	    platform->instances[instance].ip, CALLER_PORT);
+	(void)snprintf(address, sizeof(address), "%s:%d", instance->ip, port);
 	fd = http_connect(address);
 	if (fd < 0)
 		return 0;
@@ -919,6 +936,23 @@
 	return status;
 }
 
+int
+users_call(struct users_platform *platform, uint32_t instance,
+    const char *method, const char *path, const char *body,
+    struct buffer *answer)
+{
+	return call_port(&platform->instances[instance], CALLER_PORT, method,
+	    path, body, answer);
+}
+
+int
+users_ask(struct users_platform *platform, uint32_t instance, const char *path,
+    struct buffer *answer)
+{
+	return call_port(&platform->instances[instance], INTERNAL_PORT, "GET",
+	    path, "", answer);
+}
+
 int
 users_submit(struct users_platform *platform, uint32_t instance,
     uint32_t number, uint32_t tasks)
--- a/tests/common_users_platform.h
+++ b/tests/common_users_platform.h
@@ -26,6 +26,9 @@
 
 /* Starts an instance; false with a message when it does not get ready. */
 bool users_start_instance(struct users_platform *platform, uint32_t index);
+/* The same with a log that goes to a descriptor, and without waiting. */
+bool users_start_unread(
+    struct users_platform *platform, uint32_t index, int output);
 struct process *users_instance(struct users_platform *platform, uint32_t index);
 
 /* From now on the store answers 503 to this instance. */
@@ -52,6 +55,10 @@
     const char *method, const char *path, const char *body,
     struct buffer *answer);
 
+/* One question of an operator at the internal address. */
+int users_ask(struct users_platform *platform, uint32_t instance,
+    const char *path, struct buffer *answer);
+
 /* Hands in a job of one step; the task runs so long. Returns the status. */
 int users_submit(struct users_platform *platform, uint32_t instance,
     uint32_t number, uint32_t tasks);
--- a/tests/common_world.c
+++ b/tests/common_world.c
@@ -403,7 +403,8 @@
 	struct world_worker *worker = &world->workers[index];
 	bool is_start = order->kind == FLEET_START;
 	int64_t lease = is_start
-	    ? fleet_grant_lease(world->fleet, order->worker, world->now_ms)
+	    ? fleet_grant_lease(
+		  world->fleet, order->worker, world->now_ms, world->now_ms)
 	    : 0;
 	enum fleet_start_answer answer = FLEET_START_UNKNOWN;
 	bool reached = !worker->cut && !worker->late;
@@ -473,11 +474,13 @@
 	int64_t lease;
 
 	if (worker->cut) {
-		fleet_worker_silent(world->fleet, fleet_worker, world->now_ms);
+		(void)fleet_look_unanswered(
+		    world->fleet, fleet_worker, false, world->now_ms);
 		return;
 	}
 	lease = fleet_worker_busy(fleet_worker)
-	    ? fleet_grant_lease(world->fleet, fleet_worker, world->now_ms)
+	    ? fleet_grant_lease(
+		  world->fleet, fleet_worker, world->now_ms, world->now_ms)
 	    : 0;
 	worker->epoch = world->epoch;
 	extend_lease(world, worker, lease);
--- a/tests/fail_users_platform.c
+++ b/tests/fail_users_platform.c
@@ -3,7 +3,11 @@
  * that dies, one that freezes and wakes, a store that turns one instance away,
  * a silent store, and planned stops.
  */
+#include <fcntl.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
 
 #include "common_cunit.h"
 #include "common_users_platform.h"
@@ -213,6 +217,101 @@
 	end_all();
 }
 
+/* A number of the metrics text; -1 when it is not there. */
+static long long
+metric(const struct buffer *text, const char *name)
+{
+	const char *at = strstr(buffer_string(text), name);
+
+	return at == NULL ? -1 : strtoll(at + strlen(name), NULL, 10);
+}
+
+/* A reader of the log that stops reading costs lines, not time. */
+static void
+test_log_is_not_read(void)
+{
+	CLEANUP(buffer_free) struct buffer answer = {0};
+	int ends[2];
+
+	platform = users_platform_start();
+	CU_ASSERT_PTR_NOT_NULL_FATAL(platform);
+	CU_ASSERT_EQUAL_FATAL(pipe2(ends, O_CLOEXEC), 0);
+	(void)fcntl(ends[1], F_SETPIPE_SZ, 4096);
+	for (uint32_t i = 0; i < USERS_INSTANCES; i++)
+		CU_ASSERT_TRUE_FATAL(users_start_unread(platform, i, ends[1]));
+	CU_ASSERT_TRUE_FATAL(users_wait_ready(platform, START_MS));
+	CU_ASSERT_TRUE_FATAL(users_wait_lead(platform, -1, START_MS));
+	submit_jobs(1, -1);
+	expect_completed(1, 0);
+	CU_ASSERT_EQUAL(users_ask(platform, (uint32_t)users_lead(platform),
+			    "/metrics", &answer),
+	    200);
+	CU_ASSERT_TRUE(
+	    metric(&answer, "ibis_log_lines_total{outcome=\"dropped\"} ") > 0);
+	(void)close(ends[0]);
+	(void)close(ends[1]);
+	end_all();
+}
+
+static bool
+says(const struct buffer *answer, const char *text)
+{
+	bool found = strstr(buffer_string(answer), text) != NULL;
+
+	if (!found)
+		(void)printf("no %s in %s\n", text, buffer_string(answer));
+	return found;
+}
+
+/* Asks an instance until it says so. */
+static bool
+wait_until_says(uint32_t instance, const char *path, const char *text,
+    struct buffer *answer)
+{
+	int64_t end_ms = clock_now_ms() + START_MS;
+
+	while (clock_now_ms() < end_ms) {
+		if (users_ask(platform, instance, path, answer) == 200 &&
+		    strstr(buffer_string(answer), text) != NULL)
+			return true;
+		process_pause(20);
+	}
+	return says(answer, text);
+}
+
+static void
+test_operator_asks(void)
+{
+	CLEANUP(buffer_free) struct buffer answer = {0};
+	uint32_t lead;
+
+	start_all();
+	lead = (uint32_t)users_lead(platform);
+	CU_ASSERT_TRUE_FATAL(
+	    wait_until_says(lead, "/v1/status", "\"leading\": true", &answer));
+	CU_ASSERT_TRUE(
+	    wait_until_says(lead, "/v1/status", "\"workers\": 4", &answer));
+	CU_ASSERT_TRUE(says(&answer, "\"store\": \"answers\""));
+	users_set_run_ms(platform, 3000);
+	submit_jobs(1, -1);
+	CU_ASSERT_TRUE(wait_until_says(lead, "/v1/jobs/000000000000000c/waits",
+	    "\"waits_for\": \"no room\"", &answer));
+	CU_ASSERT_EQUAL(users_ask(platform, (lead + 1) % USERS_INSTANCES,
+			    "/v1/jobs/000000000000000c/waits", &answer),
+	    200);
+	CU_ASSERT_TRUE(says(&answer, "\"leading\": false"));
+	CU_ASSERT_TRUE(says(&answer, "\"waits\": [ ]"));
+	CU_ASSERT_EQUAL(users_ask(platform, lead,
+			    "/v1/jobs/00000000000000ff/waits", &answer),
+	    404);
+	CU_ASSERT_TRUE(says(&answer, "no such job here"));
+	CU_ASSERT_EQUAL(
+	    users_ask(platform, lead, "/v1/jobs//waits", &answer), 404);
+	CU_ASSERT_EQUAL(users_ask(platform, lead, "/nothing", &answer), 404);
+	expect_completed(1, 0);
+	end_all();
+}
+
 int
 main(void)
 {
@@ -224,6 +323,8 @@
 	    {"store turns one away", test_store_turns_one_away},
 	    {"store is silent", test_store_is_silent},
 	    {"planned stops", test_planned_stops},
+	    {"log is not read", test_log_is_not_read},
+	    {"operator asks", test_operator_asks},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -109,6 +109,148 @@
 	return job;
 }
 
+/* Pattern: workers lose a part of their answers, and urgent work that has just
+ * been placed on them is waiting for room there. */
+static void
+test_one_lost_answer_is_no_silence(void)
+{
+	CLEANUP(world_close) struct world world;
+	Ibis__StepJob *urgent = world_new_job(0, 1, 2, 8);
+	struct fleet_worker *worker;
+
+	urgent->steps[0]->gang = true;
+	world_open(&world, 2, 2);
+	(void)world_submit(&world, world_new_job(2, 1, 16, 1), 60000);
+	world_run(&world, 300);
+	worker = fleet_worker_at(world.fleet, 0);
+	CU_ASSERT_FALSE(
+	    fleet_look_unanswered(world.fleet, worker, false, world.now_ms));
+	CU_ASSERT_TRUE(fleet_worker_answers(worker));
+	CU_ASSERT_TRUE(fleet_worker_doubtful(worker));
+	CU_ASSERT_TRUE(
+	    fleet_look_unanswered(world.fleet, worker, false, world.now_ms));
+	CU_ASSERT_FALSE(fleet_worker_answers(worker));
+	world_run(&world, 100);
+	CU_ASSERT_TRUE(fleet_worker_answers(worker));
+	CU_ASSERT_TRUE(
+	    fleet_look_unanswered(world.fleet, worker, true, world.now_ms));
+	proto_free(&urgent->base);
+	world_run(&world, 70000);
+	check_rules(&world);
+}
+
+/* Pattern: the store is silent, and the lead may not extend what runs beyond
+ * what its successor will wait for. */
+static void
+test_lease_runs_from_an_earlier_time(void)
+{
+	CLEANUP(world_close) struct world world;
+	struct fleet_worker *worker;
+	int64_t now_until;
+	int64_t before_until;
+
+	world_open(&world, 1, 1);
+	world_run(&world, 300);
+	worker = fleet_worker_at(world.fleet, 0);
+	now_until =
+	    fleet_grant_lease(world.fleet, worker, world.now_ms, world.now_ms);
+	before_until = fleet_grant_lease(
+	    world.fleet, worker, world.now_ms - 700, world.now_ms);
+	CU_ASSERT_EQUAL(now_until - before_until, 700);
+}
+
+/* Pattern: a lead takes over after a zone with workers has been lost; it knows
+ * them from the records only. */
+static void
+test_nothing_is_sent_to_an_unlisted_worker(void)
+{
+	struct fleet_config config = {.lease_ms = 6000, .max_lease_ms = 10000};
+	char gone[] = "gone";
+	struct fleet *fleet = fleet_new(&config, 1000);
+	Ibis__StepJob *spec = world_new_job(1, 1, 1, 1);
+	Ibis__TaskProgress task = IBIS__TASK_PROGRESS__INIT;
+	Ibis__TaskProgress *tasks[] = {&task};
+	Ibis__OccurrenceProgress first = IBIS__OCCURRENCE_PROGRESS__INIT;
+	Ibis__OccurrenceProgress *occurrences[] = {&first};
+	Ibis__JobProgress progress = IBIS__JOB_PROGRESS__INIT;
+	const struct fleet_order *orders;
+	struct fleet_job *job;
+
+	task.run = 1;
+	task.worker = gone;
+	first.tasks = tasks;
+	first.n_tasks = 1;
+	progress.occurrences = occurrences;
+	progress.n_occurrences = 1;
+	job =
+	    fleet_add_job(fleet, "0123456789abcdef", spec, &progress, 7, 1000);
+	fleet_cancel_job(fleet, job, 1000);
+	CU_ASSERT_EQUAL(fleet_decide(fleet, 1010, 1010, &orders), 0);
+	CU_ASSERT_TRUE(fleet_worker_busy(fleet_find_worker(fleet, "gone")));
+	/* The longest that it may have run on. */
+	CU_ASSERT_EQUAL(fleet_decide(fleet, 20000, 20000, &orders), 0);
+	CU_ASSERT_PTR_NULL(fleet_find_worker(fleet, "gone"));
+	fleet_free(fleet);
+}
+
+static bool
+is_waiting_for(
+    const struct world *world, const char *id, enum fleet_wait_cause cause)
+{
+	const struct fleet_job *job = fleet_find_job(world->fleet, id);
+	struct fleet_wait waits[8];
+	size_t count = fleet_explain(world->fleet, job, world->now_ms,
+	    world->now_ms, waits, COUNT_OF(waits));
+
+	for (size_t i = 0; i < count; i++) {
+		if (waits[i].cause == cause)
+			return true;
+	}
+	return false;
+}
+
+static void
+test_waits_are_explained(void)
+{
+	CLEANUP(world_close) struct world world;
+	Ibis__StepJob *labelled = world_new_job(1, 1, 1, 1);
+	Ibis__StepJob *strange = world_new_job(1, 1, 1, 1);
+	Ibis__StepJob *large = world_new_job(1, 1, 1, 9);
+	size_t jobs[6];
+
+	proto_set_string(&labelled->steps[0]->label, "none has it");
+	proto_set_string(&strange->service, "none");
+	world_open(&world, 2, 2);
+	jobs[0] = world_submit(&world, world_new_job(1, 2, 2, 8), 20000);
+	world_run(&world, 300);
+	jobs[1] = world_submit(&world, world_new_job(1, 1, 1, 4), 500);
+	jobs[2] = world_submit(&world, labelled, 500);
+	jobs[3] = world_submit(&world, strange, 500);
+	jobs[4] = world_submit(&world, large, 500);
+	world_run(&world, 100);
+	CU_ASSERT_TRUE(
+	    is_waiting_for(&world, world.jobs[jobs[0]].id, FLEET_WAITS_STEPS));
+	CU_ASSERT_TRUE(
+	    is_waiting_for(&world, world.jobs[jobs[1]].id, FLEET_WAITS_ROOM));
+	CU_ASSERT_TRUE(
+	    is_waiting_for(&world, world.jobs[jobs[2]].id, FLEET_WAITS_LABEL));
+	CU_ASSERT_TRUE(is_waiting_for(
+	    &world, world.jobs[jobs[3]].id, FLEET_WAITS_SERVICE));
+	CU_ASSERT_TRUE(
+	    is_waiting_for(&world, world.jobs[jobs[4]].id, FLEET_WAITS_SIZE));
+	fleet_set_zone(world.fleet, "z0", false);
+	fleet_set_zone(world.fleet, "z1", false);
+	CU_ASSERT_TRUE(is_waiting_for(
+	    &world, world.jobs[jobs[1]].id, FLEET_WAITS_WORKERS));
+	fleet_set_zone(world.fleet, "z0", true);
+	fleet_set_zone(world.fleet, "z1", true);
+	world.store_down = true;
+	jobs[5] = world_submit(&world, world_new_job(0, 1, 1, 8), 500);
+	world_run(&world, 100);
+	CU_ASSERT_TRUE(
+	    is_waiting_for(&world, world.jobs[jobs[5]].id, FLEET_WAITS_RECORD));
+}
+
 /* Pattern: urgent work of others stands on room that a workspace is
  * guaranteed. */
 static void
@@ -546,6 +688,13 @@
 	    {"gang waits until all fit", test_gang_waits_until_all_fit},
 	    {"gang keeps to one rack", test_gang_keeps_to_one_rack},
 	    {"urgent job takes room back", test_urgent_job_takes_room_back},
+	    {"one lost answer is no silence",
+		test_one_lost_answer_is_no_silence},
+	    {"lease runs from an earlier time",
+		test_lease_runs_from_an_earlier_time},
+	    {"nothing is sent to an unlisted worker",
+		test_nothing_is_sent_to_an_unlisted_worker},
+	    {"waits are explained", test_waits_are_explained},
 	    {"guarantee is reclaimed from urgent borrowers",
 		test_guarantee_is_reclaimed_from_urgent_borrowers},
 	    {"urgent work within its guarantee stays",
