Hand the lead over before a planned stop; greet new peers

Now the lead offers it to a peer, which writes the key over the old one; the old lead goes on until the watch shows that, or 1.5 s at most. Now an instance greets each one that it finds. Test "store turns a new one away", red before.

--- a/proto/ibistrestle.pb-c.c
+++ b/proto/ibistrestle.pb-c.c
@@ -1492,6 +1492,96 @@
   assert(message->base.descriptor == &ibis__accepted_job__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ibis__lead_offer__init
+                     (Ibis__LeadOffer         *message)
+{
+  static const Ibis__LeadOffer init_value = IBIS__LEAD_OFFER__INIT;
+  *message = init_value;
+}
+size_t ibis__lead_offer__get_packed_size
+                     (const Ibis__LeadOffer *message)
+{
+  assert(message->base.descriptor == &ibis__lead_offer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ibis__lead_offer__pack
+                     (const Ibis__LeadOffer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ibis__lead_offer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ibis__lead_offer__pack_to_buffer
+                     (const Ibis__LeadOffer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ibis__lead_offer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ibis__LeadOffer *
+       ibis__lead_offer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ibis__LeadOffer *)
+     protobuf_c_message_unpack (&ibis__lead_offer__descriptor,
+                                allocator, len, data);
+}
+void   ibis__lead_offer__free_unpacked
+                     (Ibis__LeadOffer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ibis__lead_offer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ibis__peer_hello__init
+                     (Ibis__PeerHello         *message)
+{
+  static const Ibis__PeerHello init_value = IBIS__PEER_HELLO__INIT;
+  *message = init_value;
+}
+size_t ibis__peer_hello__get_packed_size
+                     (const Ibis__PeerHello *message)
+{
+  assert(message->base.descriptor == &ibis__peer_hello__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ibis__peer_hello__pack
+                     (const Ibis__PeerHello *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ibis__peer_hello__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ibis__peer_hello__pack_to_buffer
+                     (const Ibis__PeerHello *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ibis__peer_hello__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ibis__PeerHello *
+       ibis__peer_hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ibis__PeerHello *)
+     protobuf_c_message_unpack (&ibis__peer_hello__descriptor,
+                                allocator, len, data);
+}
+void   ibis__peer_hello__free_unpacked
+                     (Ibis__PeerHello *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ibis__peer_hello__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor ibis__job_spec__field_descriptors[11] =
 {
   {
@@ -4514,6 +4604,95 @@
   (ProtobufCMessageInit) ibis__accepted_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ibis__lead_offer__field_descriptors[1] =
+{
+  {
+    "epoch",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__LeadOffer, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ibis__lead_offer__field_indices_by_name[] = {
+  0,   /* field[0] = epoch */
+};
+static const ProtobufCIntRange ibis__lead_offer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ibis__lead_offer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ibis.LeadOffer",
+  "LeadOffer",
+  "Ibis__LeadOffer",
+  "ibis",
+  sizeof(Ibis__LeadOffer),
+  1,
+  ibis__lead_offer__field_descriptors,
+  ibis__lead_offer__field_indices_by_name,
+  1,  ibis__lead_offer__number_ranges,
+  (ProtobufCMessageInit) ibis__lead_offer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ibis__peer_hello__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__PeerHello, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__PeerHello, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ibis__peer_hello__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  0,   /* field[0] = name */
+};
+static const ProtobufCIntRange ibis__peer_hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor ibis__peer_hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ibis.PeerHello",
+  "PeerHello",
+  "Ibis__PeerHello",
+  "ibis",
+  sizeof(Ibis__PeerHello),
+  2,
+  ibis__peer_hello__field_descriptors,
+  ibis__peer_hello__field_indices_by_name,
+  1,  ibis__peer_hello__number_ranges,
+  (ProtobufCMessageInit) ibis__peer_hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue ibis__adjacency__enum_values_by_number[4] =
 {
   { "ADJACENCY_ANY", "IBIS__ADJACENCY__ADJACENCY_ANY", 0 },
--- a/proto/ibistrestle.pb-c.h
+++ b/proto/ibistrestle.pb-c.h
@@ -48,6 +48,8 @@
 typedef struct Ibis__StoreRelayCall Ibis__StoreRelayCall;
 typedef struct Ibis__StoreRelayAnswer Ibis__StoreRelayAnswer;
 typedef struct Ibis__AcceptedJob Ibis__AcceptedJob;
+typedef struct Ibis__LeadOffer Ibis__LeadOffer;
+typedef struct Ibis__PeerHello Ibis__PeerHello;
 
 
 /* --- enums --- */
@@ -841,6 +843,40 @@
     , (char *)protobuf_c_empty_string, 0, {0,NULL} }
 
 
+/*
+ * From a lead that is about to stop to the instance that is to follow it.
+ */
+struct  Ibis__LeadOffer
+{
+  ProtobufCMessage base;
+  /*
+   * of the lead that stops
+   */
+  uint64_t epoch;
+};
+#define IBIS__LEAD_OFFER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ibis__lead_offer__descriptor) \
+    , 0 }
+
+
+/*
+ * From an instance to one that it has just found in the store, which may not
+ * have found it yet.
+ */
+struct  Ibis__PeerHello
+{
+  ProtobufCMessage base;
+  char *name;
+  /*
+   * for other instances
+   */
+  char *address;
+};
+#define IBIS__PEER_HELLO__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ibis__peer_hello__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
 /* Ibis__JobSpec methods */
 void   ibis__job_spec__init
                      (Ibis__JobSpec         *message);
@@ -1468,6 +1504,44 @@
 void   ibis__accepted_job__free_unpacked
                      (Ibis__AcceptedJob *message,
                       ProtobufCAllocator *allocator);
+/* Ibis__LeadOffer methods */
+void   ibis__lead_offer__init
+                     (Ibis__LeadOffer         *message);
+size_t ibis__lead_offer__get_packed_size
+                     (const Ibis__LeadOffer   *message);
+size_t ibis__lead_offer__pack
+                     (const Ibis__LeadOffer   *message,
+                      uint8_t             *out);
+size_t ibis__lead_offer__pack_to_buffer
+                     (const Ibis__LeadOffer   *message,
+                      ProtobufCBuffer     *buffer);
+Ibis__LeadOffer *
+       ibis__lead_offer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ibis__lead_offer__free_unpacked
+                     (Ibis__LeadOffer *message,
+                      ProtobufCAllocator *allocator);
+/* Ibis__PeerHello methods */
+void   ibis__peer_hello__init
+                     (Ibis__PeerHello         *message);
+size_t ibis__peer_hello__get_packed_size
+                     (const Ibis__PeerHello   *message);
+size_t ibis__peer_hello__pack
+                     (const Ibis__PeerHello   *message,
+                      uint8_t             *out);
+size_t ibis__peer_hello__pack_to_buffer
+                     (const Ibis__PeerHello   *message,
+                      ProtobufCBuffer     *buffer);
+Ibis__PeerHello *
+       ibis__peer_hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ibis__peer_hello__free_unpacked
+                     (Ibis__PeerHello *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Ibis__JobSpec_Closure)
@@ -1569,6 +1643,12 @@
 typedef void (*Ibis__AcceptedJob_Closure)
                  (const Ibis__AcceptedJob *message,
                   void *closure_data);
+typedef void (*Ibis__LeadOffer_Closure)
+                 (const Ibis__LeadOffer *message,
+                  void *closure_data);
+typedef void (*Ibis__PeerHello_Closure)
+                 (const Ibis__PeerHello *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1615,6 +1695,8 @@
 extern const ProtobufCMessageDescriptor ibis__store_relay_call__descriptor;
 extern const ProtobufCMessageDescriptor ibis__store_relay_answer__descriptor;
 extern const ProtobufCMessageDescriptor ibis__accepted_job__descriptor;
+extern const ProtobufCMessageDescriptor ibis__lead_offer__descriptor;
+extern const ProtobufCMessageDescriptor ibis__peer_hello__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -165,6 +165,7 @@
 		if (!event.gateway->internal)
 			agent_callers_request(agent, event.gateway, now_ms);
 		else if (!agent_hint_request(agent, event.gateway) &&
+		    !agent_lead_request(agent, event.gateway) &&
 		    !agent_status_request(agent, event.gateway))
 			agent_relay_request(agent, event.gateway);
 	}
@@ -195,7 +196,7 @@
 	log_event(LOG_INFO, "stopping", "open_requests",
 	    log_number(gateway_open_requests(agent->gateway)), NULL);
 	gateway_drain(agent->gateway);
-	agent_lead_release(agent);
+	agent_lead_offer(agent, now_ms);
 }
 
 /* Tells whether a planned stop is over. */
@@ -209,7 +210,8 @@
 	if (since_ms >= agent->settings.grace_ms - STOP_MARGIN_MS)
 		return true;
 	agent_wake_at(agent, now_ms + 50);
-	return since_ms >= STOP_NOTICE_MS && agent->pending_count == 0 &&
+	return since_ms >= STOP_NOTICE_MS && agent->lead.state != LEAD_LEADS &&
+	    agent->pending_count == 0 &&
 	    gateway_open_requests(agent->gateway) == 0;
 }
 
--- a/src/agent/agent_lead.c
+++ b/src/agent/agent_lead.c
@@ -21,6 +21,13 @@
 #define RUN_GRACE_MS 2500
 /* It goes on looking after its workers so long. */
 #define LEAD_GRACE_MS 8000
+/* A peer that was offered the lead takes it within so long. */
+#define OFFER_MS	 1500
+#define OFFER_TIMEOUT_MS 500
+#define OFFER_PATH	 "/succeed"
+#define STATUS_OK	 200
+#define STATUS_BAD	 400
+#define STATUS_CONFLICT	 409
 /* Lease of what runs: outlasts a takeover. */
 #define RUN_LEASE_MS 6000
 
@@ -28,6 +35,7 @@
 next_try(struct agent *agent, int64_t now_ms, int64_t delay_ms)
 {
 	agent->lead.state = LEAD_FOLLOWS;
+	agent->lead.replaces = 0;
 	agent->lead.next_try_ms =
 	    now_ms + delay_ms + agent_random(agent, LEAD_JITTER_MS);
 }
@@ -72,6 +80,8 @@
 	agent->lead.epoch = agent->lead_key.revision;
 	agent->lead.term++;
 	agent->lead.lapsed = false;
+	agent->lead.replaces = 0;
+	agent->lead.release_ms = 0;
 	agent->fleet = fleet_new(&config, now_ms);
 	for (size_t i = 0; i < agent->jobs.count; i++)
 		agent_lead_job(agent, agent->jobs.items[i].item, now_ms);
@@ -148,6 +158,7 @@
 	struct platform_change change = {
 	    .key = AGENT_LEAD_KEY,
 	    .has_condition = true,
+	    .condition = agent->lead.replaces,
 	    .put = true,
 	    .value = agent->settings.name,
 	    .value_length = strlen(agent->settings.name),
@@ -158,6 +169,16 @@
 	platform_store_change(&agent->store, &change, 1, key_answered, agent);
 }
 
+/* Tells whether the key is still as it was when the lease was asked for. */
+static bool
+key_is_open(const struct agent *agent)
+{
+	if (agent->lead.replaces == 0)
+		return !agent->lead_key.present;
+	return agent->lead_key.present &&
+	    agent->lead_key.revision == agent->lead.replaces;
+}
+
 static void
 lease_answered(void *context, const struct platform_store_answer *answer)
 {
@@ -165,7 +186,7 @@
 
 	if (agent->lead.state != LEAD_ASKS_LEASE)
 		return;
-	if (answer->outcome != STORE_DONE || agent->lead_key.present) {
+	if (answer->outcome != STORE_DONE || !key_is_open(agent)) {
 		next_try(agent, clock_now_ms(), LEAD_RETRY_MS);
 		return;
 	}
@@ -176,12 +197,19 @@
 }
 
 static void
-try_to_lead(struct agent *agent, int64_t now_ms)
+ask_lease(struct agent *agent)
 {
 	int32_t lease_ms = LEAD_LEASE_MS > agent->settings.min_store_lease_ms
 	    ? LEAD_LEASE_MS
 	    : agent->settings.min_store_lease_ms;
 
+	agent->lead.state = LEAD_ASKS_LEASE;
+	platform_store_lease(&agent->store, lease_ms, lease_answered, agent);
+}
+
+static void
+try_to_lead(struct agent *agent, int64_t now_ms)
+{
 	if (agent->lead_key.present || agent->stopping ||
 	    !agent_view_fresh(agent, now_ms))
 		return;
@@ -189,8 +217,7 @@
 		agent_wake_at(agent, agent->lead.next_try_ms);
 		return;
 	}
-	agent->lead.state = LEAD_ASKS_LEASE;
-	platform_store_lease(&agent->store, lease_ms, lease_answered, agent);
+	ask_lease(agent);
 }
 
 /* A renewal on its way; a later lease may be ours when it is answered. */
@@ -283,6 +310,13 @@
 			    agent, agent->lead.asked_ms + LEAD_ANSWER_MS + 1);
 		break;
 	case LEAD_LEADS:
+		if (agent->lead.release_ms != 0 &&
+		    now_ms >= agent->lead.release_ms) {
+			agent_lead_release(agent);
+			break;
+		}
+		if (agent->lead.release_ms != 0)
+			agent_wake_at(agent, agent->lead.release_ms);
 		renew(agent, now_ms);
 		break;
 	}
@@ -307,3 +341,85 @@
 	agent->lead.lease = 0;
 	platform_store_end_lease(&agent->store, lease, released, agent);
 }
+
+/*
+ * Handing over. The lead goes on until its peer has written the key, so that
+ * somebody leads all the time.
+ */
+
+static void
+offer_answered(void *context, const struct http_answer *answer)
+{
+	struct agent *agent = context;
+	bool taken =
+	    answer->outcome == HTTP_ANSWERED && answer->status == STATUS_OK;
+
+	if (agent->lead.state != LEAD_LEADS || agent->lead.release_ms == 0)
+		return;
+	log_event(LOG_INFO, "lead_offered", "epoch",
+	    log_number((int64_t)agent->lead.epoch), "outcome",
+	    taken ? "taken" : "refused", NULL);
+	if (!taken)
+		agent_lead_release(agent);
+}
+
+void
+agent_lead_offer(struct agent *agent, int64_t now_ms)
+{
+	CLEANUP(buffer_free) struct buffer body = {0};
+	const struct name_index *peers = &agent->relay.peers;
+	Ibis__LeadOffer offer = IBIS__LEAD_OFFER__INIT;
+	const struct agent_peer *peer;
+	struct http_call call = {
+	    .method = "POST",
+	    .path = OFFER_PATH,
+	    .timeout_ms = OFFER_TIMEOUT_MS,
+	};
+
+	if (agent->lead.state != LEAD_LEADS || peers->count == 0) {
+		agent_lead_release(agent);
+		return;
+	}
+	peer = peers->items[agent_random(agent, (uint32_t)peers->count)].item;
+	offer.epoch = agent->lead.epoch;
+	proto_pack(&offer.base, &body);
+	call.address = peer->address;
+	call.body = body.data;
+	call.body_length = body.length;
+	agent->lead.release_ms = now_ms + OFFER_MS;
+	http_pool_call(agent->pool, &call, offer_answered, agent);
+}
+
+static bool
+take_offer(struct agent *agent, const Ibis__LeadOffer *offer, int64_t now_ms)
+{
+	if (agent->stopping || agent->lead.state != LEAD_FOLLOWS ||
+	    !agent->lead_key.present ||
+	    agent->lead_key.revision != offer->epoch ||
+	    !agent_view_fresh(agent, now_ms))
+		return false;
+	agent->lead.replaces = offer->epoch;
+	ask_lease(agent);
+	return true;
+}
+
+bool
+agent_lead_request(struct agent *agent, struct gateway_request *request)
+{
+	Ibis__LeadOffer *offer;
+	int32_t status = STATUS_BAD;
+
+	if (request->method != GATEWAY_POST ||
+	    strcmp(request->path, OFFER_PATH) != 0)
+		return false;
+	offer = (Ibis__LeadOffer *)proto_unpack(&ibis__lead_offer__descriptor,
+	    request->body.data, request->body.length);
+	if (offer != NULL) {
+		status = take_offer(agent, offer, clock_now_ms())
+		    ? STATUS_OK
+		    : STATUS_CONFLICT;
+		proto_free(&offer->base);
+	}
+	gateway_reply(agent->gateway, request, status, NULL, 0);
+	return true;
+}
--- a/src/agent/agent_relay.c
+++ b/src/agent/agent_relay.c
@@ -13,6 +13,8 @@
 #include "process/proto_memory.h"
 
 #define RELAY_PATH	 "/relay"
+#define HELLO_PATH	 "/hello"
+#define HELLO_TIMEOUT_MS 500
 #define PROBE_EVERY_MS	 250
 #define PROBE_TIMEOUT_MS 400
 #define PEER_SLACK_MS	 100
@@ -359,11 +361,100 @@
 	carry_straight(agent, &call, served_answered, served);
 }
 
+/* Returns false when the peer was known with this address. */
+static bool
+add_peer(struct agent *agent, const char *name, const char *address)
+{
+	struct agent_peer *peer = name_index_get(&agent->relay.peers, name);
+
+	if (peer != NULL && strcmp(peer->address, address) == 0)
+		return false;
+	mem_free(name_index_remove(&agent->relay.peers, name));
+	peer = mem_calloc(1, sizeof(*peer));
+	STRING_COPY(peer->name, name);
+	STRING_COPY(peer->address, address);
+	(void)name_index_add(&agent->relay.peers, peer->name, peer);
+	return true;
+}
+
+static void
+hello_answered(void *context, const struct http_answer *answer)
+{
+	(void)context;
+	(void)answer; /* the peer will find us in the store */
+}
+
+/* An instance that the store turns away soon after its start knows peers only
+ * by their calls. */
+static void
+greet(struct agent *agent, const char *address)
+{
+	CLEANUP(buffer_free) struct buffer body = {0};
+	Ibis__PeerHello hello = IBIS__PEER_HELLO__INIT;
+	struct http_call call = {
+	    .method = "POST",
+	    .address = address,
+	    .path = HELLO_PATH,
+	    .timeout_ms = HELLO_TIMEOUT_MS,
+	};
+
+	if (*agent->internal_address == '\0')
+		return;
+	hello.name = agent->settings.name;
+	hello.address = agent->internal_address;
+	proto_pack(&hello.base, &body);
+	call.body = body.data;
+	call.body_length = body.length;
+	http_pool_call(agent->pool, &call, hello_answered, NULL);
+}
+
+static void
+take_hello(struct agent *agent, struct gateway_request *request)
+{
+	Ibis__PeerHello *hello =
+	    (Ibis__PeerHello *)proto_unpack(&ibis__peer_hello__descriptor,
+		request->body.data, request->body.length);
+	int32_t status = STATUS_BAD;
+
+	if (hello != NULL) {
+		if (*hello->name != '\0' && *hello->address != '\0' &&
+		    strcmp(hello->name, agent->settings.name) != 0) {
+			(void)add_peer(agent, hello->name, hello->address);
+			status = STATUS_OK;
+		}
+		proto_free(&hello->base);
+	}
+	gateway_reply(agent->gateway, request, status, NULL, 0);
+}
+
+void
+agent_relay_peer(
+    struct agent *agent, const char *name, const struct platform_item *item)
+{
+	char address[PLATFORM_TEXT_BYTES * 2];
+
+	if (strcmp(name, agent->settings.name) == 0)
+		return;
+	if (item->deleted || item->value_length >= sizeof(address)) {
+		mem_free(name_index_remove(&agent->relay.peers, name));
+		return;
+	}
+	memcpy(address, item->value, item->value_length);
+	address[item->value_length] = '\0';
+	if (add_peer(agent, name, address))
+		greet(agent, address);
+}
+
 void
 agent_relay_request(struct agent *agent, struct gateway_request *request)
 {
 	Ibis__StoreRelayCall *message;
 
+	if (request->method == GATEWAY_POST &&
+	    strcmp(request->path, HELLO_PATH) == 0) {
+		take_hello(agent, request);
+		return;
+	}
 	if (request->method != GATEWAY_POST ||
 	    strcmp(request->path, RELAY_PATH) != 0) {
 		gateway_reply(
@@ -382,23 +473,6 @@
 		proto_free(&message->base);
 }
 
-void
-agent_relay_peer(
-    struct agent *agent, const char *name, const struct platform_item *item)
-{
-	struct agent_peer *peer;
-
-	if (strcmp(name, agent->settings.name) == 0)
-		return;
-	mem_free(name_index_remove(&agent->relay.peers, name));
-	if (item->deleted || item->value_length >= sizeof(peer->address))
-		return;
-	peer = mem_calloc(1, sizeof(*peer));
-	STRING_COPY(peer->name, name);
-	STRING_COPY(peer->address, item->value);
-	(void)name_index_add(&agent->relay.peers, peer->name, peer);
-}
-
 /*
  * Steps.
  */
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -60,8 +60,11 @@
 struct agent_lead {
 	enum lead_state state;
 	uint64_t lease;
-	uint64_t epoch;	    /* the key's revision */
-	uint64_t term;	    /* counts our own times of leading */
+	uint64_t epoch;	   /* the key's revision */
+	uint64_t replaces; /* revision of the key to take over; 0: none there */
+	int64_t
+	    release_ms; /* offered: given up at the latest; 0: not offered */
+	uint64_t term;	/* counts our own times of leading */
 	int64_t renewed_ms; /* when the last good renewal was sent */
 	int64_t next_renew_ms;
 	int64_t next_try_ms;
@@ -197,6 +200,11 @@
 void agent_lead_key_changed(struct agent *agent, int64_t now_ms);
 void agent_lead_step_down(struct agent *agent, const char *reason);
 void agent_lead_release(struct agent *agent);
+/* Offers the lead to a peer before a planned stop; without one, or when it does
+ * not take it in time, the lead is released. */
+void agent_lead_offer(struct agent *agent, int64_t now_ms);
+/* A peer's offer; false when the request is something else. */
+bool agent_lead_request(struct agent *agent, struct gateway_request *request);
 /* The time from which leases of what runs may be granted: now, or earlier when
  * the lead's own lease has not been renewed for a while. */
 int64_t agent_lead_grant_from(const struct agent *agent, int64_t now_ms);
--- a/tests/common_users_platform.c
+++ b/tests/common_users_platform.c
@@ -29,6 +29,7 @@
 #define INTERNAL_PORT  7000
 #define MAX_LEASE_MS   10000
 #define CAPACITY_UNITS 8
+#define LEAD_KEY       "ibis/lead"
 
 struct item {
 	bool used;
@@ -107,6 +108,7 @@
 	int64_t run_ms;
 	uint32_t starts;
 	uint32_t doubled;
+	uint32_t lead_gaps;
 	char folder[64];
 };
 
@@ -138,6 +140,8 @@
 	    .revision = platform->revision, .lease = item->lease};
 	STRING_COPY(change->key, item->key);
 	change->value = deleted ? NULL : mem_strdup(item->value);
+	if (deleted && strcmp(item->key, LEAD_KEY) == 0)
+		platform->lead_gaps++;
 }
 
 static void
@@ -841,7 +845,7 @@
 	struct item *item;
 
 	(void)pthread_mutex_lock(&platform->lock);
-	item = find_item(platform, "ibis/lead");
+	item = find_item(platform, LEAD_KEY);
 	if (item != NULL && find_lease(platform, item->lease) != NULL)
 		end_lease(platform, find_lease(platform, item->lease));
 	(void)pthread_mutex_unlock(&platform->lock);
@@ -882,7 +886,7 @@
 
 	(void)pthread_mutex_lock(&platform->lock);
 	expire_leases(platform);
-	item = find_item(platform, "ibis/lead");
+	item = find_item(platform, LEAD_KEY);
 	if (item != NULL) {
 		unsigned char *name = NULL;
 		size_t length = ne_unbase64(item->value, &name);
@@ -995,6 +999,12 @@
 	platform->run_ms = run_ms;
 }
 
+uint32_t
+users_lead_gaps(struct users_platform *platform)
+{
+	return platform->lead_gaps;
+}
+
 uint32_t
 users_starts(struct users_platform *platform)
 {
--- a/tests/common_users_platform.h
+++ b/tests/common_users_platform.h
@@ -69,6 +69,9 @@
 /* Run time of the tasks that start from now on. */
 void users_set_run_ms(struct users_platform *platform, int64_t run_ms);
 
+/* How often the lead's key was gone. */
+uint32_t users_lead_gaps(struct users_platform *platform);
+
 uint32_t users_starts(struct users_platform *platform);
 /* Tasks that ran twice at a time, or again after their end was noted. */
 uint32_t users_doubled(struct users_platform *platform);
--- a/tests/fail_users_platform.c
+++ b/tests/fail_users_platform.c
@@ -153,6 +153,28 @@
 }
 
 /* Its callers are served through a peer. */
+/* An instance that the store turns away right after its start has found no
+ * peer there, but the others have found it. */
+static void
+test_store_turns_a_new_one_away(void)
+{
+	uint32_t refused = 0;
+
+	platform = users_platform_start();
+	CU_ASSERT_PTR_NOT_NULL_FATAL(platform);
+	CU_ASSERT_TRUE_FATAL(users_start_instance(platform, 0));
+	CU_ASSERT_TRUE_FATAL(users_wait_lead(platform, -1, START_MS));
+	users_turn_away(platform, 0, true);
+	for (uint32_t i = 1; i < USERS_INSTANCES; i++)
+		CU_ASSERT_TRUE_FATAL(users_start_instance(platform, i));
+	process_pause(1500);
+	for (uint32_t i = 0; i < JOBS; i++)
+		refused += users_submit(platform, 0, 1 + i, TASKS) != 200;
+	CU_ASSERT_EQUAL_FATAL(refused, 0);
+	expect_completed(1, 0);
+	end_all();
+}
+
 static void
 test_store_turns_one_away(void)
 {
@@ -214,6 +236,8 @@
 		CU_ASSERT_TRUE(users_wait_ready(platform, START_MS));
 		expect_completed(1 + i * 100, i);
 	}
+	/* Each lead handed over before it stopped. */
+	CU_ASSERT_EQUAL(users_lead_gaps(platform), 0);
 	end_all();
 }
 
@@ -296,10 +320,8 @@
 	submit_jobs(1, -1);
 	CU_ASSERT_TRUE(wait_until_says(lead, "/v1/jobs/000000000000000c/waits",
 	    "\"waits_for\": \"no room\"", &answer));
-	CU_ASSERT_EQUAL(users_ask(platform, (lead + 1) % USERS_INSTANCES,
-			    "/v1/jobs/000000000000000c/waits", &answer),
-	    200);
-	CU_ASSERT_TRUE(says(&answer, "\"leading\": false"));
+	CU_ASSERT_TRUE(wait_until_says((lead + 1) % USERS_INSTANCES,
+	    "/v1/jobs/000000000000000c/waits", "\"leading\": false", &answer));
 	CU_ASSERT_TRUE(says(&answer, "\"waits\": [ ]"));
 	CU_ASSERT_EQUAL(users_ask(platform, lead,
 			    "/v1/jobs/00000000000000ff/waits", &answer),
@@ -321,6 +343,7 @@
 	    {"lead freezes and wakes", test_lead_freezes_and_wakes},
 	    {"lead is replaced unheard", test_lead_is_replaced_unheard},
 	    {"store turns one away", test_store_turns_one_away},
+	    {"store turns a new one away", test_store_turns_a_new_one_away},
 	    {"store is silent", test_store_is_silent},
 	    {"planned stops", test_planned_stops},
 	    {"log is not read", test_log_is_not_read},
