--- a/tests/common_users_platform.h
+++ b/tests/common_users_platform.h
@@ -59,6 +59,10 @@
 int users_ask(struct users_platform *platform, uint32_t instance,
     const char *path, struct buffer *answer);
 
+/* One call at the internal address, as from another instance. */
+int users_tell(struct users_platform *platform, uint32_t instance,
+    const char *path, const char *body, struct buffer *answer);
+
 /* Hands in a job of one step; the task runs so long. Returns the status. */
 int users_submit(struct users_platform *platform, uint32_t instance,
     uint32_t number, uint32_t tasks);
--- /dev/null
+++ b/tests/common_users_workers.c
@@ -0,0 +1,218 @@
+/* The stand-in's workers: runs under leases, ends, looks. */
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/fake_json.h"
+#include "common_users_state.h"
+#include "process/alloc.h"
+#include "process/clock.h"
+
+#define MAX_LEASE_MS 10000
+
+static void
+list_end(struct users_worker *worker, struct users_run *run, const char *how)
+{
+	struct users_end *end = &worker->ends[worker->ends_count];
+
+	run->used = false;
+	if (worker->ends_count == USERS_ENDS)
+		return;
+	worker->ends_count++;
+	*end = (struct users_end){
+	    .number = ++worker->next_end, .run = run->number, .how = how};
+	STRING_COPY(end->task, run->task);
+}
+
+static void
+pass_time(struct users_worker *worker)
+{
+	int64_t now_ms = clock_now_ms();
+
+	for (size_t i = 0; i < USERS_RUNS; i++) {
+		struct users_run *run = &worker->runs[i];
+
+		if (run->used && now_ms >= run->ends_ms)
+			list_end(worker, run, "done");
+		else if (run->used && now_ms >= worker->lease_until_ms)
+			list_end(worker, run, "lapsed");
+	}
+}
+
+/* Tells whether a task runs anywhere, or its end has been noted. */
+static bool
+is_doubled(struct users_platform *platform, const char *task)
+{
+	for (size_t i = 0; i < USERS_WORKERS; i++) {
+		const struct users_worker *worker = &platform->workers[i];
+
+		for (size_t j = 0; j < USERS_RUNS; j++) {
+			if (worker->runs[j].used &&
+			    strcmp(worker->runs[j].task, task) == 0)
+				return true;
+		}
+		for (size_t j = 0; j < worker->ends_count; j++) {
+			const struct users_end *end = &worker->ends[j];
+
+			if (strcmp(end->task, task) == 0 &&
+			    end->number <= worker->acked &&
+			    strcmp(end->how, "done") == 0)
+				return true;
+		}
+	}
+	return false;
+}
+
+static const char *
+start_run(struct users_worker *worker, const char *task, int64_t number)
+{
+	struct users_platform *platform = worker->platform;
+
+	for (size_t i = 0; i < USERS_RUNS; i++) {
+		if (worker->runs[i].used && worker->runs[i].number == number &&
+		    strcmp(worker->runs[i].task, task) == 0)
+			return NULL;
+	}
+	for (size_t i = 0; i < worker->ends_count; i++) {
+		if (worker->ends[i].run >= number &&
+		    strcmp(worker->ends[i].task, task) == 0)
+			return "old";
+	}
+	platform->starts++;
+	platform->doubled += is_doubled(platform, task);
+	for (size_t i = 0; i < USERS_RUNS; i++) {
+		if (worker->runs[i].used)
+			continue;
+		worker->runs[i] = (struct users_run){.used = true,
+		    .number = number,
+		    .ends_ms = clock_now_ms() + platform->run_ms};
+		STRING_COPY(worker->runs[i].task, task);
+		return NULL;
+	}
+	return "room";
+}
+
+static void
+stop_run(struct users_worker *worker, const char *task, int64_t number)
+{
+	struct users_run absent = {.number = number};
+
+	for (size_t i = 0; i < USERS_RUNS; i++) {
+		struct users_run *run = &worker->runs[i];
+
+		if (run->used && run->number == number &&
+		    strcmp(run->task, task) == 0) {
+			list_end(worker, run, "stopped");
+			return;
+		}
+	}
+	STRING_COPY(absent.task, task);
+	list_end(worker, &absent, "stopped");
+}
+
+static void
+extend_lease(struct users_worker *worker, struct json_object *body)
+{
+	int64_t until_ms = fake_json_number(body, "HoldUntilMs", 0);
+	int64_t latest_ms = clock_now_ms() + MAX_LEASE_MS;
+
+	if (until_ms > latest_ms)
+		until_ms = latest_ms;
+	if (until_ms > worker->lease_until_ms)
+		worker->lease_until_ms = until_ms;
+}
+
+static void
+append_rows(struct users_worker *worker, struct buffer *body)
+{
+	const char *comma = "";
+
+	buffer_printf(body, "{\"ClockMs\":%" PRId64 ",\"born\":1,\"Running\":[",
+	    clock_now_ms());
+	for (size_t i = 0; i < USERS_RUNS; i++) {
+		if (!worker->runs[i].used)
+			continue;
+		buffer_printf(body, "%s[\"%s\",%" PRId64 ",\"\",50,0]", comma,
+		    worker->runs[i].task, worker->runs[i].number);
+		comma = ",";
+	}
+	buffer_puts(body, "],\"EndedRuns\":[");
+	comma = "";
+	for (size_t i = 0; i < worker->ends_count; i++) {
+		const struct users_end *end = &worker->ends[i];
+
+		if (end->number <= worker->acked)
+			continue;
+		buffer_printf(body,
+		    "%s[%" PRId64 ",\"%s\",%" PRId64 ",\"%s\",\"\"]", comma,
+		    end->number, end->task, end->run, end->how);
+		comma = ",";
+	}
+	buffer_puts(body, "]}");
+}
+
+static void
+answer_look(struct users_worker *worker, struct json_object *body,
+    struct fake_reply *reply)
+{
+	int64_t until_ms = clock_now_ms() + fake_json_number(body, "WaitMs", 0);
+	int64_t acked = fake_json_number(body, "AckSeq", 0);
+
+	if (acked > worker->acked)
+		worker->acked = acked;
+	extend_lease(worker, body);
+	while (worker->next_end <= worker->acked && clock_now_ms() < until_ms) {
+		(void)pthread_mutex_unlock(&worker->platform->lock);
+		process_pause(USERS_STEP_MS);
+		(void)pthread_mutex_lock(&worker->platform->lock);
+		pass_time(worker);
+	}
+	append_rows(worker, &reply->body);
+}
+
+static void
+worker_call(struct users_worker *worker, const struct fake_request *request,
+    struct json_object *body, struct fake_reply *reply)
+{
+	int64_t fence = fake_json_number(body, "FencingToken", 0);
+	const char *task = fake_json_text(body, "Task", "");
+	int64_t run = fake_json_number(body, "Run", 0);
+	const char *reason = NULL;
+
+	pass_time(worker);
+	if (fence < worker->fence) {
+		reason = "fence";
+	} else if (strcmp(request->path, "/ibistrestle/hold") == 0) {
+		worker->fence = fence;
+		answer_look(worker, body, reply);
+		return;
+	} else if (strcmp(request->path, "/ibistrestle/run-start") == 0) {
+		worker->fence = fence;
+		extend_lease(worker, body);
+		reason = start_run(worker, task, run);
+	} else {
+		worker->fence = fence;
+		stop_run(worker, task, run);
+	}
+	if (reason != NULL)
+		reply->status = 409;
+	buffer_printf(&reply->body,
+	    "{\"ClockMs\":%" PRId64 ",\"Reason\":\"%s\"}", clock_now_ms(),
+	    reason == NULL ? "" : reason);
+}
+
+void
+users_worker_handler(
+    void *context, const struct fake_request *request, struct fake_reply *reply)
+{
+	struct users_worker *worker = context;
+	struct json_object *body = json_tokener_parse(request->body);
+
+	reply->status = 200;
+	(void)pthread_mutex_lock(&worker->platform->lock);
+	worker_call(worker, request, body, reply);
+	(void)pthread_mutex_unlock(&worker->platform->lock);
+	json_object_put(body);
+}
--- a/tests/fail_users_platform.c
+++ b/tests/fail_users_platform.c
@@ -334,6 +334,32 @@
 	end_all();
 }
 
+/* What other instances may send, damaged: each is refused, and all goes on. */
+static void
+test_damaged_calls_of_peers(void)
+{
+	static const char *const paths[] = {
+	    "/hint", "/relay", "/succeed", "/hello"};
+	static const char *const bodies[] = {"", "{}", "\xff\xff\xff\xff",
+	    "\x0a\x7f"
+	    "short"};
+	CLEANUP(buffer_free) struct buffer answer = {0};
+
+	start_all();
+	for (size_t i = 0; i < COUNT_OF(paths); i++) {
+		for (size_t j = 0; j < COUNT_OF(bodies); j++) {
+			int status = users_tell(
+			    platform, 0, paths[i], bodies[j], &answer);
+
+			CU_ASSERT_TRUE(status == 400 || status == 409);
+		}
+	}
+	CU_ASSERT_EQUAL(users_tell(platform, 0, "/none", "", &answer), 404);
+	submit_jobs(1, -1);
+	expect_completed(1, 0);
+	end_all();
+}
+
 int
 main(void)
 {
@@ -348,6 +374,7 @@
 	    {"planned stops", test_planned_stops},
 	    {"log is not read", test_log_is_not_read},
 	    {"operator asks", test_operator_asks},
+	    {"damaged calls of peers", test_damaged_calls_of_peers},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -56,6 +56,7 @@
 step lint env BUILD=build tools/lint.sh
 step generated tools/check_generated.sh
 step docs tools/check_docs.sh
+step layers tools/check_layers.sh
 step clang env CC=clang CXX=clang++ make -s build BUILD=build-clang
 tests build
 export ASAN_OPTIONS=detect_leaks=1 UBSAN_OPTIONS=halt_on_error=1
