Ask without waiting after a watch has failed; offer the lead on

Three causes:

The offer now goes on to the next peer. A successor saw the key 50 to 100 ms late, as followers gather changes: who is about to lead no longer does.

--- a/src/agent/agent_lead.c
+++ b/src/agent/agent_lead.c
@@ -347,6 +347,8 @@
  * somebody leads all the time.
  */
 
+static void send_offer(struct agent *agent);
+
 static void
 offer_answered(void *context, const struct http_answer *answer)
 {
@@ -358,13 +360,15 @@
 		return;
 	log_event(LOG_INFO, "lead_offered", "epoch",
 	    log_number((int64_t)agent->lead.epoch), "outcome",
-	    taken ? "taken" : "refused", NULL);
+	    taken ? "taken" : "refused", "peers_left",
+	    log_number(agent->lead.offers_left), NULL);
 	if (!taken)
-		agent_lead_release(agent);
+		send_offer(agent);
 }
 
-void
-agent_lead_offer(struct agent *agent, int64_t now_ms)
+/* Offers the lead to the next peer; releases it when all have refused. */
+static void
+send_offer(struct agent *agent)
 {
 	CLEANUP(buffer_free) struct buffer body = {0};
 	const struct name_index *peers = &agent->relay.peers;
@@ -376,20 +380,35 @@
 	    .timeout_ms = OFFER_TIMEOUT_MS,
 	};
 
-	if (agent->lead.state != LEAD_LEADS || peers->count == 0) {
+	if (agent->lead.offers_left == 0 || peers->count == 0) {
 		agent_lead_release(agent);
 		return;
 	}
-	peer = peers->items[agent_random(agent, (uint32_t)peers->count)].item;
+	agent->lead.offers_left--;
+	peer = peers->items[agent->lead.next_offer++ % peers->count].item;
 	offer.epoch = agent->lead.epoch;
 	proto_pack(&offer.base, &body);
 	call.address = peer->address;
 	call.body = body.data;
 	call.body_length = body.length;
-	agent->lead.release_ms = now_ms + OFFER_MS;
 	http_pool_call(agent->pool, &call, offer_answered, agent);
 }
 
+void
+agent_lead_offer(struct agent *agent, int64_t now_ms)
+{
+	size_t peers = agent->relay.peers.count;
+
+	if (agent->lead.state != LEAD_LEADS || peers == 0) {
+		agent_lead_release(agent);
+		return;
+	}
+	agent->lead.release_ms = now_ms + OFFER_MS;
+	agent->lead.offers_left = (uint32_t)peers;
+	agent->lead.next_offer = agent_random(agent, (uint32_t)peers);
+	send_offer(agent);
+}
+
 static bool
 take_offer(struct agent *agent, const Ibis__LeadOffer *offer, int64_t now_ms)
 {
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -62,9 +62,11 @@
 	uint64_t lease;
 	uint64_t epoch;	   /* the key's revision */
 	uint64_t replaces; /* revision of the key to take over; 0: none there */
-	int64_t
-	    release_ms; /* offered: given up at the latest; 0: not offered */
-	uint64_t term;	/* counts our own times of leading */
+	/* Offered: until when a peer may take it; 0: not offered. */
+	int64_t release_ms;
+	uint32_t offers_left;
+	uint32_t next_offer;
+	uint64_t term;	    /* counts our own times of leading */
 	int64_t renewed_ms; /* when the last good renewal was sent */
 	int64_t next_renew_ms;
 	int64_t next_try_ms;
--- a/src/agent/agent_view.c
+++ b/src/agent/agent_view.c
@@ -288,8 +288,9 @@
 void
 agent_view_step(struct agent *agent, int64_t now_ms)
 {
+	/* Who leads, or is about to, has to see each change at once. */
 	agent_watch_set_pause(
-	    agent->own, agent->fleet != NULL ? 0 : OWN_PAUSE_MS);
+	    agent->own, agent->lead.state == LEAD_FOLLOWS ? OWN_PAUSE_MS : 0);
 	agent_wake_at(agent, agent_watch_step(agent->own, now_ms));
 	agent_wake_at(agent, agent_watch_step(agent->operators, now_ms));
 }
--- a/src/agent/agent_watch.c
+++ b/src/agent/agent_watch.c
@@ -246,6 +246,8 @@
 		    watch->page_after, answered, watch->call);
 	else
 		platform_store_watch(watch->store, watch->config.prefix,
-		    watch->after, watch->config.wait_ms, answered, watch->call);
+		    watch->after,
+		    watch->failing ? BACK_WAIT_MS : watch->config.wait_ms,
+		    answered, watch->call);
 	return INT64_MAX;
 }
