--- a/src/request/cli.h
+++ b/src/request/cli.h
@@ -105,7 +105,9 @@
 /* Reads the command's path and prints the answer; returns the exit code. */
 int cli_show(struct cli *cli);
 
-/* Reads a whole file, "-" being standard input. */
+/* Reads a whole file, "-" being standard input; the first may be empty. */
+enum ibis_code cli_read_any(const char *path, size_t max_bytes,
+    struct buffer *text, struct ibis_status *status);
 enum ibis_code cli_read_file(const char *path, size_t max_bytes,
     struct buffer *text, struct ibis_status *status);
 
--- a/src/request/cli_log.c
+++ b/src/request/cli_log.c
@@ -14,7 +14,7 @@
 	for (int i = 1; i < cli->arguments_count; i++) {
 		CLEANUP(buffer_free) struct buffer text = {0};
 
-		if (cli_read_file(cli->arguments[i], MAX_LOG_BYTES, &text,
+		if (cli_read_any(cli->arguments[i], MAX_LOG_BYTES, &text,
 			status) != IBIS_OK)
 			return status->code;
 		log_story_add(story, &text);
--- a/src/request/cli_output.c
+++ b/src/request/cli_output.c
@@ -301,7 +301,7 @@
 }
 
 enum ibis_code
-cli_read_file(const char *path, size_t max_bytes, struct buffer *text,
+cli_read_any(const char *path, size_t max_bytes, struct buffer *text,
     struct ibis_status *status)
 {
 	CLEANUP(close_file) FILE *file = NULL;
@@ -321,6 +321,15 @@
 	if (ferror(file) != 0)
 		return ibis_status_set(status, IBIS_INVALID, "read", NULL,
 		    "%s: %s", path, strerror(errno));
+	return IBIS_OK;
+}
+
+enum ibis_code
+cli_read_file(const char *path, size_t max_bytes, struct buffer *text,
+    struct ibis_status *status)
+{
+	if (cli_read_any(path, max_bytes, text, status) != IBIS_OK)
+		return status->code;
 	if (text->length == 0)
 		return ibis_status_set(
 		    status, IBIS_INVALID, "read", NULL, "%s: empty", path);
--- a/tests/common_users_platform.c
+++ b/tests/common_users_platform.c
@@ -288,6 +288,14 @@
 	    path, body, answer);
 }
 
+void
+users_internal_address(const struct users_platform *platform, uint32_t instance,
+    char *address, size_t bytes)
+{
+	(void)snprintf(address, bytes, "%s:%d",
+	    platform->instances[instance].ip, INTERNAL_PORT);
+}
+
 int
 users_ask(struct users_platform *platform, uint32_t instance, const char *path,
     struct buffer *answer)
--- a/tests/common_users_platform.h
+++ b/tests/common_users_platform.h
@@ -7,6 +7,7 @@
 #define IBIS_COMMON_USERS_PLATFORM_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "common_process.h"
@@ -55,6 +56,10 @@
     const char *method, const char *path, const char *body,
     struct buffer *answer);
 
+/* Address that operators and other instances call. */
+void users_internal_address(const struct users_platform *platform,
+    uint32_t instance, char *address, size_t bytes);
+
 /* One question of an operator at the internal address. */
 int users_ask(struct users_platform *platform, uint32_t instance,
     const char *path, struct buffer *answer);
--- a/tests/fail_users_platform.c
+++ b/tests/fail_users_platform.c
@@ -303,6 +303,33 @@
 	return says(answer, text);
 }
 
+/* Runs ibisctl against an instance; returns its exit code. */
+static int
+run_ibisctl(uint32_t instance, const char *group, const char *name,
+    const char *argument)
+{
+	char address[64];
+	const char *arguments[8] = {group};
+	struct process process;
+	size_t count = 1;
+	int nowhere = open("/dev/null", O_WRONLY | O_CLOEXEC);
+	bool started;
+
+	if (name != NULL)
+		arguments[count++] = name;
+	users_internal_address(platform, instance, address, sizeof(address));
+	arguments[count++] = "--server";
+	arguments[count++] = address;
+	arguments[count++] = "--retry-ms";
+	arguments[count++] = "0";
+	if (argument != NULL)
+		arguments[count] = argument;
+	started = process_start_unread(
+	    &process, "ibisctl", arguments, "/dev/null", nowhere);
+	(void)close(nowhere);
+	return started ? process_wait(&process, START_MS) : -1;
+}
+
 static void
 test_operator_asks(void)
 {
@@ -323,6 +350,13 @@
 	CU_ASSERT_TRUE(wait_until_says((lead + 1) % USERS_INSTANCES,
 	    "/v1/jobs/000000000000000c/waits", "\"leading\": false", &answer));
 	CU_ASSERT_TRUE(says(&answer, "\"waits\": [ ]"));
+	for (uint32_t i = 0; i < USERS_INSTANCES; i++) {
+		CU_ASSERT_EQUAL(run_ibisctl(i, "status", NULL, NULL), 0);
+		CU_ASSERT_EQUAL(
+		    run_ibisctl(i, "job", "why", "000000000000000c"), 0);
+	}
+	CU_ASSERT_EQUAL(run_ibisctl(0, "job", "why", "00000000000000ff"), 7);
+	CU_ASSERT_EQUAL(run_ibisctl(0, "job", "why", "../x y"), 7);
 	CU_ASSERT_EQUAL(users_ask(platform, lead,
 			    "/v1/jobs/00000000000000ff/waits", &answer),
 	    404);
