Give peers a file of their own; one way to send them a message

Change: agent_peers.c holds the other instances' addresses, our entry and calls to them; agent_relay.c only the way to the store (433 lines).

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -166,6 +166,7 @@
 			agent_callers_request(agent, event.gateway, now_ms);
 		else if (!agent_hint_request(agent, event.gateway) &&
 		    !agent_lead_request(agent, event.gateway) &&
+		    !agent_peers_request(agent, event.gateway) &&
 		    !agent_status_request(agent, event.gateway))
 			agent_relay_request(agent, event.gateway);
 	}
@@ -228,6 +229,7 @@
 	take_events(agent, now_ms);
 	agent_view_step(agent, now_ms);
 	agent_relay_step(agent, now_ms);
+	agent_peers_step(agent, now_ms);
 	agent_lead_step(agent, now_ms);
 	agent_workers_decide(agent, now_ms);
 	agent_records_step(agent, now_ms);
@@ -242,6 +244,7 @@
 {
 	agent_callers_end(agent);
 	agent_relay_end(agent);
+	agent_peers_free(agent);
 	gateway_stop(agent->gateway);
 	agent_lead_step_down(agent, "stopped");
 	http_pool_free(agent->pool);
--- a/src/agent/agent_hint.c
+++ b/src/agent/agent_hint.c
@@ -27,19 +27,13 @@
 agent_hint_send(struct agent *agent, const char *id, uint64_t revision,
     const struct buffer *record)
 {
-	CLEANUP(buffer_free) struct buffer body = {0};
 	char name[FLEET_ID_BYTES];
 	const struct agent_peer *lead;
 	Ibis__AcceptedJob message = IBIS__ACCEPTED_JOB__INIT;
-	struct http_call call = {
-	    .method = "POST",
-	    .path = HINT_PATH,
-	    .timeout_ms = HINT_TIMEOUT_MS,
-	};
 
 	agent_view_take_job(agent, id, revision, record->data, record->length);
 	lead = agent->lead_key.present
-	    ? name_index_get(&agent->relay.peers, agent->lead_key.holder)
+	    ? name_index_get(&agent->peers.index, agent->lead_key.holder)
 	    : NULL;
 	if (lead == NULL)
 		return;
@@ -48,11 +42,8 @@
 	message.revision = revision;
 	message.spec.data = (uint8_t *)record->data;
 	message.spec.len = record->length;
-	proto_pack(&message.base, &body);
-	call.address = lead->address;
-	call.body = body.data;
-	call.body_length = body.length;
-	http_pool_call(agent->pool, &call, hint_answered, NULL);
+	agent_peers_call(agent, lead->address, HINT_PATH, &message.base,
+	    HINT_TIMEOUT_MS, hint_answered, NULL);
 }
 
 bool
--- a/src/agent/agent_lead.c
+++ b/src/agent/agent_lead.c
@@ -370,15 +370,9 @@
 static void
 send_offer(struct agent *agent)
 {
-	CLEANUP(buffer_free) struct buffer body = {0};
-	const struct name_index *peers = &agent->relay.peers;
+	const struct name_index *peers = &agent->peers.index;
 	Ibis__LeadOffer offer = IBIS__LEAD_OFFER__INIT;
 	const struct agent_peer *peer;
-	struct http_call call = {
-	    .method = "POST",
-	    .path = OFFER_PATH,
-	    .timeout_ms = OFFER_TIMEOUT_MS,
-	};
 
 	if (agent->lead.offers_left == 0 || peers->count == 0) {
 		agent_lead_release(agent);
@@ -387,17 +381,14 @@
 	agent->lead.offers_left--;
 	peer = peers->items[agent->lead.next_offer++ % peers->count].item;
 	offer.epoch = agent->lead.epoch;
-	proto_pack(&offer.base, &body);
-	call.address = peer->address;
-	call.body = body.data;
-	call.body_length = body.length;
-	http_pool_call(agent->pool, &call, offer_answered, agent);
+	agent_peers_call(agent, peer->address, OFFER_PATH, &offer.base,
+	    OFFER_TIMEOUT_MS, offer_answered, agent);
 }
 
 void
 agent_lead_offer(struct agent *agent, int64_t now_ms)
 {
-	size_t peers = agent->relay.peers.count;
+	size_t peers = agent->peers.index.count;
 
 	if (agent->lead.state != LEAD_LEADS || peers == 0) {
 		agent_lead_release(agent);
--- a/src/agent/agent_relay.c
+++ b/src/agent/agent_relay.c
@@ -12,17 +12,11 @@
 #include "process/log.h"
 #include "process/proto_memory.h"
 
-#define RELAY_PATH	 "/relay"
-#define HELLO_PATH	 "/hello"
-#define HELLO_TIMEOUT_MS 500
-#define PROBE_EVERY_MS	 250
-#define PROBE_TIMEOUT_MS 400
-#define PEER_SLACK_MS	 100
-#define PEER_PAUSE_MS	 1000
-/* Our entry outlives us so long. */
-#define ENTRY_LEASE_MS	   30000
-#define ENTRY_RENEW_MS	   10000
-#define ENTRY_RETRY_MS	   1000
+#define RELAY_PATH	   "/relay"
+#define PROBE_EVERY_MS	   250
+#define PROBE_TIMEOUT_MS   400
+#define PEER_SLACK_MS	   100
+#define PEER_PAUSE_MS	   1000
 #define STATUS_OK	   200
 #define STATUS_BAD	   400
 #define STATUS_NOT_FOUND   404
@@ -64,7 +58,7 @@
 	agent->relay.next_probe_ms = agent->relay.since_ms + PROBE_EVERY_MS;
 	log_event(by_peer ? LOG_WARN : LOG_INFO,
 	    by_peer ? "store_by_peer" : "store_straight", "peers",
-	    log_number((int64_t)agent->relay.peers.count), NULL);
+	    log_number((int64_t)agent->peers.index.count), NULL);
 }
 
 static bool
@@ -142,7 +136,7 @@
 			? COUNTER_STORE_UNKNOWN
 			: COUNTER_STORE_UNAVAILABLE,
 		    1);
-		if (agent->relay.peers.count > 0)
+		if (agent->peers.index.count > 0)
 			switch_way(agent, true);
 	} else {
 		counter_add(COUNTER_STORE_OK, 1);
@@ -176,7 +170,7 @@
 static void
 avoid_peer(struct agent *agent, const char *name)
 {
-	struct agent_peer *peer = name_index_get(&agent->relay.peers, name);
+	struct agent_peer *peer = name_index_get(&agent->peers.index, name);
 
 	if (peer != NULL)
 		peer->avoid_until_ms = clock_now_ms() + PEER_PAUSE_MS;
@@ -227,9 +221,10 @@
 {
 	struct agent_relay *relay = &agent->relay;
 
-	for (size_t i = 0; i < relay->peers.count; i++) {
-		size_t index = (relay->next_peer + i) % relay->peers.count;
-		struct agent_peer *peer = relay->peers.items[index].item;
+	for (size_t i = 0; i < agent->peers.index.count; i++) {
+		size_t index =
+		    (relay->next_peer + i) % agent->peers.index.count;
+		struct agent_peer *peer = agent->peers.index.items[index].item;
 
 		if (now_ms < peer->avoid_until_ms)
 			continue;
@@ -361,100 +356,11 @@
 	carry_straight(agent, &call, served_answered, served);
 }
 
-/* Returns false when the peer was known with this address. */
-static bool
-add_peer(struct agent *agent, const char *name, const char *address)
-{
-	struct agent_peer *peer = name_index_get(&agent->relay.peers, name);
-
-	if (peer != NULL && strcmp(peer->address, address) == 0)
-		return false;
-	mem_free(name_index_remove(&agent->relay.peers, name));
-	peer = mem_calloc(1, sizeof(*peer));
-	STRING_COPY(peer->name, name);
-	STRING_COPY(peer->address, address);
-	(void)name_index_add(&agent->relay.peers, peer->name, peer);
-	return true;
-}
-
-static void
-hello_answered(void *context, const struct http_answer *answer)
-{
-	(void)context;
-	(void)answer; /* the peer will find us in the store */
-}
-
-/* An instance that the store turns away soon after its start knows peers only
- * by their calls. */
-static void
-greet(struct agent *agent, const char *address)
-{
-	CLEANUP(buffer_free) struct buffer body = {0};
-	Ibis__PeerHello hello = IBIS__PEER_HELLO__INIT;
-	struct http_call call = {
-	    .method = "POST",
-	    .address = address,
-	    .path = HELLO_PATH,
-	    .timeout_ms = HELLO_TIMEOUT_MS,
-	};
-
-	if (*agent->internal_address == '\0')
-		return;
-	hello.name = agent->settings.name;
-	hello.address = agent->internal_address;
-	proto_pack(&hello.base, &body);
-	call.body = body.data;
-	call.body_length = body.length;
-	http_pool_call(agent->pool, &call, hello_answered, NULL);
-}
-
-static void
-take_hello(struct agent *agent, struct gateway_request *request)
-{
-	Ibis__PeerHello *hello =
-	    (Ibis__PeerHello *)proto_unpack(&ibis__peer_hello__descriptor,
-		request->body.data, request->body.length);
-	int32_t status = STATUS_BAD;
-
-	if (hello != NULL) {
-		if (*hello->name != '\0' && *hello->address != '\0' &&
-		    strcmp(hello->name, agent->settings.name) != 0) {
-			(void)add_peer(agent, hello->name, hello->address);
-			status = STATUS_OK;
-		}
-		proto_free(&hello->base);
-	}
-	gateway_reply(agent->gateway, request, status, NULL, 0);
-}
-
-void
-agent_relay_peer(
-    struct agent *agent, const char *name, const struct platform_item *item)
-{
-	char address[PLATFORM_TEXT_BYTES * 2];
-
-	if (strcmp(name, agent->settings.name) == 0)
-		return;
-	if (item->deleted || item->value_length >= sizeof(address)) {
-		mem_free(name_index_remove(&agent->relay.peers, name));
-		return;
-	}
-	memcpy(address, item->value, item->value_length);
-	address[item->value_length] = '\0';
-	if (add_peer(agent, name, address))
-		greet(agent, address);
-}
-
 void
 agent_relay_request(struct agent *agent, struct gateway_request *request)
 {
 	Ibis__StoreRelayCall *message;
 
-	if (request->method == GATEWAY_POST &&
-	    strcmp(request->path, HELLO_PATH) == 0) {
-		take_hello(agent, request);
-		return;
-	}
 	if (request->method != GATEWAY_POST ||
 	    strcmp(request->path, RELAY_PATH) != 0) {
 		gateway_reply(
@@ -508,66 +414,10 @@
 	http_pool_call(agent->pool, &call, probe_answered, agent);
 }
 
-static void
-registered(void *context, const struct platform_store_answer *answer)
-{
-	struct agent *agent = context;
-	bool done = answer->outcome == STORE_DONE;
-
-	agent->relay.registering = false;
-	agent->relay.next_register_ms =
-	    answer->received_ms + (done ? ENTRY_RENEW_MS : ENTRY_RETRY_MS);
-	if (answer->outcome == STORE_MISSING)
-		agent->relay.lease = 0;
-}
-
-static void
-entry_leased(void *context, const struct platform_store_answer *answer)
-{
-	struct agent *agent = context;
-	CLEANUP(buffer_free) struct buffer key = {0};
-	struct platform_change change = {.put = true};
-
-	if (answer->outcome != STORE_DONE) {
-		registered(agent, answer);
-		return;
-	}
-	agent->relay.lease = answer->lease;
-	buffer_printf(&key, "%s%s", AGENT_PEER_PREFIX, agent->settings.name);
-	change.key = buffer_string(&key);
-	change.value = agent->internal_address;
-	change.value_length = strlen(agent->internal_address);
-	change.lease = answer->lease;
-	platform_store_change(&agent->store, &change, 1, registered, agent);
-}
-
-/* Keeps our entry in the store, by which peers find us. */
-static void
-register_self(struct agent *agent, int64_t now_ms)
-{
-	struct agent_relay *relay = &agent->relay;
-
-	if (agent->settings.internal_port == 0 || relay->registering ||
-	    agent->stopping)
-		return;
-	if (now_ms < relay->next_register_ms) {
-		agent_wake_at(agent, relay->next_register_ms);
-		return;
-	}
-	relay->registering = true;
-	if (relay->lease == 0)
-		platform_store_lease(
-		    &agent->store, ENTRY_LEASE_MS, entry_leased, agent);
-	else
-		platform_store_renew(
-		    &agent->store, relay->lease, registered, agent);
-}
-
 void
 agent_relay_step(struct agent *agent, int64_t now_ms)
 {
 	probe(agent, now_ms);
-	register_self(agent, now_ms);
 }
 
 void
@@ -580,7 +430,4 @@
 		answer_peer(
 		    served, IBIS__STORE_RELAY_OUTCOME__RELAY_NO_ANSWER, NULL);
 	}
-	for (size_t i = 0; i < agent->relay.peers.count; i++)
-		mem_free(agent->relay.peers.items[i].item);
-	name_index_free(&agent->relay.peers);
 }
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -94,8 +94,15 @@
 	int64_t avoid_until_ms;
 };
 
+struct agent_peers {
+	struct name_index index; /* owns struct agent_peer */
+	/* Our own entry in the store. */
+	uint64_t lease;
+	bool registering;
+	int64_t next_register_ms;
+};
+
 struct agent_relay {
-	struct name_index peers;
 	size_t next_peer;
 	bool by_peer; /* calls go by a peer, as the store does not answer */
 	int64_t since_ms;
@@ -105,10 +112,6 @@
 	struct cds_list_head asked;   /* our short calls on their way */
 	bool failing;	     /* the last call was turned away or unanswered */
 	int64_t answered_ms; /* the store's last answer */
-	/* Our own entry in the store. */
-	uint64_t lease;
-	bool registering;
-	int64_t next_register_ms;
 };
 
 struct agent {
@@ -118,6 +121,7 @@
 	struct http_pool *pool;
 	struct gateway *gateway;
 	struct platform_store store;
+	struct agent_peers peers;
 	struct agent_relay relay;
 	char internal_address[PLATFORM_TEXT_BYTES * 2];
 	uint64_t random_state;
@@ -174,6 +178,20 @@
 /* Status group: an operator's question; false when it is something else. */
 bool agent_status_request(struct agent *agent, struct gateway_request *request);
 
+/* Peers group. */
+/* Sends a message to a peer's internal address. */
+void agent_peers_call(struct agent *agent, const char *address,
+    const char *path, const ProtobufCMessage *message, int32_t timeout_ms,
+    http_done *done, void *context);
+/* A peer's entry in the store has changed. */
+void agent_peers_item(
+    struct agent *agent, const char *name, const struct platform_item *item);
+/* A peer's greeting; false when the request is something else. */
+bool agent_peers_request(struct agent *agent, struct gateway_request *request);
+/* Keeps our own entry. */
+void agent_peers_step(struct agent *agent, int64_t now_ms);
+void agent_peers_free(struct agent *agent);
+
 /* Relay group: calls to the store go through a peer while this instance can't
  * reach it. */
 void agent_relay_carry(void *context, const struct http_call *call,
@@ -181,9 +199,6 @@
 void agent_relay_step(struct agent *agent, int64_t now_ms);
 /* A peer's request at the internal address. */
 void agent_relay_request(struct agent *agent, struct gateway_request *request);
-/* A peer's entry in the store has changed. */
-void agent_relay_peer(
-    struct agent *agent, const char *name, const struct platform_item *item);
 enum store_health {
 	STORE_ANSWERS,
 	STORE_DOUBTFUL, /* an answer is overdue, or the last one failed */
--- a/src/agent/agent_status.c
+++ b/src/agent/agent_status.c
@@ -72,7 +72,7 @@
 		return "";
 	if (strcmp(agent->lead_key.holder, agent->settings.name) == 0)
 		return agent->internal_address;
-	peer = name_index_get(&agent->relay.peers, agent->lead_key.holder);
+	peer = name_index_get(&agent->peers.index, agent->lead_key.holder);
 	return peer == NULL ? "" : peer->address;
 }
 
@@ -100,7 +100,7 @@
 	    age_ms(agent_watch_confirmed_ms(agent->operators), now_ms));
 	add_number(object, "config_version",
 	    agent->routes == NULL ? -1 : (int64_t)agent->routes->version);
-	add_number(object, "peers", (int64_t)agent->relay.peers.count);
+	add_number(object, "peers", (int64_t)agent->peers.index.count);
 }
 
 /* What only the lead knows. */
--- a/src/agent/agent_view.c
+++ b/src/agent/agent_view.c
@@ -167,7 +167,7 @@
 	else if ((id = behind(item->key, AGENT_STOP_PREFIX)) != NULL)
 		cancel_item(agent, id, item);
 	else if ((id = behind(item->key, AGENT_PEER_PREFIX)) != NULL)
-		agent_relay_peer(agent, id, item);
+		agent_peers_item(agent, id, item);
 	else if (strcmp(item->key, AGENT_LEAD_KEY) == 0)
 		lead_item(agent, item);
 }
--- a/src/agent/agent_workers.c
+++ b/src/agent/agent_workers.c
@@ -222,17 +222,30 @@
 	    *outcome == '\0' ? "done" : outcome, NULL);
 }
 
+/* What any order's answer means. Returns the worker, or NULL when this instance
+ * leads no more. */
+static struct fleet_worker *
+take_answer(const struct worker_call *call, const char *event,
+    enum platform_order_outcome outcome, const char *reason)
+{
+	struct fleet_worker *worker = worker_of(call);
+
+	count_call(call, outcome);
+	if (worker != NULL)
+		log_order(event, call, reason);
+	return worker;
+}
+
 static void
 start_done(
     void *context, enum platform_order_outcome outcome, const char *reason)
 {
 	struct worker_call *call = context;
 	struct agent *agent = call->agent;
-	struct fleet_worker *worker = worker_of(call);
+	struct fleet_worker *worker =
+	    take_answer(call, "start", outcome, reason);
 
-	count_call(call, outcome);
 	if (worker != NULL) {
-		log_order("start", call, reason);
 		counter_add(outcome == PLATFORM_ORDER_DONE
 			? COUNTER_ATTEMPTS_RUNNING
 			: COUNTER_ATTEMPTS_FAILED,
@@ -254,11 +267,10 @@
 {
 	struct worker_call *call = context;
 	struct agent *agent = call->agent;
-	struct fleet_worker *worker = worker_of(call);
+	struct fleet_worker *worker =
+	    take_answer(call, "stop", outcome, reason);
 
-	count_call(call, outcome);
 	if (worker != NULL) {
-		log_order("stop", call, reason);
 		fleet_stop_answered(agent->fleet, worker, &call->task,
 		    call->run,
 		    outcome == PLATFORM_ORDER_DONE ||
@@ -318,7 +330,7 @@
 	gauge_set(GAUGE_WORKERS_SILENT, (int64_t)usage.silent_workers);
 	gauge_set(GAUGE_ACCELERATORS, usage.accelerators);
 	gauge_set(GAUGE_ACCELERATORS_FREE, usage.free_accelerators);
-	gauge_set(GAUGE_PEERS_ALIVE, (int64_t)agent->relay.peers.count);
+	gauge_set(GAUGE_PEERS_ALIVE, (int64_t)agent->peers.index.count);
 }
 
 static const char *
