Take the lead over only after a whole listing

The new lead had its key by a listing, which is in the order of keys: it took over at `ibis/lead`, before `ibis/progress/` had been read, and started what had ended. `log story` showed runs "not there" that the lead before had recorded as done. Ruled out: the hand-over itself (the old lead had stepped down 0.6 s before), stale listings (they are linearizable).

--- a/src/agent/agent_lead.c
+++ b/src/agent/agent_lead.c
@@ -119,11 +119,19 @@
 	next_try(agent, clock_now_ms(), LEAD_RETRY_MS);
 }
 
-void
-agent_lead_key_changed(struct agent *agent, int64_t now_ms)
+/*
+ * A listing brings the key before the records that follow it in order: who
+ * takes over waits for all of it.
+ */
+static void
+note_key(struct agent *agent, int64_t now_ms)
 {
-	const struct lead_key *key = &agent->lead_key;
+	struct lead_key *key = &agent->lead_key;
 
+	if (!key->changed ||
+	    (agent->lead.state != LEAD_LEADS && !agent_watch_whole(agent->own)))
+		return;
+	key->changed = false;
 	if (agent->lead.state == LEAD_LEADS) {
 		if (!key->present || key->revision != agent->lead.epoch)
 			agent_lead_step_down(agent, "key taken or gone");
@@ -295,6 +303,7 @@
 void
 agent_lead_step(struct agent *agent, int64_t now_ms)
 {
+	note_key(agent, now_ms);
 	switch (agent->lead.state) {
 	case LEAD_FOLLOWS:
 		try_to_lead(agent, now_ms);
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -52,6 +52,7 @@
 
 struct lead_key {
 	bool present;
+	bool changed; /* and not taken note of yet */
 	uint64_t revision;
 	uint64_t lease;
 	char holder[FLEET_NAME_BYTES];
@@ -213,8 +214,6 @@
 
 /* Lead group. */
 void agent_lead_step(struct agent *agent, int64_t now_ms);
-/* The lead's key has changed. */
-void agent_lead_key_changed(struct agent *agent, int64_t now_ms);
 void agent_lead_step_down(struct agent *agent, const char *reason);
 void agent_lead_release(struct agent *agent);
 /* Offers the lead to a peer before a planned stop; without one, or when it does
--- a/src/agent/agent_view.c
+++ b/src/agent/agent_view.c
@@ -143,7 +143,7 @@
 	gauge_set(GAUGE_EPOCH, (int64_t)key->revision);
 	log_event(LOG_INFO, "lead_seen", "holder", key->holder, "epoch",
 	    log_number((int64_t)key->revision), NULL);
-	agent_lead_key_changed(agent, clock_now_ms());
+	key->changed = true;
 }
 
 static const char *
--- a/src/agent/agent_watch.c
+++ b/src/agent/agent_watch.c
@@ -80,6 +80,12 @@
 	return watch->loaded;
 }
 
+bool
+agent_watch_whole(const struct agent_watch *watch)
+{
+	return watch->loaded && !watch->listing;
+}
+
 int64_t
 agent_watch_confirmed_ms(const struct agent_watch *watch)
 {
--- a/src/agent/agent_watch.h
+++ b/src/agent/agent_watch.h
@@ -39,6 +39,9 @@
 /* Tells whether the prefix has been listed whole once. */
 bool agent_watch_loaded(const struct agent_watch *watch);
 
+/* Tells whether no listing is under way: what was told is as of one time. */
+bool agent_watch_whole(const struct agent_watch *watch);
+
 /* When the store last answered; 0: never. */
 int64_t agent_watch_confirmed_ms(const struct agent_watch *watch);
 
