--- a/src/agent/agent_callers.c
+++ b/src/agent/agent_callers.c
@@ -338,6 +338,15 @@
 		reply(agent, request, STATUS_OK, NULL, 0);
 		return;
 	}
+	if (route->advice.needed) {
+		/* Its starts need tickets, which are not asked for yet: it
+		 * would never run. */
+		counter_add(COUNTER_JOBS_REFUSED_UNAVAILABLE, 1);
+		log_answer(agent, LOG_WARN, "submit_refused", id,
+		    "queue needs advice", request->received_ms);
+		reply(agent, request, STATUS_UNAVAILABLE, NULL, 0);
+		return;
+	}
 	spec = platform_job_parse(
 	    buffer_string(&request->body), request->body.length, &status);
 	if (spec == NULL) {
--- a/tests/common_users_platform.c
+++ b/tests/common_users_platform.c
@@ -71,7 +71,11 @@
 	put_text(platform, "op/config",
 	    "{\"Version\":1,\"Routes\":[{\"Name\":\"r\",\"Host\":\"h\","
 	    "\"Prefix\":\"/q/\",\"Service\":\"s\",\"Priority\":1,"
-	    "\"Attempts\":3,\"Stretch\":3.0,\"TargetLatencyMs\":1000}],"
+	    "\"Attempts\":3,\"Stretch\":3.0,\"TargetLatencyMs\":1000},"
+	    "{\"Name\":\"advised\",\"Host\":\"h\",\"Prefix\":\"/advised/\","
+	    "\"Service\":\"s\",\"Priority\":1,\"Attempts\":3,"
+	    "\"Advice\":{\"DecisionMs\":5,\"PerWorkerMs\":1,"
+	    "\"ValidMs\":9000}}],"
 	    "\"Tenants\":[{\"Name\":\"w\",\"ApiKeys\":[\"k\"]}]}");
 	return platform;
 }
--- a/tests/fail_users_platform.c
+++ b/tests/fail_users_platform.c
@@ -82,6 +82,13 @@
 	CU_ASSERT_EQUAL(users_call(platform, 0, "POST", "/q/00000000000000fe",
 			    "{", &answer),
 	    400);
+	/* A queue whose starts need tickets is refused, not accepted and lost.
+	 */
+	CU_ASSERT_EQUAL(
+	    users_call(platform, 0, "POST", "/advised/00000000000000fd",
+		"{\"Spec\":\"x\",\"Steps\":[{\"Count\":1,\"Cpu\":100}]}",
+		&answer),
+	    503);
 	end_all();
 }
 
