Wait for a rack only where it could take the work; a file for handing over

Found by reading for it: a single task waited for its data's rack, 19 s by its estimate, also when no worker of that rack could be used, and a gang likewise when any other rack would have taken it; and it waited as long when the rack was busy and nearly all else idle.

Change: a rack is waited for only while its usable workers could take the work, and 2 s at most while over half of the room is free. Tests "data without workers is not waited for" and "busy rack is not waited for beside idle ones", red before. Handing over moves to agent_handover.c; a lease that never led is ended without the line "lead_released".

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -165,7 +165,7 @@
 		if (!event.gateway->internal)
 			agent_callers_request(agent, event.gateway, now_ms);
 		else if (!agent_hint_request(agent, event.gateway) &&
-		    !agent_lead_request(agent, event.gateway) &&
+		    !agent_handover_request(agent, event.gateway) &&
 		    !agent_peers_request(agent, event.gateway) &&
 		    !agent_status_request(agent, event.gateway))
 			agent_relay_request(agent, event.gateway);
@@ -197,7 +197,7 @@
 	log_event(LOG_INFO, "stopping", "open_requests",
 	    log_number(gateway_open_requests(agent->gateway)), NULL);
 	gateway_drain(agent->gateway);
-	agent_lead_offer(agent, now_ms);
+	agent_handover_begin(agent, now_ms);
 }
 
 /* Tells whether a planned stop is over. */
--- a/src/agent/agent_lead.c
+++ b/src/agent/agent_lead.c
@@ -21,13 +21,6 @@
 #define RUN_GRACE_MS 2500
 /* It goes on looking after its workers so long. */
 #define LEAD_GRACE_MS 8000
-/* A peer that was offered the lead takes it within so long. */
-#define OFFER_MS	 1500
-#define OFFER_TIMEOUT_MS 500
-#define OFFER_PATH	 "/succeed"
-#define STATUS_OK	 200
-#define STATUS_BAD	 400
-#define STATUS_CONFLICT	 409
 /* Lease of what runs: outlasts a takeover. */
 #define RUN_LEASE_MS 6000
 
@@ -204,13 +197,14 @@
 	ask_key(agent);
 }
 
-static void
-ask_lease(struct agent *agent)
+void
+agent_lead_ask(struct agent *agent, uint64_t replaces)
 {
 	int32_t lease_ms = LEAD_LEASE_MS > agent->settings.min_store_lease_ms
 	    ? LEAD_LEASE_MS
 	    : agent->settings.min_store_lease_ms;
 
+	agent->lead.replaces = replaces;
 	agent->lead.state = LEAD_ASKS_LEASE;
 	platform_store_lease(&agent->store, lease_ms, lease_answered, agent);
 }
@@ -225,7 +219,7 @@
 		agent_wake_at(agent, agent->lead.next_try_ms);
 		return;
 	}
-	ask_lease(agent);
+	agent_lead_ask(agent, 0);
 }
 
 /* A renewal on its way; a later lease may be ours when it is answered. */
@@ -339,106 +333,24 @@
 	    answer->outcome == STORE_DONE ? "true" : "false", NULL);
 }
 
+/* The lease of a try that came too late; it ends by itself as well. */
+static void
+unused_lease_ended(void *context, const struct platform_store_answer *answer)
+{
+	(void)context;
+	(void)answer;
+}
+
 void
 agent_lead_release(struct agent *agent)
 {
+	bool leading = agent->lead.state == LEAD_LEADS;
 	uint64_t lease = agent->lead.lease;
 
 	if (lease == 0)
 		return;
 	agent_lead_step_down(agent, "stopping");
 	agent->lead.lease = 0;
-	platform_store_end_lease(&agent->store, lease, released, agent);
-}
-
-/*
- * Handing over. The lead goes on until its peer has written the key, so that
- * somebody leads all the time.
- */
-
-static void send_offer(struct agent *agent);
-
-static void
-offer_answered(void *context, const struct http_answer *answer)
-{
-	struct agent *agent = context;
-	bool taken =
-	    answer->outcome == HTTP_ANSWERED && answer->status == STATUS_OK;
-
-	if (agent->lead.state != LEAD_LEADS || agent->lead.release_ms == 0)
-		return;
-	log_event(LOG_INFO, "lead_offered", "epoch",
-	    log_number((int64_t)agent->lead.epoch), "outcome",
-	    taken ? "taken" : "refused", "peers_left",
-	    log_number(agent->lead.offers_left), NULL);
-	if (!taken)
-		send_offer(agent);
-}
-
-/* Offers the lead to the next peer; releases it when all have refused. */
-static void
-send_offer(struct agent *agent)
-{
-	const struct name_index *peers = &agent->peers.index;
-	Ibis__LeadOffer offer = IBIS__LEAD_OFFER__INIT;
-	const struct agent_peer *peer;
-
-	if (agent->lead.offers_left == 0 || peers->count == 0) {
-		agent_lead_release(agent);
-		return;
-	}
-	agent->lead.offers_left--;
-	peer = peers->items[agent->lead.next_offer++ % peers->count].item;
-	offer.epoch = agent->lead.epoch;
-	agent_peers_call(agent, peer->address, OFFER_PATH, &offer.base,
-	    OFFER_TIMEOUT_MS, offer_answered, agent);
-}
-
-void
-agent_lead_offer(struct agent *agent, int64_t now_ms)
-{
-	size_t peers = agent->peers.index.count;
-
-	if (agent->lead.state != LEAD_LEADS || peers == 0) {
-		agent_lead_release(agent);
-		return;
-	}
-	agent->lead.release_ms = now_ms + OFFER_MS;
-	agent->lead.offers_left = (uint32_t)peers;
-	agent->lead.next_offer = agent_random(agent, (uint32_t)peers);
-	send_offer(agent);
-}
-
-static bool
-take_offer(struct agent *agent, const Ibis__LeadOffer *offer, int64_t now_ms)
-{
-	if (agent->stopping || agent->lead.state != LEAD_FOLLOWS ||
-	    !agent->lead_key.present ||
-	    agent->lead_key.revision != offer->epoch ||
-	    !agent_view_fresh(agent, now_ms))
-		return false;
-	agent->lead.replaces = offer->epoch;
-	ask_lease(agent);
-	return true;
-}
-
-bool
-agent_lead_request(struct agent *agent, struct gateway_request *request)
-{
-	Ibis__LeadOffer *offer;
-	int32_t status = STATUS_BAD;
-
-	if (request->method != GATEWAY_POST ||
-	    strcmp(request->path, OFFER_PATH) != 0)
-		return false;
-	offer = (Ibis__LeadOffer *)proto_unpack(&ibis__lead_offer__descriptor,
-	    request->body.data, request->body.length);
-	if (offer != NULL) {
-		status = take_offer(agent, offer, clock_now_ms())
-		    ? STATUS_OK
-		    : STATUS_CONFLICT;
-		proto_free(&offer->base);
-	}
-	gateway_reply(agent->gateway, request, status, NULL, 0);
-	return true;
+	platform_store_end_lease(&agent->store, lease,
+	    leading ? released : unused_lease_ended, agent);
 }
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -216,17 +216,23 @@
 void agent_lead_step(struct agent *agent, int64_t now_ms);
 void agent_lead_step_down(struct agent *agent, const char *reason);
 void agent_lead_release(struct agent *agent);
-/* Offers the lead to a peer before a planned stop; without one, or when it does
- * not take it in time, the lead is released. */
-void agent_lead_offer(struct agent *agent, int64_t now_ms);
-/* A peer's offer; false when the request is something else. */
-bool agent_lead_request(struct agent *agent, struct gateway_request *request);
+/* Asks for a lease and then for the key: an absent one, or in place of the one
+ * of this revision. */
+void agent_lead_ask(struct agent *agent, uint64_t replaces);
 /* The time from which leases of what runs may be granted: now, or earlier when
  * the lead's own lease has not been renewed for a while. */
 int64_t agent_lead_grant_from(const struct agent *agent, int64_t now_ms);
 /* A job's records have come while leading. */
 void agent_lead_job(struct agent *agent, struct view_job *job, int64_t now_ms);
 
+/* Handover group. */
+/* Offers the lead to a peer before a planned stop; without one, or when it does
+ * not take it in time, the lead is released. */
+void agent_handover_begin(struct agent *agent, int64_t now_ms);
+/* A peer's offer; false when the request is something else. */
+bool agent_handover_request(
+    struct agent *agent, struct gateway_request *request);
+
 /* Records group. */
 void agent_records_step(struct agent *agent, int64_t now_ms);
 void agent_records_drop(struct agent *agent);
--- a/src/fleet/fleet_place.c
+++ b/src/fleet/fleet_place.c
@@ -11,6 +11,8 @@
 /* One accelerator weighs as much as this many cores. */
 #define CORES_PER_ACCELERATOR 16
 #define MILLI_PER_CORE	      1000
+/* Beside idle workers a step waits no longer for the rack it wants. */
+#define IDLE_PATIENCE_MS 2000
 
 struct fleet_search
 fleet_search_begin(struct fleet *fleet, struct fleet_task *const *tasks,
@@ -205,7 +207,27 @@
 	return best;
 }
 
-/* Tells whether a rack could take all of the step if it were empty. */
+/* Tells whether a rack could take so many tasks of the step if it were empty.
+ */
+static bool
+rack_could_take(
+    const struct fleet_search *search, const char *rack, uint32_t count)
+{
+	struct fleet *fleet = search->fleet;
+	uint64_t fits = 0;
+
+	for (size_t i = 0; i < fleet->workers.count; i++) {
+		struct fleet_worker *worker = fleet->workers.items[i].item;
+
+		if (fleet_search_in_rack(worker, rack) &&
+		    fleet_worker_usable(
+			worker, search->job, search->step, search->now_ms))
+			fits += fleet_room_fits(
+			    &worker->entry.room, &search->need, count);
+	}
+	return fits >= count;
+}
+
 bool
 fleet_search_could_ever(const struct fleet_search *search)
 {
@@ -213,30 +235,45 @@
 
 	for (size_t i = 0; i < fleet->workers.count; i++) {
 		struct fleet_worker *worker = fleet->workers.items[i].item;
-		uint64_t fits = 0;
-
-		for (size_t j = 0; j < fleet->workers.count; j++) {
-			struct fleet_worker *other =
-			    fleet->workers.items[j].item;
 
-			if (fleet_search_in_rack(other, worker->entry.rack) &&
-			    fleet_worker_usable(other, search->job,
-				search->step, search->now_ms))
-				fits += fleet_room_fits(&other->entry.room,
-				    &search->need, (uint32_t)search->wanted);
-		}
-		if (fits >= search->wanted)
+		if (rack_could_take(
+			search, worker->entry.rack, (uint32_t)search->wanted))
 			return true;
 	}
 	return false;
 }
 
+/* Tells whether over half of the room that the step could use is free. */
+static bool
+is_mostly_idle(const struct fleet_search *search)
+{
+	struct fleet *fleet = search->fleet;
+	int64_t all = 0;
+	int64_t used = 0;
+
+	for (size_t i = 0; i < fleet->workers.count; i++) {
+		struct fleet_worker *worker = fleet->workers.items[i].item;
+
+		if (!fleet_worker_usable(
+			worker, search->job, search->step, search->now_ms))
+			continue;
+		all += fleet_weigh(&worker->entry.room);
+		used += fleet_weigh(&worker->committed);
+	}
+	return used * 2 < all;
+}
+
 /* How long a step may wait for the rack it wants. */
 static int64_t
 patience_ms(const struct fleet_search *search)
 {
-	return (int64_t)((search->fleet->config.remote_factor - 1) *
-	    (double)search->step->estimate_ms);
+	int64_t patience_ms =
+	    (int64_t)((search->fleet->config.remote_factor - 1) *
+		(double)search->step->estimate_ms);
+
+	if (patience_ms > IDLE_PATIENCE_MS && is_mostly_idle(search))
+		return IDLE_PATIENCE_MS;
+	return patience_ms;
 }
 
 bool
@@ -255,6 +292,20 @@
 	return true;
 }
 
+/* Tells whether a gang may wait for a rack that could take it. */
+static bool
+gang_waits(const struct fleet_search *search)
+{
+	const char *rack = search->step->data_rack;
+
+	if (search->step->same_rack)
+		return fleet_search_could_ever(search) &&
+		    fleet_search_patient(search);
+	return *rack != '\0' &&
+	    rack_could_take(search, rack, (uint32_t)search->wanted) &&
+	    fleet_search_patient(search);
+}
+
 static size_t
 find_gang(const struct fleet_search *search, struct fleet_worker **targets)
 {
@@ -263,15 +314,11 @@
 
 	if (rack != NULL && fleet_search_fits(search, rack) >= search->wanted)
 		return fill(search, rack, targets);
-	if (search->step->same_rack || rack != NULL) {
-		rack = search->step->same_rack ? tightest_rack(search) : NULL;
-		if (rack != NULL)
-			return fill(search, rack, targets);
-		if (fleet_search_could_ever(search) &&
-		    fleet_search_patient(search))
-			return 0;
-	}
-	if (fleet_search_fits(search, NULL) < search->wanted)
+	rack = search->step->same_rack ? tightest_rack(search) : NULL;
+	if (rack != NULL)
+		return fill(search, rack, targets);
+	if (gang_waits(search) ||
+	    fleet_search_fits(search, NULL) < search->wanted)
 		return 0;
 	return fill(search, NULL, targets);
 }
@@ -285,7 +332,7 @@
 		return fill(search, NULL, targets);
 	if (fleet_search_fits(search, rack) > 0)
 		return fill(search, rack, targets);
-	if (fleet_search_patient(search))
+	if (rack_could_take(search, rack, 1) && fleet_search_patient(search))
 		return 0;
 	return fill(search, NULL, targets);
 }
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -193,6 +193,54 @@
 	fleet_free(fleet);
 }
 
+/* A job of one task whose data lies on a rack. */
+static Ibis__StepJob *
+job_with_data(const char *rack)
+{
+	Ibis__StepJob *job = world_new_job(2, 1, 1, 8);
+
+	proto_set_string(&job->steps[0]->data_rack, rack);
+	job->steps[0]->estimate_ms = 10000;
+	return job;
+}
+
+/* Pattern: the workers beside the data have been taken away, all others idle.
+ */
+static void
+test_data_without_workers_is_not_waited_for(void)
+{
+	CLEANUP(world_close) struct world world;
+	size_t job;
+
+	world_open(&world, 4, 2);
+	job = world_submit(&world, job_with_data("gone"), 500);
+	world_run(&world, 300);
+	CU_ASSERT_EQUAL(world_running(&world, job), 1);
+	check_rules(&world);
+}
+
+/* Pattern: the rack with the data is busy for long, and nearly all others are
+ * idle. */
+static void
+test_busy_rack_is_not_waited_for_beside_idle_ones(void)
+{
+	CLEANUP(world_close) struct world world;
+	size_t first;
+	size_t job;
+
+	world_open(&world, 8, 2);
+	first = world_submit(&world, job_with_data("r0"), 60000);
+	(void)world_submit(&world, job_with_data("r0"), 60000);
+	world_run(&world, 300);
+	CU_ASSERT_EQUAL(world_running(&world, first), 1);
+	job = world_submit(&world, job_with_data("r0"), 500);
+	world_run(&world, 1500);
+	CU_ASSERT_EQUAL(world_running(&world, job), 0);
+	world_run(&world, 1000);
+	CU_ASSERT_EQUAL(world_running(&world, job), 1);
+	check_rules(&world);
+}
+
 static bool
 is_waiting_for(
     const struct world *world, const char *id, enum fleet_wait_cause cause)
@@ -694,6 +742,10 @@
 		test_lease_runs_from_an_earlier_time},
 	    {"nothing is sent to an unlisted worker",
 		test_nothing_is_sent_to_an_unlisted_worker},
+	    {"data without workers is not waited for",
+		test_data_without_workers_is_not_waited_for},
+	    {"busy rack is not waited for beside idle ones",
+		test_busy_rack_is_not_waited_for_beside_idle_ones},
 	    {"waits are explained", test_waits_are_explained},
 	    {"guarantee is reclaimed from urgent borrowers",
 		test_guarantee_is_reclaimed_from_urgent_borrowers},
