Let the watch know the jobs that it is told of early

Cause, found by reading: a hinted job was put beside the watch's own list, so that an instance that missed both its record and its removal would have kept it for good.

Change: hints go through the watch: told once, and gone with the listing that does not show them (test_agent_watch). Stories show offers of the lead.

--- a/src/agent/agent_view.c
+++ b/src/agent/agent_view.c
@@ -1,4 +1,5 @@
 /* The instance's copy of what the store says. */
+#include <stdio.h>
 #include <string.h>
 
 #include "agent/agent_state.h"
@@ -76,20 +77,6 @@
 	agent_lead_job(agent, job, clock_now_ms());
 }
 
-void
-agent_view_take_job(struct agent *agent, const char *id, uint64_t revision,
-    const char *record, size_t length)
-{
-	struct platform_item item = {
-	    .key = id,
-	    .value = record,
-	    .value_length = length,
-	    .revision = revision,
-	};
-
-	job_item(agent, id, &item);
-}
-
 static void
 progress_item(
     struct agent *agent, const char *id, const struct platform_item *item)
@@ -172,6 +159,22 @@
 		lead_item(agent, item);
 }
 
+void
+agent_view_take_job(struct agent *agent, const char *id, uint64_t revision,
+    const char *record, size_t length)
+{
+	char key[PLATFORM_KEY_BYTES];
+	struct platform_item item = {
+	    .key = key,
+	    .value = record,
+	    .value_length = length,
+	    .revision = revision,
+	};
+
+	(void)snprintf(key, sizeof(key), "%s%s", AGENT_JOB_PREFIX, id);
+	agent_watch_tell(agent->own, &item);
+}
+
 /* Tells the fleet what a new version says of routes and guarantees. */
 static void
 apply_routes(struct agent *agent)
--- a/src/agent/agent_watch.c
+++ b/src/agent/agent_watch.c
@@ -123,6 +123,12 @@
 	watch->config.item(watch->config.context, item);
 }
 
+void
+agent_watch_tell(struct agent_watch *watch, const struct platform_item *item)
+{
+	apply(watch, item);
+}
+
 /* What a whole listing did not show has been deleted. */
 static void
 sweep(struct agent_watch *watch)
--- a/src/agent/agent_watch.h
+++ b/src/agent/agent_watch.h
@@ -36,6 +36,10 @@
 /* Sends the next call if it is due. Returns when to call again. */
 int64_t agent_watch_step(struct agent_watch *watch, int64_t now_ms);
 
+/* Takes in an item that has been written, before the store tells of it. */
+void agent_watch_tell(
+    struct agent_watch *watch, const struct platform_item *item);
+
 /* Tells whether the prefix has been listed whole once. */
 bool agent_watch_loaded(const struct agent_watch *watch);
 
--- a/src/request/log_story.c
+++ b/src/request/log_story.c
@@ -17,8 +17,8 @@
     "reloaded", "ready", "not_ready", "config_in_force", "store_watch_lost",
     "store_watch_back", "store_history_gone", "store_by_peer",
     "store_straight"};
-static const char *const lead_events[] = {
-    "lead_taken", "lead_lost", "lead_lease_unsure", "lead_released"};
+static const char *const lead_events[] = {"lead_taken", "lead_lost",
+    "lead_lease_unsure", "lead_lease_back", "lead_offered", "lead_released"};
 static const char *const worker_events[] = {"worker_silent", "worker_answers",
     "worker_unlisted", "worker_paused", "worker_entry_unusable"};
 
--- a/tests/test_agent_lead.c
+++ b/tests/test_agent_lead.c
@@ -153,25 +153,34 @@
 	CU_FAIL("no such call");
 }
 
+/* Has written the key, and learns so by a listing. */
+static void
+become_lead(struct setting *setting)
+{
+	CLEANUP(buffer_free) struct buffer listing = {0};
+	struct agent *agent = &setting->agent;
+
+	agent->lead.state = LEAD_WAITS_KEY;
+	agent->lead.lease = OUR_LEASE;
+	agent->lead.asked_ms = clock_now_ms();
+	agent->lead.renewed_ms = clock_now_ms();
+	agent_view_step(agent, clock_now_ms());
+	build_listing(&listing);
+	answer(setting, "Prefix=ibis", buffer_string(&listing));
+	agent_lead_step(agent, clock_now_ms());
+	CU_ASSERT_EQUAL_FATAL(agent->lead.state, LEAD_LEADS);
+}
+
 /* Pattern: the store has dropped its history while another lead handed over, so
  * that the key comes with a listing, before the records that follow it. */
 static void
 test_lead_begins_with_all_of_a_listing(void)
 {
 	CLEANUP(close_setting) struct setting setting;
-	CLEANUP(buffer_free) struct buffer listing = {0};
 	const struct fleet_job *job;
 
 	open_setting(&setting);
-	setting.agent.lead.state = LEAD_WAITS_KEY;
-	setting.agent.lead.lease = OUR_LEASE;
-	setting.agent.lead.asked_ms = clock_now_ms();
-	setting.agent.lead.renewed_ms = clock_now_ms();
-	agent_view_step(&setting.agent, clock_now_ms());
-	build_listing(&listing);
-	answer(&setting, "Prefix=ibis", buffer_string(&listing));
-	agent_lead_step(&setting.agent, clock_now_ms());
-	CU_ASSERT_EQUAL_FATAL(setting.agent.lead.state, LEAD_LEADS);
+	become_lead(&setting);
 	CU_ASSERT_EQUAL(setting.agent.lead.epoch, OUR_EPOCH);
 	job = fleet_find_job(setting.agent.fleet, JOB);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(job);
@@ -183,18 +192,9 @@
 test_lead_steps_down_when_its_key_changes(void)
 {
 	CLEANUP(close_setting) struct setting setting;
-	CLEANUP(buffer_free) struct buffer listing = {0};
 
 	open_setting(&setting);
-	setting.agent.lead.state = LEAD_WAITS_KEY;
-	setting.agent.lead.lease = OUR_LEASE;
-	setting.agent.lead.asked_ms = clock_now_ms();
-	setting.agent.lead.renewed_ms = clock_now_ms();
-	agent_view_step(&setting.agent, clock_now_ms());
-	build_listing(&listing);
-	answer(&setting, "Prefix=ibis", buffer_string(&listing));
-	agent_lead_step(&setting.agent, clock_now_ms());
-	CU_ASSERT_EQUAL_FATAL(setting.agent.lead.state, LEAD_LEADS);
+	become_lead(&setting);
 	agent_view_step(&setting.agent, clock_now_ms());
 	answer(&setting, "Prefix=ibis",
 	    "{\"events\":[{\"Key\":\"ibis/lead\",\"Revision\":61,"
--- a/tests/test_agent_watch.c
+++ b/tests/test_agent_watch.c
@@ -164,6 +164,30 @@
 	CU_ASSERT_TRUE(setting.seen.deleted[2]);
 }
 
+/* A job that this instance has accepted, or was told of, before the store tells
+ * it: it is told once, and goes with the listing that does not show it. */
+static void
+test_item_is_taken_in_before_its_time(void)
+{
+	CLEANUP(close_setting) struct setting setting;
+	struct platform_item early = {
+	    .key = "p/c", .value = "", .revision = 12};
+
+	open_setting(&setting);
+	answer(&setting, HTTP_ANSWERED, STATUS_OK, LISTING);
+	agent_watch_tell(setting.watch, &early);
+	CU_ASSERT_EQUAL(setting.seen.count, 3);
+	answer(&setting, HTTP_ANSWERED, STATUS_OK,
+	    "{\"events\":[{\"Key\":\"p/c\",\"Value\":\"\",\"Revision\":12,"
+	    "\"Created\":12,\"Lease\":0}],\"At\":12}");
+	CU_ASSERT_EQUAL(setting.seen.count, 3);
+	answer(&setting, HTTP_ANSWERED, STATUS_GONE, "");
+	answer(&setting, HTTP_ANSWERED, STATUS_OK, LISTING);
+	CU_ASSERT_EQUAL(setting.seen.count, 4);
+	CU_ASSERT_STRING_EQUAL(setting.seen.keys[3], "p/c");
+	CU_ASSERT_TRUE(setting.seen.deleted[3]);
+}
+
 int
 main(void)
 {
@@ -172,6 +196,8 @@
 		test_failed_watch_asks_without_waiting},
 	    {"changes are told once", test_changes_are_told_once},
 	    {"lost history is listed anew", test_lost_history_is_listed_anew},
+	    {"item is taken in before its time",
+		test_item_is_taken_in_before_its_time},
 	    CU_TEST_INFO_NULL,
 	};
 
