--- a/tests/common_process.c
+++ b/tests/common_process.c
@@ -21,7 +21,7 @@
 #define NS_PER_MS      1000000
 #define READ_BYTES     65536
 #define READY_WORD     "ready "
-#define STARTED_EVENT  "event=started "
+#define CALLERS_KEY    " callers=" /* of an instance on the users' platform */
 #define BUILD_VARIABLE "IBIS_BIN"
 #define BUILD_DEFAULT  "build"
 
@@ -105,7 +105,7 @@
 		*end = '\0';
 		line = strncmp(text, READY_WORD, strlen(READY_WORD)) == 0
 		    ? text
-		    : strstr(text, STARTED_EVENT);
+		    : strstr(text, CALLERS_KEY);
 		if (line == NULL)
 			continue;
 		STRING_COPY(process->ready, line);
