Show the way of a configuration from the store to its effect in log and metrics

agent_config holds what operators have written, its version and up to when it is known to be current; the view keeps the records. New: store_read_failed, config_unconfirmed and config_confirmed, control_busy, count_pending, and ages, bytes and times in config_in_force; gauges, counters and histograms beside them. What is decided is unchanged.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -17,6 +17,8 @@
 
 /* Longest time between two steps without an event. */
 #define MAX_IDLE_MS 1000
+/* A turn of the control thread this long is logged. */
+#define LONG_TURN_MS 200
 /* After SIGTERM, callers are served for at least this long, because the
  * balancer needs two failed readiness checks to stop sending requests. */
 #define MIN_DRAIN_MS 2600
@@ -155,6 +157,7 @@
 	    .address = agent->settings.store_address,
 	    .timeout_ms = STORE_TIMEOUT_MS,
 	};
+	agent_config_start(agent);
 	agent_view_start(agent);
 	agent->gateway = gateway_new(&gateway, agent->events);
 	return open_listeners(agent, status);
@@ -190,9 +193,8 @@
 	gauge_set(GAUGE_STORE_REACHABLE, ready);
 	log_event(LOG_INFO, ready ? "ready" : "not_ready", "view_age_ms",
 	    log_number(now_ms - agent_watch_answered_ms(agent->records_watch)),
-	    "config_age_ms",
-	    log_number(now_ms - agent_watch_answered_ms(agent->operator_watch)),
-	    NULL);
+	    "config", log_number(agent_config_version(agent)), "config_age_ms",
+	    log_number(agent_config_age_ms(agent, now_ms)), NULL);
 }
 
 static void
@@ -234,6 +236,7 @@
 	if (atomic_load(&stop_requested) && !agent->stopping)
 		begin_stop(agent, now_ms);
 	dispatch_events(agent, now_ms);
+	agent_config_step(agent, now_ms);
 	agent_view_step(agent, now_ms);
 	agent_relay_step(agent, now_ms);
 	agent_peers_step(agent, now_ms);
@@ -246,6 +249,31 @@
 	return !stop_is_complete(agent, now_ms);
 }
 
+/* Logs a turn of the control thread that has delayed everything else. */
+static void
+note_turn(int64_t events_ms, int64_t step_ms)
+{
+	duration_observe(HISTOGRAM_TURN, events_ms + step_ms);
+	if (events_ms + step_ms >= LONG_TURN_MS)
+		log_event(LOG_WARN, "control_busy", "events_ms",
+		    log_number(events_ms), "step_ms", log_number(step_ms),
+		    NULL);
+}
+
+/* Runs one turn: waits for events, handles them and takes a step. Returns
+ * whether to go on. */
+static bool
+run_turn(struct agent *agent)
+{
+	int64_t events_ms =
+	    http_pool_wait(agent->pool, agent->next_step_ms - clock_now_ms());
+	int64_t begun_ms = clock_now_ms();
+	bool running = step(agent);
+
+	note_turn(events_ms, clock_now_ms() - begun_ms);
+	return running;
+}
+
 static void
 free_agent(struct agent *agent)
 {
@@ -256,6 +284,7 @@
 	agent_lead_step_down(agent, "stopped");
 	http_pool_free(agent->pool);
 	agent_view_free(agent);
+	agent_config_free(agent);
 	event_queue_free(agent->events);
 }
 
@@ -269,8 +298,8 @@
 	log_event(LOG_INFO, "started", "zone", agent.settings.zone, "callers",
 	    agent.settings.caller_address, "store",
 	    agent.settings.store_address, NULL);
-	while (step(&agent))
-		http_pool_wait(agent.pool, agent.next_step_ms - clock_now_ms());
+	while (run_turn(&agent))
+		;
 	log_event(LOG_INFO, "stopped", "open_requests",
 	    log_number(gateway_open_requests(agent.gateway)), NULL);
 	free_agent(&agent);
--- a/src/agent/agent_callers.c
+++ b/src/agent/agent_callers.c
@@ -76,9 +76,8 @@
 
 	log_event(level, event, "job", id, "outcome", outcome, "took_ms",
 	    log_number(now_ms - received_ms), "config",
-	    log_number(
-		agent->routes == NULL ? -1 : (int64_t)agent->routes->version),
-	    "view_age_ms",
+	    log_number(agent_config_version(agent)), "config_age_ms",
+	    log_number(agent_config_age_ms(agent, now_ms)), "view_age_ms",
 	    log_number(now_ms - agent_watch_answered_ms(agent->records_watch)),
 	    "store_answer_age_ms",
 	    log_number(now_ms - agent->relay.answered_ms), NULL);
@@ -431,6 +430,8 @@
 			count++;
 	}
 	platform_render_pending(count, &body);
+	log_answer(agent, LOG_INFO, "count_pending", request->path, "counted",
+	    request->received_ms);
 	reply(agent, request, STATUS_OK, buffer_string(&body), 0);
 }
 
@@ -459,28 +460,28 @@
 agent_callers_request(
     struct agent *agent, struct gateway_request *request, int64_t now_ms)
 {
+	const struct routes *routes = agent_config_routes(agent);
 	const struct routes_workspace *workspace;
 	const struct route *route;
 	const char *path_suffix;
 
 	(void)now_ms;
-	if (agent->routes == NULL ||
-	    !agent_watch_loaded(agent->records_watch) ||
+	if (routes == NULL || !agent_watch_loaded(agent->records_watch) ||
 	    agent->pending_request_count >= MAX_PENDING_REQUESTS) {
 		log_answer(agent, LOG_WARN, "request_refused", request->path,
 		    "not ready", request->received_ms);
 		reply(agent, request, STATUS_UNAVAILABLE, NULL, RETRY_AFTER_MS);
 		return;
 	}
-	route = routes_match(
-	    agent->routes, request->host, request->path, &path_suffix);
+	route =
+	    routes_match(routes, request->host, request->path, &path_suffix);
 	if (route == NULL) {
 		log_answer(agent, LOG_WARN, "request_refused", request->path,
 		    "no route", request->received_ms);
 		reply(agent, request, STATUS_NOT_FOUND, NULL, 0);
 		return;
 	}
-	workspace = routes_find_workspace(agent->routes, request->key);
+	workspace = routes_find_workspace(routes, request->key);
 	if (workspace == NULL && !route->open) {
 		log_answer(agent, LOG_WARN, "request_refused", request->path,
 		    "unknown key", request->received_ms);
--- a/src/agent/agent_lead.c
+++ b/src/agent/agent_lead.c
@@ -91,14 +91,7 @@
 	agent->fleet = fleet_new(&config, now_ms);
 	for (size_t i = 0; i < agent->jobs.count; i++)
 		agent_lead_update_job(agent, agent->jobs.items[i].item, now_ms);
-	for (size_t i = 0; i < agent->zones_out_of_service.count; i++)
-		fleet_set_zone(agent->fleet,
-		    agent->zones_out_of_service.items[i].name, false);
-	for (size_t i = 0;
-	     agent->routes != NULL && i < agent->routes->workspaces_count; i++)
-		fleet_set_guarantee(agent->fleet,
-		    agent->routes->workspaces[i].name,
-		    agent->routes->workspaces[i].guaranteed_accelerators);
+	agent_config_prepare_fleet(agent);
 	agent_workers_start(agent);
 	counter_add(COUNTER_LEADS_TAKEN, 1);
 	gauge_set(GAUGE_LEADING, 1);
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -30,6 +30,8 @@
 
 /* Timeout of one store call; the wait of a watch is added. */
 #define STORE_TIMEOUT_MS 600
+/* How long the store may hold a watch of records or of operators' keys. */
+#define STORE_WATCH_WAIT_MS 800
 /* An instance whose copy of the store's records is older is not ready. */
 #define VIEW_MAX_AGE_MS 2500
 
@@ -129,6 +131,16 @@
 	int64_t answered_ms; /* when the store last answered */
 };
 
+/* The operators' configuration and zones. */
+struct agent_config {
+	struct agent_watch *watch; /* of PLATFORM_OPERATOR_PREFIX */
+	struct routes *routes;	   /* NULL until a configuration is read */
+	uint64_t revision;	   /* of the configuration in force */
+	struct name_index zones_out_of_service; /* owns the names */
+	bool confirmed; /* as last logged: known to be current */
+	int64_t unconfirmed_since_ms;
+};
+
 struct agent {
 	struct platform_settings settings;
 	const char *settings_path;
@@ -142,12 +154,10 @@
 	uint64_t random_state;
 
 	/* Local copy of the store's contents. */
-	struct agent_watch *records_watch;  /* of AGENT_PREFIX */
-	struct agent_watch *operator_watch; /* of PLATFORM_OPERATOR_PREFIX */
-	struct name_index jobs;		    /* owns struct view_job */
+	struct agent_watch *records_watch; /* of AGENT_PREFIX */
+	struct name_index jobs;		   /* owns struct view_job */
 	struct agent_lead_key lead_key;
-	struct routes *routes; /* NULL until a configuration is read */
-	struct name_index zones_out_of_service; /* owns the names */
+	struct agent_config config;
 
 	/* Callers' requests that wait for the store. */
 	struct cds_list_head pending_requests;
@@ -175,10 +185,40 @@
 uint32_t agent_random(struct agent *agent, uint32_t below);
 
 /*
- * View group: this instance's copy of the store's contents.
+ * Configuration group: what operators have written, as it is in force here.
+ */
+
+/* Creates the watch of operators' keys. */
+void agent_config_start(struct agent *agent);
+void agent_config_free(struct agent *agent);
+
+/* Sends the watch calls that are due, and logs when it is no longer known that
+ * the configuration is current. */
+void agent_config_step(struct agent *agent, int64_t now_ms);
+
+/* Returns the configuration in force, valid until the next step or call of the
+ * pool; NULL: none has been read. */
+const struct routes *agent_config_routes(const struct agent *agent);
+
+/* Returns the version in force; -1: none. */
+int64_t agent_config_version(const struct agent *agent);
+
+/* Returns the time since the configuration was last known to be current; -1:
+ * never. */
+int64_t agent_config_age_ms(const struct agent *agent, int64_t now_ms);
+
+/* Returns whether the configuration was current within the time in which a
+ * change has to be in force. */
+bool agent_config_confirmed(const struct agent *agent, int64_t now_ms);
+
+/* Passes the configuration to the fleet of a lead that takes over. */
+void agent_config_prepare_fleet(struct agent *agent);
+
+/*
+ * View group: this instance's copy of the records in the store.
  */
 
-/* Creates the watches of records and of operators' keys. */
+/* Creates the watch of records. */
 void agent_view_start(struct agent *agent);
 void agent_view_free(struct agent *agent);
 
--- a/src/agent/agent_status.c
+++ b/src/agent/agent_status.c
@@ -98,9 +98,11 @@
 	add_number(object, "records_age_ms",
 	    age_ms(agent_watch_answered_ms(agent->records_watch), now_ms));
 	add_number(object, "operators_age_ms",
-	    age_ms(agent_watch_answered_ms(agent->operator_watch), now_ms));
-	add_number(object, "config_version",
-	    agent->routes == NULL ? -1 : (int64_t)agent->routes->version);
+	    age_ms(agent_watch_answered_ms(agent->config.watch), now_ms));
+	add_number(object, "config_version", agent_config_version(agent));
+	add_number(object, "config_age_ms", agent_config_age_ms(agent, now_ms));
+	add_flag(
+	    object, "config_confirmed", agent_config_confirmed(agent, now_ms));
 	add_number(object, "peers", (int64_t)agent->peers.index.count);
 }
 
--- a/src/agent/agent_watch.c
+++ b/src/agent/agent_watch.c
@@ -3,6 +3,7 @@
 #include "agent/agent_watch.h"
 #include "process/alloc.h"
 #include "process/clock.h"
+#include "process/counters.h"
 #include "process/log.h"
 
 #define RETRY_MS 100
@@ -49,6 +50,7 @@
 	int64_t listing_sent_ms; /* first call of the last listing */
 	int64_t current_ms;	 /* as returned by agent_watch_current_ms */
 	bool failing;
+	struct agent_watch_read last_read;
 };
 
 struct agent_watch *
@@ -110,6 +112,28 @@
 	return watch->current_ms;
 }
 
+const struct agent_watch_read *
+agent_watch_last_read(const struct agent_watch *watch)
+{
+	return &watch->last_read;
+}
+
+const char *
+agent_watch_key_suffix(const char *key, const char *prefix)
+{
+	size_t length = strlen(prefix);
+
+	return strncmp(key, prefix, length) == 0 ? key + length : NULL;
+}
+
+void
+agent_watch_log_unreadable(
+    const struct platform_store_item *item, const char *message)
+{
+	log_event(LOG_ERROR, "record_unreadable", "key", item->key, "revision",
+	    log_number((int64_t)item->revision), "message", message, NULL);
+}
+
 static void
 drop_key(struct agent_watch *watch, const char *key)
 {
@@ -254,9 +278,37 @@
 	return answer->store_revision > 0;
 }
 
+static const char *
+outcome_name(enum platform_store_outcome outcome)
+{
+	switch (outcome) {
+	case STORE_DONE:
+		return "incomplete answer";
+	case STORE_CONFLICT:
+	case STORE_MISSING:
+	case STORE_COMPACTED:
+	case STORE_REFUSED:
+		return "refused";
+	case STORE_NOT_SENT:
+		return "not sent";
+	case STORE_UNKNOWN:
+		break;
+	}
+	return "no complete answer";
+}
+
 static void
-handle_failure(struct agent_watch *watch)
+handle_failure(
+    struct agent_watch *watch, const struct platform_store_answer *answer)
 {
+	counter_add(answer->bytes > 0 ? COUNTER_STORE_READS_CUT
+				      : COUNTER_STORE_READS_UNANSWERED,
+	    1);
+	log_event(LOG_WARN, "store_read_failed", "prefix", watch->config.prefix,
+	    "call", watch->listing ? "list" : "watch", "outcome",
+	    outcome_name(answer->outcome), "bytes",
+	    log_number((int64_t)answer->bytes), "took_ms",
+	    log_number(answer->received_ms - answer->sent_ms), NULL);
 	set_failing(watch, true);
 	watch->next_ms += RETRY_MS;
 }
@@ -271,11 +323,17 @@
 	if (watch == NULL)
 		return;
 	watch->call = NULL;
+	watch->last_read = (struct agent_watch_read){
+	    .bytes = answer->bytes,
+	    .sent_ms = answer->sent_ms,
+	    .first_byte_ms = answer->first_byte_ms,
+	    .received_ms = answer->received_ms,
+	};
 	watch->next_ms = answer->received_ms;
 	switch (answer->outcome) {
 	case STORE_DONE:
 		if (!is_complete_answer(answer)) {
-			handle_failure(watch);
+			handle_failure(watch, answer);
 			break;
 		}
 		watch->answered_ms = answer->received_ms;
@@ -297,7 +355,7 @@
 	case STORE_REFUSED:
 	case STORE_NOT_SENT:
 	case STORE_UNKNOWN:
-		handle_failure(watch);
+		handle_failure(watch, answer);
 		break;
 	}
 }
--- a/src/agent/agent_watch.h
+++ b/src/agent/agent_watch.h
@@ -55,6 +55,26 @@
 void agent_watch_apply(
     struct agent_watch *watch, const struct platform_store_item *item);
 
+/* The last read: a call that has ended, complete or not. */
+struct agent_watch_read {
+	size_t bytes; /* of the answer's body */
+	int64_t sent_ms;
+	int64_t first_byte_ms; /* 0: none arrived */
+	int64_t received_ms;
+};
+
+/* Returns the last read. While the watch reports items, it is the one that
+ * brought them. */
+const struct agent_watch_read *agent_watch_last_read(
+    const struct agent_watch *watch);
+
+/* Returns the rest of a key after a prefix, or NULL when it has another one. */
+const char *agent_watch_key_suffix(const char *key, const char *prefix);
+
+/* Logs an item whose value can't be used. */
+void agent_watch_log_unreadable(
+    const struct platform_store_item *item, const char *message);
+
 /* Returns whether the prefix has been listed completely at least once. */
 bool agent_watch_loaded(const struct agent_watch *watch);
 
--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -32,8 +32,9 @@
 	http_callback *done;
 	void *context;
 	int64_t sent_ms;
-	bool safe;	/* its method changes nothing at the peer */
-	uint32_t sends; /* begun; libcurl may send a request again */
+	int64_t first_byte_ms; /* of the response's body; 0: none yet */
+	bool safe;	       /* its method changes nothing at the peer */
+	uint32_t sends;	       /* begun; libcurl may send a request again */
 };
 
 struct http_pool {
@@ -175,6 +176,8 @@
 
 	if (transfer->body.length + size * count > MAX_RESPONSE_BYTES)
 		return 0;
+	if (transfer->first_byte_ms == 0)
+		transfer->first_byte_ms = clock_now_ms();
 	buffer_append(&transfer->body, bytes, size * count);
 	return size * count;
 }
@@ -316,6 +319,7 @@
 	mem_free(transfer->request_body);
 	transfer->request_body = NULL;
 	transfer->sends = 0;
+	transfer->first_byte_ms = 0;
 	pool->idle[pool->idle_count++] = transfer;
 }
 
@@ -350,6 +354,7 @@
 	    .body = buffer_string(&transfer->body),
 	    .body_length = transfer->body.length,
 	    .sent_ms = transfer->sent_ms,
+	    .first_byte_ms = transfer->first_byte_ms,
 	    .received_ms = clock_now_ms(),
 	    .resent = transfer->sends > 1,
 	};
@@ -419,10 +424,11 @@
 	    pool->multi, event->data.fd, flags, &running);
 }
 
-void
+int64_t
 http_pool_wait(struct http_pool *pool, int64_t timeout_ms)
 {
 	struct epoll_event events[MAX_EVENTS_PER_WAIT];
+	int64_t woken_ms;
 	int64_t timer_in_ms = pool->timer_ms == INT64_MAX
 	    ? INT64_MAX
 	    : pool->timer_ms - clock_now_ms();
@@ -435,6 +441,7 @@
 		timeout_ms = 0;
 	count = epoll_wait(
 	    pool->epoll_fd, events, MAX_EVENTS_PER_WAIT, (int)timeout_ms);
+	woken_ms = clock_now_ms();
 	for (int i = 0; i < count; i++) {
 		if (events[i].data.fd >= 0)
 			handle_socket(pool, &events[i]);
@@ -446,4 +453,5 @@
 	}
 	finish_completed(pool);
 	finish_refused(pool);
+	return clock_now_ms() - woken_ms;
 }
--- a/src/connection/http_pool.h
+++ b/src/connection/http_pool.h
@@ -53,11 +53,12 @@
 /* The result of a call; valid only during http_callback. */
 struct http_result {
 	enum http_outcome outcome;
-	int32_t status;	  /* HTTP status; 0: none received */
-	const char *body; /* NUL-terminated; owned by the pool */
-	size_t body_length;
-	int64_t sent_ms;     /* clock_now_ms() when the call was begun */
-	int64_t received_ms; /* clock_now_ms() when it ended */
+	int32_t status;	       /* HTTP status; 0: none received */
+	const char *body;      /* NUL-terminated; owned by the pool */
+	size_t body_length;    /* also without a complete response */
+	int64_t sent_ms;       /* clock_now_ms() when the call was begun */
+	int64_t first_byte_ms; /* of the body; 0: none arrived */
+	int64_t received_ms;   /* clock_now_ms() when it ended */
 	/* The request was sent more than once; the response tells only what
 	 * became of the last copy. */
 	bool resent;
@@ -89,8 +90,8 @@
     http_callback *done, void *context);
 
 /* Waits up to timeout_ms for events and calls http_callback for the ended
- * calls. */
-void http_pool_wait(struct http_pool *pool, int64_t timeout_ms);
+ * calls. Returns how long handling the events took, in milliseconds. */
+int64_t http_pool_wait(struct http_pool *pool, int64_t timeout_ms);
 
 #ifdef __cplusplus
 }
--- a/src/process/counters.c
+++ b/src/process/counters.c
@@ -120,6 +120,15 @@
 	"to be written or another one."},
     [COUNTER_RECORD_CONFLICTS_OTHER] = {"ibis_record_conflicts_total",
 	"value=\"other\"", NULL},
+    [COUNTER_STORE_READS_CUT] = {"ibis_store_reads_failed_total",
+	"answer=\"begun\"",
+	"Listings and watches without a complete answer: some of it had "
+	"arrived, or none."},
+    [COUNTER_STORE_READS_UNANSWERED] = {"ibis_store_reads_failed_total",
+	"answer=\"none\"", NULL},
+    [COUNTER_CONFIG_UNCONFIRMED] = {"ibis_config_unconfirmed_total", "",
+	"Times that this instance no longer knew whether its configuration "
+	"is current."},
     [COUNTER_LOG_LINES_DROPPED] = {"ibis_log_lines_total",
 	"outcome=\"dropped\"",
 	"Log lines not written: the reader was behind, or the limit a second "
@@ -160,6 +169,11 @@
 	"Workers that do not answer the lead; on the lead only."},
     [GAUGE_EPOCH] = {"ibis_lead_epoch", "",
 	"Epoch of the lead that this instance has seen last."},
+    [GAUGE_CONFIG_AGE_MS] = {"ibis_config_age_milliseconds", "",
+	"Time since the configuration was last known to be current; -1: "
+	"never."},
+    [GAUGE_CONFIG_CONFIRMED] = {"ibis_config_confirmed", "",
+	"1 while that time is within the limit for changes to be in force."},
 };
 
 static const struct metric histogram_metrics[HISTOGRAM_COUNT] = {
@@ -171,6 +185,11 @@
 	"Time of calls to workers."},
     [HISTOGRAM_DECISION] = {"ibis_decision_seconds", "",
 	"Time of the scheduler's decisions."},
+    [HISTOGRAM_CONFIG_DELAY] = {"ibis_config_delay_seconds", "",
+	"Longest time that a version can have been stored before it came in "
+	"force here."},
+    [HISTOGRAM_TURN] = {"ibis_control_turn_seconds", "",
+	"Time in which the control thread handled events and took one step."},
 };
 
 struct shard {
