Read the store's answers as long as they arrive

Cause: a listing or watch of the store had to end within a fixed time, 600 ms for all of it, whatever the answer's size. 1,400 routes are about 400 KB in the store's answer: more than a small instance's link carries in that time beside the records. The read was given up and begun again from nothing, through a peer by turns, so that the link stayed full. After a gap, a watch also had to bring every version that later ones had replaced.

Change: a read ends when nothing arrives for an idle timeout. A watch whose changes take longer to read than all items, or whose answer broke off, is replaced by a listing; the answer's length is known before its body. The limits travel with relayed reads. Records are listed after the configuration.

--- a/fakes/common/fake_server.c
+++ b/fakes/common/fake_server.c
@@ -16,6 +16,7 @@
 #define MAX_CONNECTIONS	  4000U
 #define MAX_SLEEP_STEP_MS 20
 #define DECIMAL		  10
+#define LINK_CHUNK_BYTES  4096
 
 struct fake_server {
 	struct MHD_Daemon *daemon;
@@ -106,6 +107,51 @@
 	}
 }
 
+/* A body on its way over a link. */
+struct carried_body {
+	struct buffer bytes;
+	struct fake_link *link;
+};
+
+static ssize_t
+S_on_carry(void *context, uint64_t offset, char *bytes, size_t max)
+{
+	struct carried_body *body = context;
+	size_t left = body->bytes.length - (size_t)offset;
+
+	if (left == 0)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	if (max > left)
+		max = left;
+	fake_link_carry(body->link, max);
+	memcpy(bytes, body->bytes.data + offset, max);
+	return (ssize_t)max;
+}
+
+static void
+S_on_carried(void *context)
+{
+	struct carried_body *body = context;
+
+	buffer_free(&body->bytes);
+	mem_free(body);
+}
+
+static struct MHD_Response *
+create_response(const struct fake_reply *reply)
+{
+	struct carried_body *body;
+
+	if (reply->link == NULL || reply->body.length == 0)
+		return MHD_create_response_from_buffer(reply->body.length,
+		    reply->body.data, MHD_RESPMEM_MUST_COPY);
+	body = mem_calloc(1, sizeof(*body));
+	body->link = reply->link;
+	buffer_append(&body->bytes, reply->body.data, reply->body.length);
+	return MHD_create_response_from_callback(reply->body.length,
+	    LINK_CHUNK_BYTES, S_on_carry, body, S_on_carried);
+}
+
 static enum MHD_Result
 send_reply(struct MHD_Connection *connection, struct fake_reply *reply)
 {
@@ -113,8 +159,7 @@
 	enum MHD_Result result;
 	char etag[32];
 
-	response = MHD_create_response_from_buffer(
-	    reply->body.length, reply->body.data, MHD_RESPMEM_MUST_COPY);
+	response = create_response(reply);
 	if (response == NULL)
 		return MHD_NO;
 	(void)snprintf(etag, sizeof(etag), "\"%" PRIu64 "\"", reply->etag);
--- a/fakes/common/fake_server.h
+++ b/fakes/common/fake_server.h
@@ -10,6 +10,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "common/fake_link.h"
 #include "process/buffer.h"
 
 enum {
@@ -34,6 +35,7 @@
 	bool cut; /* close the connection without an answer */
 	char answer_hash[FAKE_HASH_BYTES]; /* X-Answer-Hash header; "": none */
 	struct buffer body;		   /* freed by the server */
+	struct fake_link *link; /* that carries the body; NULL: unlimited */
 };
 
 /* Fills the reply to a request. Called from several threads at once. */
--- a/proto/ibistrestle.pb-c.c
+++ b/proto/ibistrestle.pb-c.c
@@ -4386,7 +4386,7 @@
   (ProtobufCMessageInit) ibis__job_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ibis__store_relay_call__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ibis__store_relay_call__field_descriptors[7] =
 {
   {
     "method",
@@ -4448,10 +4448,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "idle_timeout_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StoreRelayCall, idle_timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_response_bytes",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__StoreRelayCall, max_response_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ibis__store_relay_call__field_indices_by_name[] = {
   2,   /* field[2] = body */
   3,   /* field[3] = has_body */
+  5,   /* field[5] = idle_timeout_ms */
+  6,   /* field[6] = max_response_bytes */
   0,   /* field[0] = method */
   1,   /* field[1] = path */
   4,   /* field[4] = timeout_ms */
@@ -4459,7 +4485,7 @@
 static const ProtobufCIntRange ibis__store_relay_call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ibis__store_relay_call__descriptor =
 {
@@ -4469,7 +4495,7 @@
   "Ibis__StoreRelayCall",
   "ibis",
   sizeof(Ibis__StoreRelayCall),
-  5,
+  7,
   ibis__store_relay_call__field_descriptors,
   ibis__store_relay_call__field_indices_by_name,
   1,  ibis__store_relay_call__number_ranges,
@@ -4933,20 +4959,22 @@
   ibis__step_job_phase__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue ibis__store_relay_outcome__enum_values_by_number[3] =
+static const ProtobufCEnumValue ibis__store_relay_outcome__enum_values_by_number[4] =
 {
   { "RELAY_ANSWERED", "IBIS__STORE_RELAY_OUTCOME__RELAY_ANSWERED", 0 },
   { "RELAY_NOT_SENT", "IBIS__STORE_RELAY_OUTCOME__RELAY_NOT_SENT", 1 },
   { "RELAY_NO_ANSWER", "IBIS__STORE_RELAY_OUTCOME__RELAY_NO_ANSWER", 2 },
+  { "RELAY_TOO_LONG", "IBIS__STORE_RELAY_OUTCOME__RELAY_TOO_LONG", 3 },
 };
 static const ProtobufCIntRange ibis__store_relay_outcome__value_ranges[] = {
-{0, 0},{0, 3}
+{0, 0},{0, 4}
 };
-static const ProtobufCEnumValueIndex ibis__store_relay_outcome__enum_values_by_name[3] =
+static const ProtobufCEnumValueIndex ibis__store_relay_outcome__enum_values_by_name[4] =
 {
   { "RELAY_ANSWERED", 0 },
   { "RELAY_NOT_SENT", 1 },
   { "RELAY_NO_ANSWER", 2 },
+  { "RELAY_TOO_LONG", 3 },
 };
 const ProtobufCEnumDescriptor ibis__store_relay_outcome__descriptor =
 {
@@ -4955,9 +4983,9 @@
   "StoreRelayOutcome",
   "Ibis__StoreRelayOutcome",
   "ibis",
-  3,
+  4,
   ibis__store_relay_outcome__enum_values_by_number,
-  3,
+  4,
   ibis__store_relay_outcome__enum_values_by_name,
   1,
   ibis__store_relay_outcome__value_ranges,
--- a/proto/ibistrestle.pb-c.h
+++ b/proto/ibistrestle.pb-c.h
@@ -159,7 +159,11 @@
   /*
    * it may have been carried out
    */
-  IBIS__STORE_RELAY_OUTCOME__RELAY_NO_ANSWER = 2
+  IBIS__STORE_RELAY_OUTCOME__RELAY_NO_ANSWER = 2,
+  /*
+   * the answer exceeds max_response_bytes
+   */
+  IBIS__STORE_RELAY_OUTCOME__RELAY_TOO_LONG = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(IBIS__STORE_RELAY_OUTCOME)
 } Ibis__StoreRelayOutcome;
 
@@ -806,10 +810,15 @@
   ProtobufCBinaryData body;
   protobuf_c_boolean has_body;
   int32_t timeout_ms;
+  /*
+   * As in struct http_call.
+   */
+  int32_t idle_timeout_ms;
+  uint64_t max_response_bytes;
 };
 #define IBIS__STORE_RELAY_CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ibis__store_relay_call__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0 }
 
 
 struct  Ibis__StoreRelayAnswer
--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -237,7 +237,9 @@
 		begin_stop(agent, now_ms);
 	dispatch_events(agent, now_ms);
 	agent_config_step(agent, now_ms);
-	agent_view_step(agent, now_ms);
+	/* A narrow link carries the configuration first. */
+	if (agent_config_routes(agent) != NULL)
+		agent_view_step(agent, now_ms);
 	agent_relay_step(agent, now_ms);
 	agent_peers_step(agent, now_ms);
 	agent_lead_step(agent, now_ms);
--- a/src/agent/agent_callers.c
+++ b/src/agent/agent_callers.c
@@ -177,6 +177,7 @@
 	case STORE_NOT_SENT:
 	case STORE_MISSING:
 	case STORE_COMPACTED:
+	case STORE_TOO_LONG:
 		if (!pending->unknown_outcome &&
 		    answer->received_ms - pending->request->received_ms >
 			REFUSED_RETRY_LIMIT_MS) {
--- a/src/agent/agent_records.c
+++ b/src/agent/agent_records.c
@@ -209,6 +209,7 @@
 		break;
 	case STORE_MISSING:
 	case STORE_COMPACTED:
+	case STORE_TOO_LONG:
 	case STORE_REFUSED:
 	case STORE_NOT_SENT:
 	case STORE_UNKNOWN:
--- a/src/agent/agent_relay.c
+++ b/src/agent/agent_relay.c
@@ -16,8 +16,11 @@
 #define RELAY_PATH	  "/relay"
 #define PROBE_INTERVAL_MS 250
 #define PROBE_TIMEOUT_MS  400
-/* A relayed call may take this much longer than a direct one. */
-#define RELAY_MARGIN_MS 100
+/* A relayed call may take this much longer than a direct one; one whose answer
+ * may be large, by more, since the peer reads it whole before it passes it on.
+ */
+#define RELAY_MARGIN_MS	     100
+#define RELAY_READ_MARGIN_MS 1000
 /* A peer through which a call has failed is not used again for this long. */
 #define PEER_AVOID_MS	   1000
 #define STATUS_OK	   200
@@ -78,6 +81,8 @@
 static bool
 call_failed(const struct http_result *result)
 {
+	if (result->too_long)
+		return false;
 	return result->outcome != HTTP_RESPONDED ||
 	    result->status == STATUS_BUSY ||
 	    result->status == STATUS_UNAVAILABLE;
@@ -184,6 +189,8 @@
 						 : HTTP_OUTCOME_UNKNOWN;
 	case IBIS__STORE_RELAY_OUTCOME__RELAY_NOT_SENT:
 		return HTTP_NOT_SENT;
+	case IBIS__STORE_RELAY_OUTCOME__RELAY_TOO_LONG:
+	case IBIS__STORE_RELAY_OUTCOME__RELAY_NO_ANSWER:
 	default:
 		return HTTP_OUTCOME_UNKNOWN;
 	}
@@ -222,6 +229,8 @@
 
 	store_result.outcome = decode_outcome(relay_answer);
 	store_result.status = relay_answer->status;
+	store_result.too_long =
+	    relay_answer->outcome == IBIS__STORE_RELAY_OUTCOME__RELAY_TOO_LONG;
 	buffer_append(&body, relay_answer->body.data, relay_answer->body.len);
 	store_result.body = buffer_string(&body);
 	store_result.body_length = body.length;
@@ -297,7 +306,10 @@
 	    .method = "POST",
 	    .address = peer->address,
 	    .path = RELAY_PATH,
-	    .timeout_ms = call->timeout_ms + RELAY_MARGIN_MS,
+	    .timeout_ms = call->timeout_ms +
+		(call->idle_timeout_ms > 0 ? RELAY_READ_MARGIN_MS
+					   : RELAY_MARGIN_MS),
+	    .idle_timeout_ms = call->idle_timeout_ms,
 	};
 
 	STRING_COPY(outgoing->peer, peer->name);
@@ -308,6 +320,8 @@
 	message.body.data = (uint8_t *)call->body;
 	message.body.len = call->body == NULL ? 0 : call->body_length;
 	message.timeout_ms = call->timeout_ms;
+	message.idle_timeout_ms = call->idle_timeout_ms;
+	message.max_response_bytes = call->max_response_bytes;
 	proto_pack(&message.base, &body);
 	http.body = buffer_string(&body);
 	http.body_length = body.length;
@@ -365,6 +379,8 @@
 	case HTTP_OUTCOME_UNKNOWN:
 		break;
 	}
+	if (result->too_long)
+		return IBIS__STORE_RELAY_OUTCOME__RELAY_TOO_LONG;
 	return IBIS__STORE_RELAY_OUTCOME__RELAY_NO_ANSWER;
 }
 
@@ -388,6 +404,8 @@
 	    .address = agent->store.address,
 	    .path = message->path,
 	    .timeout_ms = message->timeout_ms,
+	    .idle_timeout_ms = message->idle_timeout_ms,
+	    .max_response_bytes = message->max_response_bytes,
 	};
 
 	if (message->has_body) {
--- a/src/agent/agent_watch.c
+++ b/src/agent/agent_watch.c
@@ -15,11 +15,20 @@
  * may skip changes. So without events, a watch advances only to a revision that
  * was current this long ago, and skipped changes are still reported. */
 #define RESUME_LAG_MS 3000
+/* Changes that take this much more to read than all items, in percent and in
+ * bytes, are not read: a listing shows their result. */
+#define CHANGES_SHARE_PERCENT 50
+#define CHANGES_SLACK_BYTES   65536
+#define PERCENT		      100
+/* An item in an answer: its value as base64, and the rest of it. */
+#define ENCODED_PER_3_BYTES 4
+#define ITEM_OVERHEAD_BYTES 160
 
 /* An item that has been reported and not deleted since. */
 struct watched_key {
 	uint64_t revision;
 	uint64_t listing; /* number of the last one that contained it */
+	size_t value_length;
 	char key[PLATFORM_KEY_BYTES];
 };
 
@@ -37,6 +46,7 @@
 	bool loaded;		 /* listed completely at least once */
 	char page_after[PLATFORM_KEY_BYTES]; /* last key of the last page */
 	uint64_t listing_number;
+	size_t values_length; /* of all keys */
 	/* The store's revision at the last page of a listing, and the one up to
 	 * which all changes have been reported. Pages are read at different
 	 * times, so changes between them are reported only by a watch. */
@@ -135,9 +145,22 @@
 }
 
 static void
-drop_key(struct agent_watch *watch, const char *key)
+forget_key(struct agent_watch *watch, struct watched_key *known)
 {
-	mem_free(name_index_remove(&watch->keys, key));
+	watch->values_length -= known->value_length;
+	(void)name_index_remove(&watch->keys, known->key);
+	mem_free(known);
+}
+
+static struct watched_key *
+add_key(struct agent_watch *watch, const char *key)
+{
+	struct watched_key *known = mem_calloc(1, sizeof(*known));
+
+	STRING_COPY(known->key, key);
+	known->listing = watch->listing_number;
+	(void)name_index_add(&watch->keys, known->key, known);
+	return known;
 }
 
 static void
@@ -152,15 +175,14 @@
 	if (item->deleted) {
 		if (known == NULL)
 			return;
-		drop_key(watch, item->key);
-	} else if (known != NULL) {
-		known->revision = item->revision;
+		forget_key(watch, known);
 	} else {
-		known = mem_calloc(1, sizeof(*known));
-		STRING_COPY(known->key, item->key);
+		if (known == NULL)
+			known = add_key(watch, item->key);
 		known->revision = item->revision;
-		known->listing = watch->listing_number;
-		(void)name_index_add(&watch->keys, known->key, known);
+		watch->values_length += item->value_length;
+		watch->values_length -= known->value_length;
+		known->value_length = item->value_length;
 	}
 	watch->config.item(watch->config.context, item);
 }
@@ -187,9 +209,8 @@
 			i++;
 			continue;
 		}
-		(void)name_index_remove(&watch->keys, known->key);
 		watch->config.item(watch->config.context, &deleted_item);
-		mem_free(known);
+		forget_key(watch, known);
 	}
 }
 
@@ -278,6 +299,17 @@
 	return answer->store_revision > 0;
 }
 
+/* Returns the longest answer to a watch that is worth reading. */
+static size_t
+max_changes_bytes(const struct agent_watch *watch)
+{
+	size_t listing_bytes = watch->values_length / 3 * ENCODED_PER_3_BYTES +
+	    watch->keys.count * ITEM_OVERHEAD_BYTES;
+
+	return listing_bytes + listing_bytes * CHANGES_SHARE_PERCENT / PERCENT +
+	    CHANGES_SLACK_BYTES;
+}
+
 static const char *
 outcome_name(enum platform_store_outcome outcome)
 {
@@ -289,6 +321,8 @@
 	case STORE_COMPACTED:
 	case STORE_REFUSED:
 		return "refused";
+	case STORE_TOO_LONG:
+		return "too long";
 	case STORE_NOT_SENT:
 		return "not sent";
 	case STORE_UNKNOWN:
@@ -298,19 +332,32 @@
 }
 
 static void
-handle_failure(
-    struct agent_watch *watch, const struct platform_store_answer *answer)
+log_failure(
+    const struct agent_watch *watch, const struct platform_store_answer *answer)
 {
-	counter_add(answer->bytes > 0 ? COUNTER_STORE_READS_CUT
-				      : COUNTER_STORE_READS_UNANSWERED,
-	    1);
 	log_event(LOG_WARN, "store_read_failed", "prefix", watch->config.prefix,
 	    "call", watch->listing ? "list" : "watch", "outcome",
 	    outcome_name(answer->outcome), "bytes",
 	    log_number((int64_t)answer->bytes), "took_ms",
 	    log_number(answer->received_ms - answer->sent_ms), NULL);
+}
+
+static void
+handle_failure(
+    struct agent_watch *watch, const struct platform_store_answer *answer)
+{
+	counter_add(answer->bytes > 0 ? COUNTER_STORE_READS_CUT
+				      : COUNTER_STORE_READS_UNANSWERED,
+	    1);
+	/* Of a series of refusals, one line is enough. */
+	if (!watch->failing || answer->outcome == STORE_UNKNOWN)
+		log_failure(watch, answer);
 	set_failing(watch, true);
 	watch->next_ms += RETRY_MS;
+	/* The next answer would be as long, or longer. */
+	if (!watch->listing && answer->outcome == STORE_UNKNOWN &&
+	    answer->bytes > 0)
+		restart_listing(watch);
 }
 
 static void
@@ -350,6 +397,17 @@
 		    watch->config.prefix, NULL);
 		restart_listing(watch);
 		break;
+	case STORE_TOO_LONG:
+		if (watch->listing) {
+			handle_failure(watch, answer);
+			break;
+		}
+		log_event(LOG_INFO, "store_changes_skipped", "prefix",
+		    watch->config.prefix, "after",
+		    log_number((int64_t)watch->resume_revision), "limit_bytes",
+		    log_number((int64_t)max_changes_bytes(watch)), NULL);
+		restart_listing(watch);
+		break;
 	case STORE_CONFLICT:
 	case STORE_MISSING:
 	case STORE_REFUSED:
@@ -360,6 +418,21 @@
 	}
 }
 
+static void
+send_watch(struct agent_watch *watch)
+{
+	bool catching_up = watch->failing || !agent_watch_complete(watch);
+	struct platform_store_changes changes = {
+	    .prefix = watch->config.prefix,
+	    .after = watch->resume_revision,
+	    .wait_ms = catching_up ? RECOVERY_WAIT_MS : watch->config.wait_ms,
+	    .max_bytes = max_changes_bytes(watch),
+	};
+
+	platform_store_watch(
+	    watch->store, &changes, handle_answer, watch->call);
+}
+
 int64_t
 agent_watch_step(struct agent_watch *watch, int64_t now_ms)
 {
@@ -373,11 +446,6 @@
 		platform_store_list(watch->store, watch->config.prefix,
 		    watch->page_after, handle_answer, watch->call);
 	else
-		platform_store_watch(watch->store, watch->config.prefix,
-		    watch->resume_revision,
-		    watch->failing || !agent_watch_complete(watch)
-			? RECOVERY_WAIT_MS
-			: watch->config.wait_ms,
-		    handle_answer, watch->call);
+		send_watch(watch);
 	return INT64_MAX;
 }
--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -21,6 +21,8 @@
 #define STATUS_CLASS	     100
 #define STATUS_CLASS_SUCCESS 2
 #define MAX_RESPONSE_BYTES   (8U << 20)
+/* Longest time for a call that only an idle timeout ends. */
+#define MAX_CALL_MS 60000
 
 /* One call. Its handle and buffers are reused for later calls. */
 struct transfer {
@@ -32,9 +34,13 @@
 	http_callback *done;
 	void *context;
 	int64_t sent_ms;
-	int64_t first_byte_ms; /* of the response's body; 0: none yet */
-	bool safe;	       /* its method changes nothing at the peer */
-	uint32_t sends;	       /* begun; libcurl may send a request again */
+	int64_t first_byte_ms;	 /* of the response's body; 0: none yet */
+	int32_t idle_timeout_ms; /* 0: libcurl limits the whole call */
+	int64_t idle_ends_ms;	 /* when the call ends unless more arrives */
+	size_t max_response_bytes;
+	bool too_long;
+	bool safe;	/* its method changes nothing at the peer */
+	uint32_t sends; /* begun; libcurl may send a request again */
 };
 
 struct http_pool {
@@ -42,7 +48,8 @@
 	int epoll_fd;
 	int64_t timer_ms; /* when libcurl's timer expires; INT64_MAX: unset */
 	struct cds_list_head transfers;
-	struct cds_list_head refused; /* to end as HTTP_NOT_SENT */
+	struct cds_list_head idle_limited; /* transfers with idle timeouts */
+	struct cds_list_head refused;	   /* to end as HTTP_NOT_SENT */
 	struct transfer *idle[MAX_IDLE_TRANSFERS];
 	size_t idle_count;
 };
@@ -108,6 +115,7 @@
 	struct http_pool *pool = mem_calloc(1, sizeof(*pool));
 
 	CDS_INIT_LIST_HEAD(&pool->transfers);
+	CDS_INIT_LIST_HEAD(&pool->idle_limited);
 	CDS_INIT_LIST_HEAD(&pool->refused);
 	pool->timer_ms = INT64_MAX;
 	pool->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
@@ -138,6 +146,18 @@
 	mem_free(transfer);
 }
 
+static void
+drop_transfers(struct http_pool *pool, struct cds_list_head *transfers)
+{
+	struct transfer *transfer;
+	struct transfer *next;
+
+	cds_list_for_each_entry_safe (transfer, next, transfers, node) {
+		(void)curl_multi_remove_handle(pool->multi, transfer->easy);
+		free_transfer(transfer);
+	}
+}
+
 void
 http_pool_free(struct http_pool *pool)
 {
@@ -146,10 +166,8 @@
 
 	if (pool == NULL)
 		return;
-	cds_list_for_each_entry_safe (transfer, next, &pool->transfers, node) {
-		(void)curl_multi_remove_handle(pool->multi, transfer->easy);
-		free_transfer(transfer);
-	}
+	drop_transfers(pool, &pool->transfers);
+	drop_transfers(pool, &pool->idle_limited);
 	cds_list_for_each_entry_safe (transfer, next, &pool->refused, node)
 		free_transfer(transfer);
 	for (size_t i = 0; i < pool->idle_count; i++)
@@ -174,10 +192,14 @@
 {
 	struct transfer *transfer = context;
 
-	if (transfer->body.length + size * count > MAX_RESPONSE_BYTES)
+	if (transfer->body.length + size * count >
+	    transfer->max_response_bytes) {
+		transfer->too_long = true;
 		return 0;
+	}
 	if (transfer->first_byte_ms == 0)
 		transfer->first_byte_ms = clock_now_ms();
+	transfer->idle_ends_ms = clock_now_ms() + transfer->idle_timeout_ms;
 	buffer_append(&transfer->body, bytes, size * count);
 	return size * count;
 }
@@ -254,8 +276,10 @@
 	    easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
 	(void)curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	(void)curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
-	(void)curl_easy_setopt(
-	    easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
+	(void)curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+	    call->idle_timeout_ms > 0 ? MAX_CALL_MS : (long)call->timeout_ms);
+	(void)curl_easy_setopt(easy, CURLOPT_MAXFILESIZE_LARGE,
+	    (curl_off_t)transfer->max_response_bytes);
 	(void)curl_easy_setopt(
 	    easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
 	(void)curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
@@ -300,8 +324,14 @@
 		return;
 	}
 	transfer->safe = strcmp(call->method, "GET") == 0;
+	transfer->max_response_bytes = call->max_response_bytes == 0
+	    ? MAX_RESPONSE_BYTES
+	    : call->max_response_bytes;
+	transfer->idle_timeout_ms = call->idle_timeout_ms;
+	transfer->idle_ends_ms = transfer->sent_ms + call->timeout_ms;
 	set_options(transfer, call);
-	cds_list_add_tail(&transfer->node, &pool->transfers);
+	cds_list_add_tail(&transfer->node,
+	    call->idle_timeout_ms > 0 ? &pool->idle_limited : &pool->transfers);
 	(void)curl_multi_add_handle(pool->multi, transfer->easy);
 }
 
@@ -320,6 +350,7 @@
 	transfer->request_body = NULL;
 	transfer->sends = 0;
 	transfer->first_byte_ms = 0;
+	transfer->too_long = false;
 	pool->idle[pool->idle_count++] = transfer;
 }
 
@@ -357,6 +388,7 @@
 	    .first_byte_ms = transfer->first_byte_ms,
 	    .received_ms = clock_now_ms(),
 	    .resent = transfer->sends > 1,
+	    .too_long = transfer->too_long || code == CURLE_FILESIZE_EXCEEDED,
 	};
 
 	(void)curl_easy_getinfo(
@@ -408,6 +440,46 @@
 	}
 }
 
+/* Returns when the first idle timeout ends; INT64_MAX: there is none. */
+static int64_t
+next_idle_end_ms(const struct http_pool *pool)
+{
+	const struct transfer *transfer;
+	int64_t next_ms = INT64_MAX;
+
+	cds_list_for_each_entry (transfer, &pool->idle_limited, node) {
+		if (transfer->idle_ends_ms < next_ms)
+			next_ms = transfer->idle_ends_ms;
+	}
+	return next_ms;
+}
+
+static void
+end_idle_transfers(struct http_pool *pool)
+{
+	int64_t now_ms = clock_now_ms();
+	struct transfer *transfer;
+	struct transfer *next;
+
+	cds_list_for_each_entry_safe (
+	    transfer, next, &pool->idle_limited, node) {
+		if (now_ms >= transfer->idle_ends_ms)
+			finish_transfer(
+			    pool, transfer, CURLE_OPERATION_TIMEDOUT);
+	}
+}
+
+/* Returns the time until a timer expires; INT64_MAX: no timer is set. */
+static int64_t
+timer_in_ms(const struct http_pool *pool)
+{
+	int64_t idle_end_ms = next_idle_end_ms(pool);
+	int64_t timer_ms =
+	    pool->timer_ms < idle_end_ms ? pool->timer_ms : idle_end_ms;
+
+	return timer_ms == INT64_MAX ? INT64_MAX : timer_ms - clock_now_ms();
+}
+
 static void
 handle_socket(struct http_pool *pool, const struct epoll_event *event)
 {
@@ -428,15 +500,13 @@
 http_pool_wait(struct http_pool *pool, int64_t timeout_ms)
 {
 	struct epoll_event events[MAX_EVENTS_PER_WAIT];
+	int64_t timer_ms = timer_in_ms(pool);
 	int64_t woken_ms;
-	int64_t timer_in_ms = pool->timer_ms == INT64_MAX
-	    ? INT64_MAX
-	    : pool->timer_ms - clock_now_ms();
 	int count;
 	int running;
 
-	if (timer_in_ms < timeout_ms)
-		timeout_ms = timer_in_ms;
+	if (timer_ms < timeout_ms)
+		timeout_ms = timer_ms;
 	if (timeout_ms < 0 || !cds_list_empty(&pool->refused))
 		timeout_ms = 0;
 	count = epoll_wait(
@@ -452,6 +522,7 @@
 		    pool->multi, CURL_SOCKET_TIMEOUT, 0, &running);
 	}
 	finish_completed(pool);
+	end_idle_transfers(pool);
 	finish_refused(pool);
 	return clock_now_ms() - woken_ms;
 }
--- a/src/connection/http_pool.h
+++ b/src/connection/http_pool.h
@@ -32,9 +32,9 @@
 	HTTP_RESPONDED,
 	HTTP_NOT_SENT, /* never connected: nothing was sent */
 	/*
-	 * No complete response, one over 8 MiB, or a failure in response to a
-	 * request that was resent; the peer may have executed the request, or
-	 * may do so later.
+	 * No complete response, one that is too long, or a failure in response
+	 * to a request that was resent; the peer may have executed the request,
+	 * or may do so later.
 	 */
 	HTTP_OUTCOME_UNKNOWN
 };
@@ -47,7 +47,16 @@
 	const char *body;    /* JSON; NULL: none */
 	size_t body_length;
 	const char *headers[HTTP_POOL_HEADERS]; /* "Name: value" or NULL */
-	int32_t timeout_ms;			/* for the whole call */
+	/* For the whole call; with idle_timeout_ms, until the response's body
+	 * begins. */
+	int32_t timeout_ms;
+	/* Longest time without a further byte of the body. Lets the response
+	 * take as long as its size needs. 0: timeout_ms limits the whole call.
+	 */
+	int32_t idle_timeout_ms;
+	/* A longer response ends the call, before its body is read when its
+	 * header says so. 0: 8 MiB. */
+	size_t max_response_bytes;
 };
 
 /* The result of a call; valid only during http_callback. */
@@ -62,6 +71,7 @@
 	/* The request was sent more than once; the response tells only what
 	 * became of the last copy. */
 	bool resent;
+	bool too_long; /* the response was longer than the call allows */
 };
 
 /* Called once for each call that ends, from http_pool_wait. */
--- a/tests/common_users_platform.c
+++ b/tests/common_users_platform.c
@@ -43,6 +43,47 @@
 	put_text(platform, key, buffer_string(&text));
 }
 
+/* Appends the routes that a large configuration has besides the usual ones. */
+static void
+append_extra_routes(const struct users_config *config, struct buffer *text)
+{
+	for (uint32_t i = 0; i < config->extra_routes; i++)
+		buffer_printf(text,
+		    ",{\"Name\":\"x%" PRIu32 "\",\"Host\":\"large.example\","
+		    "\"Prefix\":\"/large-%" PRIu32 "/\","
+		    "\"Kind\":\"non_idempotent\",\"TimeoutMs\":3000,"
+		    "\"TargetLatencyMs\":3000,\"Priority\":2,"
+		    "\"Service\":\"s\",\"Attempts\":4,\"Stretch\":3.0,"
+		    "\"Public\":false}",
+		    i, i);
+}
+
+void
+users_set_config(
+    struct users_platform *platform, const struct users_config *config)
+{
+	CLEANUP(buffer_free) struct buffer text = {0};
+
+	buffer_printf(&text,
+	    "{\"Version\":%" PRIu32
+	    ",\"Routes\":[{\"Name\":\"r\",\"Host\":\"h\","
+	    "\"Prefix\":\"/q/\",\"Service\":\"%s\",\"Priority\":1,"
+	    "\"Attempts\":3,\"Stretch\":3.0,\"TargetLatencyMs\":1000},"
+	    "{\"Name\":\"version\",\"Host\":\"h\",\"Prefix\":\"/v%" PRIu32
+	    "/\",\"Service\":\"s\"},"
+	    "{\"Name\":\"advised\",\"Host\":\"h\",\"Prefix\":\"/advised/\","
+	    "\"Service\":\"s\",\"Priority\":1,\"Attempts\":3,"
+	    "\"Advice\":{\"DecisionMs\":5,\"PerWorkerMs\":1,"
+	    "\"ValidMs\":9000}}",
+	    config->version, config->service, config->version);
+	append_extra_routes(config, &text);
+	buffer_puts(
+	    &text, "],\"Tenants\":[{\"Name\":\"w\",\"ApiKeys\":[\"k\"]}]}");
+	(void)pthread_mutex_lock(&platform->lock);
+	put_text(platform, "op/config", buffer_string(&text));
+	(void)pthread_mutex_unlock(&platform->lock);
+}
+
 struct users_platform *
 users_platform_start(void)
 {
@@ -56,6 +97,7 @@
 		return NULL;
 	for (uint32_t i = 0; i < USERS_INSTANCES; i++) {
 		platform->listeners[i].platform = platform;
+		fake_link_init(&platform->listeners[i].link);
 		platform->listeners[i].server = fake_server_start("127.0.0.1:0",
 		    users_store_handler, &platform->listeners[i]);
 	}
@@ -69,15 +111,8 @@
 		    "127.0.0.1:0", users_worker_handler, worker);
 		put_worker(platform, worker);
 	}
-	put_text(platform, "op/config",
-	    "{\"Version\":1,\"Routes\":[{\"Name\":\"r\",\"Host\":\"h\","
-	    "\"Prefix\":\"/q/\",\"Service\":\"s\",\"Priority\":1,"
-	    "\"Attempts\":3,\"Stretch\":3.0,\"TargetLatencyMs\":1000},"
-	    "{\"Name\":\"advised\",\"Host\":\"h\",\"Prefix\":\"/advised/\","
-	    "\"Service\":\"s\",\"Priority\":1,\"Attempts\":3,"
-	    "\"Advice\":{\"DecisionMs\":5,\"PerWorkerMs\":1,"
-	    "\"ValidMs\":9000}}],"
-	    "\"Tenants\":[{\"Name\":\"w\",\"ApiKeys\":[\"k\"]}]}");
+	users_set_config(
+	    platform, &(struct users_config){.version = 1, .service = "s"});
 	return platform;
 }
 
@@ -127,8 +162,10 @@
 	for (uint32_t i = 0; i < USERS_INSTANCES; i++)
 		process_kill(&platform->instances[i].process);
 	platform->hanging = false;
+	platform->operators_hanging = false;
 	for (uint32_t i = 0; i < USERS_INSTANCES; i++) {
 		fake_server_stop(platform->listeners[i].server);
+		fake_link_destroy(&platform->listeners[i].link);
 		if (platform->instances[i].settings_path[0] != '\0')
 			(void)unlink(platform->instances[i].settings_path);
 		if (platform->instances[i].log_path[0] != '\0')
@@ -218,6 +255,19 @@
 	platform->hanging = hanging;
 }
 
+void
+users_store_hang_operators(struct users_platform *platform, bool hanging)
+{
+	platform->operators_hanging = hanging;
+}
+
+void
+users_store_limit_rate(struct users_platform *platform, int64_t bytes_per_s)
+{
+	for (uint32_t i = 0; i < USERS_INSTANCES; i++)
+		fake_link_set_rate(&platform->listeners[i].link, bytes_per_s);
+}
+
 void
 users_suppress_events(
     struct users_platform *platform, uint32_t index, bool events_suppressed)
--- a/tests/common_users_platform.h
+++ b/tests/common_users_platform.h
@@ -27,6 +27,18 @@
 struct users_platform *users_platform_start(void);
 void users_platform_stop(struct users_platform *platform);
 
+/* A configuration. Besides the usual routes it has one with the prefix
+ * "/vVERSION/", and extra routes on another host. */
+struct users_config {
+	uint32_t version;
+	const char *service; /* of the route "/q/" */
+	uint32_t extra_routes;
+};
+
+/* Stores a configuration as operators do. */
+void users_set_config(
+    struct users_platform *platform, const struct users_config *config);
+
 /* Starts an instance; false with a message when it doesn't become ready. */
 bool users_start_instance(struct users_platform *platform, uint32_t index);
 /* Starts an instance with its log written to a descriptor, without waiting. */
@@ -39,6 +51,12 @@
     struct users_platform *platform, uint32_t index, bool rejecting);
 /* Sets whether the store accepts calls of all instances without answering. */
 void users_store_hang(struct users_platform *platform, bool hanging);
+/* Sets whether reads of the operators' keys get no answer, while the store
+ * answers other calls. */
+void users_store_hang_operators(struct users_platform *platform, bool hanging);
+/* Limits the rate of the store's answers to each instance; 0: no limit. */
+void users_store_limit_rate(
+    struct users_platform *platform, int64_t bytes_per_s);
 
 /* Sets whether this instance's watches return no events. */
 void users_suppress_events(
--- a/tests/common_users_state.h
+++ b/tests/common_users_state.h
@@ -78,6 +78,7 @@
 	struct fake_server *server;
 	bool rejecting;		/* answers 503 */
 	bool events_suppressed; /* watches return no events */
+	struct fake_link link;	/* carries the answers */
 };
 
 struct users_instance_state {
@@ -96,6 +97,8 @@
 	uint64_t revision;
 	uint64_t next_lease;
 	bool hanging; /* the store doesn't answer */
+	/* Reads of the operators' keys are not answered; others are. */
+	bool operators_hanging;
 	struct users_listener listeners[USERS_INSTANCES];
 	struct users_worker workers[USERS_WORKERS];
 	struct users_instance_state instances[USERS_INSTANCES];
--- a/tests/common_users_store.c
+++ b/tests/common_users_store.c
@@ -348,6 +348,14 @@
 	}
 }
 
+static bool
+reads_operators(const struct fake_request *request)
+{
+	const char *prefix = fake_request_query(request, "Prefix");
+
+	return prefix != NULL && strcmp(prefix, "op/") == 0;
+}
+
 void
 users_store_handler(
     void *context, const struct fake_request *request, struct fake_reply *reply)
@@ -356,7 +364,9 @@
 	struct users_platform *platform = listener->platform;
 
 	reply->status = 200;
-	while (platform->hanging)
+	reply->link = &listener->link;
+	while (platform->hanging ||
+	    (platform->operators_hanging && reads_operators(request)))
 		process_sleep(USERS_POLL_INTERVAL_MS);
 	if (listener->rejecting) {
 		reply->status = 503;
--- a/tests/test_agent_watch.c
+++ b/tests/test_agent_watch.c
@@ -17,6 +17,9 @@
 	http_callback *done;
 	void *context;
 	int32_t timeout_ms;
+	int32_t idle_timeout_ms;
+	size_t max_response_bytes;
+	bool lists;
 	uint32_t calls;
 };
 
@@ -44,6 +47,9 @@
 	last_call->done = done;
 	last_call->context = done_context;
 	last_call->timeout_ms = call->timeout_ms;
+	last_call->idle_timeout_ms = call->idle_timeout_ms;
+	last_call->max_response_bytes = call->max_response_bytes;
+	last_call->lists = strstr(call->path, "kv-range") != NULL;
 	last_call->calls++;
 }
 
@@ -87,25 +93,36 @@
 
 /* Makes the watch send its next call and answers it. */
 static void
-answer(struct fixture *fixture, enum http_outcome outcome, int32_t status,
-    const char *body)
+answer_with(struct fixture *fixture, struct http_result reply)
 {
 	uint32_t before = fixture->last_call.calls;
-	struct http_result reply = {
-	    .outcome = outcome,
-	    .status = status,
-	    .body = body,
-	    .body_length = strlen(body),
-	};
 
 	fixture->now_ms += 1000;
 	(void)agent_watch_step(fixture->watch, fixture->now_ms);
 	CU_ASSERT_EQUAL(fixture->last_call.calls, before + 1);
 	reply.sent_ms = fixture->now_ms;
 	reply.received_ms = fixture->now_ms + 4;
+	reply.body_length = strlen(reply.body);
 	fixture->last_call.done(fixture->last_call.context, &reply);
 }
 
+static void
+answer(struct fixture *fixture, enum http_outcome outcome, int32_t status,
+    const char *body)
+{
+	answer_with(fixture,
+	    (struct http_result){
+		.outcome = outcome, .status = status, .body = body});
+}
+
+/* Makes the watch send its next call; returns whether it is a listing. */
+static bool
+next_call_lists(struct fixture *fixture)
+{
+	answer(fixture, HTTP_NOT_SENT, 0, "");
+	return fixture->last_call.lists;
+}
+
 #define LISTING                                                         \
 	"{\"items\":[{\"Key\":\"p/a\",\"Value\":\"\",\"Revision\":3,"   \
 	"\"Created\":3,\"Lease\":0},{\"Key\":\"p/b\",\"Value\":\"\","   \
@@ -185,6 +202,59 @@
 	CU_ASSERT_TRUE(agent_watch_complete(fixture.watch));
 }
 
+/* Guards against reads of large values that are given up while they progress
+ * and begun again: the answer to a listing or watch may take as long as its
+ * size needs. */
+static void
+test_reads_end_only_when_nothing_arrives(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+
+	open_fixture(&fixture);
+	answer(&fixture, HTTP_RESPONDED, STATUS_OK, LISTING);
+	CU_ASSERT_EQUAL(fixture.last_call.idle_timeout_ms, TIMEOUT_MS);
+	answer(&fixture, HTTP_RESPONDED, STATUS_OK, NOTHING);
+	CU_ASSERT_EQUAL(fixture.last_call.idle_timeout_ms, TIMEOUT_MS);
+}
+
+/* Guards against an instance that falls behind: it read each replaced version,
+ * which takes longer than to list what there is. */
+static void
+test_changes_longer_than_a_listing_are_listed(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+	size_t limit;
+
+	open_fixture(&fixture);
+	answer(&fixture, HTTP_RESPONDED, STATUS_OK, LISTING);
+	CU_ASSERT_EQUAL(fixture.last_call.max_response_bytes, 0);
+	answer_with(&fixture,
+	    (struct http_result){.outcome = HTTP_OUTCOME_UNKNOWN,
+		.status = STATUS_OK,
+		.body = "",
+		.too_long = true});
+	limit = fixture.last_call.max_response_bytes;
+	CU_ASSERT_TRUE(limit > strlen(LISTING));
+	answer(&fixture, HTTP_RESPONDED, STATUS_OK, LISTING);
+	CU_ASSERT_TRUE(fixture.last_call.lists);
+	CU_ASSERT_FALSE(next_call_lists(&fixture));
+}
+
+/* A watch is repeated after a refusal, but not when a part of its answer came:
+ * the next one would be as long. */
+static void
+test_watch_cut_in_its_answer_is_listed(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+
+	open_fixture(&fixture);
+	answer(&fixture, HTTP_RESPONDED, STATUS_OK, LISTING);
+	answer(&fixture, HTTP_RESPONDED, 503, "{\"error\":\"busy\"}");
+	CU_ASSERT_FALSE(next_call_lists(&fixture));
+	answer(&fixture, HTTP_OUTCOME_UNKNOWN, STATUS_OK, "{\"events\":[{");
+	CU_ASSERT_TRUE(next_call_lists(&fixture));
+}
+
 static void
 test_compacted_history_is_listed_again(void)
 {
@@ -237,6 +307,12 @@
 	    {"changes are reported once", test_changes_are_reported_once},
 	    {"answer without revision is a failure",
 		test_answer_without_revision_is_a_failure},
+	    {"reads end only when nothing arrives",
+		test_reads_end_only_when_nothing_arrives},
+	    {"changes longer than a listing are listed",
+		test_changes_longer_than_a_listing_are_listed},
+	    {"watch cut in its answer is listed",
+		test_watch_cut_in_its_answer_is_listed},
 	    {"compacted history is listed again",
 		test_compacted_history_is_listed_again},
 	    {"item applied early is reported once",
--- a/tests/test_http_pool.c
+++ b/tests/test_http_pool.c
@@ -24,6 +24,7 @@
 struct outcome {
 	enum http_outcome kind;
 	int64_t took_ms;
+	bool too_long;
 	bool called;
 };
 
@@ -34,6 +35,7 @@
 
 	outcome->kind = result->outcome;
 	outcome->took_ms = result->received_ms - result->sent_ms;
+	outcome->too_long = result->too_long;
 	outcome->called = true;
 }
 
@@ -260,6 +262,107 @@
 	http_pool_free(pool);
 }
 
+#define PARTS 6
+/* A response of PARTS single bytes, and one that says it is longer than a call
+ * allows. */
+#define SLOW_RESPONSE_HEAD "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n"
+#define LONG_RESPONSE_HEAD "HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n"
+#define MAX_RESPONSE_BYTES 1000
+
+/* Makes a read with an idle timeout of TIMEOUT_MS, to which the server has sent
+ * the head of a response. Returns the connection. */
+static int
+begin_read(
+    struct http_pool *pool, const char *response_head, struct outcome *outcome)
+{
+	struct ibis_status status = {0};
+	char address[ADDRESS_TEXT_BYTES];
+	int listener = address_listen("127.0.0.1:0", CALLS, &status);
+	struct http_call call = {
+	    .method = "GET",
+	    .address = address,
+	    .path = "/",
+	    .timeout_ms = LONG_WAIT_MS,
+	    .idle_timeout_ms = TIMEOUT_MS,
+	    .max_response_bytes = MAX_RESPONSE_BYTES,
+	};
+	int connection;
+
+	CU_ASSERT_TRUE_FATAL(listener >= 0);
+	address_of_socket(listener, address);
+	http_pool_call(pool, &call, record_result, outcome);
+	connection = accept_connection(pool, listener);
+	receive_request(pool, connection);
+	respond(connection, response_head);
+	(void)close(listener);
+	return connection;
+}
+
+/* Sends a byte of the response's body and runs the pool for half the idle
+ * timeout. */
+static void
+send_part(struct http_pool *pool, int connection)
+{
+	int64_t until_ms = clock_now_ms() + TIMEOUT_MS / 2;
+
+	respond(connection, "x");
+	while (clock_now_ms() < until_ms)
+		http_pool_wait(pool, 1);
+}
+
+/* Guards against large reads over slow links that are given up although they
+ * progress. */
+static void
+test_response_that_progresses_is_read_to_its_end(void)
+{
+	struct ibis_status status = {0};
+	struct http_pool *pool = http_pool_new(&status);
+	struct outcome outcome = {0};
+	int connection = begin_read(pool, SLOW_RESPONSE_HEAD, &outcome);
+
+	for (size_t i = 0; i < PARTS; i++)
+		send_part(pool, connection);
+	wait_for_outcome(pool, &outcome);
+	CU_ASSERT_EQUAL(outcome.kind, HTTP_RESPONDED);
+	CU_ASSERT_TRUE(outcome.took_ms > TIMEOUT_MS);
+	(void)close(connection);
+	http_pool_free(pool);
+}
+
+static void
+test_response_that_stops_ends_the_call(void)
+{
+	struct ibis_status status = {0};
+	struct http_pool *pool = http_pool_new(&status);
+	struct outcome outcome = {0};
+	int connection = begin_read(pool, SLOW_RESPONSE_HEAD, &outcome);
+
+	send_part(pool, connection);
+	wait_for_outcome(pool, &outcome);
+	CU_ASSERT_EQUAL(outcome.kind, HTTP_OUTCOME_UNKNOWN);
+	CU_ASSERT_FALSE(outcome.too_long);
+	CU_ASSERT_TRUE(outcome.took_ms < LONG_WAIT_MS);
+	(void)close(connection);
+	http_pool_free(pool);
+}
+
+/* Guards against reading changes that a listing would show with less. */
+static void
+test_response_that_is_too_long_is_not_read(void)
+{
+	struct ibis_status status = {0};
+	struct http_pool *pool = http_pool_new(&status);
+	struct outcome outcome = {0};
+	int connection = begin_read(pool, LONG_RESPONSE_HEAD, &outcome);
+
+	wait_for_outcome(pool, &outcome);
+	CU_ASSERT_TRUE(outcome.too_long);
+	CU_ASSERT_NOT_EQUAL(outcome.kind, HTTP_RESPONDED);
+	CU_ASSERT_TRUE(outcome.took_ms < LONG_WAIT_MS);
+	(void)close(connection);
+	http_pool_free(pool);
+}
+
 static void
 test_pending_calls_are_freed(void)
 {
@@ -287,6 +390,12 @@
 		test_refused_resend_may_have_been_executed},
 	    {"a refused connection is not sent",
 		test_refused_connection_is_not_sent},
+	    {"a response that progresses is read to its end",
+		test_response_that_progresses_is_read_to_its_end},
+	    {"a response that stops ends the call",
+		test_response_that_stops_ends_the_call},
+	    {"a response that is too long is not read",
+		test_response_that_is_too_long_is_not_read},
 	    {"pending calls are freed", test_pending_calls_are_freed},
 	    CU_TEST_INFO_NULL,
 	};
