Answer and place by no configuration that may be out of date

Callers saw requests answered by a configuration that had been replaced for longer than changes may take: an instance that could not read the operators' keys went on with the last ones that it had.

Cause: nothing between the store's change and a request asked up to when the configuration was known to be current; readiness did, but requests on open connections and the lead's placements did not.

Change: a configuration that was last known to be current longer ago than ConfigApplyMs is not acted on while the store answers other calls: requests get 503 with Retry-After and have not run, a lead places nothing. While the store is unreachable, what is known is read out as before, but no request is refused for its route or key, as these may have been added since.

--- a/src/agent/agent_callers.c
+++ b/src/agent/agent_callers.c
@@ -457,44 +457,84 @@
 	}
 }
 
+/* Refuses a request that has not run for the time being. */
+static void
+refuse_for_now(struct agent *agent, struct gateway_request *request,
+    const char *reason, int64_t retry_after_ms)
+{
+	log_answer(agent, LOG_WARN, "request_refused", request->path, reason,
+	    request->received_ms);
+	reply(agent, request, STATUS_UNAVAILABLE, NULL, retry_after_ms);
+}
+
+/* Refuses a request that the configuration does not allow. Whether the current
+ * one does is unknown unless it is confirmed. */
+static void
+refuse_by_config(struct agent *agent, struct gateway_request *request,
+    int32_t status, const char *reason)
+{
+	if (!agent_config_confirmed(agent, clock_now_ms())) {
+		refuse_for_now(agent, request, "configuration not confirmed",
+		    UNREACHABLE_RETRY_AFTER_MS);
+		return;
+	}
+	log_answer(agent, LOG_WARN, "request_refused", request->path, reason,
+	    request->received_ms);
+	reply(agent, request, status, NULL, 0);
+}
+
+/* Returns why no request can be answered now; NULL: it can. */
+static const char *
+reason_not_to_answer(const struct agent *agent, int64_t now_ms)
+{
+	if (agent_config_routes(agent) == NULL ||
+	    !agent_watch_loaded(agent->records_watch) ||
+	    agent->pending_request_count >= MAX_PENDING_REQUESTS)
+		return "not ready";
+	return agent_config_usable(agent, now_ms)
+	    ? NULL
+	    : "configuration not confirmed";
+}
+
+static void
+serve_route(struct agent *agent, struct gateway_request *request,
+    const struct route *route, const struct routes_workspace *workspace,
+    const char *path_suffix)
+{
+	if (*path_suffix == '\0' && request->method == GATEWAY_GET)
+		count_pending(agent, request, route);
+	else if (platform_is_job_id(path_suffix))
+		serve_job(agent, request, route, workspace, path_suffix);
+	else
+		reply(agent, request, STATUS_NOT_FOUND, NULL, 0);
+}
+
 void
 agent_callers_request(
     struct agent *agent, struct gateway_request *request, int64_t now_ms)
 {
+	const char *reason = reason_not_to_answer(agent, now_ms);
 	const struct routes *routes = agent_config_routes(agent);
 	const struct routes_workspace *workspace;
 	const struct route *route;
 	const char *path_suffix;
 
-	(void)now_ms;
-	if (routes == NULL || !agent_watch_loaded(agent->records_watch) ||
-	    agent->pending_request_count >= MAX_PENDING_REQUESTS) {
-		log_answer(agent, LOG_WARN, "request_refused", request->path,
-		    "not ready", request->received_ms);
-		reply(agent, request, STATUS_UNAVAILABLE, NULL, RETRY_AFTER_MS);
+	if (reason != NULL) {
+		refuse_for_now(agent, request, reason, RETRY_AFTER_MS);
 		return;
 	}
 	route =
 	    routes_match(routes, request->host, request->path, &path_suffix);
 	if (route == NULL) {
-		log_answer(agent, LOG_WARN, "request_refused", request->path,
-		    "no route", request->received_ms);
-		reply(agent, request, STATUS_NOT_FOUND, NULL, 0);
+		refuse_by_config(agent, request, STATUS_NOT_FOUND, "no route");
 		return;
 	}
 	workspace = routes_find_workspace(routes, request->key);
-	if (workspace == NULL && !route->open) {
-		log_answer(agent, LOG_WARN, "request_refused", request->path,
-		    "unknown key", request->received_ms);
-		reply(agent, request, STATUS_UNAUTHORIZED, NULL, 0);
-		return;
-	}
-	if (*path_suffix == '\0' && request->method == GATEWAY_GET)
-		count_pending(agent, request, route);
-	else if (platform_is_job_id(path_suffix))
-		serve_job(agent, request, route, workspace, path_suffix);
+	if (workspace == NULL && !route->open)
+		refuse_by_config(
+		    agent, request, STATUS_UNAUTHORIZED, "unknown key");
 	else
-		reply(agent, request, STATUS_NOT_FOUND, NULL, 0);
+		serve_route(agent, request, route, workspace, path_suffix);
 }
 
 void
--- a/src/agent/agent_config.c
+++ b/src/agent/agent_config.c
@@ -44,6 +44,13 @@
 	    age_ms <= agent->settings.config_apply_ms;
 }
 
+bool
+agent_config_usable(const struct agent *agent, int64_t now_ms)
+{
+	return agent_config_confirmed(agent, now_ms) ||
+	    agent_relay_health(agent, now_ms) == STORE_UNREACHABLE;
+}
+
 /* Passes the routes and guarantees of the configuration in force to the fleet.
  */
 static void
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -211,6 +211,13 @@
  * change has to be in force. */
 bool agent_config_confirmed(const struct agent *agent, int64_t now_ms);
 
+/*
+ * Returns whether the configuration in force may be acted on. One that is not
+ * confirmed may, while the store is unreachable: then nothing that this
+ * instance could read is later.
+ */
+bool agent_config_usable(const struct agent *agent, int64_t now_ms);
+
 /* Passes the configuration to the fleet of a lead that takes over. */
 void agent_config_prepare_fleet(struct agent *agent);
 
--- a/src/agent/agent_workers.c
+++ b/src/agent/agent_workers.c
@@ -431,6 +431,8 @@
 
 	if (agent->fleet == NULL)
 		return;
+	fleet_hold_placements(
+	    agent->fleet, !agent_config_usable(agent, now_ms));
 	if (now_ms < fleet_next_wakeup_ms(agent->fleet)) {
 		agent_wake_at(agent, fleet_next_wakeup_ms(agent->fleet));
 		return;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -333,6 +333,10 @@
 void fleet_set_guarantee(
     struct fleet *fleet, const char *workspace, int64_t accelerators);
 
+/* Holds back further placements, or allows them again. Held back while the
+ * zones and routes given here may be out of date. */
+void fleet_hold_placements(struct fleet *fleet, bool hold);
+
 /* Moves the jobs of a route to another service. */
 void fleet_set_route(
     struct fleet *fleet, const char *route, const char *service);
--- a/src/fleet/fleet_decide.c
+++ b/src/fleet/fleet_decide.c
@@ -382,6 +382,14 @@
 	}
 }
 
+void
+fleet_hold_placements(struct fleet *fleet, bool hold)
+{
+	if (fleet->placements_held && !hold)
+		fleet->changed = true;
+	fleet->placements_held = hold;
+}
+
 size_t
 fleet_decide(struct fleet *fleet, int64_t now_ms, int64_t wall_ms,
     const struct fleet_order **orders)
@@ -393,7 +401,8 @@
 	order_orphan_stops(fleet, now_ms);
 	fleet_open_due_occurrences(fleet, now_ms, wall_ms);
 	stop_ended_jobs(fleet, now_ms);
-	if (fleet->changed || now_ms >= fleet->next_placement_ms) {
+	if (!fleet->placements_held &&
+	    (fleet->changed || now_ms >= fleet->next_placement_ms)) {
 		fleet->changed = false;
 		fleet->next_placement_ms = INT64_MAX;
 		place_all(fleet, now_ms);
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -179,6 +179,7 @@
 	int64_t lead_since_ms;
 	int64_t now_ms; /* of the last decision */
 	bool changed;	/* since the last placement */
+	bool placements_held;
 	int64_t next_wakeup_ms;
 	int64_t next_placement_ms; /* even if nothing has changed */
 	char (*zones_out_of_service)[FLEET_NAME_BYTES];
--- a/tests/common_users_platform.c
+++ b/tests/common_users_platform.c
@@ -84,6 +84,17 @@
 	(void)pthread_mutex_unlock(&platform->lock);
 }
 
+void
+users_evacuate(struct users_platform *platform, const char *zone)
+{
+	char key[USERS_KEY_BYTES];
+
+	(void)snprintf(key, sizeof(key), "op/evacuate/%s", zone);
+	(void)pthread_mutex_lock(&platform->lock);
+	put_text(platform, key, "{}");
+	(void)pthread_mutex_unlock(&platform->lock);
+}
+
 struct users_platform *
 users_platform_start(void)
 {
--- a/tests/common_users_platform.h
+++ b/tests/common_users_platform.h
@@ -39,6 +39,9 @@
 void users_set_config(
     struct users_platform *platform, const struct users_config *config);
 
+/* Takes a zone out of service as operators do. The workers are in zone "z". */
+void users_evacuate(struct users_platform *platform, const char *zone);
+
 /* Starts an instance; false with a message when it doesn't become ready. */
 bool users_start_instance(struct users_platform *platform, uint32_t index);
 /* Starts an instance with its log written to a descriptor, without waiting. */
--- a/tests/common_users_store.c
+++ b/tests/common_users_store.c
@@ -166,6 +166,17 @@
 	return count;
 }
 
+/* Returns whether a call gets no answer for the time being. */
+static bool
+is_hanging(
+    const struct users_platform *platform, const struct fake_request *request)
+{
+	const char *prefix = fake_request_query(request, "Prefix");
+	bool operators = prefix != NULL && strcmp(prefix, "op/") == 0;
+
+	return platform->hanging || (operators && platform->operators_hanging);
+}
+
 static void
 answer_watch(struct users_platform *platform,
     const struct users_listener *listener, const struct fake_request *request,
@@ -178,9 +189,10 @@
 	struct json_object *body = json_object_new_object();
 	struct json_object *events = json_object_new_array();
 
-	while ((listener->events_suppressed ||
-		   add_events(platform, prefix, after, events) == 0) &&
-	    clock_now_ms() < until_ms) {
+	while (is_hanging(platform, request) ||
+	    ((listener->events_suppressed ||
+		 add_events(platform, prefix, after, events) == 0) &&
+		clock_now_ms() < until_ms)) {
 		(void)pthread_mutex_unlock(&platform->lock);
 		process_sleep(USERS_POLL_INTERVAL_MS);
 		(void)pthread_mutex_lock(&platform->lock);
@@ -348,14 +360,6 @@
 	}
 }
 
-static bool
-reads_operators(const struct fake_request *request)
-{
-	const char *prefix = fake_request_query(request, "Prefix");
-
-	return prefix != NULL && strcmp(prefix, "op/") == 0;
-}
-
 void
 users_store_handler(
     void *context, const struct fake_request *request, struct fake_reply *reply)
@@ -365,8 +369,7 @@
 
 	reply->status = 200;
 	reply->link = &listener->link;
-	while (platform->hanging ||
-	    (platform->operators_hanging && reads_operators(request)))
+	while (is_hanging(platform, request))
 		process_sleep(USERS_POLL_INTERVAL_MS);
 	if (listener->rejecting) {
 		reply->status = 503;
--- a/tests/fail_config.c
+++ b/tests/fail_config.c
@@ -1,8 +1,9 @@
 /*
  * Runs real instances on the fake platform while operators change the
- * configuration: large ones over narrow links, in quick succession, and while
- * an instance starts. Each version has to be in force within CONFIG_APPLY_MS,
- * and no request may be answered by an older one after that.
+ * configuration: large ones over narrow links, in quick succession, while an
+ * instance starts, and while the store doesn't answer reads of them. Each
+ * version has to be in force within CONFIG_APPLY_MS, and no request may be
+ * answered by an older one after that.
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -21,8 +22,12 @@
 /* Links that carry a large configuration in about 0.8 s and 1.6 s. */
 #define NARROW_LINK_BYTES_PER_S	  500000
 #define NARROWER_LINK_BYTES_PER_S 250000
-#define STORM_VERSIONS		  8
-#define STORM_GAP_MS		  300
+/* Runs that last longer than the placements have to be held back, and as many
+ * tasks as fit at once. */
+#define LONG_RUN_MS    5000
+#define FITTING_TASKS  32
+#define STORM_VERSIONS 8
+#define STORM_GAP_MS   300
 
 static struct users_platform *platform;
 
@@ -133,6 +138,63 @@
 	users_platform_stop(platform);
 }
 
+/* Guards against requests answered by an old configuration: an instance that
+ * can't read the current one, while the store answers its other calls, neither
+ * serves nor refuses by the one that it has. */
+static void
+test_unconfirmed_config_serves_nothing(void)
+{
+	CLEANUP(buffer_free) struct buffer answer = {0};
+
+	start_instances(USERS_INSTANCES);
+	users_store_hang_operators(platform, true);
+	users_set_config(
+	    platform, &(struct users_config){.version = 2, .service = "s"});
+	process_sleep(CONFIG_APPLY_MS);
+	for (uint32_t i = 0; i < USERS_INSTANCES; i++) {
+		CU_ASSERT_EQUAL(call_route_of(i, 1, &answer), 503);
+		CU_ASSERT_PTR_NOT_NULL(
+		    strstr(buffer_string(&answer), "Retry-After"));
+		CU_ASSERT_EQUAL(call_route_of(i, 2, &answer), 503);
+		CU_ASSERT_EQUAL(users_submit(platform, i, 1 + i, 1), 503);
+		CU_ASSERT_EQUAL(
+		    users_get_internal(platform, i, "/v1/status", &answer),
+		    200);
+		CU_ASSERT_PTR_NOT_NULL(strstr(
+		    buffer_string(&answer), "\"config_confirmed\": false"));
+	}
+	users_store_hang_operators(platform, false);
+	expect_in_force(USERS_INSTANCES, 2, clock_now_ms());
+	CU_ASSERT_EQUAL(users_started_runs(platform), 0);
+	users_platform_stop(platform);
+}
+
+/* Guards against starts in a zone that is out of service: a lead that can't
+ * read the zones, while the store answers its other calls, places nothing. */
+static void
+test_unconfirmed_zones_hold_placements(void)
+{
+	uint32_t started;
+
+	start_instances(USERS_INSTANCES);
+	CU_ASSERT_TRUE_FATAL(users_wait_lead(platform, -1, START_MS));
+	users_set_run_ms(platform, LONG_RUN_MS);
+	CU_ASSERT_EQUAL(users_submit(platform, 0, 1, FITTING_TASKS), 200);
+	CU_ASSERT_EQUAL(users_submit(platform, 0, 2, FITTING_TASKS), 200);
+	process_sleep(LONG_RUN_MS / 2);
+	users_store_hang_operators(platform, true);
+	users_evacuate(platform, "z");
+	process_sleep(CONFIG_APPLY_MS);
+	started = users_started_runs(platform);
+	process_sleep(LONG_RUN_MS);
+	CU_ASSERT_EQUAL(users_started_runs(platform), started);
+	CU_ASSERT_TRUE(started < 2 * FITTING_TASKS);
+	users_store_hang_operators(platform, false);
+	process_sleep(CONFIG_APPLY_MS);
+	CU_ASSERT_EQUAL(users_started_runs(platform), started);
+	users_platform_stop(platform);
+}
+
 int
 main(void)
 {
@@ -143,6 +205,10 @@
 		test_instance_starts_beside_large_config},
 	    {"large configurations in quick succession",
 		test_large_configs_in_quick_succession},
+	    {"unconfirmed configuration serves nothing",
+		test_unconfirmed_config_serves_nothing},
+	    {"unconfirmed zones hold placements",
+		test_unconfirmed_zones_hold_placements},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/test_agent_lead.c
+++ b/tests/test_agent_lead.c
@@ -38,6 +38,7 @@
 	"\"EndedRuns\":[[1,\"" JOB_ID ".0.0.0\",2,\"done\"," \
 	"\"\"]]}"
 #define MAX_REQUEST_BYTES 4096
+#define CONFIG_APPLY_MS	  3000
 
 /* A store call of the instance. */
 struct call {
@@ -76,6 +77,7 @@
 	agent->settings.max_lease_ms = 10000;
 	agent->settings.min_store_lease_ms = 1000;
 	agent->settings.remote_factor = 3;
+	agent->settings.config_apply_ms = CONFIG_APPLY_MS;
 	agent->random_state = 1;
 	agent->store = (struct platform_store){
 	    .send = record_call,
@@ -86,6 +88,7 @@
 	CDS_INIT_LIST_HEAD(&agent->pending_requests);
 	CDS_INIT_LIST_HEAD(&agent->relay.peer_calls);
 	CDS_INIT_LIST_HEAD(&agent->relay.short_calls);
+	agent_config_start(agent);
 	agent_view_start(agent);
 }
 
@@ -97,6 +100,7 @@
 
 	agent_lead_step_down(&fixture->agent, "test over");
 	agent_view_free(&fixture->agent);
+	agent_config_free(&fixture->agent);
 	for (size_t i = 0; i < fixture->count; i++) {
 		if (fixture->calls[i].done != NULL)
 			fixture->calls[i].done(
