Give a lead's jobs and workspaces what the current configuration says

Callers saw a job wait for ever: its route led to another service by the time that an instance took over, and the new lead placed it for the one recorded when the job was accepted. A workspace that a later version no longer has kept its guaranteed accelerators for as long as the lead led.

Cause, of the incident's class: a change was applied as an event to what the lead had at that moment, not to what it added later, nor to what the change had left out.

Change: a job is added to the fleet with its route's current service; a version replaces all guarantees of the one before. Routes are found by name in an index: a change no longer compares each job with each route.

--- a/src/agent/agent_config.c
+++ b/src/agent/agent_config.c
@@ -51,18 +51,32 @@
 	    agent_relay_health(agent, now_ms) == STORE_UNREACHABLE;
 }
 
-/* Passes the routes and guarantees of the configuration in force to the fleet.
- */
+const char *
+agent_config_service(const struct agent *agent, const char *route_name)
+{
+	const struct routes *routes = agent->config.routes;
+	const struct route *route =
+	    routes == NULL ? NULL : routes_find(routes, route_name);
+
+	return route == NULL ? NULL : route->service;
+}
+
+static const char *
+find_service(void *context, const char *route)
+{
+	return agent_config_service(context, route);
+}
+
+/* Replaces what the fleet has of an earlier version. */
 static void
-pass_routes_to_fleet(struct agent *agent)
+pass_config_to_fleet(struct agent *agent)
 {
 	const struct routes *routes = agent->config.routes;
 
 	if (agent->fleet == NULL || routes == NULL)
 		return;
-	for (size_t i = 0; i < routes->routes_count; i++)
-		fleet_set_route(agent->fleet, routes->routes[i].name,
-		    routes->routes[i].service);
+	fleet_move_jobs(agent->fleet, find_service, agent);
+	fleet_clear_guarantees(agent->fleet);
 	for (size_t i = 0; i < routes->workspaces_count; i++)
 		fleet_set_guarantee(agent->fleet, routes->workspaces[i].name,
 		    routes->workspaces[i].guaranteed_accelerators);
@@ -120,7 +134,7 @@
 	routes_free(config->routes);
 	config->routes = routes;
 	config->revision = item->revision;
-	pass_routes_to_fleet(agent);
+	pass_config_to_fleet(agent);
 	log_version(agent, clock_now_ms() - begun_ms);
 }
 
@@ -169,6 +183,7 @@
 	};
 
 	agent->config.watch = agent_watch_new(&config, &agent->store);
+	agent->config.unconfirmed_since_ms = clock_now_ms();
 }
 
 void
@@ -187,13 +202,10 @@
 agent_config_prepare_fleet(struct agent *agent)
 {
 	const struct name_index *zones = &agent->config.zones_out_of_service;
-	const struct routes *routes = agent->config.routes;
 
 	for (size_t i = 0; i < zones->count; i++)
 		fleet_set_zone(agent->fleet, zones->items[i].name, false);
-	for (size_t i = 0; routes != NULL && i < routes->workspaces_count; i++)
-		fleet_set_guarantee(agent->fleet, routes->workspaces[i].name,
-		    routes->workspaces[i].guaranteed_accelerators);
+	pass_config_to_fleet(agent);
 }
 
 /* Logs when it becomes unknown, and when it is known again, whether the
--- a/src/agent/agent_lead.c
+++ b/src/agent/agent_lead.c
@@ -44,10 +44,31 @@
 	    now_ms + delay_ms + agent_random(agent, LEAD_JITTER_MS);
 }
 
+/* Adds a job to the fleet, for the service that its route leads to now. */
+static struct fleet_job *
+add_to_fleet(struct agent *agent, const struct view_job *job, int64_t now_ms)
+{
+	const char *service = agent_config_service(agent, job->spec->route);
+	Ibis__StepJob *spec = (Ibis__StepJob *)proto_copy(&job->spec->base);
+	Ibis__JobProgress *progress = NULL;
+	struct fleet_job *added;
+
+	if (service != NULL)
+		proto_set_string(&spec->service, service);
+	if (job->progress.length > 0)
+		progress = (Ibis__JobProgress *)proto_unpack(
+		    &ibis__job_progress__descriptor, job->progress.data,
+		    job->progress.length);
+	added = fleet_add_job(agent->fleet, job->id, spec, progress,
+	    job->progress_revision, now_ms);
+	if (progress != NULL)
+		proto_free(&progress->base);
+	return added;
+}
+
 void
 agent_lead_update_job(struct agent *agent, struct view_job *job, int64_t now_ms)
 {
-	Ibis__JobProgress *progress = NULL;
 	struct fleet_job *known;
 
 	/* Without its progress it isn't known what runs of the job. */
@@ -55,17 +76,8 @@
 	    job->progress_unreadable)
 		return;
 	known = fleet_find_job(agent->fleet, job->id);
-	if (known == NULL) {
-		if (job->progress.length > 0)
-			progress = (Ibis__JobProgress *)proto_unpack(
-			    &ibis__job_progress__descriptor, job->progress.data,
-			    job->progress.length);
-		known = fleet_add_job(agent->fleet, job->id,
-		    (Ibis__StepJob *)proto_copy(&job->spec->base), progress,
-		    job->progress_revision, now_ms);
-		if (progress != NULL)
-			proto_free(&progress->base);
-	}
+	if (known == NULL)
+		known = add_to_fleet(agent, job, now_ms);
 	if (job->cancelled && known != NULL)
 		fleet_cancel_job(agent->fleet, known, now_ms);
 }
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -200,6 +200,11 @@
  * pool; NULL: none has been read. */
 const struct routes *agent_config_routes(const struct agent *agent);
 
+/* Returns the service that a route leads to, valid as long as the
+ * configuration; NULL: there is no route with this name. */
+const char *agent_config_service(
+    const struct agent *agent, const char *route_name);
+
 /* Returns the version in force; -1: none. */
 int64_t agent_config_version(const struct agent *agent);
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -329,7 +329,9 @@
  * at first. */
 void fleet_set_zone(struct fleet *fleet, const char *zone, bool in_service);
 
-/* Sets how many accelerators a workspace's urgent jobs are guaranteed. */
+/* Sets how many accelerators a workspace's urgent jobs are guaranteed; none
+ * after fleet_clear_guarantees. */
+void fleet_clear_guarantees(struct fleet *fleet);
 void fleet_set_guarantee(
     struct fleet *fleet, const char *workspace, int64_t accelerators);
 
@@ -337,9 +339,12 @@
  * zones and routes given here may be out of date. */
 void fleet_hold_placements(struct fleet *fleet, bool hold);
 
-/* Moves the jobs of a route to another service. */
-void fleet_set_route(
-    struct fleet *fleet, const char *route, const char *service);
+/* Returns the service of a route; NULL: the route is unknown. */
+typedef const char *fleet_find_service(void *context, const char *route);
+
+/* Moves each job to the service of its route. Jobs of unknown routes stay. */
+void fleet_move_jobs(
+    struct fleet *fleet, fleet_find_service *find, void *context);
 
 /*
  * Decision group.
--- a/src/fleet/fleet_jobs.c
+++ b/src/fleet/fleet_jobs.c
@@ -471,13 +471,13 @@
 }
 
 void
-fleet_set_route(struct fleet *fleet, const char *route, const char *service)
+fleet_move_jobs(struct fleet *fleet, fleet_find_service *find, void *context)
 {
 	for (size_t i = 0; i < fleet->jobs.count; i++) {
 		struct fleet_job *job = fleet->jobs.items[i].item;
+		const char *service = find(context, job->spec->route);
 
-		if (strcmp(job->spec->route, route) != 0 ||
-		    strcmp(job->spec->service, service) == 0)
+		if (service == NULL || strcmp(job->spec->service, service) == 0)
 			continue;
 		proto_set_string(&job->spec->service, service);
 		fleet->changed = true;
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -468,6 +468,13 @@
 	fleet_wake_at(fleet, 0);
 }
 
+void
+fleet_clear_guarantees(struct fleet *fleet)
+{
+	fleet->guarantees_count = 0;
+	fleet->changed = true;
+}
+
 void
 fleet_set_guarantee(
     struct fleet *fleet, const char *workspace, int64_t accelerators)
--- a/src/version/routes.c
+++ b/src/version/routes.c
@@ -1,4 +1,5 @@
 /* Allocation of routes and their look-up by path and by API key. */
+#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
@@ -25,6 +26,7 @@
 	mem_free(routes->routes);
 	mem_free(routes->workspaces);
 	mem_free(routes->keys);
+	mem_free(routes->by_name);
 	mem_free(routes);
 }
 
@@ -51,6 +53,41 @@
 	return best;
 }
 
+static int
+compare_names(const void *left, const void *right)
+{
+	const struct route *const *left_route = left;
+	const struct route *const *right_route = right;
+
+	return strcmp((*left_route)->name, (*right_route)->name);
+}
+
+void
+routes_index(struct routes *routes)
+{
+	routes->by_name =
+	    mem_calloc(routes->routes_count + 1, sizeof(*routes->by_name));
+	for (size_t i = 0; i < routes->routes_count; i++)
+		routes->by_name[i] = &routes->routes[i];
+	qsort(routes->by_name, routes->routes_count, sizeof(*routes->by_name),
+	    compare_names);
+}
+
+static int
+compare_to_name(const void *name, const void *route)
+{
+	return strcmp(name, (*(const struct route *const *)route)->name);
+}
+
+const struct route *
+routes_find(const struct routes *routes, const char *name)
+{
+	const struct route *const *found = bsearch(name, routes->by_name,
+	    routes->routes_count, sizeof(*routes->by_name), compare_to_name);
+
+	return found == NULL ? NULL : *found;
+}
+
 const struct routes_workspace *
 routes_find_workspace(const struct routes *routes, const char *key)
 {
--- a/src/version/routes.h
+++ b/src/version/routes.h
@@ -66,6 +66,7 @@
 	size_t workspaces_count;
 	struct routes_key *keys;
 	size_t keys_count;
+	const struct route **by_name; /* NULL before routes_index */
 };
 
 /* Returns routes with zeroed arrays of the given sizes. All counts are 0; the
@@ -82,6 +83,12 @@
 const struct route *routes_match(const struct routes *routes, const char *host,
     const char *path, const char **rest);
 
+/* Prepares routes_find; called once all routes are filled in. */
+void routes_index(struct routes *routes);
+
+/* Returns the route with a name, or NULL when there is none. */
+const struct route *routes_find(const struct routes *routes, const char *name);
+
 /* Returns the workspace that an API key identifies, NULL if the key is unknown
  * or empty. */
 const struct routes_workspace *routes_find_workspace(
--- a/tests/fail_config.c
+++ b/tests/fail_config.c
@@ -1,9 +1,9 @@
 /*
  * Runs real instances on the fake platform while operators change the
  * configuration: large ones over narrow links, in quick succession, while an
- * instance starts, and while the store doesn't answer reads of them. Each
- * version has to be in force within CONFIG_APPLY_MS, and no request may be
- * answered by an older one after that.
+ * instance starts, while none leads, and while the store doesn't answer reads
+ * of them. Each version has to be in force within CONFIG_APPLY_MS, and no
+ * request may be answered by an older one after that.
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -14,7 +14,8 @@
 #include "process/alloc.h"
 #include "process/clock.h"
 
-#define START_MS 8000
+#define START_MS  8000
+#define FINISH_MS 20000
 /* ConfigApplyMs of the settings, by default. */
 #define CONFIG_APPLY_MS 3000
 #define POLL_MS		20
@@ -195,6 +196,30 @@
 	users_platform_stop(platform);
 }
 
+/* Guards against a job that waits for ever: the route's service was changed
+ * while no instance led, and the next lead placed the job for the old one. */
+static void
+test_service_changed_without_a_lead(void)
+{
+	uint32_t other;
+	int lead;
+
+	start_instances(USERS_INSTANCES);
+	CU_ASSERT_TRUE_FATAL(users_wait_lead(platform, -1, START_MS));
+	lead = users_lead_index(platform);
+	other = ((uint32_t)lead + 1) % USERS_INSTANCES;
+	users_set_config(
+	    platform, &(struct users_config){.version = 2, .service = "none"});
+	expect_in_force(USERS_INSTANCES, 2, clock_now_ms());
+	CU_ASSERT_EQUAL(users_submit(platform, other, 1, 1), 200);
+	process_kill(users_instance(platform, (uint32_t)lead));
+	users_set_config(
+	    platform, &(struct users_config){.version = 3, .service = "s"});
+	CU_ASSERT_TRUE(users_wait_completed(platform, other, 1, FINISH_MS));
+	CU_ASSERT_EQUAL(users_duplicate_starts(platform), 0);
+	users_platform_stop(platform);
+}
+
 int
 main(void)
 {
@@ -207,6 +232,8 @@
 		test_large_configs_in_quick_succession},
 	    {"unconfirmed configuration serves nothing",
 		test_unconfirmed_config_serves_nothing},
+	    {"service changed without a lead",
+		test_service_changed_without_a_lead},
 	    {"unconfirmed zones hold placements",
 		test_unconfirmed_zones_hold_placements},
 	    CU_TEST_INFO_NULL,
