Let a large body of a store's or worker's answer arrive

Change: the time allowed grows with what has arrived, so that a peer that only trickles still ends the call.

--- a/src/connection/http_client.c
+++ b/src/connection/http_client.c
@@ -11,11 +11,13 @@
 #include "process/alloc.h"
 #include "process/clock.h"
 
-#define MS_PER_SECOND	   1000
-#define MAX_RESPONSE_BYTES (64UL * 1024 * 1024)
-#define MAX_PORT	   65535
-#define HOST_BYTES	   64
-#define DECIMAL		   10
+#define MS_PER_SECOND 1000
+/* A body may take as long as at this rate, in addition to twice the timeout. */
+#define MIN_BODY_BYTES_PER_S 65536
+#define MAX_RESPONSE_BYTES   (64UL * 1024 * 1024)
+#define MAX_PORT	     65535
+#define HOST_BYTES	     64
+#define DECIMAL		     10
 
 struct http_client {
 	char peer[IBIS_PEER_BYTES];
@@ -130,6 +132,13 @@
 	mem_free(client);
 }
 
+/* Returns the time that the part of a body which has arrived may have taken. */
+static int64_t
+allowed_ms(const struct buffer *body)
+{
+	return (int64_t)(body->length * MS_PER_SECOND / MIN_BODY_BYTES_PER_S);
+}
+
 static int
 S_read_block(void *context, const char *bytes, size_t length)
 {
@@ -139,7 +148,7 @@
 		ne_set_error(reader->session, "response too large");
 		return NE_ERROR;
 	}
-	if (clock_now_ms() > reader->deadline_ms) {
+	if (clock_now_ms() > reader->deadline_ms + allowed_ms(reader->body)) {
 		ne_set_error(reader->session, "response too slow");
 		return NE_ERROR;
 	}
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -44,7 +44,8 @@
 /*
  * Creates a client for the peer at address, IP:PORT; it does not connect yet.
  * timeout_ms limits connecting and each read, rounded up to whole seconds; a
- * complete response may take twice timeout_ms. Never returns NULL: with a
+ * complete response may take twice timeout_ms, and 1 s for each 64 KiB of its
+ * body. Never returns NULL: with a
  * malformed address every call returns IBIS_UNAVAILABLE.
  */
 struct http_client *http_client_new(const char *address, int32_t timeout_ms);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -6,6 +6,12 @@
 #include "process/alloc.h"
 
 #define TIMEOUT_MS 1000
+/* A body that takes longer than twice this over the narrow link. */
+#define SHORT_TIMEOUT_MS	200
+#define PART_BYTES		1024
+#define LARGE_BODY_BYTES	262144
+#define NARROW_LINK_BYTES_PER_S 250000
+#define TRICKLE_BYTES_PER_S	20000
 
 struct server_state {
 	uint32_t requests;    /* received so far */
@@ -132,6 +138,57 @@
 	}
 }
 
+/* A server that answers with LARGE_BODY_BYTES over a link. */
+static void
+S_handle_over_link(
+    void *context, const struct fake_request *request, struct fake_reply *reply)
+{
+	static const char part[PART_BYTES];
+
+	(void)request;
+	reply->link = context;
+	for (size_t i = 0; i < LARGE_BODY_BYTES / PART_BYTES; i++)
+		buffer_append(&reply->body, part, sizeof(part));
+}
+
+static enum ibis_code
+read_over_link(int64_t bytes_per_s)
+{
+	struct http_response response = {0};
+	struct fake_link link;
+	struct fake_server *server;
+	struct http_client *client;
+	enum ibis_code code;
+
+	fake_link_init(&link);
+	fake_link_set_rate(&link, bytes_per_s);
+	server = fake_server_start("127.0.0.1:0", S_handle_over_link, &link);
+	client = http_client_new(fake_server_address(server), SHORT_TIMEOUT_MS);
+	code = call(client, "GET", &response, NULL);
+	if (code == IBIS_OK)
+		CU_ASSERT_EQUAL(response.body.length, LARGE_BODY_BYTES);
+	buffer_free(&response.body);
+	http_client_free(client);
+	fake_server_stop(server);
+	fake_link_destroy(&link);
+	return code;
+}
+
+/* Guards against documents that are never read over a narrow link: a body that
+ * kept arriving was given up after twice the timeout, and read again. */
+static void
+test_large_body_over_narrow_link(void)
+{
+	CU_ASSERT_EQUAL(read_over_link(NARROW_LINK_BYTES_PER_S), IBIS_OK);
+}
+
+/* A peer must not hold a thread by sending a little now and then. */
+static void
+test_trickling_body_ends_the_call(void)
+{
+	CU_ASSERT_EQUAL(read_over_link(TRICKLE_BYTES_PER_S), IBIS_UNKNOWN);
+}
+
 int
 main(void)
 {
@@ -140,6 +197,8 @@
 	    {"a cut request is seen once", test_cut_request_is_seen_once},
 	    {"unreachable", test_unreachable},
 	    {"bad address", test_bad_address},
+	    {"large body over a narrow link", test_large_body_over_narrow_link},
+	    {"trickling body ends the call", test_trickling_body_ends_the_call},
 	    CU_TEST_INFO_NULL,
 	};
 
