Place on no list of workers that may be out of date

Change: placements are held while the list was last known to be current longer ago than DrainMs and the store answers. A watch that was answered without changes confirms up to the end of its wait, not only up to when it was sent, so that a slow store alone holds nothing; the lead's own lease goes by the earlier time as before. placements_held and placements_resumed say so.

--- a/src/agent/agent_config.c
+++ b/src/agent/agent_config.c
@@ -30,9 +30,9 @@
 int64_t
 agent_config_age_ms(const struct agent *agent, int64_t now_ms)
 {
-	int64_t current_ms = agent_watch_current_ms(agent->config.watch);
+	int64_t confirmed_ms = agent_watch_confirmed_ms(agent->config.watch);
 
-	return current_ms == 0 ? AGE_NEVER_CONFIRMED : now_ms - current_ms;
+	return confirmed_ms == 0 ? AGE_NEVER_CONFIRMED : now_ms - confirmed_ms;
 }
 
 bool
@@ -245,6 +245,6 @@
 	note_confirmation(agent, now_ms);
 	if (agent->config.confirmed)
 		agent_wake_at(agent,
-		    agent_watch_current_ms(agent->config.watch) +
+		    agent_watch_confirmed_ms(agent->config.watch) +
 			agent->settings.config_apply_ms + 1);
 }
--- a/src/agent/agent_watch.c
+++ b/src/agent/agent_watch.c
@@ -59,6 +59,8 @@
 	int64_t answered_ms;
 	int64_t listing_sent_ms; /* first call of the last listing */
 	int64_t current_ms;	 /* as returned by agent_watch_current_ms */
+	int64_t confirmed_ms;	 /* as returned by agent_watch_confirmed_ms */
+	int32_t wait_ms;	 /* of the watch in flight */
 	bool failing;
 	struct agent_watch_read last_read;
 };
@@ -144,6 +146,12 @@
 	    log_number((int64_t)item->revision), "message", message, NULL);
 }
 
+int64_t
+agent_watch_confirmed_ms(const struct agent_watch *watch)
+{
+	return watch->confirmed_ms;
+}
+
 static void
 forget_key(struct agent_watch *watch, struct watched_key *known)
 {
@@ -214,6 +222,25 @@
 	}
 }
 
+static void
+note_confirmed(struct agent_watch *watch, int64_t at_ms)
+{
+	if (at_ms > watch->confirmed_ms)
+		watch->confirmed_ms = at_ms;
+}
+
+/* Returns when the store looked for changes last before it answered. */
+static int64_t
+checked_ms(
+    const struct agent_watch *watch, const struct platform_store_answer *answer)
+{
+	int64_t wait_ends_ms = answer->sent_ms + watch->wait_ms;
+
+	return answer->items_count == 0 && answer->received_ms >= wait_ends_ms
+	    ? wait_ends_ms
+	    : answer->sent_ms;
+}
+
 static void
 handle_listing(
     struct agent_watch *watch, const struct platform_store_answer *answer)
@@ -238,6 +265,7 @@
 	watch->loaded = true;
 	if (agent_watch_complete(watch))
 		watch->current_ms = watch->listing_sent_ms;
+	note_confirmed(watch, watch->current_ms);
 }
 
 static void
@@ -251,8 +279,10 @@
 	}
 	if (answer->store_revision > watch->reported_revision)
 		watch->reported_revision = answer->store_revision;
-	if (agent_watch_complete(watch))
+	if (agent_watch_complete(watch)) {
 		watch->current_ms = answer->sent_ms;
+		note_confirmed(watch, checked_ms(watch, answer));
+	}
 	if (answer->received_ms - watch->next_resume_seen_ms >= RESUME_LAG_MS) {
 		if (watch->next_resume_revision > watch->resume_revision)
 			watch->resume_revision = watch->next_resume_revision;
@@ -429,6 +459,7 @@
 	    .max_bytes = max_changes_bytes(watch),
 	};
 
+	watch->wait_ms = changes.wait_ms;
 	platform_store_watch(
 	    watch->store, &changes, handle_answer, watch->call);
 }
--- a/src/agent/agent_watch.h
+++ b/src/agent/agent_watch.h
@@ -91,4 +91,9 @@
  * time in milliseconds; 0: none. */
 int64_t agent_watch_current_ms(const struct agent_watch *watch);
 
+/* Like agent_watch_current_ms, but relies on the store to wait as long as it is
+ * asked to: an answer without changes shows that there were none until the end
+ * of the wait. */
+int64_t agent_watch_confirmed_ms(const struct agent_watch *watch);
+
 #endif
--- a/src/agent/agent_workers.c
+++ b/src/agent/agent_workers.c
@@ -423,6 +423,51 @@
 	gauge_set(GAUGE_PEERS_ALIVE, (int64_t)agent->peers.index.count);
 }
 
+/* Returns the time since the list of workers was last known to be current; -1:
+ * never. */
+static int64_t
+worker_list_age_ms(const struct agent *agent, int64_t now_ms)
+{
+	int64_t confirmed_ms = agent_watch_confirmed_ms(agent->worker_watch);
+
+	return confirmed_ms == 0 ? -1 : now_ms - confirmed_ms;
+}
+
+/* Returns whether the list of workers may be acted on: a worker that has said
+ * long enough ago that it leaves is known to leave. */
+static bool
+worker_list_usable(const struct agent *agent, int64_t now_ms)
+{
+	int64_t age_ms = worker_list_age_ms(agent, now_ms);
+
+	return (age_ms >= 0 && age_ms <= agent->settings.drain_notice_ms) ||
+	    agent_relay_health(agent, now_ms) == STORE_UNREACHABLE;
+}
+
+static void
+log_hold(const struct agent *agent, bool hold, int64_t now_ms)
+{
+	log_event(hold ? LOG_WARN : LOG_INFO,
+	    hold ? "placements_held" : "placements_resumed", "config",
+	    log_number(agent_config_version(agent)), "config_age_ms",
+	    log_number(agent_config_age_ms(agent, now_ms)), "workers_age_ms",
+	    log_number(worker_list_age_ms(agent, now_ms)), NULL);
+}
+
+/* Holds placements back while what they depend on may be out of date. */
+static void
+hold_placements(struct agent *agent, int64_t now_ms)
+{
+	bool hold = !agent_config_usable(agent, now_ms) ||
+	    !worker_list_usable(agent, now_ms);
+
+	fleet_hold_placements(agent->fleet, hold);
+	if (agent->placements_held != hold &&
+	    agent_watch_loaded(agent->worker_watch))
+		log_hold(agent, hold, now_ms);
+	agent->placements_held = hold;
+}
+
 void
 agent_workers_decide(struct agent *agent, int64_t now_ms)
 {
@@ -431,8 +476,7 @@
 
 	if (agent->fleet == NULL)
 		return;
-	fleet_hold_placements(
-	    agent->fleet, !agent_config_usable(agent, now_ms));
+	hold_placements(agent, now_ms);
 	if (now_ms < fleet_next_wakeup_ms(agent->fleet)) {
 		agent_wake_at(agent, fleet_next_wakeup_ms(agent->fleet));
 		return;
