Repeat a hello that a peer has not answered

An instance that the store refuses soon after its start has only the peers that have told it their address to relay through. Each told it once; a lost hello was not repeated, and the instance refused its callers for as long as the store refused it.

test_agent_peers failed before: lost hello is repeated: no second request came within 4 s.

--- a/src/agent/agent_peers.c
+++ b/src/agent/agent_peers.c
@@ -7,10 +7,13 @@
 
 #include "agent/agent_state.h"
 #include "process/alloc.h"
+#include "process/clock.h"
 #include "process/proto_memory.h"
 
 #define HELLO_PATH	 "/hello"
 #define HELLO_TIMEOUT_MS 500
+#define HELLO_RETRY_MS	 500
+#define MAX_HELLOS	 10
 /* Lease of this instance's entry. The store deletes the entry this long
  * after the last renewal. */
 #define ENTRY_LEASE_MS	   30000
@@ -38,42 +41,72 @@
 	http_pool_call(agent->pool, &call, done, context);
 }
 
-/* Adds a peer or changes its address. Returns false when neither was needed. */
-static bool
+/* Adds a peer or changes its address. */
+static struct agent_peer *
 add_peer(struct agent *agent, const char *name, const char *address)
 {
 	struct agent_peer *peer = name_index_get(&agent->peers.index, name);
 
 	if (peer != NULL && strcmp(peer->address, address) == 0)
-		return false;
+		return peer;
 	mem_free(name_index_remove(&agent->peers.index, name));
 	peer = mem_calloc(1, sizeof(*peer));
 	STRING_COPY(peer->name, name);
 	STRING_COPY(peer->address, address);
 	(void)name_index_add(&agent->peers.index, peer->name, peer);
-	return true;
+	return peer;
 }
 
+/* A hello in flight, which the peer's removal may outrun. */
+struct hello_call {
+	struct agent *agent;
+	char name[FLEET_NAME_BYTES];
+};
+
 static void
 hello_answered(void *context, const struct http_result *result)
 {
-	(void)context;
-	(void)result; /* the peer also finds this instance in the store */
+	struct hello_call *call = context;
+	struct agent *agent = call->agent;
+	struct agent_peer *peer =
+	    name_index_get(&agent->peers.index, call->name);
+
+	mem_free(call);
+	if (peer == NULL)
+		return;
+	peer->hello_in_flight = false;
+	peer->next_hello_ms = result->received_ms + HELLO_RETRY_MS;
+	if (result->outcome == HTTP_RESPONDED && result->status == STATUS_OK)
+		peer->knows_us = true;
+	else
+		agent_wake_at(agent, peer->next_hello_ms);
 }
 
-/* Sends this instance's address to a peer. An instance that loses the store
- * soon after its start knows only the peers that have sent it a hello. */
+/* Sends this instance's address to a peer that may not know it. An instance
+ * that loses the store soon after its start knows only the peers that have sent
+ * it a hello. */
 static void
-send_hello(struct agent *agent, const char *address)
+greet(struct agent *agent, struct agent_peer *peer, int64_t now_ms)
 {
 	Ibis__PeerHello hello = IBIS__PEER_HELLO__INIT;
+	struct hello_call *call;
 
-	if (*agent->internal_address == '\0')
+	if (peer->knows_us || peer->hello_in_flight ||
+	    peer->hellos == MAX_HELLOS || *agent->internal_address == '\0')
+		return;
+	if (now_ms < peer->next_hello_ms) {
+		agent_wake_at(agent, peer->next_hello_ms);
 		return;
+	}
+	call = mem_calloc(1, sizeof(*call));
+	call->agent = agent;
+	STRING_COPY(call->name, peer->name);
+	peer->hello_in_flight = true;
+	peer->hellos++;
 	hello.name = agent->settings.name;
 	hello.address = agent->internal_address;
-	agent_peers_call(agent, address, HELLO_PATH, &hello.base,
-	    HELLO_TIMEOUT_MS, hello_answered, NULL);
+	agent_peers_call(agent, peer->address, HELLO_PATH, &hello.base,
+	    HELLO_TIMEOUT_MS, hello_answered, call);
 }
 
 bool
@@ -90,7 +123,8 @@
 	if (hello != NULL) {
 		if (*hello->name != '\0' && *hello->address != '\0' &&
 		    strcmp(hello->name, agent->settings.name) != 0) {
-			(void)add_peer(agent, hello->name, hello->address);
+			add_peer(agent, hello->name, hello->address)->knows_us =
+			    true;
 			status = STATUS_OK;
 		}
 		proto_free(&hello->base);
@@ -113,8 +147,7 @@
 	}
 	memcpy(address, item->value, item->value_length);
 	address[item->value_length] = '\0';
-	if (add_peer(agent, name, address))
-		send_hello(agent, address);
+	greet(agent, add_peer(agent, name, address), clock_now_ms());
 }
 
 static void
@@ -178,6 +211,8 @@
 agent_peers_step(struct agent *agent, int64_t now_ms)
 {
 	register_self(agent, now_ms);
+	for (size_t i = 0; i < agent->peers.index.count; i++)
+		greet(agent, agent->peers.index.items[i].item, now_ms);
 }
 
 void
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -108,6 +108,10 @@
 	char name[FLEET_NAME_BYTES];
 	char address[PLATFORM_TEXT_BYTES * 2]; /* its internal address */
 	int64_t avoid_until_ms; /* no relaying through it before this time */
+	bool knows_us;		/* it has answered a hello, or sent one */
+	bool hello_in_flight;
+	uint32_t hellos; /* sent */
+	int64_t next_hello_ms;
 };
 
 struct agent_peers {
