Be ready only with a confirmed configuration; describe the way to a request

Where ConfigApplyMs is 2,000, an instance said for half a second more that it is ready while it answered 503, since readiness allowed the configuration 2,500 ms. It goes by the same time as requests now, and so does an instance that would lead.

Nothing failed before by a test: ConfigApplyMs is 3,000 in the stand-in's settings.

--- a/src/agent/agent_view.c
+++ b/src/agent/agent_view.c
@@ -208,9 +208,9 @@
 bool
 agent_view_fresh(const struct agent *agent, int64_t now_ms)
 {
-	return agent->config.routes != NULL &&
+	return agent_config_routes(agent) != NULL &&
+	    agent_config_confirmed(agent, now_ms) &&
 	    agent_watch_loaded(agent->records_watch) &&
-	    agent_watch_loaded(agent->config.watch) &&
 	    now_ms - agent_watch_answered_ms(agent->records_watch) <
 	    VIEW_MAX_AGE_MS &&
 	    now_ms - agent_watch_answered_ms(agent->config.watch) <
