Soak the configuration with real processes under overlapping faults

A program of its own: operators store versions, alone and in series, up to 1,400 routes, while links are narrow, the store is slow, silent, refuses or forgets its history, and instances are frozen, killed, stopped and restarted. It checks from what callers see that no instance serves an older version after a newer one, that calm instances serve by the version in force, that accepted jobs complete, and that no task runs twice.

--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,13 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 SECONDS ?= 60
+SEED ?= 1
 PACKAGES = cmake gcc g++ make pkg-config clang clang-format clang-tidy cppcheck \
 	libclang-rt-14-dev liburcu-dev libprotobuf-c-dev protobuf-c-compiler \
 	libmicrohttpd-dev libneon27-dev libjson-c-dev libcunit1-dev \
 	librapidcheck-dev libxxhash-dev libcurl4-gnutls-dev
 
-.PHONY: help deps build format format-check lint proto check prove bench fuzz \
+.PHONY: help deps build format format-check lint proto check prove soak bench fuzz \
 	demo up clean install
 
 help:
@@ -15,6 +16,7 @@
 	@echo "check  install packages, build, format, lint and run every test"
 	@echo "up     start a small site and leave it running until interrupted"
 	@echo "prove  run the tests of each promise and print a verdict for each"
+	@echo "soak   change the configuration under faults, SEED=n, SECONDS=n"
 	@echo "bench  print measurements beside the baseline"
 	@echo "fuzz   run the fuzz targets for SECONDS=n each"
 	@echo "build format format-check lint proto install clean"
@@ -45,6 +47,10 @@
 prove: deps build
 	@BUILD=$(BUILD) tools/prove.sh
 
+soak: deps build
+	@IBIS_BIN=$(BUILD) IBIS_SOURCE=. $(BUILD)/soak_config --seed $(SEED) \
+		--seconds $(SECONDS)
+
 bench: deps build
 	@BUILD=$(BUILD) tools/bench.sh
 
--- a/tests/common_users_platform.c
+++ b/tests/common_users_platform.c
@@ -231,20 +231,46 @@
 	(void)fclose(file);
 }
 
-bool
-users_start_instance(struct users_platform *platform, uint32_t index)
+/* Writes an instance's settings and passes their path on by the environment. */
+static void
+prepare_instance(struct users_platform *platform, uint32_t index)
 {
 	struct users_instance_state *instance = &platform->instances[index];
-	const char *const arguments[] = {"--platform", NULL};
 
 	(void)snprintf(instance->log_path, sizeof(instance->log_path),
 	    "%s/%u.log", platform->folder, (unsigned int)index);
 	write_settings(platform, index);
 	(void)setenv("IBISTRESTLE_CONFIG", instance->settings_path, 1);
+}
+
+bool
+users_start_instance(struct users_platform *platform, uint32_t index)
+{
+	struct users_instance_state *instance = &platform->instances[index];
+	const char *const arguments[] = {"--platform", NULL};
+
+	prepare_instance(platform, index);
 	return process_start(&instance->process, "ibistrestled", arguments,
 	    instance->log_path, READY_MS);
 }
 
+bool
+users_start_no_wait(struct users_platform *platform, uint32_t index)
+{
+	struct users_instance_state *instance = &platform->instances[index];
+	const char *const arguments[] = {"--platform", NULL};
+
+	prepare_instance(platform, index);
+	return process_start_no_wait(&instance->process, "ibistrestled",
+	    arguments, instance->log_path, -1);
+}
+
+const char *
+users_log_path(const struct users_platform *platform, uint32_t instance)
+{
+	return platform->instances[instance].log_path;
+}
+
 bool
 users_start_with_output(
     struct users_platform *platform, uint32_t index, int output)
@@ -253,8 +279,7 @@
 	const char *const arguments[] = {
 	    "--platform", "--log-level", "debug", NULL};
 
-	write_settings(platform, index);
-	(void)setenv("IBISTRESTLE_CONFIG", instance->settings_path, 1);
+	prepare_instance(platform, index);
 	return process_start_no_wait(
 	    &instance->process, "ibistrestled", arguments, "/dev/null", output);
 }
@@ -291,6 +316,20 @@
 		fake_link_set_rate(&platform->listeners[i].link, bytes_per_s);
 }
 
+void
+users_store_delay(struct users_platform *platform, int64_t delay_ms)
+{
+	platform->delay_ms = delay_ms;
+}
+
+void
+users_store_compact(struct users_platform *platform)
+{
+	(void)pthread_mutex_lock(&platform->lock);
+	platform->compacted_revision = platform->revision;
+	(void)pthread_mutex_unlock(&platform->lock);
+}
+
 void
 users_suppress_events(
     struct users_platform *platform, uint32_t index, bool events_suppressed)
--- a/tests/common_users_platform.h
+++ b/tests/common_users_platform.h
@@ -44,6 +44,8 @@
 
 /* Starts an instance; false with a message when it doesn't become ready. */
 bool users_start_instance(struct users_platform *platform, uint32_t index);
+/* Starts an instance without waiting until it is ready. */
+bool users_start_no_wait(struct users_platform *platform, uint32_t index);
 /* Starts an instance with its log written to a descriptor, without waiting. */
 bool users_start_with_output(
     struct users_platform *platform, uint32_t index, int output);
@@ -58,6 +60,10 @@
  * NULL: none. prefix is not copied. */
 void users_store_hang_reads(
     struct users_platform *platform, const char *prefix);
+/* Delays all answers of the store. */
+void users_store_delay(struct users_platform *platform, int64_t delay_ms);
+/* Forgets the history: a watch after an earlier revision gets 410. */
+void users_store_compact(struct users_platform *platform);
 /* Limits the rate of the store's answers to each instance; 0: no limit. */
 void users_store_limit_rate(
     struct users_platform *platform, int64_t bytes_per_s);
@@ -77,6 +83,10 @@
 bool users_wait_lead(
     struct users_platform *platform, int excluded, int32_t timeout_ms);
 
+/* Returns the path of an instance's log. */
+const char *users_log_path(
+    const struct users_platform *platform, uint32_t instance);
+
 /* Sends a caller's request; returns the status, 0 without an answer. */
 int users_call(struct users_platform *platform, uint32_t instance,
     const char *method, const char *path, const char *body,
--- a/tests/common_users_state.h
+++ b/tests/common_users_state.h
@@ -97,7 +97,9 @@
 	struct users_lease leases[USERS_MAX_LEASES];
 	uint64_t revision;
 	uint64_t next_lease;
-	bool hanging; /* the store doesn't answer */
+	bool hanging;		     /* the store doesn't answer */
+	int64_t delay_ms;	     /* of the store's answers */
+	uint64_t compacted_revision; /* changes up to this are forgotten */
 	/* Reads of this prefix are not answered, others are; NULL: none. */
 	const char *_Atomic hanging_prefix;
 	struct users_listener listeners[USERS_INSTANCES];
--- a/tests/common_users_store.c
+++ b/tests/common_users_store.c
@@ -191,6 +191,12 @@
 	struct json_object *body = json_object_new_object();
 	struct json_object *events = json_object_new_array();
 
+	if (after < platform->compacted_revision) {
+		reply->status = 410;
+		json_object_put(body);
+		json_object_put(events);
+		return;
+	}
 	while (is_hanging(platform, request) ||
 	    ((listener->events_suppressed ||
 		 add_events(platform, prefix, after, events) == 0) &&
@@ -373,6 +379,8 @@
 	reply->link = &listener->link;
 	while (is_hanging(platform, request))
 		process_sleep(USERS_POLL_INTERVAL_MS);
+	if (platform->delay_ms > 0)
+		process_sleep((int32_t)platform->delay_ms);
 	if (listener->rejecting) {
 		reply->status = 503;
 		return;
