Split the callers' requests that wait for the store from their dispatch

agent_callers.c had grown to 573 lines with two jobs: which requests are refused or answered from what is known, and the life of those that wait for the store. The second is agent_pending.c now; a job's state is rendered by the view that holds it. No change of behaviour; test_agent_*, test_platform and fail_users_platform pass.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -246,7 +246,7 @@
 	agent_workers_decide(agent, now_ms);
 	agent_records_step(agent, now_ms);
 	agent_workers_step(agent, now_ms);
-	agent_callers_step(agent, now_ms);
+	agent_pending_step(agent, now_ms);
 	update_ready(agent, now_ms);
 	return !stop_is_complete(agent, now_ms);
 }
@@ -279,7 +279,7 @@
 static void
 free_agent(struct agent *agent)
 {
-	agent_callers_end(agent);
+	agent_pending_end(agent);
 	agent_relay_end(agent);
 	agent_peers_free(agent);
 	gateway_stop(agent->gateway);
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -18,6 +18,7 @@
 #include "fleet/name_index.h"
 #include "platform.h"
 #include "process/event.h"
+#include "process/log.h"
 #include "version/routes.h"
 
 /* Keys in the store. */
@@ -250,6 +251,9 @@
  * seen. */
 struct view_job *agent_view_job(const struct agent *agent, const char *id);
 
+/* Appends the body of an answer with a job's state. */
+void agent_view_render_phase(const struct view_job *job, struct buffer *body);
+
 /* Adds a job from its packed record without waiting for the watch to report
  * it. The record is copied. */
 void agent_view_add_job(struct agent *agent, const char *id, uint64_t revision,
@@ -413,10 +417,33 @@
 void agent_callers_request(
     struct agent *agent, struct gateway_request *request, int64_t now_ms);
 
+/* Logs the answer to a caller, with the versions and ages that decided it. */
+void agent_log_answer(const struct agent *agent, enum log_level level,
+    const char *event, const char *id, const char *outcome,
+    int64_t received_ms);
+
+/*
+ * Pending requests group: callers' requests that wait for the store. Each is
+ * answered and freed once the store has answered, or shortly before the
+ * caller's deadline.
+ */
+
+/* Stores a job, unless there is one with this id. */
+void agent_pending_submit(struct agent *agent, struct gateway_request *request,
+    const char *id, const Ibis__StepJob *job, int64_t now_ms);
+
+/* Reads a job's record. */
+void agent_pending_read(
+    struct agent *agent, struct gateway_request *request, const char *id);
+
+/* Cancels a job, after a read of its record unless that is known to exist. */
+void agent_pending_cancel(struct agent *agent, struct gateway_request *request,
+    const char *id, bool known);
+
 /* Retries store calls and answers requests whose time is up. */
-void agent_callers_step(struct agent *agent, int64_t now_ms);
+void agent_pending_step(struct agent *agent, int64_t now_ms);
 
 /* Answers all pending requests with 504: their outcome is unknown. */
-void agent_callers_end(struct agent *agent);
+void agent_pending_end(struct agent *agent);
 
 #endif
--- a/src/agent/agent_view.c
+++ b/src/agent/agent_view.c
@@ -22,6 +22,18 @@
 	return name_index_get(&agent->jobs, id);
 }
 
+void
+agent_view_render_phase(const struct view_job *job, struct buffer *body)
+{
+	Ibis__StepJobPhase phase = job->phase;
+
+	if (job->cancelled &&
+	    (phase == IBIS__STEP_JOB_PHASE__PHASE_PENDING ||
+		phase == IBIS__STEP_JOB_PHASE__PHASE_RUNNING))
+		phase = IBIS__STEP_JOB_PHASE__PHASE_CANCELLED;
+	platform_render_phase(phase, body);
+}
+
 /* Returns the job, which is added if needed, or NULL when the id is too long.
  */
 static struct view_job *
