--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -88,6 +88,8 @@
 	agent->settings.grace_ms = new_settings.grace_ms;
 	agent->settings.retention_ms = new_settings.retention_ms;
 	agent->settings.max_lease_ms = new_settings.max_lease_ms;
+	agent->settings.config_apply_ms = new_settings.config_apply_ms;
+	agent->settings.drain_notice_ms = new_settings.drain_notice_ms;
 	agent->settings.remote_factor = new_settings.remote_factor;
 	log_event(LOG_INFO, "reloaded", NULL);
 }
--- a/src/agent/agent_watch.c
+++ b/src/agent/agent_watch.c
@@ -20,6 +20,9 @@
 #define CHANGES_SHARE_PERCENT 50
 #define CHANGES_SLACK_BYTES   65536
 #define PERCENT		      100
+/* More than this is not read either: it takes several times as much memory to
+ * decode. */
+#define MAX_CHANGES_BYTES (4U << 20)
 /* An item in an answer: its value as base64, and the rest of it. */
 #define ENCODED_PER_3_BYTES 4
 #define ITEM_OVERHEAD_BYTES 160
@@ -335,9 +338,12 @@
 {
 	size_t listing_bytes = watch->values_length / 3 * ENCODED_PER_3_BYTES +
 	    watch->keys.count * ITEM_OVERHEAD_BYTES;
-
-	return listing_bytes + listing_bytes * CHANGES_SHARE_PERCENT / PERCENT +
+	size_t limit_bytes = listing_bytes +
+	    listing_bytes * CHANGES_SHARE_PERCENT / PERCENT +
 	    CHANGES_SLACK_BYTES;
+
+	return limit_bytes < MAX_CHANGES_BYTES ? limit_bytes
+					       : MAX_CHANGES_BYTES;
 }
 
 static const char *
