Apply settings that change without a signal

The file's time is looked at once a second.

fail_users_platform failed before: settings change without a signal: "config_limit_ms": 1500 was not in /v1/status within 8 s.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -6,7 +6,7 @@
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <time.h>
+#include <sys/stat.h>
 
 #include "agent/agent.h"
 #include "agent/agent_state.h"
@@ -17,6 +17,8 @@
 
 /* Longest time between two steps without an event. */
 #define MAX_IDLE_MS 1000
+/* The settings file may change without a signal. */
+#define SETTINGS_CHECK_INTERVAL_MS 1000
 /* A turn of the control thread this long is logged. */
 #define LONG_TURN_MS 200
 /* After SIGTERM, callers are served for at least this long, because the
@@ -72,12 +74,30 @@
 	(void)sigaction(SIGPIPE, &action, NULL);
 }
 
+/* Returns the time at which the settings file was last changed; zero when it
+ * can't be told. */
+static struct timespec
+settings_time(const struct agent *agent)
+{
+	struct stat file;
+
+	return stat(agent->settings_path, &file) == 0 ? file.st_mtim
+						      : (struct timespec){0};
+}
+
+static bool
+is_same_time(const struct timespec *left, const struct timespec *right)
+{
+	return left->tv_sec == right->tv_sec && left->tv_nsec == right->tv_nsec;
+}
+
 static void
 reload_settings(struct agent *agent)
 {
 	struct ibis_status status = {0};
 	struct platform_settings new_settings;
 
+	agent->settings_changed = settings_time(agent);
 	if (platform_settings_read(
 		agent->settings_path, &new_settings, &status) != IBIS_OK) {
 		log_event(LOG_ERROR, "reload_refused", "message",
@@ -94,6 +114,23 @@
 	log_event(LOG_INFO, "reloaded", NULL);
 }
 
+/* Reloads the settings when they have changed. A file that is read while it is
+ * being written is refused, and read again when its writer has changed it
+ * again.
+ */
+static void
+check_settings(struct agent *agent, int64_t now_ms)
+{
+	struct timespec changed;
+
+	if (now_ms < agent->next_settings_check_ms)
+		return;
+	agent->next_settings_check_ms = now_ms + SETTINGS_CHECK_INTERVAL_MS;
+	changed = settings_time(agent);
+	if (!is_same_time(&changed, &agent->settings_changed))
+		reload_settings(agent);
+}
+
 static enum ibis_code
 open_listeners(struct agent *agent, struct ibis_status *status)
 {
@@ -132,6 +169,7 @@
 	CDS_INIT_LIST_HEAD(&agent->pending_requests);
 	CDS_INIT_LIST_HEAD(&agent->relay.peer_calls);
 	CDS_INIT_LIST_HEAD(&agent->relay.short_calls);
+	agent->settings_changed = settings_time(agent);
 	if (platform_settings_read(
 		agent->settings_path, &agent->settings, status) != IBIS_OK)
 		return status->code;
@@ -235,6 +273,7 @@
 	agent->next_step_ms = now_ms + MAX_IDLE_MS;
 	if (atomic_exchange(&reload_requested, false))
 		reload_settings(agent);
+	check_settings(agent, now_ms);
 	if (atomic_load(&stop_requested) && !agent->stopping)
 		begin_stop(agent, now_ms);
 	dispatch_events(agent, now_ms);
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -8,6 +8,7 @@
 
 #include <stdbool.h>
 #include <stdint.h>
+#include <time.h>
 
 #include <urcu/list.h>
 
@@ -149,6 +150,8 @@
 struct agent {
 	struct platform_settings settings;
 	const char *settings_path;
+	struct timespec settings_changed; /* the file's time when it was read */
+	int64_t next_settings_check_ms;
 	struct event_queue *events;
 	struct http_pool *pool;
 	struct gateway *gateway;
--- a/src/agent/agent_status.c
+++ b/src/agent/agent_status.c
@@ -103,6 +103,7 @@
 	add_number(object, "config_age_ms", agent_config_age_ms(agent, now_ms));
 	add_flag(
 	    object, "config_confirmed", agent_config_confirmed(agent, now_ms));
+	add_number(object, "config_limit_ms", agent->settings.config_apply_ms);
 	add_number(object, "peers", (int64_t)agent->peers.index.count);
 }
 
--- a/tests/common_users_platform.c
+++ b/tests/common_users_platform.c
@@ -11,6 +11,7 @@
 #include "process/clock.h"
 
 #define READY_MS	    8000
+#define CONFIG_APPLY_MS	    3000
 #define CALL_MS		    4000
 #define CALLER_PORT	    8521
 #define READY_PORT	    8523
@@ -108,6 +109,7 @@
 	if (mkdtemp(platform->folder) == NULL)
 		return NULL;
 	for (uint32_t i = 0; i < USERS_INSTANCES; i++) {
+		platform->instances[i].config_apply_ms = CONFIG_APPLY_MS;
 		platform->listeners[i].platform = platform;
 		fake_link_init(&platform->listeners[i].link);
 		platform->listeners[i].server = fake_server_start("127.0.0.1:0",
@@ -224,9 +226,11 @@
 	    "{\"NodeName\":\"i%u\",\"Zone\":\"z\",\"Ip\":\"%s\","
 	    "\"ListenAddresses\":{\"Frontend\":\"%s:%d\","
 	    "\"Readiness\":\"%s:%d\"},\"InternalPortRange\":[%d,%d],"
-	    "\"Bounds\":{\"GraceS\":6},\"platform\":{\"Address\":\"%s\"}}",
+	    "\"Bounds\":{\"GraceS\":6,\"ConfigApplyMs\":%d},"
+	    "\"platform\":{\"Address\":\"%s\"}}",
 	    (unsigned int)index, instance->ip, instance->ip, CALLER_PORT,
 	    instance->ip, READY_PORT, INTERNAL_PORT, INTERNAL_PORT + 1,
+	    (int)instance->config_apply_ms,
 	    fake_server_address(platform->listeners[index].server));
 	(void)fclose(file);
 }
@@ -265,6 +269,14 @@
 	    arguments, instance->log_path, -1);
 }
 
+void
+users_change_settings(
+    struct users_platform *platform, uint32_t instance, int32_t config_apply_ms)
+{
+	platform->instances[instance].config_apply_ms = config_apply_ms;
+	write_settings(platform, instance);
+}
+
 const char *
 users_log_path(const struct users_platform *platform, uint32_t instance)
 {
--- a/tests/common_users_platform.h
+++ b/tests/common_users_platform.h
@@ -83,6 +83,11 @@
 bool users_wait_lead(
     struct users_platform *platform, int excluded, int32_t timeout_ms);
 
+/* Rewrites an instance's settings file with another ConfigApplyMs, and sends no
+ * signal. */
+void users_change_settings(struct users_platform *platform, uint32_t instance,
+    int32_t config_apply_ms);
+
 /* Returns the path of an instance's log. */
 const char *users_log_path(
     const struct users_platform *platform, uint32_t instance);
--- a/tests/common_users_state.h
+++ b/tests/common_users_state.h
@@ -83,6 +83,7 @@
 };
 
 struct users_instance_state {
+	int32_t config_apply_ms;
 	struct process process;
 	char ip[32];
 	char settings_path[80];
--- a/tests/fail_users_platform.c
+++ b/tests/fail_users_platform.c
@@ -449,6 +449,24 @@
 	check_and_stop();
 }
 
+/* Guards against settings that are never applied: the file may change without a
+ * signal, and may be read while it is being written. */
+static void
+test_settings_change_without_signal(void)
+{
+	CLEANUP(buffer_free) struct buffer answer = {0};
+
+	start_all();
+	CU_ASSERT_TRUE(wait_until_contains(
+	    0, "/v1/status", "\"config_limit_ms\": 3000", &answer));
+	users_change_settings(platform, 0, 1500);
+	CU_ASSERT_TRUE(wait_until_contains(
+	    0, "/v1/status", "\"config_limit_ms\": 1500", &answer));
+	submit_jobs(1, -1);
+	expect_completed(1, 0);
+	check_and_stop();
+}
+
 int
 main(void)
 {
@@ -465,6 +483,8 @@
 	    {"log blocked", test_log_blocked},
 	    {"operator queries", test_operator_queries},
 	    {"damaged peer calls", test_damaged_peer_calls},
+	    {"settings change without a signal",
+		test_settings_change_without_signal},
 	    CU_TEST_INFO_NULL,
 	};
 
