--- a/tests/test_agent_config.c
+++ b/tests/test_agent_config.c
@@ -69,8 +69,10 @@
 	http_callback *done;
 
 	agent_config_step(&fixture->agent, sent_ms);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(fixture->done);
 	done = fixture->done;
+	CU_ASSERT_PTR_NOT_NULL_FATAL(done);
+	if (done == NULL)
+		return;
 	fixture->done = NULL;
 	done(fixture->context,
 	    &(struct http_result){.outcome = outcome,
