Answer a repeated submission of an accepted job without a configuration

A repeat of a job that the instance knows to be accepted got 503 while its configuration was not confirmed; a 503 says that the job never runs.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -114,9 +114,8 @@
 	log_event(LOG_INFO, "reloaded", NULL);
 }
 
-/* Reloads the settings when they have changed. A file that is read while it is
- * being written is refused, and read again when its writer has changed it
- * again.
+/* Reloads the settings when their file has changed. One that is read while it
+ * is being written is refused, and read again after the writer's next change.
  */
 static void
 check_settings(struct agent *agent, int64_t now_ms)
--- a/src/agent/agent_callers.c
+++ b/src/agent/agent_callers.c
@@ -45,22 +45,33 @@
 	    log_number(now_ms - agent->relay.answered_ms), NULL);
 }
 
+/* Answers a submission of a job that has been accepted already. Returns false,
+ * with the request untouched, when no record of the job has been seen. */
+static bool
+answer_repeated(
+    struct agent *agent, struct gateway_request *request, const char *id)
+{
+	const struct view_job *known = agent_view_job(agent, id);
+
+	if (known == NULL || known->spec == NULL)
+		return false;
+	counter_add(COUNTER_JOBS_REPEATED, 1);
+	agent_log_answer(
+	    agent, LOG_INFO, "submit", id, "repeated", request->received_ms);
+	reply(agent, request, STATUS_OK, NULL, 0);
+	return true;
+}
+
 static void
 submit(struct agent *agent, struct gateway_request *request,
     const struct route *route, const struct routes_workspace *workspace,
     const char *id, int64_t now_ms)
 {
-	const struct view_job *known = agent_view_job(agent, id);
 	struct ibis_status status = {0};
 	Ibis__StepJob *spec;
 
-	if (known != NULL && known->spec != NULL) {
-		counter_add(COUNTER_JOBS_REPEATED, 1);
-		agent_log_answer(agent, LOG_INFO, "submit", id, "repeated",
-		    request->received_ms);
-		reply(agent, request, STATUS_OK, NULL, 0);
+	if (answer_repeated(agent, request, id))
 		return;
-	}
 	if (route->advice.needed) {
 		/* Starts on this route need tickets of the advice service,
 		 * which the lead doesn't request yet: the job would never
@@ -175,6 +186,21 @@
 	reply(agent, request, STATUS_UNAVAILABLE, NULL, retry_after_ms);
 }
 
+/* Answers a request for which no configuration can be used. An accepted job is
+ * not refused, as a 503 says that it never runs. */
+static void
+answer_without_config(
+    struct agent *agent, struct gateway_request *request, const char *reason)
+{
+	const char *last = strrchr(request->path, '/');
+	const char *id = last == NULL ? "" : last + 1;
+
+	if (request->method == GATEWAY_POST && platform_is_job_id(id) &&
+	    answer_repeated(agent, request, id))
+		return;
+	refuse_for_now(agent, request, reason, RETRY_AFTER_MS);
+}
+
 /* Refuses a request that the configuration does not allow. Whether the current
  * one does is unknown unless it is confirmed. */
 static void
@@ -228,7 +254,7 @@
 	const char *path_suffix;
 
 	if (reason != NULL) {
-		refuse_for_now(agent, request, reason, RETRY_AFTER_MS);
+		answer_without_config(agent, request, reason);
 		return;
 	}
 	route =
--- a/tests/fail_users_platform.c
+++ b/tests/fail_users_platform.c
@@ -206,6 +206,31 @@
 	check_and_stop();
 }
 
+/* Guards against an instance that refuses its callers: it could not answer the
+ * first hello of its peers, and was told their addresses no more. */
+static void
+test_store_rejects_instance_that_missed_hellos(void)
+{
+	uint32_t refused = 0;
+
+	platform = users_platform_start();
+	CU_ASSERT_PTR_NOT_NULL_FATAL(platform);
+	CU_ASSERT_TRUE_FATAL(users_start_instance(platform, 0));
+	CU_ASSERT_TRUE_FATAL(users_wait_lead(platform, -1, START_MS));
+	users_store_reject(platform, 0, true);
+	process_freeze(users_instance(platform, 0));
+	for (uint32_t i = 1; i < USERS_INSTANCES; i++)
+		CU_ASSERT_TRUE_FATAL(users_start_instance(platform, i));
+	process_sleep(1500);
+	process_resume(users_instance(platform, 0));
+	process_sleep(3000);
+	for (uint32_t i = 0; i < JOBS; i++)
+		refused += users_submit(platform, 0, 1 + i, TASKS) != 200;
+	CU_ASSERT_EQUAL_FATAL(refused, 0);
+	expect_completed(1, 1);
+	check_and_stop();
+}
+
 /* Callers of an instance that the store rejects are served through a peer. */
 static void
 test_store_rejects_instance(void)
@@ -478,6 +503,8 @@
 	    {"lead replaced unnoticed", test_lead_replaced_unnoticed},
 	    {"store rejects an instance", test_store_rejects_instance},
 	    {"store rejects a new instance", test_store_rejects_new_instance},
+	    {"store rejects an instance that missed hellos",
+		test_store_rejects_instance_that_missed_hellos},
 	    {"store hangs", test_store_hangs},
 	    {"planned stops", test_planned_stops},
 	    {"log blocked", test_log_blocked},
