--- a/tests/fail_users_platform.c
+++ b/tests/fail_users_platform.c
@@ -206,8 +206,8 @@
 	check_and_stop();
 }
 
-/* Guards against an instance that refuses its callers: it could not answer the
- * first hello of its peers, and was told their addresses no more. */
+/* The same for an instance that was frozen while its peers sent their hellos.
+ */
 static void
 test_store_rejects_instance_that_missed_hellos(void)
 {
