Tell operators that placements are held back

`ibisctl job why` said "room only away from its rack or data" while a lead held placements, as nothing else was in the way.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -481,6 +481,7 @@
 enum fleet_wait_cause {
 	FLEET_WAITS_DUE,       /* the next occurrence's time */
 	FLEET_WAITS_STEPS,     /* the steps before it */
+	FLEET_WAITS_HOLD,      /* placements are held back */
 	FLEET_WAITS_SERVICE,   /* no worker of its service is listed */
 	FLEET_WAITS_LABEL,     /* none of the service's has the label */
 	FLEET_WAITS_WORKERS,   /* none of those with the label is usable now */
--- a/src/fleet/fleet_explain.c
+++ b/src/fleet/fleet_explain.c
@@ -6,6 +6,7 @@
 static const char *const wait_names[] = {
     [FLEET_WAITS_DUE] = "its time has not come",
     [FLEET_WAITS_STEPS] = "earlier steps have not ended",
+    [FLEET_WAITS_HOLD] = "the zones or the list of workers may be out of date",
     [FLEET_WAITS_SERVICE] = "no worker of its service is listed",
     [FLEET_WAITS_LABEL] = "no worker has the label",
     [FLEET_WAITS_WORKERS] = "no worker may be used now",
@@ -128,6 +129,8 @@
 {
 	uint32_t needed = step->gang ? wait->tasks : 1;
 
+	if (explanation->fleet->placements_held)
+		return FLEET_WAITS_HOLD;
 	if (count_service_workers(explanation->fleet, explanation->job) == 0)
 		return FLEET_WAITS_SERVICE;
 	if (wait->listed == 0)
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -306,6 +306,10 @@
 	    is_waiting_for(&sim, sim.jobs[jobs[1]].id, FLEET_WAITS_WORKERS));
 	fleet_set_zone(sim.fleet, "z0", true);
 	fleet_set_zone(sim.fleet, "z1", true);
+	fleet_hold_placements(sim.fleet, true);
+	CU_ASSERT_TRUE(
+	    is_waiting_for(&sim, sim.jobs[jobs[1]].id, FLEET_WAITS_HOLD));
+	fleet_hold_placements(sim.fleet, false);
 	sim.store_down = true;
 	jobs[5] = sim_submit(&sim, sim_new_job(0, 1, 1, 8), 500);
 	sim_advance(&sim, 100);
