Read what has arrived before a call's timeout applies

Cause: libcurl checks its timeouts before it reads. A thread that is late by more than a call's timeout ends the call although the response lies in the socket's buffer, and a connection that was set up in time counts as not set up. So what the lead had not read counted as not answered.

Change: the pool applies its own timeouts, after all sockets that are ready have been handled; libcurl's limit stays as a far one. A turn reads up to 1,024 events instead of 64, so that a late lead takes one step for many answers.

--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -12,8 +12,10 @@
 #include "process/clock.h"
 #include "process/log.h"
 
-#define CONNECT_TIMEOUT_MS     400
-#define MAX_EVENTS_PER_WAIT    64
+#define CONNECT_TIMEOUT_MS 400
+/* Events are handled in rounds, until no more are there or MAX_ROUNDS. */
+#define MAX_EVENTS_PER_ROUND   64
+#define MAX_ROUNDS	       16
 #define MAX_CACHED_CONNECTIONS 1024L
 #define MAX_IDLE_TRANSFERS     128
 #define URL_PREFIX	       "http://"
@@ -21,8 +23,9 @@
 #define STATUS_CLASS	     100
 #define STATUS_CLASS_SUCCESS 2
 #define MAX_RESPONSE_BYTES   (8U << 20)
-/* Longest time for a call that only an idle timeout ends. */
-#define MAX_CALL_MS 60000
+/* Limit that libcurl applies to a call. The pool's own timeouts end it before:
+ * libcurl would drop a response that has arrived but was not read in time. */
+#define MAX_CALL_MS 120000
 
 /* One call. Its handle and buffers are reused for later calls. */
 struct transfer {
@@ -35,8 +38,10 @@
 	void *context;
 	int64_t sent_ms;
 	int64_t first_byte_ms;	 /* of the response's body; 0: none yet */
-	int32_t idle_timeout_ms; /* 0: libcurl limits the whole call */
-	int64_t idle_ends_ms;	 /* when the call ends unless more arrives */
+	int32_t timeout_ms;	 /* of the whole call */
+	int32_t idle_timeout_ms; /* 0: none; else it replaces timeout_ms */
+	/* When the call ends, unless it connects before or more arrives. */
+	int64_t ends_ms;
 	size_t max_response_bytes;
 	bool too_long;
 	bool safe;	/* its method changes nothing at the peer */
@@ -48,8 +53,8 @@
 	int epoll_fd;
 	int64_t timer_ms; /* when libcurl's timer expires; INT64_MAX: unset */
 	struct cds_list_head transfers;
-	struct cds_list_head idle_limited; /* transfers with idle timeouts */
-	struct cds_list_head refused;	   /* to end as HTTP_NOT_SENT */
+	int64_t next_end_ms;	      /* no transfer's ends_ms is earlier */
+	struct cds_list_head refused; /* to end as HTTP_NOT_SENT */
 	struct transfer *idle[MAX_IDLE_TRANSFERS];
 	size_t idle_count;
 };
@@ -115,9 +120,9 @@
 	struct http_pool *pool = mem_calloc(1, sizeof(*pool));
 
 	CDS_INIT_LIST_HEAD(&pool->transfers);
-	CDS_INIT_LIST_HEAD(&pool->idle_limited);
 	CDS_INIT_LIST_HEAD(&pool->refused);
 	pool->timer_ms = INT64_MAX;
+	pool->next_end_ms = INT64_MAX;
 	pool->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
 	pool->multi = curl_multi_init();
 	if (pool->epoll_fd < 0 || pool->multi == NULL) {
@@ -146,18 +151,6 @@
 	mem_free(transfer);
 }
 
-static void
-drop_transfers(struct http_pool *pool, struct cds_list_head *transfers)
-{
-	struct transfer *transfer;
-	struct transfer *next;
-
-	cds_list_for_each_entry_safe (transfer, next, transfers, node) {
-		(void)curl_multi_remove_handle(pool->multi, transfer->easy);
-		free_transfer(transfer);
-	}
-}
-
 void
 http_pool_free(struct http_pool *pool)
 {
@@ -166,8 +159,10 @@
 
 	if (pool == NULL)
 		return;
-	drop_transfers(pool, &pool->transfers);
-	drop_transfers(pool, &pool->idle_limited);
+	cds_list_for_each_entry_safe (transfer, next, &pool->transfers, node) {
+		(void)curl_multi_remove_handle(pool->multi, transfer->easy);
+		free_transfer(transfer);
+	}
 	cds_list_for_each_entry_safe (transfer, next, &pool->refused, node)
 		free_transfer(transfer);
 	for (size_t i = 0; i < pool->idle_count; i++)
@@ -199,7 +194,8 @@
 	}
 	if (transfer->first_byte_ms == 0)
 		transfer->first_byte_ms = clock_now_ms();
-	transfer->idle_ends_ms = clock_now_ms() + transfer->idle_timeout_ms;
+	if (transfer->idle_timeout_ms > 0)
+		transfer->ends_ms = clock_now_ms() + transfer->idle_timeout_ms;
 	buffer_append(&transfer->body, bytes, size * count);
 	return size * count;
 }
@@ -215,7 +211,8 @@
 	(void)local_ip;
 	(void)peer_port;
 	(void)local_port;
-	transfer->sends++;
+	if (transfer->sends++ == 0)
+		transfer->ends_ms = transfer->sent_ms + transfer->timeout_ms;
 	return CURL_PREREQFUNC_OK;
 }
 
@@ -276,12 +273,11 @@
 	    easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
 	(void)curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	(void)curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
-	(void)curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-	    call->idle_timeout_ms > 0 ? MAX_CALL_MS : (long)call->timeout_ms);
+	(void)curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)MAX_CALL_MS);
 	(void)curl_easy_setopt(easy, CURLOPT_MAXFILESIZE_LARGE,
 	    (curl_off_t)transfer->max_response_bytes);
 	(void)curl_easy_setopt(
-	    easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+	    easy, CURLOPT_CONNECTTIMEOUT_MS, (long)MAX_CALL_MS);
 	(void)curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
 	(void)curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
 	(void)curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_sending);
@@ -327,11 +323,15 @@
 	transfer->max_response_bytes = call->max_response_bytes == 0
 	    ? MAX_RESPONSE_BYTES
 	    : call->max_response_bytes;
+	transfer->timeout_ms = call->timeout_ms;
 	transfer->idle_timeout_ms = call->idle_timeout_ms;
-	transfer->idle_ends_ms = transfer->sent_ms + call->timeout_ms;
+	transfer->ends_ms = transfer->sent_ms +
+	    (call->timeout_ms < CONNECT_TIMEOUT_MS ? call->timeout_ms
+						   : CONNECT_TIMEOUT_MS);
+	if (transfer->ends_ms < pool->next_end_ms)
+		pool->next_end_ms = transfer->ends_ms;
 	set_options(transfer, call);
-	cds_list_add_tail(&transfer->node,
-	    call->idle_timeout_ms > 0 ? &pool->idle_limited : &pool->transfers);
+	cds_list_add_tail(&transfer->node, &pool->transfers);
 	(void)curl_multi_add_handle(pool->multi, transfer->easy);
 }
 
@@ -440,32 +440,25 @@
 	}
 }
 
-/* Returns when the first idle timeout ends; INT64_MAX: there is none. */
-static int64_t
-next_idle_end_ms(const struct http_pool *pool)
-{
-	const struct transfer *transfer;
-	int64_t next_ms = INT64_MAX;
-
-	cds_list_for_each_entry (transfer, &pool->idle_limited, node) {
-		if (transfer->idle_ends_ms < next_ms)
-			next_ms = transfer->idle_ends_ms;
-	}
-	return next_ms;
-}
-
+/* Ends the transfers whose time is over. To be called when all that has arrived
+ * has been read. */
 static void
-end_idle_transfers(struct http_pool *pool)
+end_late_transfers(struct http_pool *pool)
 {
 	int64_t now_ms = clock_now_ms();
 	struct transfer *transfer;
 	struct transfer *next;
 
-	cds_list_for_each_entry_safe (
-	    transfer, next, &pool->idle_limited, node) {
-		if (now_ms >= transfer->idle_ends_ms)
+	if (now_ms < pool->next_end_ms)
+		return;
+	/* The callbacks of ended calls may begin others. */
+	pool->next_end_ms = INT64_MAX;
+	cds_list_for_each_entry_safe (transfer, next, &pool->transfers, node) {
+		if (now_ms >= transfer->ends_ms)
 			finish_transfer(
 			    pool, transfer, CURLE_OPERATION_TIMEDOUT);
+		else if (transfer->ends_ms < pool->next_end_ms)
+			pool->next_end_ms = transfer->ends_ms;
 	}
 }
 
@@ -473,9 +466,9 @@
 static int64_t
 timer_in_ms(const struct http_pool *pool)
 {
-	int64_t idle_end_ms = next_idle_end_ms(pool);
-	int64_t timer_ms =
-	    pool->timer_ms < idle_end_ms ? pool->timer_ms : idle_end_ms;
+	int64_t timer_ms = pool->timer_ms < pool->next_end_ms
+	    ? pool->timer_ms
+	    : pool->next_end_ms;
 
 	return timer_ms == INT64_MAX ? INT64_MAX : timer_ms - clock_now_ms();
 }
@@ -496,33 +489,47 @@
 	    pool->multi, event->data.fd, flags, &running);
 }
 
+/* Waits for a round of events and handles it. Returns whether there may be
+ * more. */
+static bool
+handle_round(struct http_pool *pool, int64_t timeout_ms, int64_t *woken_ms)
+{
+	struct epoll_event events[MAX_EVENTS_PER_ROUND];
+	int count = epoll_wait(
+	    pool->epoll_fd, events, MAX_EVENTS_PER_ROUND, (int)timeout_ms);
+
+	if (*woken_ms == 0)
+		*woken_ms = clock_now_ms();
+	for (int i = 0; i < count; i++) {
+		if (events[i].data.fd >= 0)
+			handle_socket(pool, &events[i]);
+	}
+	return count == MAX_EVENTS_PER_ROUND;
+}
+
 int64_t
 http_pool_wait(struct http_pool *pool, int64_t timeout_ms)
 {
-	struct epoll_event events[MAX_EVENTS_PER_WAIT];
 	int64_t timer_ms = timer_in_ms(pool);
-	int64_t woken_ms;
-	int count;
+	int64_t woken_ms = 0;
+	bool more;
 	int running;
 
 	if (timer_ms < timeout_ms)
 		timeout_ms = timer_ms;
 	if (timeout_ms < 0 || !cds_list_empty(&pool->refused))
 		timeout_ms = 0;
-	count = epoll_wait(
-	    pool->epoll_fd, events, MAX_EVENTS_PER_WAIT, (int)timeout_ms);
-	woken_ms = clock_now_ms();
-	for (int i = 0; i < count; i++) {
-		if (events[i].data.fd >= 0)
-			handle_socket(pool, &events[i]);
-	}
+	more = handle_round(pool, timeout_ms, &woken_ms);
+	for (int round = 1; more && round < MAX_ROUNDS; round++)
+		more = handle_round(pool, 0, &woken_ms);
 	if (clock_now_ms() >= pool->timer_ms) {
 		pool->timer_ms = INT64_MAX;
 		(void)curl_multi_socket_action(
 		    pool->multi, CURL_SOCKET_TIMEOUT, 0, &running);
 	}
 	finish_completed(pool);
-	end_idle_transfers(pool);
+	if (!more)
+		end_late_transfers(pool);
 	finish_refused(pool);
 	return clock_now_ms() - woken_ms;
 }
--- a/tests/test_http_pool.c
+++ b/tests/test_http_pool.c
@@ -15,6 +15,8 @@
 #define TIMEOUT_MS   40
 #define MAX_DELAY_MS 150
 #define LONG_WAIT_MS 1000
+/* More than the pool reads in one go. */
+#define ARRIVED_CALLS 100
 
 #define MAX_REQUEST_BYTES 4096
 #define EMPTY_RESPONSE	  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
@@ -363,6 +365,46 @@
 	http_pool_free(pool);
 }
 
+/* Guards against a lead that takes its workers for silent because it is late
+ * itself: a response had arrived in time, but the call ended at its timeout
+ * before the response was read. */
+static void
+test_response_that_has_arrived_is_read_before_the_timeout_applies(void)
+{
+	struct ibis_status status = {0};
+	struct http_pool *pool = http_pool_new(&status);
+	struct outcome outcomes[ARRIVED_CALLS] = {0};
+	int connections[ARRIVED_CALLS];
+	char address[ADDRESS_TEXT_BYTES];
+	struct http_call call = {
+	    .method = "POST",
+	    .address = address,
+	    .path = "/",
+	    .timeout_ms = LONG_WAIT_MS,
+	};
+	int listener = address_listen("127.0.0.1:0", ARRIVED_CALLS, &status);
+
+	CU_ASSERT_TRUE_FATAL(listener >= 0);
+	address_of_socket(listener, address);
+	for (size_t i = 0; i < ARRIVED_CALLS; i++)
+		http_pool_call(pool, &call, record_result, &outcomes[i]);
+	for (size_t i = 0; i < ARRIVED_CALLS; i++) {
+		connections[i] = accept_connection(pool, listener);
+		receive_request(pool, connections[i]);
+	}
+	for (size_t i = 0; i < ARRIVED_CALLS; i++)
+		respond(connections[i], EMPTY_RESPONSE);
+	/* The thread is late by more than the timeout. */
+	(void)poll(NULL, 0, LONG_WAIT_MS + TIMEOUT_MS);
+	for (size_t i = 0; i < ARRIVED_CALLS; i++) {
+		wait_for_outcome(pool, &outcomes[i]);
+		CU_ASSERT_EQUAL(outcomes[i].kind, HTTP_RESPONDED);
+		(void)close(connections[i]);
+	}
+	(void)close(listener);
+	http_pool_free(pool);
+}
+
 static void
 test_pending_calls_are_freed(void)
 {
@@ -396,6 +438,8 @@
 		test_response_that_stops_ends_the_call},
 	    {"a response that is too long is not read",
 		test_response_that_is_too_long_is_not_read},
+	    {"a response that has arrived is read before the timeout applies",
+		test_response_that_has_arrived_is_read_before_the_timeout_applies},
 	    {"pending calls are freed", test_pending_calls_are_freed},
 	    CU_TEST_INFO_NULL,
 	};
