Search the workers once for jobs that need the same

Cause: each report of a worker made a decision, and each decision searched all workers once for each waiting job, computed the guarantee of a workspace by a walk over all jobs for each urgent one, and walked the jobs that had ended and the tasks of all jobs. So the cost of a report grew with the backlog times the workers: the later the lead, the longer the backlog.

Change: a need that could not be met is remembered during a round of placement (fleet_unmet), and what needs as much is not searched for again; a workspace's urgent need is computed once a round; decisions walk jobs that have not ended, and of these only those with tasks to place, start or stop; a report that changes nothing makes no decision.

A check of test_agent_config counted entries of a list that is gone; it now counts workspaces with a guarantee.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -525,6 +525,7 @@
 	uint64_t silent_workers;
 	int64_t free_accelerators;
 	int64_t accelerators;
+	uint64_t searches; /* for workers with room, since fleet_new */
 };
 
 /* Fills usage with the current totals. Jobs that have ended are counted in jobs
--- a/src/fleet/fleet_decide.c
+++ b/src/fleet/fleet_decide.c
@@ -103,7 +103,7 @@
 	for (size_t i = 0; i < job->occurrences_count; i++) {
 		struct fleet_occurrence *occurrence = job->occurrences[i];
 
-		if (occurrence->done == occurrence->tasks_count)
+		if (occurrence->waiting == 0)
 			continue;
 		for (uint32_t step = 0; step < job->spec->n_steps; step++) {
 			if (fleet_step_ready(occurrence, step))
@@ -135,16 +135,6 @@
 	return compare_occurrences(a, b) < 0;
 }
 
-uint32_t
-fleet_waiting_tasks(const struct fleet_occurrence *occurrence)
-{
-	uint32_t count = 0;
-
-	for (uint32_t i = 0; i < occurrence->tasks_count; i++)
-		count += occurrence->tasks[i].state == TASK_WAITING;
-	return count;
-}
-
 static int
 compare_units(const void *left, const void *right)
 {
@@ -193,10 +183,9 @@
 {
 	CLEANUP(free_round)
 	struct placement_round round = {.fleet = fleet, .now_ms = now_ms};
+	struct fleet_job *job;
 
-	for (size_t i = 0; i < fleet->jobs.count; i++) {
-		struct fleet_job *job = fleet->jobs.items[i].item;
-
+	cds_list_for_each_entry (job, &fleet->active, active) {
 		if (!job->cancelled && !fleet_job_final(job))
 			collect_job(&round, job);
 	}
@@ -260,10 +249,9 @@
 	    task->placed_generation >
 		task->occurrence->job->recorded_generation)
 		return false;
-	if (fleet_task_has_orphan(fleet, task))
-		return false;
 	left = fleet_worker_unoccupied(task->worker);
-	return fleet_resources_fit(&left, &need, 1) > 0;
+	return fleet_resources_fit(&left, &need, 1) > 0 &&
+	    !fleet_task_has_orphan(fleet, task);
 }
 
 /* Returns whether all members of a gang may start now. Members on the same
@@ -304,10 +292,10 @@
 static void
 order_starts(struct fleet *fleet)
 {
-	for (size_t i = 0; i < fleet->jobs.count; i++) {
-		struct fleet_job *job = fleet->jobs.items[i].item;
+	struct fleet_job *job;
 
-		if (job->cancelled || fleet_job_final(job))
+	cds_list_for_each_entry (job, &fleet->active, active) {
+		if (job->placed == 0 || job->cancelled || fleet_job_final(job))
 			continue;
 		for (size_t j = 0; j < job->occurrences_count; j++) {
 			for (uint32_t k = 0; k < job->spec->n_steps; k++)
@@ -330,7 +318,7 @@
 		struct fleet_worker *worker = fleet->workers.items[i].item;
 		struct fleet_task *task;
 
-		if (!accepts_stops(worker))
+		if (worker->stopping == 0 || !accepts_stops(worker))
 			continue;
 		cds_list_for_each_entry (task, &worker->tasks, on_worker) {
 			if (task->state == TASK_STOPPING &&
@@ -367,9 +355,9 @@
 static void
 stop_ended_jobs(struct fleet *fleet, int64_t now_ms)
 {
-	for (size_t i = 0; i < fleet->jobs.count; i++) {
-		struct fleet_job *job = fleet->jobs.items[i].item;
+	struct fleet_job *job;
 
+	cds_list_for_each_entry (job, &fleet->active, active) {
 		if (job->phase != IBIS__STEP_JOB_PHASE__PHASE_FAILED &&
 		    job->phase != IBIS__STEP_JOB_PHASE__PHASE_CANCELLED)
 			continue;
@@ -398,6 +386,7 @@
 	fleet->now_ms = now_ms;
 	fleet->next_wakeup_ms = now_ms + MAX_SLEEP_MS;
 	fleet_expire_leases(fleet, now_ms);
+	fleet_drop_inactive_jobs(fleet);
 	order_orphan_stops(fleet, now_ms);
 	fleet_open_due_occurrences(fleet, now_ms, wall_ms);
 	stop_ended_jobs(fleet, now_ms);
@@ -405,6 +394,8 @@
 	    (fleet->changed || now_ms >= fleet->next_placement_ms)) {
 		fleet->changed = false;
 		fleet->next_placement_ms = INT64_MAX;
+		fleet->unmet_count = 0;
+		fleet->urgent_needs_current = false;
 		place_all(fleet, now_ms);
 	}
 	order_stops(fleet, now_ms);
@@ -416,10 +407,13 @@
 void
 fleet_usage(const struct fleet *fleet, struct fleet_usage *usage)
 {
-	*usage = (struct fleet_usage){.jobs = fleet->jobs.count};
-	for (size_t i = 0; i < fleet->jobs.count; i++) {
-		const struct fleet_job *job = fleet->jobs.items[i].item;
+	const struct fleet_job *job;
 
+	*usage = (struct fleet_usage){
+	    .jobs = fleet->jobs.count,
+	    .searches = fleet->searches,
+	};
+	cds_list_for_each_entry (job, &fleet->active, active) {
 		if (job->cancelled || fleet_job_final(job))
 			continue;
 		if (job->phase == IBIS__STEP_JOB_PHASE__PHASE_RUNNING)
@@ -427,8 +421,7 @@
 		else
 			usage->jobs_pending++;
 		for (size_t j = 0; j < job->occurrences_count; j++)
-			usage->waiting_tasks +=
-			    fleet_waiting_tasks(job->occurrences[j]);
+			usage->waiting_tasks += job->occurrences[j]->waiting;
 	}
 	for (size_t i = 0; i < fleet->workers.count; i++) {
 		const struct fleet_worker *worker =
--- a/src/fleet/fleet_explain.c
+++ b/src/fleet/fleet_explain.c
@@ -115,8 +115,7 @@
 		for (size_t j = 0; j < job->occurrences_count; j++) {
 			if (fleet_occurrence_precedes(
 				job->occurrences[j], occurrence))
-				count +=
-				    fleet_waiting_tasks(job->occurrences[j]);
+				count += job->occurrences[j]->waiting;
 		}
 	}
 	return count;
--- a/src/fleet/fleet_jobs.c
+++ b/src/fleet/fleet_jobs.c
@@ -26,6 +26,27 @@
 	cds_list_add_tail(&job->unrecorded, &fleet->unrecorded);
 }
 
+static void
+deactivate(struct fleet_job *job)
+{
+	if (!job->is_active)
+		return;
+	cds_list_del(&job->active);
+	job->is_active = false;
+}
+
+void
+fleet_drop_inactive_jobs(struct fleet *fleet)
+{
+	struct fleet_job *job;
+	struct fleet_job *next;
+
+	cds_list_for_each_entry_safe (job, next, &fleet->active, active) {
+		if (fleet_job_final(job) && job->assigned == 0)
+			deactivate(job);
+	}
+}
+
 static uint32_t
 total_occurrences(const Ibis__StepJob *spec)
 {
@@ -43,6 +64,7 @@
 	occurrence->number = number;
 	occurrence->ready_ms = now_ms;
 	occurrence->tasks_count = job->tasks_count;
+	occurrence->waiting = job->tasks_count;
 	occurrence->tasks =
 	    mem_calloc(job->tasks_count, sizeof(*occurrence->tasks));
 	for (uint32_t step = 0; step < job->spec->n_steps; step++) {
@@ -80,9 +102,9 @@
 void
 fleet_open_due_occurrences(struct fleet *fleet, int64_t now_ms, int64_t wall_ms)
 {
-	for (size_t i = 0; i < fleet->jobs.count; i++) {
-		struct fleet_job *job = fleet->jobs.items[i].item;
+	struct fleet_job *job;
 
+	cds_list_for_each_entry (job, &fleet->active, active) {
 		if (job->cancelled || fleet_job_final(job))
 			continue;
 		while (job->next_occurrence < total_occurrences(job->spec)) {
@@ -115,7 +137,7 @@
 	task->failures = progress->failures;
 	fleet_set_checkpoint(task, progress->checkpoint);
 	if (progress->done) {
-		task->state = TASK_DONE;
+		fleet_set_state(task, TASK_DONE);
 		task->occurrence->done++;
 		return;
 	}
@@ -129,8 +151,7 @@
 		worker = fleet_set_worker(fleet, &entry, now_ms);
 		worker->listed = false;
 	}
-	task->worker = worker;
-	cds_list_add_tail(&task->on_worker, &worker->tasks);
+	fleet_assign_task(task, worker);
 	fleet_set_state(task, TASK_RUNNING);
 	task->started_ms = now_ms;
 	task->visible_from_ms = now_ms;
@@ -175,6 +196,8 @@
 		return NULL;
 	}
 	job->spec = spec;
+	job->workspace = fleet_workspace_index(fleet, spec->workspace);
+	job->orphans = fleet_count_orphans(fleet, job->id);
 	job->revision = progress_revision;
 	job->accepted_ms = now_ms;
 	job->first_task =
@@ -185,6 +208,8 @@
 	}
 	if (progress != NULL)
 		restore_progress(fleet, job, progress, now_ms);
+	job->is_active = true;
+	cds_list_add_tail(&job->active, &fleet->active);
 	fleet->changed = true;
 	fleet_wake_at(fleet, now_ms);
 	return job;
@@ -257,6 +282,7 @@
 {
 	orphan_runs(fleet, job);
 	(void)name_index_remove(&fleet->jobs, job->id);
+	deactivate(job);
 	if (job->dirty)
 		cds_list_del(&job->unrecorded);
 	job->dirty = false;
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -77,11 +77,13 @@
 	int64_t ready_ms; /* when it was opened */
 	struct fleet_task *tasks;
 	uint32_t tasks_count;
-	uint32_t done; /* tasks */
+	uint32_t done;	  /* tasks */
+	uint32_t waiting; /* tasks */
 };
 
 struct fleet_job {
 	struct cds_list_head unrecorded; /* in fleet->unrecorded while dirty */
+	struct cds_list_head active;	 /* in fleet->active while is_active */
 	char id[FLEET_ID_BYTES];
 	Ibis__StepJob *spec;  /* owned */
 	uint32_t *first_task; /* number of each step's first task */
@@ -91,6 +93,11 @@
 	size_t occurrences_capacity;
 	uint32_t next_occurrence; /* number of the next one to open */
 	uint32_t finished;	  /* occurrences below this number are done */
+	uint32_t placed;	  /* tasks in TASK_PLACED */
+	uint32_t assigned;	  /* tasks with a worker */
+	uint32_t orphans;	  /* runs of its tasks that are orphans */
+	bool is_active;
+	size_t workspace; /* index in fleet->workspaces */
 	Ibis__StepJobPhase phase;
 	bool cancelled;
 	bool over_guarantee; /* urgent, beyond its workspace's guarantee */
@@ -129,6 +136,7 @@
 	/* Resources of the tasks that are sent, running or stopping, and of
 	 * the orphans whose need is known. */
 	struct fleet_resources occupied;
+	uint32_t stopping; /* tasks in TASK_STOPPING */
 	/* By its last report; for the log only. */
 	uint64_t last_report; /* its number */
 	bool over_capacity;
@@ -159,9 +167,32 @@
 	uint64_t last_poll; /* 0: no poll has shown the run */
 };
 
-struct fleet_guarantee {
-	char workspace[FLEET_NAME_BYTES];
-	int64_t accelerators;
+/* A workspace that has jobs or a guarantee. */
+struct fleet_workspace {
+	char name[FLEET_NAME_BYTES];
+	int64_t guaranteed; /* accelerators for its urgent jobs */
+	/* Accelerators that the unfinished tasks of its urgent jobs need in
+	 * total, as of the current round of placement. */
+	int64_t urgent_need;
+};
+
+/* What a search for workers may use. */
+enum fleet_search_kind {
+	FLEET_SEARCH_FREE, /* free capacity */
+	/* Also what lower priorities hold. */
+	FLEET_SEARCH_RECLAIM,
+	/* Also what jobs over their workspace's guarantee hold. */
+	FLEET_SEARCH_RECLAIM_GUARANTEED
+};
+
+/* A need that the workers can't meet in the current round of placement. The
+ * names are of a job that waits. */
+struct fleet_unmet {
+	enum fleet_search_kind kind;
+	const char *service;
+	const char *label;
+	struct fleet_resources need; /* of one task */
+	uint32_t fits;		     /* tasks that can be placed */
 };
 
 struct fleet {
@@ -169,7 +200,9 @@
 	struct name_index jobs;
 	struct name_index workers;
 	struct cds_list_head unrecorded; /* dirty jobs, oldest first */
-	struct fleet_job *writing[32];	 /* jobs whose write is under way */
+	/* Jobs that have not ended, or still have tasks on workers. */
+	struct cds_list_head active;
+	struct fleet_job *writing[32]; /* jobs whose write is under way */
 	size_t writing_count;
 	uint64_t generation; /* rises with each change of a job's record */
 	uint64_t polls;	     /* answered ones */
@@ -185,9 +218,15 @@
 	char (*zones_out_of_service)[FLEET_NAME_BYTES];
 	size_t zones_out_of_service_count;
 	size_t zones_out_of_service_capacity;
-	struct fleet_guarantee *guarantees;
-	size_t guarantees_count;
-	size_t guarantees_capacity;
+	struct fleet_workspace *workspaces;
+	size_t workspaces_count;
+	size_t workspaces_capacity;
+	bool urgent_needs_current; /* computed in this round of placement */
+	struct fleet_unmet unmet[16];
+	size_t unmet_count;
+	struct fleet_candidate *candidates; /* of the current search */
+	size_t candidates_capacity;
+	uint64_t searches; /* since the fleet was created */
 	struct fleet_orphan *orphans;
 	size_t orphans_count;
 	size_t orphans_capacity;
@@ -249,6 +288,9 @@
  * resources. */
 void fleet_set_state(struct fleet_task *task, enum fleet_task_state state);
 
+/* Assigns a task to a worker; its state is to be set next. */
+void fleet_assign_task(struct fleet_task *task, struct fleet_worker *worker);
+
 /* Changes a task's state and removes it from its worker, if it has one. */
 void fleet_detach_task(struct fleet_task *task, enum fleet_task_state state);
 
@@ -330,6 +372,10 @@
 /* Queues a job for writing its record, and requests a placement. */
 void fleet_mark_dirty(struct fleet *fleet, struct fleet_job *job);
 
+/* Removes jobs from the active ones that have ended and whose tasks have left
+ * their workers. */
+void fleet_drop_inactive_jobs(struct fleet *fleet);
+
 /* Opens the occurrences whose time has come. */
 void fleet_open_due_occurrences(
     struct fleet *fleet, int64_t now_ms, int64_t wall_ms);
@@ -405,6 +451,9 @@
 void fleet_orphan_run(struct fleet *fleet, struct fleet_task *task,
     const char *stop_reason, int64_t stop_due_ms);
 
+/* Returns how many orphans are runs of a job's tasks. */
+uint32_t fleet_count_orphans(const struct fleet *fleet, const char *job_id);
+
 /* The worker has reported the end of a run, which may be an orphan. */
 void fleet_release_orphan(struct fleet *fleet,
     const struct fleet_worker *worker, const struct fleet_task_id *id,
@@ -450,14 +499,37 @@
 /* Returns whether an occurrence's tasks are placed before another's. */
 bool fleet_occurrence_precedes(
     const struct fleet_occurrence *a, const struct fleet_occurrence *b);
-uint32_t fleet_waiting_tasks(const struct fleet_occurrence *occurrence);
-
 /* Requests a call of fleet_decide at this time or earlier. */
 void fleet_wake_at(struct fleet *fleet, int64_t at_ms);
 
 /* Requests a placement at this time or earlier, even without a change. */
 void fleet_schedule_placement(struct fleet *fleet, int64_t at_ms);
 
+/*
+ * Unmet group. During a round of placement, capacity only becomes less, unless
+ * tasks are preempted. So a step that needs as much as one that could not be
+ * placed can't be placed either, and is not searched for again.
+ */
+
+/* Forgets the unmet needs of a kind of search. */
+void fleet_unmet_clear(struct fleet *fleet, enum fleet_search_kind kind);
+
+/* Returns whether a search of this kind for count tasks of the job's step is
+ * known to fail. */
+bool fleet_unmet_covers(const struct fleet *fleet, enum fleet_search_kind kind,
+    const struct fleet_job *job, const Ibis__JobStep *step, size_t count);
+
+/* A search has found workers for this many tasks only, fewer than wanted. */
+void fleet_unmet_add(struct fleet *fleet, enum fleet_search_kind kind,
+    const struct fleet_job *job, const Ibis__JobStep *step, uint32_t fits);
+
+/*
+ * Workspace group.
+ */
+
+/* Returns the index of a workspace, which is added if needed. */
+size_t fleet_workspace_index(struct fleet *fleet, const char *name);
+
 /*
  * Placement group. tasks are count waiting tasks of one step; targets has
  * count elements and gets a worker for each task that can be placed, in the
--- a/src/fleet/fleet_orphans.c
+++ b/src/fleet/fleet_orphans.c
@@ -30,12 +30,26 @@
 	return job->spec->steps[id->step];
 }
 
-/* Adds the orphan's resources to its worker's occupied ones. */
+uint32_t
+fleet_count_orphans(const struct fleet *fleet, const char *job_id)
+{
+	uint32_t count = 0;
+
+	for (size_t i = 0; i < fleet->orphans_count; i++)
+		count += strcmp(fleet->orphans[i].task.job, job_id) == 0;
+	return count;
+}
+
+/* Adds the orphan to those of its job, and its resources to its worker's
+ * occupied ones. */
 static void
-occupy(const struct fleet_orphan *orphan)
+occupy(const struct fleet *fleet, const struct fleet_orphan *orphan)
 {
 	struct fleet_worker *worker = orphan->worker;
+	struct fleet_job *job = fleet_find_job(fleet, orphan->task.job);
 
+	if (job != NULL)
+		job->orphans++;
 	worker->orphans++;
 	if (orphan->need_known)
 		fleet_resources_add(&worker->occupied, &orphan->need);
@@ -48,7 +62,10 @@
 {
 	struct fleet_orphan *orphan = &fleet->orphans[index];
 	struct fleet_worker *worker = orphan->worker;
+	struct fleet_job *job = fleet_find_job(fleet, orphan->task.job);
 
+	if (job != NULL)
+		job->orphans--;
 	worker->orphans--;
 	if (orphan->need_known)
 		fleet_resources_subtract(&worker->occupied, &orphan->need);
@@ -65,7 +82,7 @@
 	fleet->orphans = mem_grow(fleet->orphans, &fleet->orphans_capacity,
 	    fleet->orphans_count + 1, sizeof(*fleet->orphans));
 	fleet->orphans[fleet->orphans_count] = *orphan;
-	occupy(orphan);
+	occupy(fleet, orphan);
 	fleet_wake_at(fleet, orphan->stop_due_ms);
 	return &fleet->orphans[fleet->orphans_count++];
 }
@@ -185,7 +202,7 @@
 {
 	struct fleet_task_id id;
 
-	if (fleet->orphans_count == 0)
+	if (task->occurrence->job->orphans == 0)
 		return false;
 	fleet_task_id(task, &id);
 	for (size_t i = 0; i < fleet->orphans_count; i++) {
--- a/src/fleet/fleet_place.c
+++ b/src/fleet/fleet_place.c
@@ -21,6 +21,10 @@
 {
 	const Ibis__JobStep *step = fleet_step_of(tasks[0]);
 
+	fleet->searches++;
+	fleet->candidates =
+	    mem_grow(fleet->candidates, &fleet->candidates_capacity,
+		fleet->workers.count + 1, sizeof(struct fleet_candidate));
 	return (struct fleet_search){
 	    .fleet = fleet,
 	    .job = tasks[0]->occurrence->job,
@@ -28,18 +32,11 @@
 	    .need = fleet_step_need(step),
 	    .tasks = tasks,
 	    .wanted = count,
-	    .candidates = mem_calloc(
-		fleet->workers.count + 1, sizeof(struct fleet_candidate)),
+	    .candidates = fleet->candidates,
 	    .now_ms = now_ms,
 	};
 }
 
-void
-fleet_search_free(struct fleet_search *search)
-{
-	mem_free(search->candidates);
-}
-
 /* Counts the tasks of the same step and occurrence on a worker. */
 static uint32_t
 count_same_step(
@@ -125,9 +122,14 @@
 
 	for (size_t i = 0; i < fleet->workers.count; i++) {
 		struct fleet_worker *worker = fleet->workers.items[i].item;
-		struct fleet_resources left;
+		struct fleet_resources left =
+		    fleet_worker_free_capacity(worker);
 		uint32_t fits;
 
+		/* Most workers are full when many jobs wait, so this is checked
+		 * first. */
+		if (fleet_resources_fit(&left, &search->need, 1) == 0)
+			continue;
 		if (!fleet_worker_usable(
 			worker, search->job, search->step, search->now_ms)) {
 			if (worker->paused_until_ms > search->now_ms)
@@ -135,7 +137,6 @@
 				    fleet, worker->paused_until_ms);
 			continue;
 		}
-		left = fleet_worker_free_capacity(worker);
 		fits = fleet_resources_fit(
 		    &left, &search->need, fleet_search_limit(search, worker));
 		if (fits == 0)
@@ -322,8 +323,7 @@
 	rack = search->step->same_rack ? best_fit_rack(search) : NULL;
 	if (rack != NULL)
 		return fill_targets(search, rack, targets);
-	if (gang_may_wait(search) ||
-	    fleet_search_fits(search, NULL) < search->wanted)
+	if (gang_may_wait(search))
 		return 0;
 	return fill_targets(search, NULL, targets);
 }
@@ -347,13 +347,21 @@
 fleet_find_targets(struct fleet *fleet, struct fleet_task *const *tasks,
     size_t count, struct fleet_worker **targets, int64_t now_ms)
 {
-	CLEANUP(fleet_search_free)
-	struct fleet_search search =
-	    fleet_search_begin(fleet, tasks, count, now_ms);
+	const struct fleet_job *job = tasks[0]->occurrence->job;
+	const Ibis__JobStep *step = fleet_step_of(tasks[0]);
+	struct fleet_search search;
+	size_t wanted = step->gang ? count : 1;
+	uint32_t fits;
 
+	if (fleet_unmet_covers(fleet, FLEET_SEARCH_FREE, job, step, wanted))
+		return 0;
+	search = fleet_search_begin(fleet, tasks, count, now_ms);
 	collect_candidates(&search);
-	if (search.count == 0)
+	fits = fleet_search_fits(&search, NULL);
+	if (fits < wanted) {
+		fleet_unmet_add(fleet, FLEET_SEARCH_FREE, job, step, fits);
 		return 0;
-	return search.step->gang ? find_for_gang(&search, targets)
-				 : find_for_single_tasks(&search, targets);
+	}
+	return step->gang ? find_for_gang(&search, targets)
+			  : find_for_single_tasks(&search, targets);
 }
--- a/src/fleet/fleet_reclaim.c
+++ b/src/fleet/fleet_reclaim.c
@@ -4,61 +4,60 @@
 #include "fleet/fleet_search.h"
 #include "process/alloc.h"
 
-/* Returns the number of accelerators that the unfinished tasks of a
- * workspace's urgent jobs need in total. */
+/* Returns the number of accelerators that a job's unfinished tasks need. */
 static int64_t
-urgent_accelerators_needed(const struct fleet *fleet, const char *workspace)
+accelerators_needed(const struct fleet_job *job)
 {
 	int64_t need = 0;
 
-	for (size_t i = 0; i < fleet->jobs.count; i++) {
-		const struct fleet_job *job = fleet->jobs.items[i].item;
+	for (size_t i = 0; i < job->occurrences_count; i++) {
+		for (uint32_t j = 0; j < job->tasks_count; j++) {
+			const struct fleet_task *task =
+			    &job->occurrences[i]->tasks[j];
 
-		if (job->spec->priority > 0 || fleet_job_final(job) ||
-		    strcmp(job->spec->workspace, workspace) != 0)
-			continue;
-		for (size_t j = 0; j < job->occurrences_count; j++) {
-			for (uint32_t k = 0; k < job->tasks_count; k++) {
-				const struct fleet_task *task =
-				    &job->occurrences[j]->tasks[k];
-
-				if (task->state != TASK_DONE)
-					need +=
-					    fleet_step_of(task)->accelerators;
-			}
+			if (task->state != TASK_DONE)
+				need += fleet_step_of(task)->accelerators;
 		}
 	}
 	return need;
 }
 
-static int64_t
-guarantee_of(const struct fleet *fleet, const char *workspace)
+static bool
+is_urgent(const struct fleet_job *job)
 {
-	for (size_t i = 0; i < fleet->guarantees_count; i++) {
-		if (strcmp(fleet->guarantees[i].workspace, workspace) == 0)
-			return fleet->guarantees[i].accelerators;
-	}
-	return 0;
+	return job->spec->priority == 0 && !fleet_job_final(job);
 }
 
 static bool
-within_guarantee(const struct fleet *fleet, const char *workspace)
+within_guarantee(const struct fleet *fleet, const struct fleet_job *job)
 {
-	return urgent_accelerators_needed(fleet, workspace) <=
-	    guarantee_of(fleet, workspace);
+	const struct fleet_workspace *workspace =
+	    &fleet->workspaces[job->workspace];
+
+	return workspace->urgent_need <= workspace->guaranteed;
 }
 
-/* Marks the urgent jobs of workspaces that need more than their guarantee. */
+/* Computes what the workspaces' urgent jobs need, and marks the jobs of those
+ * that need more than their guarantee. Once in a round of placement, as no task
+ * ends during one. */
 static void
-mark_over_guarantee(const struct fleet *fleet)
+update_urgent_needs(struct fleet *fleet)
 {
-	for (size_t i = 0; i < fleet->jobs.count; i++) {
-		struct fleet_job *job = fleet->jobs.items[i].item;
-
-		job->over_guarantee = job->spec->priority == 0 &&
-		    !fleet_job_final(job) &&
-		    !within_guarantee(fleet, job->spec->workspace);
+	struct fleet_job *job;
+
+	if (fleet->urgent_needs_current)
+		return;
+	fleet->urgent_needs_current = true;
+	for (size_t i = 0; i < fleet->workspaces_count; i++)
+		fleet->workspaces[i].urgent_need = 0;
+	cds_list_for_each_entry (job, &fleet->active, active) {
+		if (is_urgent(job))
+			fleet->workspaces[job->workspace].urgent_need +=
+			    accelerators_needed(job);
 	}
+	cds_list_for_each_entry (job, &fleet->active, active)
+		job->over_guarantee =
+		    is_urgent(job) && !within_guarantee(fleet, job);
 }
 
 /* Returns whether a task may be stopped for the search's job. Jobs of lower
@@ -264,23 +263,32 @@
 fleet_reclaim_targets(struct fleet *fleet, struct fleet_task *const *tasks,
     size_t count, struct fleet_worker **targets, int64_t now_ms)
 {
-	CLEANUP(fleet_search_free)
-	struct fleet_search search =
-	    fleet_search_begin(fleet, tasks, count, now_ms);
+	const struct fleet_job *job = tasks[0]->occurrence->job;
+	const Ibis__JobStep *step = fleet_step_of(tasks[0]);
+	struct fleet_search search;
+	enum fleet_search_kind kind;
 	const char *rack = NULL;
+	uint32_t fits;
 
-	search.guaranteed =
-	    within_guarantee(fleet, search.job->spec->workspace);
-	if (search.guaranteed)
-		mark_over_guarantee(fleet);
+	update_urgent_needs(fleet);
+	kind = within_guarantee(fleet, job) ? FLEET_SEARCH_RECLAIM_GUARANTEED
+					    : FLEET_SEARCH_RECLAIM;
+	if (fleet_unmet_covers(fleet, kind, job, step, count))
+		return 0;
+	search = fleet_search_begin(fleet, tasks, count, now_ms);
+	search.guaranteed = kind == FLEET_SEARCH_RECLAIM_GUARANTEED;
 	collect_reclaim_candidates(&search);
-	if (fleet_search_fits(&search, NULL) < count)
+	fits = fleet_search_fits(&search, NULL);
+	if (fits < count) {
+		fleet_unmet_add(fleet, kind, job, step, fits);
 		return 0;
+	}
 	if (search.step->same_rack) {
 		rack = cheapest_rack(&search);
 		if (rack == NULL && fleet_search_fits_empty_rack(&search) &&
 		    fleet_search_may_wait(&search))
 			return 0;
 	}
+	fleet_unmet_clear(fleet, FLEET_SEARCH_FREE);
 	return reclaim_from_rack(&search, rack, targets);
 }
--- a/src/fleet/fleet_reports.c
+++ b/src/fleet/fleet_reports.c
@@ -265,8 +265,10 @@
 		return;
 	}
 	fleet->polls++;
-	if (worker->silent)
+	if (worker->silent) {
 		fleet->changed = true;
+		fleet_wake_at(fleet, now_ms);
+	}
 	if (first)
 		fleet_confirm_worker(
 		    fleet, worker, report->incarnation_wall_ms, now_ms);
@@ -288,7 +290,6 @@
 		    fleet, worker, report->sent_ms);
 	}
 	fleet_audit_report(fleet, worker, report, now_ms);
-	fleet_wake_at(fleet, now_ms);
 }
 
 void
--- a/src/fleet/fleet_search.h
+++ b/src/fleet/fleet_search.h
@@ -25,17 +25,16 @@
 	struct fleet_resources need; /* of one task */
 	struct fleet_task *const *tasks;
 	size_t wanted;			    /* number of tasks */
-	struct fleet_candidate *candidates; /* owned */
+	struct fleet_candidate *candidates; /* the fleet's */
 	size_t count;			    /* of candidates */
 	int64_t now_ms;
 	bool guaranteed; /* the job is within its workspace's guarantee */
 };
 
-/* Returns a search without candidates for count waiting tasks of one step.
- * Free with fleet_search_free. */
+/* Returns a search without candidates for count waiting tasks of one step. It
+ * ends the previous one, whose candidates it overwrites. */
 struct fleet_search fleet_search_begin(struct fleet *fleet,
     struct fleet_task *const *tasks, size_t count, int64_t now_ms);
-void fleet_search_free(struct fleet_search *search);
 
 /* Sorts the candidates by speed rank and cost, best first. */
 void fleet_search_sort(struct fleet_search *search);
--- a/src/fleet/fleet_tasks.c
+++ b/src/fleet/fleet_tasks.c
@@ -156,8 +156,15 @@
 fleet_set_state(struct fleet_task *task, enum fleet_task_state state)
 {
 	struct fleet_resources need = fleet_task_need(task);
+	struct fleet_occurrence *occurrence = task->occurrence;
 
+	occurrence->waiting -= task->state == TASK_WAITING;
+	occurrence->waiting += state == TASK_WAITING;
+	occurrence->job->placed -= task->state == TASK_PLACED;
+	occurrence->job->placed += state == TASK_PLACED;
 	if (task->worker != NULL) {
+		task->worker->stopping -= task->state == TASK_STOPPING;
+		task->worker->stopping += state == TASK_STOPPING;
 		if (is_committed(task->state))
 			fleet_resources_subtract(
 			    &task->worker->committed, &need);
@@ -180,14 +187,22 @@
 		return;
 	cds_list_del(&task->on_worker);
 	task->worker = NULL;
+	task->occurrence->job->assigned--;
 }
 
 void
-fleet_place_task(struct fleet *fleet, struct fleet_task *task,
-    struct fleet_worker *worker, int64_t now_ms)
+fleet_assign_task(struct fleet_task *task, struct fleet_worker *worker)
 {
 	task->worker = worker;
 	cds_list_add_tail(&task->on_worker, &worker->tasks);
+	task->occurrence->job->assigned++;
+}
+
+void
+fleet_place_task(struct fleet *fleet, struct fleet_task *task,
+    struct fleet_worker *worker, int64_t now_ms)
+{
+	fleet_assign_task(task, worker);
 	task->run++;
 	task->placed_ms = now_ms;
 	task->started_ms = now_ms;
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -20,6 +20,7 @@
 	fleet->next_wakeup_ms = now_ms;
 	fleet->next_placement_ms = INT64_MAX;
 	CDS_INIT_LIST_HEAD(&fleet->unrecorded);
+	CDS_INIT_LIST_HEAD(&fleet->active);
 	return fleet;
 }
 
@@ -37,7 +38,8 @@
 	name_index_free(&fleet->jobs);
 	name_index_free(&fleet->workers);
 	mem_free(fleet->zones_out_of_service);
-	mem_free(fleet->guarantees);
+	mem_free(fleet->workspaces);
+	mem_free(fleet->candidates);
 	mem_free(fleet->orphans);
 	mem_free(fleet->orders);
 	mem_free(fleet->events);
@@ -181,6 +183,7 @@
 	worker->reported = true;
 	worker->lease_until_ms = now_ms + longest_lease_ms(fleet);
 	fleet->changed = true;
+	fleet_wake_at(fleet, now_ms);
 	if (worker->incarnation_wall_ms == incarnation_wall_ms)
 		return;
 	if (worker->incarnation_wall_ms != 0)
@@ -468,10 +471,29 @@
 	fleet_wake_at(fleet, 0);
 }
 
+size_t
+fleet_workspace_index(struct fleet *fleet, const char *name)
+{
+	size_t index;
+
+	for (index = 0; index < fleet->workspaces_count; index++) {
+		if (strcmp(fleet->workspaces[index].name, name) == 0)
+			return index;
+	}
+	fleet->workspaces =
+	    mem_grow(fleet->workspaces, &fleet->workspaces_capacity,
+		fleet->workspaces_count + 1, sizeof(*fleet->workspaces));
+	fleet->workspaces[index] = (struct fleet_workspace){0};
+	STRING_COPY(fleet->workspaces[index].name, name);
+	fleet->workspaces_count++;
+	return index;
+}
+
 void
 fleet_clear_guarantees(struct fleet *fleet)
 {
-	fleet->guarantees_count = 0;
+	for (size_t i = 0; i < fleet->workspaces_count; i++)
+		fleet->workspaces[i].guaranteed = 0;
 	fleet->changed = true;
 }
 
@@ -479,20 +501,9 @@
 fleet_set_guarantee(
     struct fleet *fleet, const char *workspace, int64_t accelerators)
 {
-	for (size_t i = 0; i < fleet->guarantees_count; i++) {
-		if (strcmp(fleet->guarantees[i].workspace, workspace) != 0)
-			continue;
-		fleet->guarantees[i].accelerators = accelerators;
-		return;
-	}
-	fleet->guarantees =
-	    mem_grow(fleet->guarantees, &fleet->guarantees_capacity,
-		fleet->guarantees_count + 1, sizeof(*fleet->guarantees));
-	fleet->guarantees[fleet->guarantees_count] =
-	    (struct fleet_guarantee){.accelerators = accelerators};
-	STRING_COPY(
-	    fleet->guarantees[fleet->guarantees_count].workspace, workspace);
-	fleet->guarantees_count++;
+	size_t index = fleet_workspace_index(fleet, workspace);
+
+	fleet->workspaces[index].guaranteed = accelerators;
 }
 
 struct fleet_resources
--- a/tests/test_agent_config.c
+++ b/tests/test_agent_config.c
@@ -209,6 +209,16 @@
 	CU_ASSERT_STRING_EQUAL(service_of_job(&fixture), "newer");
 }
 
+static size_t
+workspaces_with_guarantee(const struct fleet *fleet)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < fleet->workspaces_count; i++)
+		count += fleet->workspaces[i].guaranteed != 0;
+	return count;
+}
+
 /* Guards against accelerators kept for a workspace that a later configuration
  * no longer has. */
 static void
@@ -220,9 +230,9 @@
 	open_fixture(&fixture);
 	answer_config(&fixture, now_ms, CONFIG("2", "s", TENANT));
 	lead_with_job(&fixture, now_ms);
-	CU_ASSERT_EQUAL(fixture.agent.fleet->guarantees_count, 1);
+	CU_ASSERT_EQUAL(workspaces_with_guarantee(fixture.agent.fleet), 1);
 	answer_config(&fixture, now_ms, CONFIG("3", "s", ""));
-	CU_ASSERT_EQUAL(fixture.agent.fleet->guarantees_count, 0);
+	CU_ASSERT_EQUAL(workspaces_with_guarantee(fixture.agent.fleet), 0);
 }
 
 int
--- /dev/null
+++ b/tests/test_fleet_load.c
@@ -0,0 +1,239 @@
+/* Tests of placement under load: many jobs that wait for full workers. */
+#include <inttypes.h>
+#include <stdio.h>
+
+#include "common_cunit.h"
+#include "fleet/fleet.h"
+#include "process/alloc.h"
+#include "process/proto_memory.h"
+
+#define WORKERS	     60
+#define ACCELERATORS 8
+#define CPU_MILLI    128000
+#define MEMORY_MB    262144
+#define LEASE_MS     6000
+#define START_MS     1000000
+#define BACKLOG	     300
+#define INCARNATION  1
+#define ROUND_MS     100
+/* One for free capacity, and one for what may be preempted. */
+#define SEARCHES_MOST 2
+
+struct fixture {
+	struct fleet *fleet;
+	int64_t now_ms;
+	uint64_t jobs;
+	uint64_t revision;
+};
+
+static void
+report_idle(struct fixture *fixture, struct fleet_worker *worker)
+{
+	struct fleet_poll poll = {.fence = fleet_worker_fence(worker)};
+	struct fleet_report report = {
+	    .sent_ms = fixture->now_ms,
+	    .received_ms = fixture->now_ms,
+	    .clock_ms = fixture->now_ms,
+	    .incarnation_wall_ms = INCARNATION,
+	};
+
+	fleet_apply_report(
+	    fixture->fleet, worker, &poll, &report, fixture->now_ms);
+}
+
+static void
+open_fixture(struct fixture *fixture)
+{
+	struct fleet_config config = {
+	    .lease_ms = LEASE_MS,
+	    .max_lease_ms = LEASE_MS,
+	    .remote_factor = 3,
+	};
+
+	*fixture = (struct fixture){.now_ms = START_MS};
+	fixture->fleet = fleet_new(&config, START_MS);
+	for (int i = 0; i < WORKERS; i++) {
+		struct fleet_worker_entry entry = {
+		    .service = "s",
+		    .address = "10.0.0.1:80",
+		    .rack = "r",
+		    .resources = {CPU_MILLI, MEMORY_MB, ACCELERATORS},
+		};
+
+		(void)snprintf(entry.id, sizeof(entry.id), "w%02d", i);
+		report_idle(fixture,
+		    fleet_set_worker(fixture->fleet, &entry, START_MS));
+	}
+}
+
+static void
+close_fixture(struct fixture *fixture)
+{
+	fleet_free(fixture->fleet);
+}
+
+/* Adds a job of one step. Returns the step, for changes before the next
+ * decision. */
+static Ibis__JobStep *
+submit(struct fixture *fixture, uint32_t priority, uint32_t tasks,
+    int64_t accelerators)
+{
+	Ibis__StepJob *spec = mem_calloc(1, sizeof(*spec));
+	Ibis__JobStep *step = mem_calloc(1, sizeof(*step));
+	char id[FLEET_ID_BYTES];
+
+	ibis__step_job__init(spec);
+	ibis__job_step__init(step);
+	spec->steps = mem_calloc(1, sizeof(struct Ibis__JobStep *));
+	spec->steps[0] = step;
+	spec->n_steps = 1;
+	spec->attempts = 1;
+	spec->priority = priority;
+	proto_set_string(&spec->service, "s");
+	proto_set_string(&spec->workspace, "t");
+	step->tasks = tasks;
+	step->accelerators = accelerators;
+	(void)snprintf(id, sizeof(id), "%016" PRIx64, ++fixture->jobs);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(
+	    fleet_add_job(fixture->fleet, id, spec, NULL, 0, fixture->now_ms));
+	return step;
+}
+
+/* Stores all records and decides. Returns the number of orders. */
+static size_t
+decide(struct fixture *fixture)
+{
+	const struct fleet_order *orders;
+	struct fleet_job *job;
+
+	fixture->now_ms += ROUND_MS;
+	while ((job = fleet_take_unrecorded(fixture->fleet)) != NULL)
+		fleet_record_stored(fixture->fleet, job, ++fixture->revision);
+	return fleet_decide(
+	    fixture->fleet, fixture->now_ms, fixture->now_ms, &orders);
+}
+
+static struct fleet_usage
+usage(const struct fixture *fixture)
+{
+	struct fleet_usage usage;
+
+	fleet_usage(fixture->fleet, &usage);
+	return usage;
+}
+
+/* Places tasks that leave no accelerator free. */
+static void
+fill_workers(struct fixture *fixture, uint32_t priority)
+{
+	(void)submit(fixture, priority, WORKERS, ACCELERATORS);
+	(void)decide(fixture);
+	CU_ASSERT_EQUAL_FATAL(usage(fixture).placed_tasks, WORKERS);
+}
+
+/* Guards against a lead that falls behind in a burst: each decision searched
+ * all workers once for each of the waiting jobs. */
+static void
+test_burst_is_searched_for_once(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+	uint64_t searches;
+
+	open_fixture(&fixture);
+	fill_workers(&fixture, 1);
+	for (int i = 0; i < BACKLOG; i++)
+		(void)submit(&fixture, 1, 1 + i % 5, 1 + i % ACCELERATORS);
+	searches = usage(&fixture).searches;
+	(void)decide(&fixture);
+	CU_ASSERT_EQUAL(usage(&fixture).searches - searches, 1);
+	CU_ASSERT_EQUAL(usage(&fixture).jobs_pending, BACKLOG);
+}
+
+/* The same for urgent jobs, of which none may preempt another. */
+static void
+test_urgent_burst_is_searched_for_once(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+	uint64_t searches;
+
+	open_fixture(&fixture);
+	fill_workers(&fixture, 0);
+	for (int i = 0; i < BACKLOG; i++)
+		submit(&fixture, 0, 5, 2)->gang = true;
+	searches = usage(&fixture).searches;
+	(void)decide(&fixture);
+	CU_ASSERT_TRUE(usage(&fixture).searches - searches <= SEARCHES_MOST);
+}
+
+/* Guards against jobs that wait behind a larger one although they fit. */
+static void
+test_smaller_need_is_placed_behind_a_larger_one(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+
+	open_fixture(&fixture);
+	(void)submit(&fixture, 1, WORKERS, ACCELERATORS - 2);
+	(void)decide(&fixture);
+	(void)submit(&fixture, 1, 1, 4);
+	submit(&fixture, 1, WORKERS + 1, 2)->gang = true;
+	submit(&fixture, 1, WORKERS, 2)->gang = true;
+	(void)decide(&fixture);
+	CU_ASSERT_EQUAL(usage(&fixture).placed_tasks, WORKERS);
+	CU_ASSERT_EQUAL(usage(&fixture).waiting_tasks, WORKERS + 2);
+}
+
+/* Guards against jobs that wait because another one may use fewer workers. */
+static void
+test_need_of_some_workers_is_not_that_of_all(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+
+	open_fixture(&fixture);
+	proto_set_string(&submit(&fixture, 1, 1, 1)->label, "none has it");
+	submit(&fixture, 1, WORKERS + 1, 2)->max_per_worker = 1;
+	submit(&fixture, 1, WORKERS + 1, 2)->gang = true;
+	(void)submit(&fixture, 1, 1, 3);
+	(void)decide(&fixture);
+	CU_ASSERT_EQUAL(usage(&fixture).waiting_tasks, 2);
+}
+
+/* Guards against a start in room that is only reckoned to be free, and against
+ * one that never comes: an urgent job preempts a gang on all workers, and what
+ * it leaves is used in the same decision. */
+static void
+test_room_freed_by_preemption_is_used_at_once(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+	Ibis__JobStep *gang;
+
+	open_fixture(&fixture);
+	gang = submit(&fixture, 2, WORKERS, ACCELERATORS);
+	gang->gang = true;
+	(void)decide(&fixture);
+	CU_ASSERT_EQUAL(decide(&fixture), WORKERS);
+	(void)submit(&fixture, 0, 1, ACCELERATORS);
+	(void)submit(&fixture, 1, 1, ACCELERATORS);
+	CU_ASSERT_EQUAL(decide(&fixture), WORKERS);
+	CU_ASSERT_EQUAL(usage(&fixture).placed_tasks, 2);
+	/* Nothing starts before the gang's ends are reported. */
+	CU_ASSERT_EQUAL(decide(&fixture), 0);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"a burst is searched for once", test_burst_is_searched_for_once},
+	    {"an urgent burst is searched for once",
+		test_urgent_burst_is_searched_for_once},
+	    {"a smaller need is placed behind a larger one",
+		test_smaller_need_is_placed_behind_a_larger_one},
+	    {"a need of some workers is not that of all",
+		test_need_of_some_workers_is_not_that_of_all},
+	    {"room freed by preemption is used at once",
+		test_room_freed_by_preemption_is_used_at_once},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("fleet_load", tests);
+}
