Walk the workers and the gauges at a lower cost

A lead looked up the state of each worker by its name at each turn of the control thread, and walked all tasks for its gauges at each decision. Both grow with the workers and the reports: at 540 workers with work there are some 750 reports a second.

Now the walk over the workers follows the order of their states, and the gauges are set at most every 250 ms. No behaviour changes; test_agent_* and test_fleet_* pass.

--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -175,6 +175,7 @@
 	struct fleet *fleet;		  /* NULL unless leading */
 	struct agent_watch *worker_watch; /* NULL unless leading */
 	bool placements_held;		  /* as last logged */
+	int64_t next_gauges_ms;
 	struct name_index workers;	  /* owns struct agent_worker */
 	struct record_batch *batch;	  /* being written; NULL: none */
 	int64_t next_record_ms;
--- a/src/agent/agent_workers.c
+++ b/src/agent/agent_workers.c
@@ -22,6 +22,9 @@
 #define IDLE_POLL_INTERVAL_MS 30000
 #define ORDER_TIMEOUT_MS      250
 
+/* The gauges take a walk over all tasks. */
+#define GAUGES_INTERVAL_MS 250
+
 /* Shortest time between two reloads because of reports. */
 #define RELOAD_INTERVAL_MS 30000
 
@@ -228,11 +231,9 @@
 }
 
 static void
-poll_if_due(struct agent *agent, struct fleet_worker *worker, int64_t now_ms)
+poll_if_due(struct agent *agent, struct fleet_worker *worker,
+    struct agent_worker *state, int64_t now_ms)
 {
-	struct agent_worker *state =
-	    get_worker_state(agent, fleet_worker_entry(worker)->id);
-
 	if (state->extra_poll_wanted && !state->extra_poll_in_flight &&
 	    fleet_worker_answers(worker)) {
 		state->extra_poll_wanted = false;
@@ -493,7 +494,10 @@
 		}
 	}
 	agent_fleet_log(agent);
-	set_gauges(agent);
+	if (now_ms >= agent->next_gauges_ms) {
+		agent->next_gauges_ms = now_ms + GAUGES_INTERVAL_MS;
+		set_gauges(agent);
+	}
 	duration_observe(HISTOGRAM_DECISION, clock_now_ms() - now_ms);
 	agent_wake_at(agent, fleet_next_wakeup_ms(agent->fleet));
 }
@@ -547,12 +551,37 @@
 	name_index_free(&agent->workers);
 }
 
+/* Returns the state of a worker during a walk over all workers in the order of
+ * their ids. The states have the same order, so that a search is needed only
+ * where one is missing. */
+static struct agent_worker *
+next_worker_state(struct agent *agent, const char *id, size_t *position)
+{
+	const struct name_index *states = &agent->workers;
+
+	while (*position < states->count &&
+	    strcmp(states->items[*position].name, id) < 0)
+		(*position)++;
+	if (*position < states->count &&
+	    strcmp(states->items[*position].name, id) == 0)
+		return states->items[(*position)++].item;
+	return get_worker_state(agent, id);
+}
+
 void
 agent_workers_step(struct agent *agent, int64_t now_ms)
 {
+	size_t position = 0;
+
 	if (agent->fleet == NULL)
 		return;
 	agent_wake_at(agent, agent_watch_step(agent->worker_watch, now_ms));
-	for (size_t i = 0; i < fleet_workers_count(agent->fleet); i++)
-		poll_if_due(agent, fleet_worker_at(agent->fleet, i), now_ms);
+	for (size_t i = 0; i < fleet_workers_count(agent->fleet); i++) {
+		struct fleet_worker *worker = fleet_worker_at(agent->fleet, i);
+
+		poll_if_due(agent, worker,
+		    next_worker_state(
+			agent, fleet_worker_entry(worker)->id, &position),
+		    now_ms);
+	}
 }
