Preempt lower priorities before urgent jobs over a guarantee

Cause: a guaranteed urgent job may preempt an urgent one over its workspace's guarantee. Such a job that had just been placed and had not started counted as the cheapest victim, as it loses no work.

Change: what lower priorities hold is reclaimed first; urgent jobs give way only where that is not enough, and the weight that protects them covers the cost of a stop as well.

Evidence: test_fleet_load "an urgent job keeps reclaimed room" failed before. "a guaranteed job preempts an urgent one over guarantee" holds the other side and passed before and after.

--- a/src/fleet/fleet_reclaim.c
+++ b/src/fleet/fleet_reclaim.c
@@ -108,7 +108,8 @@
  * task with checkpoints loses. */
 #define STOP_COST_MS	       200
 #define CHECKPOINT_MAX_LOSS_MS 1000
-/* Makes urgent jobs over their guarantee the last to be preempted. */
+/* Urgent jobs over their guarantee are preempted only if other work loses this
+ * many times as much. */
 #define OVER_GUARANTEE_WEIGHT 20
 
 /* Returns the cost of stopping a task: the work it would lose, as weight of its
@@ -125,9 +126,10 @@
 		ran_ms = CHECKPOINT_MAX_LOSS_MS;
 	if (fleet_step_of(task)->gang)
 		ran_ms *= fleet_step_of(task)->tasks;
+	ran_ms += STOP_COST_MS;
 	if (task->occurrence->job->spec->priority == 0)
 		ran_ms *= OVER_GUARANTEE_WEIGHT;
-	return fleet_resources_weight(&need) * (ran_ms + STOP_COST_MS);
+	return fleet_resources_weight(&need) * ran_ms;
 }
 
 /* Returns the cost of stopping all preemptible tasks on a worker; 0 when a task
@@ -259,20 +261,19 @@
 	return found;
 }
 
-size_t
-fleet_reclaim_targets(struct fleet *fleet, struct fleet_task *const *tasks,
-    size_t count, struct fleet_worker **targets, int64_t now_ms)
+/* Searches for workers with what the kind of search may use, and preempts the
+ * tasks in the way. */
+static size_t
+reclaim(struct fleet *fleet, enum fleet_search_kind kind,
+    struct fleet_task *const *tasks, size_t count,
+    struct fleet_worker **targets, int64_t now_ms)
 {
 	const struct fleet_job *job = tasks[0]->occurrence->job;
 	const Ibis__JobStep *step = fleet_step_of(tasks[0]);
 	struct fleet_search search;
-	enum fleet_search_kind kind;
 	const char *rack = NULL;
 	uint32_t fits;
 
-	update_urgent_needs(fleet);
-	kind = within_guarantee(fleet, job) ? FLEET_SEARCH_RECLAIM_GUARANTEED
-					    : FLEET_SEARCH_RECLAIM;
 	if (fleet_unmet_covers(fleet, kind, job, step, count))
 		return 0;
 	search = fleet_search_begin(fleet, tasks, count, now_ms);
@@ -292,3 +293,19 @@
 	fleet_unmet_clear(fleet, FLEET_SEARCH_FREE);
 	return reclaim_from_rack(&search, rack, targets);
 }
+
+size_t
+fleet_reclaim_targets(struct fleet *fleet, struct fleet_task *const *tasks,
+    size_t count, struct fleet_worker **targets, int64_t now_ms)
+{
+	size_t found;
+
+	update_urgent_needs(fleet);
+	/* Another urgent job gives way only where nothing else does. */
+	found =
+	    reclaim(fleet, FLEET_SEARCH_RECLAIM, tasks, count, targets, now_ms);
+	if (found == 0 && within_guarantee(fleet, tasks[0]->occurrence->job))
+		found = reclaim(fleet, FLEET_SEARCH_RECLAIM_GUARANTEED, tasks,
+		    count, targets, now_ms);
+	return found;
+}
--- a/tests/test_fleet_load.c
+++ b/tests/test_fleet_load.c
@@ -16,6 +16,7 @@
 #define BACKLOG	     300
 #define INCARNATION  1
 #define ROUND_MS     100
+#define WORK_MS	     3000
 /* One for free capacity, and one for what may be preempted. */
 #define SEARCHES_MOST 2
 
@@ -75,8 +76,8 @@
 /* Adds a job of one step. Returns the step, for changes before the next
  * decision. */
 static Ibis__JobStep *
-submit(struct fixture *fixture, uint32_t priority, uint32_t tasks,
-    int64_t accelerators)
+submit_for(struct fixture *fixture, const char *workspace, uint32_t priority,
+    uint32_t tasks, int64_t accelerators)
 {
 	Ibis__StepJob *spec = mem_calloc(1, sizeof(*spec));
 	Ibis__JobStep *step = mem_calloc(1, sizeof(*step));
@@ -90,7 +91,7 @@
 	spec->attempts = 1;
 	spec->priority = priority;
 	proto_set_string(&spec->service, "s");
-	proto_set_string(&spec->workspace, "t");
+	proto_set_string(&spec->workspace, workspace);
 	step->tasks = tasks;
 	step->accelerators = accelerators;
 	(void)snprintf(id, sizeof(id), "%016" PRIx64, ++fixture->jobs);
@@ -99,6 +100,13 @@
 	return step;
 }
 
+static Ibis__JobStep *
+submit(struct fixture *fixture, uint32_t priority, uint32_t tasks,
+    int64_t accelerators)
+{
+	return submit_for(fixture, "t", priority, tasks, accelerators);
+}
+
 /* Stores all records and decides. Returns the number of orders. */
 static size_t
 decide(struct fixture *fixture)
@@ -219,6 +227,46 @@
 	CU_ASSERT_EQUAL(decide(&fixture), 0);
 }
 
+/* Guards against urgent jobs that push each other out of the room that they
+ * have reclaimed, at each decision: one over its workspace's guarantee, which
+ * had not started yet, counted as cheaper to stop than any work under way. So
+ * each time other work was stopped for it again. */
+static void
+test_urgent_job_keeps_reclaimed_room(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+
+	open_fixture(&fixture);
+	fleet_set_guarantee(fixture.fleet, "t", WORKERS * ACCELERATORS);
+	fill_workers(&fixture, 1);
+	CU_ASSERT_EQUAL(decide(&fixture), WORKERS);
+	fixture.now_ms += WORK_MS;
+	(void)submit_for(&fixture, "u", 0, 1, ACCELERATORS);
+	CU_ASSERT_EQUAL(decide(&fixture), 1);
+	(void)submit_for(&fixture, "t", 0, 1, ACCELERATORS);
+	CU_ASSERT_EQUAL(decide(&fixture), 1);
+	CU_ASSERT_EQUAL(usage(&fixture).placed_tasks, 2);
+	CU_ASSERT_EQUAL(decide(&fixture), 0);
+	CU_ASSERT_EQUAL(usage(&fixture).placed_tasks, 2);
+}
+
+/* Guards against a guarantee that is not kept: where there is nothing else to
+ * preempt, an urgent job over its workspace's guarantee gives way. */
+static void
+test_guaranteed_job_preempts_urgent_one_over_guarantee(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+
+	open_fixture(&fixture);
+	fleet_set_guarantee(fixture.fleet, "t", ACCELERATORS);
+	(void)submit_for(&fixture, "u", 0, WORKERS, ACCELERATORS);
+	(void)decide(&fixture);
+	CU_ASSERT_EQUAL(decide(&fixture), WORKERS);
+	(void)submit_for(&fixture, "t", 0, 1, ACCELERATORS);
+	CU_ASSERT_EQUAL(decide(&fixture), 1);
+	CU_ASSERT_EQUAL(usage(&fixture).placed_tasks, 1);
+}
+
 int
 main(void)
 {
@@ -232,6 +280,10 @@
 		test_need_of_some_workers_is_not_that_of_all},
 	    {"room freed by preemption is used at once",
 		test_room_freed_by_preemption_is_used_at_once},
+	    {"an urgent job keeps reclaimed room",
+		test_urgent_job_keeps_reclaimed_room},
+	    {"a guaranteed job preempts an urgent one over guarantee",
+		test_guaranteed_job_preempts_urgent_one_over_guarantee},
 	    CU_TEST_INFO_NULL,
 	};
 
