Let the instance lead that is fit for it

Cause: any instance could take the lead, first come first served, and none gave it up for being too weak.

Change: each instance knows what it may use (processor, memory, link) and derives its lead capacity, the processor time that it could spend as a lead before one of these runs out; it registers that beside its address. A lead hands over to a peer that is fitter by half, through the offers that planned stops use, and so without a time without a lead; it leads on if none takes it. A planned stop offers to the fittest peer first; a busy instance refuses. New metrics: ibis_control_busy_permille and ibis_lead_capacity_millicores; lead_taken logs both capacities.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -111,6 +111,9 @@
 	agent->settings.config_apply_ms = new_settings.config_apply_ms;
 	agent->settings.drain_notice_ms = new_settings.drain_notice_ms;
 	agent->settings.remote_factor = new_settings.remote_factor;
+	agent->settings.cpu_milli = new_settings.cpu_milli;
+	agent->settings.memory_mb = new_settings.memory_mb;
+	agent->settings.link_kbit = new_settings.link_kbit;
 	log_event(LOG_INFO, "reloaded", NULL);
 }
 
@@ -196,6 +199,7 @@
 	    .address = agent->settings.store_address,
 	    .timeout_ms = STORE_TIMEOUT_MS,
 	};
+	gauge_set(GAUGE_LEAD_CAPACITY, agent_fitness_capacity(agent));
 	agent_config_start(agent);
 	agent_view_start(agent);
 	agent->gateway = gateway_new(&gateway, agent->events);
@@ -313,6 +317,8 @@
 	bool running = step(agent);
 
 	note_turn(events_ms, clock_now_ms() - begun_ms);
+	agent_load_update(
+	    &agent->load, clock_now_us(), http_pool_waited_us(agent->pool));
 	return running;
 }
 
--- a/src/agent/agent_handover.c
+++ b/src/agent/agent_handover.c
@@ -1,7 +1,7 @@
 /*
- * Hands the lead over to a peer before a planned stop. This instance leads
- * until the peer has overwritten the lead key, so that there is no time without
- * a lead.
+ * Hands the lead over to a peer: before a planned stop, when a peer is fitter
+ * to lead, and when this instance falls behind. This instance leads until the
+ * peer has overwritten the lead key, so that there is no time without a lead.
  */
 #include <string.h>
 
@@ -13,10 +13,18 @@
 /* The lead is released when no peer has taken it within this time. */
 #define HANDOVER_TIMEOUT_MS 1500
 #define OFFER_TIMEOUT_MS    500
-#define OFFER_PATH	    "/succeed"
-#define STATUS_OK	    200
-#define STATUS_BAD_REQUEST  400
-#define STATUS_CONFLICT	    409
+/* A lead that goes on leading offers it to this many peers, at intervals. */
+#define MAX_OFFERS	  3
+#define OFFER_INTERVAL_MS 1000
+/* A peer is fitter if its lead capacity is higher by at least one such part. */
+#define FITTER_SHARE 2
+/* A lead that falls behind hands over to a peer that is only as fit as itself
+ * at most this often: the work may be too much for either. */
+#define MIN_LEAD_MS	   15000
+#define OFFER_PATH	   "/succeed"
+#define STATUS_OK	   200
+#define STATUS_BAD_REQUEST 400
+#define STATUS_CONFLICT	   409
 
 static void send_offer(struct agent *agent);
 
@@ -33,30 +41,78 @@
 	log_event(LOG_INFO, "lead_offered", "epoch",
 	    log_number((int64_t)agent->lead.epoch), "outcome",
 	    taken ? "taken" : "refused", "peers_left",
-	    log_number(agent->lead.offers_left), NULL);
+	    log_number(agent->lead.offers_left), "busy_permille",
+	    log_number(agent->load.busy_permille), NULL);
 	if (!taken)
 		send_offer(agent);
 }
 
-/* Offers the lead to the next peer, or releases it when all have refused. */
+/* Returns the fittest peer that has not been offered the lead in this round, or
+ * NULL. Of several, a random one. */
+static struct agent_peer *
+next_peer(struct agent *agent)
+{
+	const struct name_index *peers = &agent->peers.index;
+	size_t first =
+	    peers->count == 0 ? 0 : agent_random(agent, (uint32_t)peers->count);
+	struct agent_peer *best = NULL;
+	int64_t best_capacity = agent->lead.offer_capacity - 1;
+
+	for (size_t i = 0; i < peers->count; i++) {
+		struct agent_peer *peer =
+		    peers->items[(first + i) % peers->count].item;
+		int64_t capacity = agent_fitness_of_peer(agent, peer->name);
+
+		if (peer->offer_round == agent->lead.offer_round ||
+		    capacity <= best_capacity)
+			continue;
+		best = peer;
+		best_capacity = capacity;
+	}
+	return best;
+}
+
+/* Ends an offer that no peer has taken. */
+static void
+end_offer(struct agent *agent)
+{
+	agent->lead.offer_expires_ms = 0;
+	if (agent->lead.offer_ends_in_release)
+		agent_lead_release(agent);
+}
+
+/* Offers the lead to the next peer, or ends the offer when all have refused. */
 static void
 send_offer(struct agent *agent)
 {
-	const struct name_index *peers = &agent->peers.index;
 	Ibis__LeadOffer offer = IBIS__LEAD_OFFER__INIT;
-	const struct agent_peer *peer;
+	struct agent_peer *peer =
+	    agent->lead.offers_left == 0 ? NULL : next_peer(agent);
 
-	if (agent->lead.offers_left == 0 || peers->count == 0) {
-		agent_lead_release(agent);
+	if (peer == NULL) {
+		end_offer(agent);
 		return;
 	}
 	agent->lead.offers_left--;
-	peer = peers->items[agent->lead.next_offer_peer++ % peers->count].item;
+	peer->offer_round = agent->lead.offer_round;
 	offer.epoch = agent->lead.epoch;
 	agent_peers_call(agent, peer->address, OFFER_PATH, &offer.base,
 	    OFFER_TIMEOUT_MS, offer_answered, agent);
 }
 
+/* Offers the lead to peers with at least this lead capacity. */
+static void
+begin_offer(struct agent *agent, uint32_t peers, int64_t capacity,
+    bool ends_in_release, int64_t now_ms)
+{
+	agent->lead.offer_expires_ms = now_ms + HANDOVER_TIMEOUT_MS;
+	agent->lead.offers_left = peers;
+	agent->lead.offer_round++;
+	agent->lead.offer_capacity = capacity;
+	agent->lead.offer_ends_in_release = ends_in_release;
+	send_offer(agent);
+}
+
 void
 agent_handover_start(struct agent *agent, int64_t now_ms)
 {
@@ -66,10 +122,48 @@
 		agent_lead_release(agent);
 		return;
 	}
-	agent->lead.offer_expires_ms = now_ms + HANDOVER_TIMEOUT_MS;
-	agent->lead.offers_left = (uint32_t)peers;
-	agent->lead.next_offer_peer = agent_random(agent, (uint32_t)peers);
-	send_offer(agent);
+	begin_offer(agent, (uint32_t)peers, 0, true, now_ms);
+}
+
+/* Returns the lead capacity that a peer needs for this lead to hand over to it;
+ * INT64_MAX: this instance is to go on leading. */
+static int64_t
+wanted_capacity(const struct agent *agent, int64_t now_ms)
+{
+	int64_t own = agent_fitness_capacity(agent);
+	int64_t fitter = own + own / FITTER_SHARE;
+	int64_t best = agent_fitness_best_peer(agent);
+
+	if (own == 0 || best == 0)
+		return INT64_MAX;
+	if (best >= fitter)
+		return fitter;
+	if (best >= own && agent_load_is_high(&agent->load) &&
+	    now_ms - agent->lead.taken_ms >= MIN_LEAD_MS)
+		return own;
+	return INT64_MAX;
+}
+
+void
+agent_handover_step(struct agent *agent, int64_t now_ms)
+{
+	int64_t capacity;
+
+	if (agent->lead.offer_expires_ms != 0) {
+		if (now_ms >= agent->lead.offer_expires_ms)
+			end_offer(agent);
+		else
+			agent_wake_at(agent, agent->lead.offer_expires_ms);
+		return;
+	}
+	if (agent->stopping || now_ms < agent->lead.next_offer_ms)
+		return;
+	agent->lead.next_offer_ms = now_ms + OFFER_INTERVAL_MS;
+	if (agent_relay_health(agent, now_ms) != STORE_HEALTHY)
+		return;
+	capacity = wanted_capacity(agent, now_ms);
+	if (capacity != INT64_MAX)
+		begin_offer(agent, MAX_OFFERS, capacity, false, now_ms);
 }
 
 /* Requests the lead key if this instance can lead and the key is still the one
@@ -78,7 +172,7 @@
 accept_offer(struct agent *agent, const Ibis__LeadOffer *offer, int64_t now_ms)
 {
 	if (agent->stopping || agent->lead.state != AGENT_FOLLOWING ||
-	    !agent->lead_key.present ||
+	    agent_load_is_high(&agent->load) || !agent->lead_key.present ||
 	    agent->lead_key.revision != offer->epoch ||
 	    !agent_view_fresh(agent, now_ms))
 		return false;
--- a/src/agent/agent_lead.c
+++ b/src/agent/agent_lead.c
@@ -22,6 +22,8 @@
  * time added to it. */
 #define LEAD_RETRY_MS  150
 #define LEAD_JITTER_MS 40
+/* A new lead does not offer the lead to a fitter peer before this time. */
+#define LEAD_SETTLE_MS 1000
 /* How long an instance waits for the watch to show its lead key. */
 #define LEAD_KEY_TIMEOUT_MS 2000
 /* A lead that can't confirm its lead keeps renewing the leases of runs for this
@@ -100,6 +102,8 @@
 	agent->lead.lease_unconfirmed = false;
 	agent->lead.replaced_revision = 0;
 	agent->lead.offer_expires_ms = 0;
+	agent->lead.taken_ms = now_ms;
+	agent->lead.next_offer_ms = now_ms + LEAD_SETTLE_MS;
 	agent->fleet = fleet_new(&config, now_ms);
 	for (size_t i = 0; i < agent->jobs.count; i++)
 		agent_lead_update_job(agent, agent->jobs.items[i].item, now_ms);
@@ -109,7 +113,9 @@
 	gauge_set(GAUGE_LEADING, 1);
 	log_event(LOG_INFO, "lead_taken", "epoch",
 	    log_number((int64_t)agent->lead.epoch), "jobs",
-	    log_number((int64_t)agent->jobs.count), NULL);
+	    log_number((int64_t)agent->jobs.count), "capacity",
+	    log_number(agent_fitness_capacity(agent)), "best_peer_capacity",
+	    log_number(agent_fitness_best_peer(agent)), NULL);
 }
 
 void
@@ -163,8 +169,9 @@
 	    agent->lead.lease != 0 && !agent->stopping)
 		take_over(agent, now_ms);
 	else if (!key->present && agent->lead.state == AGENT_FOLLOWING)
-		agent->lead.next_try_ms =
-		    now_ms + agent_random(agent, LEAD_JITTER_MS);
+		agent->lead.next_try_ms = now_ms +
+		    agent_fitness_yield_ms(agent) +
+		    agent_random(agent, LEAD_JITTER_MS);
 }
 
 static void
@@ -363,14 +370,9 @@
 				1);
 		break;
 	case AGENT_LEADING:
-		if (agent->lead.offer_expires_ms != 0 &&
-		    now_ms >= agent->lead.offer_expires_ms) {
-			agent_lead_release(agent);
-			break;
-		}
-		if (agent->lead.offer_expires_ms != 0)
-			agent_wake_at(agent, agent->lead.offer_expires_ms);
-		maintain_lease(agent, now_ms);
+		agent_handover_step(agent, now_ms);
+		if (agent->lead.state == AGENT_LEADING)
+			maintain_lease(agent, now_ms);
 		break;
 	}
 }
--- a/src/agent/agent_peers.c
+++ b/src/agent/agent_peers.c
@@ -16,11 +16,12 @@
 #define MAX_HELLOS	 10
 /* Lease of this instance's entry. The store deletes the entry this long
  * after the last renewal. */
-#define ENTRY_LEASE_MS	   30000
-#define ENTRY_RENEW_MS	   10000
-#define ENTRY_RETRY_MS	   1000
-#define STATUS_OK	   200
-#define STATUS_BAD_REQUEST 400
+#define ENTRY_LEASE_MS	    30000
+#define ENTRY_RENEW_MS	    10000
+#define ENTRY_RETRY_MS	    1000
+#define MAX_CAPACITY_DIGITS 15
+#define STATUS_OK	    200
+#define STATUS_BAD_REQUEST  400
 
 void
 agent_peers_call(struct agent *agent, const char *address, const char *path,
@@ -150,6 +151,46 @@
 	greet(agent, add_peer(agent, name, address), clock_now_ms());
 }
 
+/* Reads a decimal number; -1: it is something else. */
+static int64_t
+parse_capacity(const char *text, size_t length)
+{
+	int64_t value = 0;
+
+	if (length == 0 || length > MAX_CAPACITY_DIGITS)
+		return -1;
+	for (size_t i = 0; i < length; i++) {
+		if (text[i] < '0' || text[i] > '9')
+			return -1;
+		value = value * 10 + (text[i] - '0');
+	}
+	return value;
+}
+
+void
+agent_peers_apply_capacity(struct agent *agent, const char *name,
+    const struct platform_store_item *item)
+{
+	struct name_index *capacities = &agent->peers.capacities;
+	struct agent_capacity *capacity;
+	int64_t value;
+
+	mem_free(name_index_remove(capacities, name));
+	if (item->deleted || strcmp(name, agent->settings.name) == 0)
+		return;
+	value = parse_capacity(item->value, item->value_length);
+	if (value < 0) {
+		agent_watch_log_unreadable(
+		    item, "the value is not a decimal number");
+		return;
+	}
+	capacity = mem_calloc(1, sizeof(*capacity));
+	STRING_COPY(capacity->name, name);
+	capacity->value = value;
+	if (!name_index_add(capacities, capacity->name, capacity))
+		mem_free(capacity);
+}
+
 static void
 register_answered(void *context, const struct platform_store_answer *answer)
 {
@@ -163,25 +204,45 @@
 		agent->peers.lease = 0;
 }
 
+/* Writes this instance's address and lead capacity, under keys that end with
+ * its lease. */
+static void
+write_entry(struct agent *agent)
+{
+	CLEANUP(buffer_free) struct buffer address_key = {0};
+	CLEANUP(buffer_free) struct buffer capacity_key = {0};
+	CLEANUP(buffer_free) struct buffer capacity = {0};
+	struct platform_store_op changes[2] = {{.put = true}, {.put = true}};
+
+	buffer_printf(
+	    &address_key, "%s%s", AGENT_PEER_PREFIX, agent->settings.name);
+	buffer_printf(
+	    &capacity_key, "%s%s", AGENT_CAPACITY_PREFIX, agent->settings.name);
+	buffer_printf(
+	    &capacity, "%lld", (long long)agent_fitness_capacity(agent));
+	changes[0].key = buffer_string(&address_key);
+	changes[0].value = agent->internal_address;
+	changes[0].value_length = strlen(agent->internal_address);
+	changes[0].lease = agent->peers.lease;
+	changes[1].key = buffer_string(&capacity_key);
+	changes[1].value = buffer_string(&capacity);
+	changes[1].value_length = capacity.length;
+	changes[1].lease = agent->peers.lease;
+	platform_store_commit(&agent->store, changes, COUNT_OF(changes),
+	    register_answered, agent);
+}
+
 static void
 entry_lease_answered(void *context, const struct platform_store_answer *answer)
 {
 	struct agent *agent = context;
-	CLEANUP(buffer_free) struct buffer key = {0};
-	struct platform_store_op change = {.put = true};
 
 	if (answer->outcome != STORE_DONE) {
 		register_answered(agent, answer);
 		return;
 	}
 	agent->peers.lease = answer->lease;
-	buffer_printf(&key, "%s%s", AGENT_PEER_PREFIX, agent->settings.name);
-	change.key = buffer_string(&key);
-	change.value = agent->internal_address;
-	change.value_length = strlen(agent->internal_address);
-	change.lease = answer->lease;
-	platform_store_commit(
-	    &agent->store, &change, 1, register_answered, agent);
+	write_entry(agent);
 }
 
 /* Writes or renews this instance's entry in the store, from which peers learn
@@ -221,4 +282,7 @@
 	for (size_t i = 0; i < agent->peers.index.count; i++)
 		mem_free(agent->peers.index.items[i].item);
 	name_index_free(&agent->peers.index);
+	for (size_t i = 0; i < agent->peers.capacities.count; i++)
+		mem_free(agent->peers.capacities.items[i].item);
+	name_index_free(&agent->peers.capacities);
 }
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -29,6 +29,7 @@
 #define AGENT_PROGRESS_PREFIX "ibis/progress/"
 #define AGENT_CANCEL_PREFIX   "ibis/cancel/"
 #define AGENT_PEER_PREFIX     "ibis/instance/"
+#define AGENT_CAPACITY_PREFIX "ibis/capacity/"
 
 /* Timeout of one store call; the wait of a watch is added. */
 #define STORE_TIMEOUT_MS 600
@@ -79,7 +80,11 @@
 	 * it. 0: not offered. */
 	int64_t offer_expires_ms;
 	uint32_t offers_left;
-	uint32_t next_offer_peer;
+	uint32_t offer_round;	    /* number of the current offer */
+	int64_t offer_capacity;	    /* least lead capacity of a peer */
+	bool offer_ends_in_release; /* if no peer takes the lead */
+	int64_t next_offer_ms;	    /* of a lead that goes on leading */
+	int64_t taken_ms;	    /* when this instance took the lead */
 	/* Changes whenever this instance starts or stops leading, so that late
 	 * answers to an earlier lead's calls can be recognised. */
 	uint64_t generation;
@@ -114,10 +119,19 @@
 	bool hello_in_flight;
 	uint32_t hellos; /* sent */
 	int64_t next_hello_ms;
+	uint32_t
+	    offer_round; /* the last one in which it was offered the lead */
+};
+
+/* What an instance has registered as its lead capacity. */
+struct agent_capacity {
+	char name[FLEET_NAME_BYTES]; /* of the instance */
+	int64_t value;
 };
 
 struct agent_peers {
-	struct name_index index; /* owns struct agent_peer */
+	struct name_index index;      /* owns struct agent_peer */
+	struct name_index capacities; /* owns struct agent_capacity */
 	/* This instance's own entry in the store. */
 	uint64_t lease;
 	bool register_in_flight;
@@ -147,6 +161,13 @@
 	int64_t unconfirmed_since_ms;
 };
 
+/* How busy the control thread is. */
+struct agent_load {
+	int64_t window_began_us;  /* 0: not measured yet */
+	int64_t window_waited_us; /* all waiting until the window began */
+	int32_t busy_permille;	  /* moving average over windows */
+};
+
 struct agent {
 	struct platform_settings settings;
 	const char *settings_path;
@@ -171,13 +192,14 @@
 	struct cds_list_head pending_requests;
 	uint32_t pending_request_count;
 
+	struct agent_load load;
 	struct agent_lead lead;
 	struct fleet *fleet;		  /* NULL unless leading */
 	struct agent_watch *worker_watch; /* NULL unless leading */
 	bool placements_held;		  /* as last logged */
 	int64_t next_gauges_ms;
-	struct name_index workers;	  /* owns struct agent_worker */
-	struct record_batch *batch;	  /* being written; NULL: none */
+	struct name_index workers;  /* owns struct agent_worker */
+	struct record_batch *batch; /* being written; NULL: none */
 	int64_t next_record_ms;
 	int64_t next_removal_ms;
 	bool removal_in_flight;
@@ -306,6 +328,37 @@
 void agent_peers_step(struct agent *agent, int64_t now_ms);
 void agent_peers_free(struct agent *agent);
 
+/* Updates the lead capacity of a peer from its entry in the store. */
+void agent_peers_apply_capacity(struct agent *agent, const char *name,
+    const struct platform_store_item *item);
+
+/*
+ * Fitness group: which instance is fit to lead. A lead's work grows with the
+ * workers and jobs, and instances differ in what they can bear.
+ */
+
+/* Returns the lead capacity of this instance: the processor time, in
+ * thousandths of a core, that it can spend as a lead before any of its
+ * resources is used up. 0: unknown. */
+int64_t agent_fitness_capacity(const struct agent *agent);
+
+/* Returns a peer's lead capacity as it has registered it; 0: unknown. */
+int64_t agent_fitness_of_peer(const struct agent *agent, const char *name);
+
+/* Returns the highest lead capacity of the peers; 0: none is known. */
+int64_t agent_fitness_best_peer(const struct agent *agent);
+
+/* Returns how long this instance leaves an absent lead key to fitter peers. */
+int64_t agent_fitness_yield_ms(const struct agent *agent);
+
+/* Updates the load at the end of a turn of the control thread. waited_us is how
+ * long it has waited for events in all. */
+void agent_load_update(
+    struct agent_load *load, int64_t now_us, int64_t waited_us);
+
+/* Returns whether the control thread is so busy that it falls behind. */
+bool agent_load_is_high(const struct agent_load *load);
+
 /*
  * Relay group: store calls, relayed through a peer while this instance can't
  * reach the store.
@@ -375,6 +428,10 @@
  * is none, or when none has taken it in time. */
 void agent_handover_start(struct agent *agent, int64_t now_ms);
 
+/* Offers the lead to a peer that is fitter to lead or, if this instance falls
+ * behind, to one that is as fit. Goes on leading until a peer has taken it. */
+void agent_handover_step(struct agent *agent, int64_t now_ms);
+
 /* Answers and frees a peer's offer. Returns false, with the request untouched,
  * when it is something else. */
 bool agent_handover_request(
--- a/src/agent/agent_view.c
+++ b/src/agent/agent_view.c
@@ -165,6 +165,9 @@
 	else if ((id = agent_watch_key_suffix(item->key, AGENT_PEER_PREFIX)) !=
 	    NULL)
 		agent_peers_apply_item(agent, id, item);
+	else if ((id = agent_watch_key_suffix(
+		      item->key, AGENT_CAPACITY_PREFIX)) != NULL)
+		agent_peers_apply_capacity(agent, id, item);
 	else if (strcmp(item->key, AGENT_LEAD_KEY) == 0)
 		apply_lead_item(agent, item);
 }
--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -57,6 +57,7 @@
 	struct cds_list_head refused; /* to end as HTTP_NOT_SENT */
 	struct transfer *idle[MAX_IDLE_TRANSFERS];
 	size_t idle_count;
+	int64_t waited_us; /* for events */
 };
 
 /*
@@ -495,9 +496,11 @@
 handle_round(struct http_pool *pool, int64_t timeout_ms, int64_t *woken_ms)
 {
 	struct epoll_event events[MAX_EVENTS_PER_ROUND];
+	int64_t begun_us = clock_now_us();
 	int count = epoll_wait(
 	    pool->epoll_fd, events, MAX_EVENTS_PER_ROUND, (int)timeout_ms);
 
+	pool->waited_us += clock_now_us() - begun_us;
 	if (*woken_ms == 0)
 		*woken_ms = clock_now_ms();
 	for (int i = 0; i < count; i++) {
@@ -507,6 +510,12 @@
 	return count == MAX_EVENTS_PER_ROUND;
 }
 
+int64_t
+http_pool_waited_us(const struct http_pool *pool)
+{
+	return pool->waited_us;
+}
+
 int64_t
 http_pool_wait(struct http_pool *pool, int64_t timeout_ms)
 {
--- a/src/connection/http_pool.h
+++ b/src/connection/http_pool.h
@@ -103,6 +103,10 @@
  * calls. Returns how long handling the events took, in milliseconds. */
 int64_t http_pool_wait(struct http_pool *pool, int64_t timeout_ms);
 
+/* Returns how long http_pool_wait has waited for events in all, in
+ * microseconds. */
+int64_t http_pool_waited_us(const struct http_pool *pool);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/process/counters.c
+++ b/src/process/counters.c
@@ -174,6 +174,10 @@
 	"never."},
     [GAUGE_CONFIG_CONFIRMED] = {"ibis_config_confirmed", "",
 	"1 while that time is within the limit for changes to be in force."},
+    [GAUGE_CONTROL_BUSY] = {"ibis_control_busy_permille", "",
+	"Share of its time that the control thread is busy, in thousandths."},
+    [GAUGE_LEAD_CAPACITY] = {"ibis_lead_capacity_millicores", "",
+	"Processor time that this instance can spend as a lead; 0: unknown."},
 };
 
 static const struct metric histogram_metrics[HISTOGRAM_COUNT] = {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -20,6 +20,8 @@
 	"\"ListenAddresses\":{\"Frontend\":\"10.1.0.1:80\","                  \
 	"\"Readiness\":\"10.1.0.1:81\"},\"InternalPortRange\":[7000,7015],"   \
 	"\"Bounds\":{\"GraceS\":6,\"MaxHoldMs\":9000,\"RemotePenalty\":2.5}," \
+	"\"Limits\":{\"CpuFraction\":0.25,\"Cores\":2,\"MemoryMb\":260,"      \
+	"\"LinkMbps\":20.5},"                                                 \
 	"\"platform\":{\"Address\":\"10.2.0.1:90\",\"MinTtlMs\":1200}}"
 
 /* Valid settings up to the members that a test adds. */
@@ -45,6 +47,9 @@
 	CU_ASSERT_EQUAL(settings.internal_port, 7000);
 	CU_ASSERT_EQUAL(settings.min_store_lease_ms, 1200);
 	CU_ASSERT_DOUBLE_EQUAL(settings.remote_factor, 2.5, 0.001);
+	CU_ASSERT_EQUAL(settings.cpu_milli, 500);
+	CU_ASSERT_EQUAL(settings.memory_mb, 260);
+	CU_ASSERT_EQUAL(settings.link_kbit, 20500);
 }
 
 /* Invalid settings, and a text that the error message has to contain. */
@@ -80,6 +85,9 @@
     {SETTINGS_WITH_STORE "\"Bounds\":{\"status_s\":1e99}}", "Bounds.status_s"},
     {SETTINGS_WITH_STORE "\"Bounds\":{\"RemotePenalty\":-1}}",
 	"Bounds.RemotePenalty"},
+    {SETTINGS_WITH_STORE "\"Limits\":{\"CpuFraction\":\"half\"}}",
+	"Limits.CpuFraction: \"half\"; expected a number from 0"},
+    {SETTINGS_WITH_STORE "\"Limits\":{\"LinkMbps\":-1}}", "Limits.LinkMbps"},
 };
 
 static void
