Hand the lead over when the store turns the lead away

Cause: the store turned a third of the instances away, the lead among them, from 2.5 s to 11.5 s. The lead's store calls went through peers, which are small and slow; its log has record_retry with age_ms=700 and record_conflict value=same, and all jobs of these seconds settled at 11.5 s. Nothing made an instance that reaches the store lead instead.

Change: a lead whose store calls have been relayed for 300 ms offers the lead to peers with at least half its capacity. A peer that is itself relayed refuses, and leaves an absent lead key to others.

Evidence: test_agent_fitness "a relayed lead offers the lead"; without the check in wanted_capacity no offer is sent.

--- a/src/agent/agent_fitness.c
+++ b/src/agent/agent_fitness.c
@@ -71,6 +71,8 @@
 	int64_t own =
 	    agent_fitness_capacity(agent) * free_permille / FULL_LOAD_PERMILLE;
 
+	if (agent->relay.via_peer)
+		own = 0;
 	if (own >= best)
 		return 0;
 	return MAX_YIELD_MS * (best - own) / best;
--- a/src/agent/agent_handover.c
+++ b/src/agent/agent_handover.c
@@ -1,7 +1,8 @@
 /*
  * Hands the lead over to a peer: before a planned stop, when a peer is fitter
- * to lead, and when this instance falls behind. This instance leads until the
- * peer has overwritten the lead key, so that there is no time without a lead.
+ * to lead, and when this instance falls behind or the store turns it away. This
+ * instance leads until the peer has overwritten the lead key, so that there is
+ * no time without a lead.
  */
 #include <string.h>
 
@@ -14,10 +15,14 @@
 #define HANDOVER_TIMEOUT_MS 1500
 #define OFFER_TIMEOUT_MS    500
 /* A lead that goes on leading offers it to this many peers, at intervals. */
-#define MAX_OFFERS	  3
+#define MAX_OFFERS	  5
 #define OFFER_INTERVAL_MS 1000
 /* A peer is fitter if its lead capacity is higher by at least one such part. */
 #define FITTER_SHARE 2
+/* A lead whose store calls have been relayed for this long hands over to a peer
+ * that reaches the store and has at least one such part of its capacity. */
+#define RELAYED_LEAD_MS	 300
+#define RELAYED_LEAD_SHARE 2
 /* A lead that falls behind hands over to a peer that is only as fit as itself
  * at most this often: the work may be too much for either. */
 #define MIN_LEAD_MS	   15000
@@ -125,6 +130,15 @@
 	begin_offer(agent, (uint32_t)peers, 0, true, now_ms);
 }
 
+/* Returns whether store calls have been relayed through peers for a while. Each
+ * record then takes the way of a peer that may be slow or busy. */
+static bool
+is_relayed(const struct agent *agent, int64_t now_ms)
+{
+	return agent->relay.via_peer &&
+	    now_ms - agent->relay.switched_ms >= RELAYED_LEAD_MS;
+}
+
 /* Returns the lead capacity that a peer needs for this lead to hand over to it;
  * INT64_MAX: this instance is to go on leading. */
 static int64_t
@@ -134,7 +148,10 @@
 	int64_t fitter = own + own / FITTER_SHARE;
 	int64_t best = agent_fitness_best_peer(agent);
 
-	if (own == 0 || best == 0)
+	if (is_relayed(agent, now_ms))
+		return own / RELAYED_LEAD_SHARE;
+	if (own == 0 || best == 0 ||
+	    agent_relay_health(agent, now_ms) != STORE_HEALTHY)
 		return INT64_MAX;
 	if (best >= fitter)
 		return fitter;
@@ -158,12 +175,11 @@
 	}
 	if (agent->stopping || now_ms < agent->lead.next_offer_ms)
 		return;
-	agent->lead.next_offer_ms = now_ms + OFFER_INTERVAL_MS;
-	if (agent_relay_health(agent, now_ms) != STORE_HEALTHY)
-		return;
 	capacity = wanted_capacity(agent, now_ms);
-	if (capacity != INT64_MAX)
-		begin_offer(agent, MAX_OFFERS, capacity, false, now_ms);
+	if (capacity == INT64_MAX)
+		return;
+	agent->lead.next_offer_ms = now_ms + OFFER_INTERVAL_MS;
+	begin_offer(agent, MAX_OFFERS, capacity, false, now_ms);
 }
 
 /* Requests the lead key if this instance can lead and the key is still the one
@@ -171,7 +187,8 @@
 static bool
 accept_offer(struct agent *agent, const Ibis__LeadOffer *offer, int64_t now_ms)
 {
-	if (agent->stopping || agent->lead.state != AGENT_FOLLOWING ||
+	if (agent->stopping || agent->relay.via_peer ||
+	    agent->lead.state != AGENT_FOLLOWING ||
 	    agent_load_is_high(&agent->load) || !agent->lead_key.present ||
 	    agent->lead_key.revision != offer->epoch ||
 	    !agent_view_fresh(agent, now_ms))
--- a/tests/test_agent_fitness.c
+++ b/tests/test_agent_fitness.c
@@ -215,6 +215,32 @@
 	CU_ASSERT_EQUAL(refuse_offer(&fixture, QUIET_MS), -1);
 }
 
+/* Guards against a lead that the store turns away: each of its records took the
+ * way of a peer, and jobs that had ended were shown so seconds late. */
+static void
+test_relayed_lead_offers_the_lead(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+	struct agent *agent = &fixture.agent;
+	int64_t now_ms = clock_now_ms();
+
+	open_fixture(&fixture, 500);
+	list_peer(&fixture, 0, "i1", "500");
+	list_peer(&fixture, 1, "i2", "120");
+	list_peer(&fixture, 2, "i3", "300");
+	agent->lead.taken_ms = now_ms;
+	agent->relay.via_peer = true;
+	agent->relay.switched_ms = now_ms;
+	agent_handover_step(agent, now_ms);
+	CU_ASSERT_EQUAL(refuse_offer(&fixture, QUIET_MS), -1);
+	agent_handover_step(agent, now_ms + WAIT_MS);
+	CU_ASSERT_EQUAL(refuse_offer(&fixture, WAIT_MS), 0);
+	CU_ASSERT_EQUAL(refuse_offer(&fixture, WAIT_MS), 2);
+	CU_ASSERT_EQUAL(refuse_offer(&fixture, QUIET_MS), -1);
+	CU_ASSERT_EQUAL(agent->lead.state, AGENT_LEADING);
+	CU_ASSERT_TRUE(agent_fitness_yield_ms(agent) > 0);
+}
+
 /* Guards against a planned stop that hands the lead to a weak instance. */
 static void
 test_planned_stop_offers_to_the_fittest_first(void)
@@ -266,6 +292,8 @@
 	    {"a weak lead offers to fitter peers",
 		test_weak_lead_offers_to_fitter_peers},
 	    {"a fit lead keeps the lead", test_fit_lead_keeps_the_lead},
+	    {"a relayed lead offers the lead",
+		test_relayed_lead_offers_the_lead},
 	    {"a planned stop offers to the fittest first",
 		test_planned_stop_offers_to_the_fittest_first},
 	    {"load is the share of time not waited",
