Write records beside each other

Callers saw: while the store is slow or relayed, starts and ends of jobs come late, the later the more jobs there are.

Cause: one write of up to 15 jobs was in flight at a time, and a placement is recorded before its start: with 200 ms for an answer the whole site does 75 records a second, whatever the store could bear.

Change: up to four writes are in flight. A further one begins when there are jobs for a full one, or when the latest has taken 40 ms, so that a healthy store gets no more calls. A job is in one write at a time; each write depends on the lead key and on the revisions of its records, as before.

Evidence: test_agent_lead "records are written beside each other" (with a limit of one write it finds one instead of two) and "late answers to records are ignored".

--- a/src/agent/agent_records.c
+++ b/src/agent/agent_records.c
@@ -19,6 +19,9 @@
 #define BATCH_JOBS 15
 /* Pause after a successful write, to batch changes. */
 #define BATCH_INTERVAL_MS 6
+/* A further batch that is not full may be written while one is in flight, once
+ * that has taken this long. */
+#define BATCH_OVERLAP_MS 40
 #define RECORD_RETRY_MS	  40
 /* Keys removed in one transaction: up to three for a job. */
 #define REMOVAL_MAX_KEYS    24
@@ -34,6 +37,7 @@
 	uint64_t conditions[BATCH_JOBS];
 	size_t count;
 	bool in_flight;
+	int64_t begun_ms;
 	int64_t retry_at_ms;
 };
 
@@ -48,15 +52,28 @@
 void
 agent_records_drop(struct agent *agent)
 {
-	struct record_batch *batch = agent->batch;
+	for (size_t i = 0; i < AGENT_RECORD_BATCHES; i++) {
+		struct record_batch *batch = agent->batches[i];
 
-	agent->batch = NULL;
-	if (batch == NULL)
-		return;
-	if (batch->in_flight)
-		batch->agent = NULL; /* freed when its answer arrives */
-	else
-		free_batch(batch);
+		agent->batches[i] = NULL;
+		if (batch == NULL)
+			continue;
+		if (batch->in_flight)
+			batch->agent = NULL; /* freed when its answer arrives */
+		else
+			free_batch(batch);
+	}
+}
+
+/* Frees a batch whose jobs have been handled. */
+static void
+end_batch(struct agent *agent, struct record_batch *batch)
+{
+	for (size_t i = 0; i < AGENT_RECORD_BATCHES; i++) {
+		if (agent->batches[i] == batch)
+			agent->batches[i] = NULL;
+	}
+	free_batch(batch);
 }
 
 static void
@@ -64,8 +81,7 @@
 {
 	for (size_t i = 0; i < batch->count; i++)
 		fleet_record_stored(agent->fleet, batch->jobs[i], revision);
-	agent->batch = NULL;
-	free_batch(batch);
+	end_batch(agent, batch);
 }
 
 static const struct platform_store_item *
@@ -144,8 +160,7 @@
 			fleet_record_failed(
 			    agent->fleet, batch->jobs[i], revision);
 	}
-	agent->batch = NULL;
-	free_batch(batch);
+	end_batch(agent, batch);
 }
 
 /* Logs a record of the batch if the store has another revision of it than this
@@ -253,6 +268,7 @@
 	struct fleet_job *job;
 
 	batch->agent = agent;
+	batch->begun_ms = clock_now_ms();
 	while (batch->count < BATCH_JOBS &&
 	    (job = fleet_take_unrecorded(agent->fleet)) != NULL) {
 		size_t i = batch->count++;
@@ -340,6 +356,36 @@
 	    &agent->store, changes, count + 1, removal_answered, agent);
 }
 
+/* Returns when the next batch may begin: after a pause, or beside the batches in
+ * flight when there are enough jobs for a full one or the latest takes long. */
+static int64_t
+next_batch_ms(const struct agent *agent)
+{
+	int64_t latest_ms = 0;
+
+	for (size_t i = 0; i < AGENT_RECORD_BATCHES; i++) {
+		const struct record_batch *batch = agent->batches[i];
+
+		if (batch != NULL && batch->begun_ms > latest_ms)
+			latest_ms = batch->begun_ms;
+	}
+	if (latest_ms == 0 ||
+	    fleet_has_unrecorded(agent->fleet, BATCH_JOBS))
+		return agent->next_record_ms;
+	return latest_ms + BATCH_OVERLAP_MS;
+}
+
+static void
+send_if_due(struct agent *agent, struct record_batch *batch, int64_t now_ms)
+{
+	if (batch->in_flight)
+		return;
+	if (now_ms >= batch->retry_at_ms)
+		send_batch(agent, batch);
+	else
+		agent_wake_at(agent, batch->retry_at_ms);
+}
+
 void
 agent_records_step(struct agent *agent, int64_t now_ms)
 {
@@ -347,17 +393,15 @@
 		return;
 	if (!agent->removal_in_flight && now_ms >= agent->next_removal_ms)
 		remove_expired(agent, now_ms);
-	if (agent->batch == NULL) {
-		if (now_ms < agent->next_record_ms) {
-			agent_wake_at(agent, agent->next_record_ms);
-			return;
+	for (size_t i = 0; i < AGENT_RECORD_BATCHES; i++) {
+		if (agent->batches[i] == NULL &&
+		    fleet_has_unrecorded(agent->fleet, 1)) {
+			if (now_ms >= next_batch_ms(agent))
+				agent->batches[i] = collect_batch(agent);
+			else
+				agent_wake_at(agent, next_batch_ms(agent));
 		}
-		agent->batch = collect_batch(agent);
+		if (agent->batches[i] != NULL)
+			send_if_due(agent, agent->batches[i], now_ms);
 	}
-	if (agent->batch == NULL || agent->batch->in_flight)
-		return;
-	if (now_ms >= agent->batch->retry_at_ms)
-		send_batch(agent, agent->batch);
-	else
-		agent_wake_at(agent, agent->batch->retry_at_ms);
 }
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -38,6 +38,10 @@
 /* An instance whose copy of the store's records is older is not ready. */
 #define VIEW_MAX_AGE_MS 2500
 
+enum {
+	AGENT_RECORD_BATCHES = 4 /* writes of records in flight, at most */
+};
+
 /* A job as recorded in the store. */
 struct view_job {
 	char id[FLEET_ID_BYTES];
@@ -199,7 +203,8 @@
 	bool placements_held;		  /* as last logged */
 	int64_t next_gauges_ms;
 	struct name_index workers;  /* owns struct agent_worker */
-	struct record_batch *batch; /* being written; NULL: none */
+	/* Being written; NULL: none. */
+	struct record_batch *batches[AGENT_RECORD_BATCHES];
 	int64_t next_record_ms;
 	int64_t next_removal_ms;
 	bool removal_in_flight;
@@ -429,7 +434,7 @@
 void agent_handover_start(struct agent *agent, int64_t now_ms);
 
 /* Offers the lead to a peer that is fitter to lead or, if this instance falls
- * behind, to one that is as fit. Goes on leading until a peer has taken it. */
+ * behind or the store turns it away, to one that is about as fit. Goes on leading until a peer has taken it. */
 void agent_handover_step(struct agent *agent, int64_t now_ms);
 
 /* Answers and frees a peer's offer. Returns false, with the request untouched,
@@ -445,7 +450,7 @@
  * leading. */
 void agent_records_step(struct agent *agent, int64_t now_ms);
 
-/* Drops the batch that is being written. */
+/* Drops the batches that are being written. */
 void agent_records_drop(struct agent *agent);
 
 /*
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -193,6 +193,9 @@
  */
 struct fleet_job *fleet_take_unrecorded(struct fleet *fleet);
 
+/* Returns whether at least count jobs wait for their record to be written. */
+bool fleet_has_unrecorded(const struct fleet *fleet, size_t count);
+
 /* Appends the packed progress record to a buffer; wall_ms becomes the end time
  * of a job that has just ended. */
 struct buffer;
--- a/src/fleet/fleet_jobs.c
+++ b/src/fleet/fleet_jobs.c
@@ -425,6 +425,20 @@
 	free_progress(&progress);
 }
 
+bool
+fleet_has_unrecorded(const struct fleet *fleet, size_t count)
+{
+	const struct fleet_job *job;
+	size_t found = 0;
+
+	cds_list_for_each_entry (job, &fleet->unrecorded, unrecorded) {
+		if (found == count)
+			break;
+		found += !job->writing;
+	}
+	return found >= count;
+}
+
 struct fleet_job *
 fleet_take_unrecorded(struct fleet *fleet)
 {
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -202,7 +202,7 @@
 	struct cds_list_head unrecorded; /* dirty jobs, oldest first */
 	/* Jobs that have not ended, or still have tasks on workers. */
 	struct cds_list_head active;
-	struct fleet_job *writing[32]; /* jobs whose write is under way */
+	struct fleet_job *writing[64]; /* jobs whose write is under way */
 	size_t writing_count;
 	uint64_t generation; /* rises with each change of a job's record */
 	uint64_t polls;	     /* answered ones */
--- a/tests/test_agent_lead.c
+++ b/tests/test_agent_lead.c
@@ -610,6 +610,71 @@
 	CU_ASSERT_EQUAL(fixture.agent.lead.lease, OUR_LEASE);
 }
 
+/* Makes records of this many jobs due. */
+static void
+add_dirty_jobs(struct fixture *fixture, int count)
+{
+	CLEANUP(buffer_free) struct buffer packed = {0};
+	Ibis__StepJob job = IBIS__STEP_JOB__INIT;
+	struct agent *agent = &fixture->agent;
+
+	proto_pack(&job.base, &packed);
+	for (int i = 0; i < count; i++) {
+		char id[FLEET_ID_BYTES];
+
+		(void)snprintf(id, sizeof(id), "%016x", i);
+		agent_view_add_job(agent, id, 50, packed.data, packed.length);
+		fleet_cancel_job(agent->fleet, fleet_find_job(agent->fleet, id),
+		    clock_now_ms());
+	}
+}
+
+/* Guards against records that queue behind each other in a slow store: one
+ * write of 15 jobs was in flight at a time, so that placements and ends of
+ * further jobs waited for as many answers as there were writes before them. */
+static void
+test_records_are_written_beside_each_other(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+	struct agent *agent = &fixture.agent;
+	int64_t now_ms = clock_now_ms();
+
+	open_fixture(&fixture);
+	become_lead(&fixture);
+	agent->next_removal_ms = INT64_MAX;
+	add_dirty_jobs(&fixture, 40);
+	agent_records_step(agent, now_ms);
+	CU_ASSERT_EQUAL(unanswered(&fixture, "kv-txn"), 2);
+	agent_records_step(agent, now_ms + 1000);
+	CU_ASSERT_EQUAL(unanswered(&fixture, "kv-txn"), 3);
+	agent_records_step(agent, now_ms + 2000);
+	CU_ASSERT_EQUAL(unanswered(&fixture, "kv-txn"), 3);
+	answer(&fixture, "kv-txn", "{\"Revision\":70}");
+	answer(&fixture, "kv-txn", "{\"Revision\":71}");
+	answer(&fixture, "kv-txn", "{\"Revision\":72}");
+	CU_ASSERT_EQUAL(agent->lead.state, AGENT_LEADING);
+	CU_ASSERT_FALSE(fleet_has_unrecorded(agent->fleet, 1));
+}
+
+/* Guards against writes of a lead that has stepped down: answers to several of
+ * them come late. */
+static void
+test_late_answers_to_records_are_ignored(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+	struct agent *agent = &fixture.agent;
+
+	open_fixture(&fixture);
+	become_lead(&fixture);
+	agent->next_removal_ms = INT64_MAX;
+	add_dirty_jobs(&fixture, 40);
+	agent_records_step(agent, clock_now_ms());
+	agent_lead_step_down(agent, "test");
+	answer(&fixture, "kv-txn", "{\"Revision\":70}");
+	answer(&fixture, "kv-txn", "{\"Revision\":71}");
+	CU_ASSERT_EQUAL(agent->lead.state, AGENT_FOLLOWING);
+}
+
 int
 main(void)
 {
@@ -634,6 +699,10 @@
 		test_answer_without_a_lease_is_a_failed_try},
 	    {"lead key is requested with its lease",
 		test_lead_key_is_requested_with_its_lease},
+	    {"records are written beside each other",
+		test_records_are_written_beside_each_other},
+	    {"late answers to records are ignored",
+		test_late_answers_to_records_are_ignored},
 	    CU_TEST_INFO_NULL,
 	};
 
