Move tasks from workers that leave before they end

Cause: a draining worker got no further tasks, but what ran there stayed until the worker was gone. The time that it has left, which its entry says, was not read.

Change: the entry's remaining time is read; a task that is expected to run longer is stopped at once, with its whole gang, so that its work is saved where it can be, and is placed elsewhere. What ends in time stays. The expectation comes from the task's rate, else from its progress, else from its estimate.

Evidence: test_fleet_drain; without fleet_move_from_leaving its first and third tests find no stop.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -70,6 +70,9 @@
 	struct fleet_resources resources; /* in total */
 	int64_t incarnation_wall_ms; /* start of this incarnation; 0: unknown */
 	bool draining;
+	/* Least time until it leaves, when the entry was written; 0 or less:
+	 * unknown. */
+	int64_t remaining_ms;
 };
 
 /* How a run ended. */
--- a/src/fleet/fleet_decide.c
+++ b/src/fleet/fleet_decide.c
@@ -390,6 +390,7 @@
 	order_orphan_stops(fleet, now_ms);
 	fleet_open_due_occurrences(fleet, now_ms, wall_ms);
 	stop_ended_jobs(fleet, now_ms);
+	fleet_move_from_leaving(fleet, now_ms);
 	if (!fleet->placements_held &&
 	    (fleet->changed || now_ms >= fleet->next_placement_ms)) {
 		fleet->changed = false;
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -128,6 +128,7 @@
 	int64_t clock_at_ms;
 	int64_t lease_until_ms; /* latest end of its lease, on our clock */
 	int64_t granted_ms;	/* when the last lease was granted */
+	int64_t leaves_ms;	/* earliest; 0: unknown, or it stays */
 	uint64_t last_reported_end;
 	uint64_t reported_generation; /* fleet->generation after that end */
 	uint64_t last_acked_end;      /* number of the end */
@@ -505,6 +506,17 @@
 /* Requests a placement at this time or earlier, even without a change. */
 void fleet_schedule_placement(struct fleet *fleet, int64_t at_ms);
 
+/*
+ * Drain group.
+ */
+
+/* Updates when a worker leaves from its new entry. */
+void fleet_note_leaving(struct fleet *fleet, struct fleet_worker *worker,
+    const struct fleet_worker_entry *entry, int64_t now_ms);
+
+/* Stops the tasks that would not end before their worker leaves. */
+void fleet_move_from_leaving(struct fleet *fleet, int64_t now_ms);
+
 /*
  * Unmet group. During a round of placement, capacity only becomes less, unless
  * tasks are preempted. So a step that needs as much as one that could not be
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -239,6 +239,7 @@
 	}
 	if (shows_restart(worker, entry))
 		fleet_raise_fence(fleet, worker, now_ms);
+	fleet_note_leaving(fleet, worker, entry, now_ms);
 	worker->entry = *entry;
 	worker->listed = true;
 	worker->zone_out_of_service =
