Count the age of a task's progress when its worker leaves

Cause: the progress of the last report, up to 0.7 s old, counted as that of now, and the margin was half a second.

Evidence: test_fleet_drain "the age of progress counts" failed before.

--- a/src/fleet/fleet_drain.c
+++ b/src/fleet/fleet_drain.c
@@ -7,7 +7,7 @@
 
 /* A worker is reckoned to leave this much earlier than it has said, to allow
  * for the delay of its entry and for the time that a stop takes. */
-#define LEAVE_MARGIN_MS 500
+#define LEAVE_MARGIN_MS 300
 #define FULL_PERCENT	100
 
 /* Returns how long a task is expected to run on its worker; INT64_MAX: without
@@ -16,15 +16,20 @@
 expected_run_ms(const struct fleet_task *task, int64_t now_ms)
 {
 	const Ibis__JobStep *step = fleet_step_of(task);
-	int64_t ran_ms = now_ms - task->started_ms;
+	int64_t seen_ms = task->worker->clock_at_ms; /* of its progress */
+	int32_t percent_left = FULL_PERCENT - task->percent;
+	int64_t left_ms;
 
 	if (step->lasting)
 		return INT64_MAX;
 	if (task->rate > 0)
-		return (int64_t)((FULL_PERCENT - task->percent) / task->rate);
-	if (task->percent > 0 && task->last_poll > 0)
-		return ran_ms * (FULL_PERCENT - task->percent) / task->percent;
-	return (int64_t)step->estimate_ms - ran_ms;
+		left_ms = (int64_t)(percent_left / task->rate);
+	else if (task->percent > 0 && task->last_poll > 0)
+		left_ms =
+		    (seen_ms - task->started_ms) * percent_left / task->percent;
+	else
+		return task->started_ms + (int64_t)step->estimate_ms - now_ms;
+	return left_ms - (now_ms - seen_ms);
 }
 
 static bool
--- a/tests/test_fleet_drain.c
+++ b/tests/test_fleet_drain.c
@@ -174,6 +174,21 @@
 	CU_ASSERT_EQUAL(decide(&fixture, FLEET_STOP), 0);
 }
 
+/* Guards against moves of tasks that are about to end: their progress counted
+ * as that of now, although the last report was older. */
+static void
+test_age_of_progress_counts(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+
+	open_fixture(&fixture);
+	start_job(&fixture, 1, false);
+	run_for(&fixture, 8000, 1, 80);
+	fixture.now_ms += 600;
+	drain(&fixture, 0, 2000);
+	CU_ASSERT_EQUAL(decide(&fixture, FLEET_STOP), 0);
+}
+
 /* Guards against a gang that goes on without the member that would be lost. */
 static void
 test_gang_with_a_member_on_a_leaving_worker_is_moved_whole(void)
@@ -211,6 +226,7 @@
 		test_task_that_outlasts_the_notice_is_moved_at_once},
 	    {"a task that ends within the notice stays",
 		test_task_that_ends_within_the_notice_stays},
+	    {"the age of progress counts", test_age_of_progress_counts},
 	    {"a gang with a member on a leaving worker is moved whole",
 		test_gang_with_a_member_on_a_leaving_worker_is_moved_whole},
 	    {"an unknown time of leaving moves nothing",
