Find slow members of gangs one poll earlier

Cause: a member with little progress had no rate before 8 % or 1.5 s, so that it was compared with the others only at its third poll.

Change: after 0.5 s, little progress bounds a rate from above, as workers report whole percents. A member whose bound is under half of the best rate is slow. Progress has its own time; a member that has done its work and waits for the others is not slow.

Evidence: test_fleet_progress "a slow member is found at the next poll" failed before.

--- a/src/fleet/fleet_drain.c
+++ b/src/fleet/fleet_drain.c
@@ -16,7 +16,7 @@
 expected_run_ms(const struct fleet_task *task, int64_t now_ms)
 {
 	const Ibis__JobStep *step = fleet_step_of(task);
-	int64_t seen_ms = task->worker->clock_at_ms; /* of its progress */
+	int64_t seen_ms = task->percent_ms;
 	int32_t percent_left = FULL_PERCENT - task->percent;
 	int64_t left_ms;
 
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -59,6 +59,7 @@
 	uint32_t index; /* within the step */
 	uint32_t failures;
 	int32_t percent;	/* as last reported */
+	int64_t percent_ms;	/* when it was reported */
 	int32_t sample_percent; /* progress at the last rate sample */
 	int64_t sample_ms;	/* time of the last rate sample; 0: none */
 	double rate;		/* percent per millisecond; 0: unknown */
--- a/src/fleet/fleet_progress.c
+++ b/src/fleet/fleet_progress.c
@@ -13,6 +13,11 @@
  * percents, so that shorter spans would give mostly rounding errors. */
 #define RATE_MIN_PERCENT     8
 #define RATE_MIN_INTERVAL_MS 1500
+/* After this time, little progress bounds a rate from above. */
+#define BOUND_MIN_INTERVAL_MS 500
+/* A member of a gang is slow whose rate is less than one such part of the best
+ * one's. */
+#define SLOW_RATE_SHARE 2
 /* A task without progress for longer is stalled. */
 #define STALL_TIMEOUT_MS 1500
 /* Overhead of a move, without the work that is repeated. */
@@ -53,15 +58,23 @@
 	worker->slowness_ms = now_ms;
 }
 
-/* Returns the rate that the task would have in the rack of its data. */
+/* Returns the rate that a task with this rate would have in the rack of its
+ * data. */
 static double
-local_rate(const struct fleet *fleet, const struct fleet_task *task)
+to_local_rate(
+    const struct fleet *fleet, const struct fleet_task *task, double rate)
 {
 	const char *rack = fleet_step_of(task)->data_rack;
 
 	if (*rack == '\0' || strcmp(rack, task->worker->entry.rack) == 0)
-		return task->rate;
-	return task->rate * fleet->config.remote_factor;
+		return rate;
+	return rate * fleet->config.remote_factor;
+}
+
+static double
+local_rate(const struct fleet *fleet, const struct fleet_task *task)
+{
+	return to_local_rate(fleet, task, task->rate);
 }
 
 /* Returns the gang's fastest running member, or NULL when no rate is known. */
@@ -178,6 +191,43 @@
 	return true;
 }
 
+/* Returns the highest rate that a task without a rate sample can have by its
+ * last report, in whole percents; 0: it has one, or no bound is known. A member
+ * that has done its work waits for the others. */
+static double
+highest_rate(const struct fleet_task *task)
+{
+	int64_t passed_ms = task->percent_ms - task->sample_ms;
+
+	if (task->rate > 0 || task->sample_ms == 0 ||
+	    task->percent >= FULL_PERCENT || passed_ms < BOUND_MIN_INTERVAL_MS)
+		return 0;
+	return (double)(task->percent - task->sample_percent + 1) /
+	    (double)passed_ms;
+}
+
+/* Gives the members of a gang that are slow, and have made too little progress
+ * for a rate sample, the highest rate that they can have. Returns one of them,
+ * or NULL. */
+static struct fleet_task *
+find_slow_member(const struct fleet *fleet, struct fleet_task *tasks,
+    uint32_t count, double best_rate)
+{
+	struct fleet_task *slow = NULL;
+
+	for (uint32_t i = 0; i < count; i++) {
+		double rate = highest_rate(&tasks[i]);
+
+		if (rate == 0 ||
+		    to_local_rate(fleet, &tasks[i], rate) * SLOW_RATE_SHARE >=
+			best_rate)
+			continue;
+		tasks[i].rate = rate;
+		slow = &tasks[i];
+	}
+	return slow;
+}
+
 static void
 check_gang(struct fleet *fleet, struct fleet_task *task, bool rate_updated,
     int64_t now_ms)
@@ -186,6 +236,7 @@
 	struct fleet_task *tasks =
 	    fleet_step_tasks(task->occurrence, task->step);
 	const struct fleet_task *best;
+	struct fleet_task *slow;
 	double best_rate = 0;
 
 	if (!gang_is_running(tasks, step->tasks)) {
@@ -197,6 +248,11 @@
 	best = fastest_member(fleet, tasks, step->tasks);
 	if (best != NULL)
 		best_rate = local_rate(fleet, best);
+	slow = find_slow_member(fleet, tasks, step->tasks, best_rate);
+	if (slow != NULL) {
+		task = slow;
+		rate_updated = true;
+	}
 	if (best != NULL && rate_updated)
 		update_slowness(task->worker,
 		    best_rate / local_rate(fleet, task) *
@@ -217,6 +273,7 @@
 	bool rate_updated;
 
 	task->percent = percent;
+	task->percent_ms = now_ms;
 	if (step->lasting || step->fills || task->state != TASK_RUNNING)
 		return;
 	rate_updated = update_rate(task, percent, now_ms);
--- a/src/fleet/fleet_tasks.c
+++ b/src/fleet/fleet_tasks.c
@@ -210,6 +210,7 @@
 	task->stop_reason = NULL;
 	task->visible_from_ms = INT64_MAX;
 	task->percent = 0;
+	task->percent_ms = now_ms;
 	task->sample_ms = 0;
 	task->rate = 0;
 	task->best_rate = 0;
