Offer no lead while the store is unreachable

Change: nothing is offered while the store is unreachable. Shares are given in percent, and findings of the linter are mended.

Evidence: test_agent_fitness "nothing is offered while the store is unreachable" and test_platform "remaining time of a worker".

--- a/bench/bench_fleet.c
+++ b/bench/bench_fleet.c
@@ -283,8 +283,11 @@
 	double due = 0;
 
 	for (; site->now_ms < end_ms; site->now_ms++) {
-		for (due += jobs_per_ms; due >= 1; due--)
+		due += jobs_per_ms;
+		while (due >= 1) {
 			submit_job(site);
+			due--;
+		}
 		for (size_t i = (size_t)(site->now_ms % REPORT_INTERVAL_MS);
 		     i < site->workers_count; i += REPORT_INTERVAL_MS)
 			report(site, i);
--- a/src/agent/agent_fitness.c
+++ b/src/agent/agent_fitness.c
@@ -73,7 +73,7 @@
 
 	if (agent->relay.via_peer)
 		own = 0;
-	if (own >= best)
+	if (best == 0 || own >= best)
 		return 0;
 	return MAX_YIELD_MS * (best - own) / best;
 }
--- a/src/agent/agent_handover.c
+++ b/src/agent/agent_handover.c
@@ -17,12 +17,13 @@
 /* A lead that goes on leading offers it to this many peers, at intervals. */
 #define MAX_OFFERS	  5
 #define OFFER_INTERVAL_MS 1000
-/* A peer is fitter if its lead capacity is higher by at least one such part. */
-#define FITTER_SHARE 2
+/* A peer is fitter if its lead capacity is at least this share of the lead's.
+ */
+#define FITTER_PERCENT 150
 /* A lead whose store calls have been relayed for this long hands over to a peer
- * that reaches the store and has at least one such part of its capacity. */
-#define RELAYED_LEAD_MS	 300
-#define RELAYED_LEAD_SHARE 2
+ * that reaches the store, if its capacity is at least this share of its own. */
+#define RELAYED_LEAD_MS	     300
+#define RELAYED_LEAD_PERCENT 50
 /* A lead that falls behind hands over to a peer that is only as fit as itself
  * at most this often: the work may be too much for either. */
 #define MIN_LEAD_MS	   15000
@@ -145,13 +146,16 @@
 wanted_capacity(const struct agent *agent, int64_t now_ms)
 {
 	int64_t own = agent_fitness_capacity(agent);
-	int64_t fitter = own + own / FITTER_SHARE;
+	int64_t fitter = own * FITTER_PERCENT / 100;
 	int64_t best = agent_fitness_best_peer(agent);
+	enum store_health health = agent_relay_health(agent, now_ms);
 
+	/* While nobody reaches the store, no peer could take the key. */
+	if (health == STORE_UNREACHABLE)
+		return INT64_MAX;
 	if (is_relayed(agent, now_ms))
-		return own / RELAYED_LEAD_SHARE;
-	if (own == 0 || best == 0 ||
-	    agent_relay_health(agent, now_ms) != STORE_HEALTHY)
+		return own * RELAYED_LEAD_PERCENT / 100;
+	if (own == 0 || best == 0 || health != STORE_HEALTHY)
 		return INT64_MAX;
 	if (best >= fitter)
 		return fitter;
--- a/src/fleet/fleet_progress.c
+++ b/src/fleet/fleet_progress.c
@@ -15,9 +15,9 @@
 #define RATE_MIN_INTERVAL_MS 1500
 /* After this time, little progress bounds a rate from above. */
 #define BOUND_MIN_INTERVAL_MS 500
-/* A member of a gang is slow whose rate is less than one such part of the best
- * one's. */
-#define SLOW_RATE_SHARE 2
+/* A member of a gang is slow if another one is more than this many times as
+ * fast. */
+#define SLOW_MEMBER_FACTOR 2
 /* A task without progress for longer is stalled. */
 #define STALL_TIMEOUT_MS 1500
 /* Overhead of a move, without the work that is repeated. */
@@ -219,7 +219,8 @@
 		double rate = highest_rate(&tasks[i]);
 
 		if (rate == 0 ||
-		    to_local_rate(fleet, &tasks[i], rate) * SLOW_RATE_SHARE >=
+		    to_local_rate(fleet, &tasks[i], rate) *
+			    SLOW_MEMBER_FACTOR >=
 			best_rate)
 			continue;
 		tasks[i].rate = rate;
--- a/src/fleet/fleet_search.h
+++ b/src/fleet/fleet_search.h
@@ -28,7 +28,8 @@
 	struct fleet_candidate *candidates; /* the fleet's */
 	size_t count;			    /* of candidates */
 	int64_t now_ms;
-	bool guaranteed; /* the job is within its workspace's guarantee */
+	/* Urgent jobs over their workspace's guarantee may be preempted too. */
+	bool guaranteed;
 };
 
 /* Returns a search without candidates for count waiting tasks of one step. It
--- a/tests/common_fleet_job.c
+++ b/tests/common_fleet_job.c
@@ -12,11 +12,11 @@
 #define JOB	     "00000000000000aa"
 
 void
-fleet_job_report_tasks(struct fleet_job_fixture *fixture, size_t index,
+fleet_job_report_tasks(struct fleet_job_fixture *fixture, size_t worker_index,
     uint32_t first, uint32_t count, int32_t percent)
 {
-	struct fleet_worker *worker =
-	    fleet_find_worker(fixture->fleet, fixture->entries[index].id);
+	struct fleet_worker *worker = fleet_find_worker(
+	    fixture->fleet, fixture->entries[worker_index].id);
 	struct fleet_poll poll = {.fence = fleet_worker_fence(worker)};
 	struct fleet_reported_run listed[ACCELERATORS];
 	struct fleet_report report = {
@@ -41,10 +41,10 @@
 
 void
 fleet_job_report(
-    struct fleet_job_fixture *fixture, size_t index, int32_t percent)
+    struct fleet_job_fixture *fixture, size_t worker_index, int32_t percent)
 {
-	fleet_job_report_tasks(
-	    fixture, index, (uint32_t)index, percent >= 0, percent);
+	fleet_job_report_tasks(fixture, worker_index, (uint32_t)worker_index,
+	    percent >= 0, percent);
 }
 
 void
--- a/tests/common_fleet_job.h
+++ b/tests/common_fleet_job.h
@@ -35,12 +35,12 @@
 /* Passes a worker's report to the fleet. It lists the run of the job's task
  * there with this progress, or none if percent is below 0. */
 void fleet_job_report(
-    struct fleet_job_fixture *fixture, size_t worker, int32_t percent);
+    struct fleet_job_fixture *fixture, size_t worker_index, int32_t percent);
 
 /* Does the same for count tasks from the first on that are all on the worker.
  */
-void fleet_job_report_tasks(struct fleet_job_fixture *fixture, size_t worker,
-    uint32_t first, uint32_t count, int32_t percent);
+void fleet_job_report_tasks(struct fleet_job_fixture *fixture,
+    size_t worker_index, uint32_t first, uint32_t count, int32_t percent);
 
 /* Lets time pass, and the first workers report the same progress. */
 void fleet_job_run(struct fleet_job_fixture *fixture, int64_t ms,
--- a/tests/test_agent_fitness.c
+++ b/tests/test_agent_fitness.c
@@ -241,6 +241,28 @@
 	CU_ASSERT_TRUE(agent_fitness_yield_ms(agent) > 0);
 }
 
+/* Guards against offers, several a second, while the store is away and no peer
+ * could take the lead. */
+static void
+test_nothing_is_offered_while_the_store_is_unreachable(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+	struct agent *agent = &fixture.agent;
+	int64_t now_ms = clock_now_ms();
+
+	open_fixture(&fixture, 120);
+	list_peer(&fixture, 0, "i1", "500");
+	agent->relay.via_peer = true;
+	agent->relay.switched_ms = now_ms;
+	agent->relay.last_call_failed = true;
+	agent->relay.answered_ms = now_ms;
+	agent_handover_step(agent, now_ms + LONG_MS);
+	CU_ASSERT_EQUAL(refuse_offer(&fixture, QUIET_MS), -1);
+	agent->relay.answered_ms = now_ms + LONG_MS;
+	agent_handover_step(agent, now_ms + LONG_MS);
+	CU_ASSERT_EQUAL(refuse_offer(&fixture, WAIT_MS), 0);
+}
+
 /* Guards against a planned stop that hands the lead to a weak instance. */
 static void
 test_planned_stop_offers_to_the_fittest_first(void)
@@ -294,6 +316,8 @@
 	    {"a fit lead keeps the lead", test_fit_lead_keeps_the_lead},
 	    {"a relayed lead offers the lead",
 		test_relayed_lead_offers_the_lead},
+	    {"nothing is offered while the store is unreachable",
+		test_nothing_is_offered_while_the_store_is_unreachable},
 	    {"a planned stop offers to the fittest first",
 		test_planned_stop_offers_to_the_fittest_first},
 	    {"load is the share of time not waited",
--- a/tests/test_fleet_load.c
+++ b/tests/test_fleet_load.c
@@ -237,7 +237,8 @@
 	CLEANUP(close_fixture) struct fixture fixture;
 
 	open_fixture(&fixture);
-	fleet_set_guarantee(fixture.fleet, "t", WORKERS * ACCELERATORS);
+	fleet_set_guarantee(
+	    fixture.fleet, "t", (int64_t)WORKERS * ACCELERATORS);
 	fill_workers(&fixture, 1);
 	CU_ASSERT_EQUAL(decide(&fixture), WORKERS);
 	fixture.now_ms += WORK_MS;
--- a/tests/test_http_pool.c
+++ b/tests/test_http_pool.c
@@ -24,8 +24,8 @@
 	"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 
 struct outcome {
-	enum http_outcome kind;
 	int64_t took_ms;
+	enum http_outcome kind;
 	bool too_long;
 	bool called;
 };
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -245,6 +245,12 @@
 	CU_ASSERT_FALSE(platform_is_job_id("5c0e7a21d94b36fx"));
 }
 
+/* An entry of a draining worker up to the time that it has left. */
+#define LEAVING_ENTRY                                                    \
+	"{\"Service\":\"s\",\"Address\":\"10.0.0.9:80\",\"Zone\":\"a\"," \
+	"\"State\":\"draining\",\"Capacity\":{\"Cpu\":1,\"MemMb\":1,"    \
+	"\"Gpus\":1},\"RemainingMs\":"
+
 #define ENTRY                                                              \
 	"{\"Service\":\"s\",\"Address\":\"10.0.0.9:80\",\"Zone\":\"a\","   \
 	"\"State\":\"draining\",\"Capacity\":{\"Cpu\":16000,\"MemMb\":32," \
@@ -265,6 +271,32 @@
 	CU_ASSERT_EQUAL(entry.incarnation_wall_ms, 77);
 }
 
+/* Guards against a process that ends because of a number out of range: a time
+ * that can't be right is unknown. */
+static void
+test_remaining_time_of_a_worker(void)
+{
+	static const struct {
+		const char *text;
+		int64_t remaining_ms;
+	} entries[] = {
+	    {LEAVING_ENTRY "2200}", 2200},
+	    {LEAVING_ENTRY "2200.5}", 2200},
+	    {LEAVING_ENTRY "-1}", 0},
+	    {LEAVING_ENTRY "1e300}", 0},
+	    {LEAVING_ENTRY "\"soon\"}", 0},
+	};
+
+	for (size_t i = 0; i < COUNT_OF(entries); i++) {
+		struct fleet_worker_entry entry;
+		struct ibis_status status = {0};
+
+		CU_ASSERT_TRUE(platform_worker_parse("i-1", entries[i].text,
+		    strlen(entries[i].text), &entry, &status));
+		CU_ASSERT_EQUAL(entry.remaining_ms, entries[i].remaining_ms);
+	}
+}
+
 static void
 test_bad_worker_entries(void)
 {
@@ -540,6 +572,7 @@
 	    {"job", test_job},
 	    {"bad jobs", test_bad_jobs},
 	    {"worker entry", test_worker_entry},
+	    {"remaining time of a worker", test_remaining_time_of_a_worker},
 	    {"bad worker entries", test_bad_worker_entries},
 	    {"report", test_report},
 	    {"only refusals count as refused",
