--- a/src/agent/agent_records.c
+++ b/src/agent/agent_records.c
@@ -22,7 +22,7 @@
 /* A further batch that is not full may be written while one is in flight, once
  * that has taken this long. */
 #define BATCH_OVERLAP_MS 40
-#define RECORD_RETRY_MS	  40
+#define RECORD_RETRY_MS	 40
 /* Keys removed in one transaction: up to three for a job. */
 #define REMOVAL_MAX_KEYS    24
 #define REMOVAL_INTERVAL_MS 5000
@@ -356,8 +356,9 @@
 	    &agent->store, changes, count + 1, removal_answered, agent);
 }
 
-/* Returns when the next batch may begin: after a pause, or beside the batches in
- * flight when there are enough jobs for a full one or the latest takes long. */
+/* Returns when the next batch may begin: after a pause, or beside the batches
+ * in flight when there are enough jobs for a full one or the latest takes long.
+ */
 static int64_t
 next_batch_ms(const struct agent *agent)
 {
@@ -369,8 +370,7 @@
 		if (batch != NULL && batch->begun_ms > latest_ms)
 			latest_ms = batch->begun_ms;
 	}
-	if (latest_ms == 0 ||
-	    fleet_has_unrecorded(agent->fleet, BATCH_JOBS))
+	if (latest_ms == 0 || fleet_has_unrecorded(agent->fleet, BATCH_JOBS))
 		return agent->next_record_ms;
 	return latest_ms + BATCH_OVERLAP_MS;
 }
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -202,7 +202,7 @@
 	struct agent_watch *worker_watch; /* NULL unless leading */
 	bool placements_held;		  /* as last logged */
 	int64_t next_gauges_ms;
-	struct name_index workers;  /* owns struct agent_worker */
+	struct name_index workers; /* owns struct agent_worker */
 	/* Being written; NULL: none. */
 	struct record_batch *batches[AGENT_RECORD_BATCHES];
 	int64_t next_record_ms;
@@ -434,7 +434,8 @@
 void agent_handover_start(struct agent *agent, int64_t now_ms);
 
 /* Offers the lead to a peer that is fitter to lead or, if this instance falls
- * behind or the store turns it away, to one that is about as fit. Goes on leading until a peer has taken it. */
+ * behind or the store turns it away, to one that is about as fit. Goes on
+ * leading until a peer has taken it. */
 void agent_handover_step(struct agent *agent, int64_t now_ms);
 
 /* Answers and frees a peer's offer. Returns false, with the request untouched,
