Wake the lead when placements are allowed again

Callers would have seen: jobs that wait up to a second more after a hold of placements, a change of routes or of guarantees, if no run ends meanwhile.

Reports that change nothing no longer make a decision, and these three changes had relied on the next report. Found by reading the change again.

Evidence: test_fleet_load "what allows placements wakes the lead" failed in its three checks before.

--- a/src/fleet/fleet_decide.c
+++ b/src/fleet/fleet_decide.c
@@ -373,8 +373,10 @@
 void
 fleet_hold_placements(struct fleet *fleet, bool hold)
 {
-	if (fleet->placements_held && !hold)
+	if (fleet->placements_held && !hold) {
 		fleet->changed = true;
+		fleet_wake_at(fleet, 0);
+	}
 	fleet->placements_held = hold;
 }
 
--- a/src/fleet/fleet_jobs.c
+++ b/src/fleet/fleet_jobs.c
@@ -521,5 +521,6 @@
 			continue;
 		proto_set_string(&job->spec->service, service);
 		fleet->changed = true;
+		fleet_wake_at(fleet, 0);
 	}
 }
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -505,6 +505,8 @@
 	size_t index = fleet_workspace_index(fleet, workspace);
 
 	fleet->workspaces[index].guaranteed = accelerators;
+	fleet->changed = true;
+	fleet_wake_at(fleet, 0);
 }
 
 struct fleet_resources
--- a/tests/test_fleet_load.c
+++ b/tests/test_fleet_load.c
@@ -268,6 +268,38 @@
 	CU_ASSERT_EQUAL(usage(&fixture).placed_tasks, 1);
 }
 
+static const char *
+find_service(void *context, const char *route)
+{
+	(void)route;
+	return context;
+}
+
+/* Guards against jobs that wait for the longest time between two decisions,
+ * although nothing holds them back any more: only a report woke the lead. */
+static void
+test_what_allows_placements_wakes_the_lead(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+	char service[] = "other";
+
+	open_fixture(&fixture);
+	(void)submit(&fixture, 1, 1, 1);
+	fleet_hold_placements(fixture.fleet, true);
+	(void)decide(&fixture);
+	CU_ASSERT_TRUE(fleet_next_wakeup_ms(fixture.fleet) > fixture.now_ms);
+	fleet_hold_placements(fixture.fleet, false);
+	CU_ASSERT_TRUE(fleet_next_wakeup_ms(fixture.fleet) <= fixture.now_ms);
+	(void)decide(&fixture);
+	CU_ASSERT_TRUE(fleet_next_wakeup_ms(fixture.fleet) > fixture.now_ms);
+	fleet_move_jobs(fixture.fleet, find_service, service);
+	CU_ASSERT_TRUE(fleet_next_wakeup_ms(fixture.fleet) <= fixture.now_ms);
+	(void)decide(&fixture);
+	CU_ASSERT_TRUE(fleet_next_wakeup_ms(fixture.fleet) > fixture.now_ms);
+	fleet_set_guarantee(fixture.fleet, "t", ACCELERATORS);
+	CU_ASSERT_TRUE(fleet_next_wakeup_ms(fixture.fleet) <= fixture.now_ms);
+}
+
 int
 main(void)
 {
@@ -285,6 +317,8 @@
 		test_urgent_job_keeps_reclaimed_room},
 	    {"a guaranteed job preempts an urgent one over guarantee",
 		test_guaranteed_job_preempts_urgent_one_over_guarantee},
+	    {"what allows placements wakes the lead",
+		test_what_allows_placements_wakes_the_lead},
 	    CU_TEST_INFO_NULL,
 	};
 
