Log why a poll had no report, and what had begun on a silent worker

Three hypotheses of the incident could not be told apart: which run had just begun on a worker that crashed, and what its address answered until the lease had expired, was nowhere in the log. No decision changes.

poll_failed names the reason when it changes; worker_silent names the run that began last and its age.

--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -110,6 +110,8 @@
 	bool extra_poll_wanted;
 	int64_t next_poll_ms;
 	int64_t poll_sent_ms;
+	/* Why the last poll had no report; empty: it had one. */
+	char poll_failure[FLEET_NAME_BYTES];
 };
 
 struct record_batch;
--- a/src/agent/agent_workers.c
+++ b/src/agent/agent_workers.c
@@ -103,6 +103,27 @@
 		    call->agent, "a worker has seen a later epoch");
 }
 
+/* Names the run that began last: a run may be the reason why its worker has
+ * become silent. */
+static void
+log_silent_worker(const struct worker_call *call,
+    const struct fleet_worker *worker, int64_t now_ms)
+{
+	struct fleet_worker_runs runs;
+
+	fleet_count_runs(worker, now_ms, &runs);
+	log_event(LOG_WARN, "worker_silent", "worker", call->worker, "took_ms",
+	    log_number(now_ms - call->sent_ms), "runs", log_number(runs.runs),
+	    "recent_runs", log_number(runs.recent), "newest_job",
+	    runs.newest.job, "newest_occurrence",
+	    log_number(runs.newest.occurrence), "newest_step",
+	    log_number(runs.newest.step), "newest_index",
+	    log_number(runs.newest.index), "newest_run",
+	    log_number((int64_t)runs.newest_run), "newest_age_ms",
+	    log_number(runs.newest_age_ms), "epoch",
+	    log_number((int64_t)call->agent->lead.epoch), NULL);
+}
+
 /* Handles a failed poll: the first failure is retried at once, later ones
  * after POLL_RETRY_MS. */
 static void
@@ -115,9 +136,7 @@
 	if (fleet_handle_unanswered_poll(agent->fleet, worker,
 		outcome == PLATFORM_ORDER_REFUSED, now_ms)) {
 		counter_add(COUNTER_WORKERS_LOST, 1);
-		log_event(LOG_WARN, "worker_silent", "worker", call->worker,
-		    "took_ms", log_number(now_ms - call->sent_ms), "epoch",
-		    log_number((int64_t)agent->lead.epoch), NULL);
+		log_silent_worker(call, worker, now_ms);
 	}
 	get_worker_state(agent, call->worker)->next_poll_ms =
 	    was_retry || !fleet_worker_answers(worker) ? now_ms + POLL_RETRY_MS
@@ -158,9 +177,25 @@
 	return true;
 }
 
+/* Logs why a poll of a worker had no report, unless the one before failed for
+ * the same reason. */
+static void
+log_failed_poll(const struct worker_call *call, const char *reason)
+{
+	struct agent *agent = call->agent;
+	struct agent_worker *state = get_worker_state(agent, call->worker);
+
+	if (strcmp(state->poll_failure, reason) == 0)
+		return;
+	STRING_COPY(state->poll_failure, reason);
+	log_event(LOG_INFO, "poll_failed", "worker", call->worker, "reason",
+	    reason, "took_ms", log_number(clock_now_ms() - call->sent_ms),
+	    "epoch", log_number((int64_t)agent->lead.epoch), NULL);
+}
+
 static void
 poll_done(void *context, enum platform_order_outcome outcome,
-    const struct fleet_report *report)
+    const char *reason, const struct fleet_report *report)
 {
 	struct worker_call *call = context;
 	struct agent *agent = call->agent;
@@ -180,6 +215,7 @@
 		return;
 	}
 	if (outcome == PLATFORM_ORDER_DONE) {
+		*get_worker_state(agent, call->worker)->poll_failure = '\0';
 		fleet_apply_report(
 		    agent->fleet, worker, &call->poll, report, now_ms);
 		if (!was_answering)
@@ -190,6 +226,7 @@
 	} else if (outcome == PLATFORM_ORDER_FENCED) {
 		handle_fenced(call, worker);
 	} else if (!has_old_fence(call, worker)) {
+		log_failed_poll(call, reason);
 		poll_failed(call, worker, outcome, now_ms);
 	}
 	mem_free(call);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -312,6 +312,19 @@
 bool fleet_handle_unanswered_poll(struct fleet *fleet,
     struct fleet_worker *worker, bool unreachable, int64_t now_ms);
 
+/* The runs that may be on a worker. */
+struct fleet_worker_runs {
+	uint32_t runs;
+	uint32_t recent; /* of them, begun less than a second ago */
+	/* The one begun last by this lead; its age is -1 if there is none. */
+	struct fleet_task_id newest;
+	uint64_t newest_run;
+	int64_t newest_age_ms;
+};
+
+void fleet_count_runs(const struct fleet_worker *worker, int64_t now_ms,
+    struct fleet_worker_runs *runs);
+
 /* Returns whether the last poll had no answer; the next one should then not
  * wait for an end on the worker. */
 bool fleet_worker_missed_poll(const struct fleet_worker *worker);
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -7,6 +7,9 @@
 /* A worker is silent after this many polls in a row without an answer. */
 #define SILENT_AFTER_POLLS 2
 
+/* A run that began less than this ago counts as recent in the log. */
+#define RECENT_START_MS 1000
+
 /* Added to the expected end of a worker's lease to allow for rounding. */
 #define LEASE_MARGIN_MS 30
 
@@ -412,6 +415,30 @@
 	return worker->reported && !before;
 }
 
+void
+fleet_count_runs(const struct fleet_worker *worker, int64_t now_ms,
+    struct fleet_worker_runs *runs)
+{
+	const struct fleet_task *task;
+
+	*runs = (struct fleet_worker_runs){.newest_age_ms = -1};
+	cds_list_for_each_entry (task, &worker->tasks, on_worker) {
+		int64_t age_ms = now_ms - task->start_sent_ms;
+
+		if (!fleet_task_holds_resources(task->state))
+			continue;
+		runs->runs++;
+		if (task->start_sent_ms == 0)
+			continue;
+		runs->recent += age_ms < RECENT_START_MS;
+		if (runs->newest_age_ms >= 0 && age_ms >= runs->newest_age_ms)
+			continue;
+		fleet_task_id(task, &runs->newest);
+		runs->newest_run = task->run;
+		runs->newest_age_ms = age_ms;
+	}
+}
+
 bool
 fleet_worker_missed_poll(const struct fleet_worker *worker)
 {
