--- a/tests/common_fleet_sim.c
+++ b/tests/common_fleet_sim.c
@@ -12,21 +12,35 @@
 #define CALL_DELAY_MS	    2500
 #define REGISTER_MS	    800
 #define MAX_POLLS_IN_FLIGHT 2
+#define CRASH_MS	    10
+#define BACK_MS		    3300
 #define CPU_MILLI	    128000
 #define MEMORY_MB	    262144
 #define ACCELERATORS	    8
 
+/* Returns the worker at a worker's address, which may have another id by now.
+ */
 static size_t
 index_of(const struct sim *sim, const struct fleet_worker *worker)
 {
 	for (size_t i = 0; i < sim->workers_count; i++) {
-		if (strcmp(sim->workers[i].entry.id,
-			fleet_worker_entry(worker)->id) == 0)
+		if (strcmp(sim->workers[i].entry.address,
+			fleet_worker_entry(worker)->address) == 0)
 			return i;
 	}
 	return 0;
 }
 
+/* Returns whether another worker is at the worker's address. */
+static bool
+is_replaced(const struct sim *sim, const struct fleet_worker *worker)
+{
+	const struct sim_worker *there = &sim->workers[index_of(sim, worker)];
+
+	return !there->unreachable &&
+	    strcmp(there->entry.id, fleet_worker_entry(worker)->id) != 0;
+}
+
 static void
 delay_call(struct sim *sim, size_t worker, const struct sim_call *call)
 {
@@ -65,18 +79,25 @@
 		: 0,
 	};
 	enum fleet_start_answer answer = FLEET_START_UNKNOWN;
-	bool reached = !worker->unreachable && !worker->delays_orders;
+	bool replaced = is_replaced(sim, order->worker);
+	bool reached =
+	    !worker->unreachable && !worker->delays_orders && !replaced;
 	bool answered = reached && !worker->drops_answers;
 
-	if (worker->delays_orders && !worker->unreachable)
+	if (worker->delays_orders && !worker->unreachable && !replaced)
 		delay_call(sim, index, &call);
+	if (worker->back_ms != 0 || replaced)
+		answer = FLEET_START_REFUSED;
 	if (reached && is_start)
 		answer = sim_worker_start(sim, worker, &call);
 	else if (reached)
 		sim_worker_stop(sim, worker, &call);
 	if (is_start)
 		fleet_handle_start_answer(sim->fleet, copy.worker, &copy.task,
-		    copy.run, answered ? answer : FLEET_START_UNKNOWN,
+		    copy.run,
+		    answered || answer == FLEET_START_REFUSED
+			? answer
+			: FLEET_START_UNKNOWN,
 		    sim->now_ms);
 	else
 		fleet_handle_stop_answer(sim->fleet, copy.worker, &copy.task,
@@ -92,6 +113,9 @@
 		if (!delayed->used || delayed->deliver_at_ms > sim->now_ms)
 			continue;
 		delayed->used = false;
+		/* Nothing is there, or another worker, which refuses. */
+		if (sim->workers[delayed->worker].back_ms != 0 || sim->new_ids)
+			continue;
 		sim_worker_call(
 		    sim, &sim->workers[delayed->worker], &delayed->call);
 	}
@@ -216,11 +240,16 @@
 	if (!worker->unreachable && fleet_worker_busy(fleet_worker))
 		call.lease_clock_ms = fleet_grant_lease(
 		    sim->fleet, fleet_worker, sim->now_ms, sim->now_ms);
+	if (is_replaced(sim, fleet_worker)) {
+		(void)fleet_handle_unanswered_poll(
+		    sim->fleet, fleet_worker, true, sim->now_ms);
+		return;
+	}
 	if (worker->delays_polls && !worker->unreachable)
 		delay_call(sim, index, &call);
 	if (worker->unreachable || worker->delays_polls) {
-		(void)fleet_handle_unanswered_poll(
-		    sim->fleet, fleet_worker, false, sim->now_ms);
+		(void)fleet_handle_unanswered_poll(sim->fleet, fleet_worker,
+		    worker->back_ms != 0, sim->now_ms);
 		return;
 	}
 	if (!sim_worker_poll(sim, worker, &call))
@@ -286,6 +315,7 @@
 	sim->now_ms += SIM_TICK_MS;
 	for (size_t i = 0; i < sim->workers_count; i++)
 		sim_worker_advance(sim, &sim->workers[i]);
+	sim_return_workers(sim);
 	deliver_delayed_calls(sim);
 	deliver_held_reports(sim);
 	deliver_entries(sim);
@@ -358,8 +388,10 @@
 void
 sim_open(struct sim *sim, size_t workers, size_t per_rack)
 {
-	*sim = (struct sim){
-	    .now_ms = SIM_START_MS, .call_delay_ms = CALL_DELAY_MS};
+	*sim = (struct sim){.now_ms = SIM_START_MS,
+	    .call_delay_ms = CALL_DELAY_MS,
+	    .crash_ms = CRASH_MS,
+	    .back_ms = BACK_MS};
 	sim->workers_count = workers;
 	for (size_t i = 0; i < workers; i++) {
 		struct sim_worker *worker = &sim->workers[i];
@@ -369,7 +401,8 @@
 		(void)snprintf(
 		    entry->rack, sizeof(entry->rack), "r%zu", i / per_rack);
 		STRING_COPY(entry->service, "s");
-		STRING_COPY(entry->address, "10.0.0.1:1");
+		(void)snprintf(entry->address, sizeof(entry->address),
+		    "10.0.0.1:%zu", i + 1);
 		STRING_COPY(entry->zone, i % 2 == 0 ? "z0" : "z1");
 		entry->resources =
 		    (struct fleet_resources){.cpu_milli = CPU_MILLI,
--- a/tests/common_fleet_sim.h
+++ b/tests/common_fleet_sim.h
@@ -28,6 +28,7 @@
 	SIM_DELAYED_CALLS = 256,
 	SIM_HELD_REPORTS = 16,
 	SIM_DONE_TASKS = 4096,
+	SIM_CRASHING_TASKS = 256,
 	SIM_MESSAGE_BYTES = 256
 };
 
@@ -38,6 +39,7 @@
 	int64_t ends_ms;       /* INT64_MAX until its gang is complete */
 	int64_t forced_end_ms; /* of a stop or of its gang; 0: none */
 	enum fleet_end forced_outcome;
+	int64_t crash_at_ms; /* it crashes its worker then; 0: never */
 	char checkpoint[32];
 	bool used;
 };
@@ -78,6 +80,10 @@
 	bool delays_polls;    /* carries out polls later, without an answer */
 	/* Time by which the answers to polls arrive late. */
 	int64_t report_delay_ms;
+	int64_t back_ms; /* end of the time after a crash; 0: it is up */
+	/* Of the id that it had before the last crash, if it gets new ones. */
+	char former_id[FLEET_NAME_BYTES];
+	int64_t former_unlisted_ms; /* when its entry goes; 0: gone */
 };
 
 /* What the lead sends to a worker: an order, or a poll, which renews the lease
@@ -117,10 +123,19 @@
 	uint64_t revision;
 	int64_t run_ms;	   /* of each task */
 	bool always_fails; /* every run fails */
+	/* The first ones of each step crash the workers that start them. */
+	uint32_t crashing_tasks;
 	bool cancelled;
 	bool removed; /* its records are deleted */
 };
 
+/* The workers that a task has crashed. */
+struct sim_crashes {
+	struct fleet_task_id task;
+	uint32_t crashes;
+	uint32_t starts_since_third;
+};
+
 struct sim {
 	struct fleet *fleet;
 	int64_t now_ms;
@@ -142,8 +157,14 @@
 	int64_t stop_ms; /* time that a stop takes */
 	int64_t
 	    gang_end_ms; /* from one member's end to the lists of the others' */
-	size_t ends_per_report;	  /* further ones are not listed; 0: all */
-	int64_t entry_ms;	  /* time until the lead gets a changed entry */
+	size_t ends_per_report; /* further ones are not listed; 0: all */
+	int64_t entry_ms;	/* time until the lead gets a changed entry */
+	struct sim_crashes crashes[SIM_CRASHING_TASKS];
+	size_t crashing_tasks;
+	uint32_t worker_crashes;
+	int64_t crash_ms;	  /* from a start to the crash that it causes */
+	int64_t back_ms;	  /* from a crash until the worker is back */
+	bool new_ids;		  /* workers come back under other ids */
 	uint64_t starts;	  /* of runs */
 	uint32_t stalled_workers; /* counter for the test's use */
 	uint64_t stops;		  /* orders */
@@ -187,6 +208,12 @@
 void sim_replace_worker(
     struct sim *sim, size_t index, const struct fleet_resources *resources);
 
+/* Crashes a worker: its runs are lost, and it is back after back_ms. */
+void sim_crash_worker(struct sim *sim, size_t index);
+
+/* Returns the highest number of workers that one task has crashed. */
+uint32_t sim_most_crashes(const struct sim *sim);
+
 /* Removes a worker's entry from the store, or writes it again. */
 void sim_unlist_worker(struct sim *sim, size_t index);
 void sim_list_worker(struct sim *sim, size_t index);
--- a/tests/common_fleet_sim_internal.h
+++ b/tests/common_fleet_sim_internal.h
@@ -40,6 +40,18 @@
 /* Ends the runs whose time has come. */
 void sim_worker_advance(struct sim *sim, struct sim_worker *worker);
 
+/* Counts a start of a task that may have crashed workers before. */
+void sim_check_crashes(struct sim *sim, const struct fleet_task_id *id);
+
+/* Brings back the workers whose time after a crash is over. */
+void sim_return_workers(struct sim *sim);
+
+void sim_report_violation(
+    struct sim *sim, const char *rule, const struct fleet_task_id *id);
+
+bool sim_same_task(
+    const struct fleet_task_id *a, const struct fleet_task_id *b);
+
 /* Ends the remaining members of a gang's run. */
 void sim_end_gang(
     struct sim *sim, const struct sim_run *ended, enum fleet_end outcome);
--- a/tests/common_fleet_sim_workers.c
+++ b/tests/common_fleet_sim_workers.c
@@ -8,8 +8,8 @@
 
 #define GANG_WAIT_MS 3000
 
-static void
-report_violation(
+void
+sim_report_violation(
     struct sim *sim, const char *rule, const struct fleet_task_id *id)
 {
 	if (sim->violation[0] == '\0')
@@ -19,8 +19,8 @@
 		    (long long)(sim->now_ms - SIM_START_MS));
 }
 
-static bool
-same_task(const struct fleet_task_id *a, const struct fleet_task_id *b)
+bool
+sim_same_task(const struct fleet_task_id *a, const struct fleet_task_id *b)
 {
 	return strcmp(a->job, b->job) == 0 && a->occurrence == b->occurrence &&
 	    a->step == b->step && a->index == b->index;
@@ -61,7 +61,7 @@
 refuse_up_to(struct sim_worker *worker, const struct sim_run *run)
 {
 	for (size_t i = 0; i < worker->refused_runs_count; i++) {
-		if (!same_task(&worker->refused_runs[i].task, &run->task))
+		if (!sim_same_task(&worker->refused_runs[i].task, &run->task))
 			continue;
 		if (worker->refused_runs[i].run < run->run)
 			worker->refused_runs[i].run = run->run;
@@ -165,7 +165,7 @@
 was_ever_done(const struct sim *sim, const struct fleet_task_id *id)
 {
 	for (size_t i = 0; i < sim->done_count; i++) {
-		if (same_task(&sim->done[i], id))
+		if (sim_same_task(&sim->done[i], id))
 			return true;
 	}
 	return false;
@@ -182,7 +182,7 @@
 		for (size_t j = 0; j < worker->ends_count; j++) {
 			if (worker->ends[j].outcome == FLEET_END_DONE &&
 			    !worker->ends[j].lease_expired &&
-			    same_task(&worker->ends[j].task, id))
+			    sim_same_task(&worker->ends[j].task, id))
 				return true;
 		}
 	}
@@ -228,7 +228,7 @@
 	if (used.cpu_milli > all->cpu_milli ||
 	    used.memory_mb > all->memory_mb ||
 	    used.accelerators > all->accelerators)
-		report_violation(
+		sim_report_violation(
 		    sim, "starts beyond the worker's capacity", id);
 }
 
@@ -246,8 +246,8 @@
 		for (size_t j = 0; j < SIM_RUNS; j++) {
 			const struct sim_run *run = &sim->workers[i].runs[j];
 
-			if (run->used && same_task(&run->task, id))
-				report_violation(sim, "runs twice", id);
+			if (run->used && sim_same_task(&run->task, id))
+				sim_report_violation(sim, "runs twice", id);
 		}
 	}
 	for (size_t i = 0; i < step->n_after; i++) {
@@ -259,14 +259,14 @@
 			other.step = earlier;
 			other.index = j;
 			if (!was_ever_done(sim, &other))
-				report_violation(sim,
+				sim_report_violation(sim,
 				    "starts before an earlier step is done",
 				    id);
 		}
 	}
 	check_capacity(sim, worker, id);
 	if (is_done(sim, id))
-		report_violation(sim, "starts after its end", id);
+		sim_report_violation(sim, "starts after its end", id);
 	ibis__step_job__free_unpacked(spec, proto_allocator());
 }
 
@@ -275,7 +275,7 @@
     const struct fleet_task_id *id, uint64_t run)
 {
 	for (size_t i = 0; i < worker->refused_runs_count; i++) {
-		if (same_task(&worker->refused_runs[i].task, id) &&
+		if (sim_same_task(&worker->refused_runs[i].task, id) &&
 		    worker->refused_runs[i].run >= run)
 			return true;
 	}
@@ -314,7 +314,7 @@
 		return FLEET_START_REFUSED;
 	for (size_t i = 0; i < SIM_RUNS; i++) {
 		if (worker->runs[i].used &&
-		    same_task(&worker->runs[i].task, &order->task) &&
+		    sim_same_task(&worker->runs[i].task, &order->task) &&
 		    worker->runs[i].run == order->run)
 			return FLEET_STARTED;
 	}
@@ -324,6 +324,7 @@
 		return FLEET_START_REFUSED;
 	extend_lease(sim, worker, call->lease_clock_ms);
 	check_start(sim, worker, &order->task);
+	sim_check_crashes(sim, &order->task);
 	sim->starts++;
 	for (size_t i = 0; i < SIM_RUNS; i++) {
 		if (worker->runs[i].used)
@@ -336,6 +337,9 @@
 		    .ends_ms = sim_is_gang(sim, &order->task)
 			? INT64_MAX
 			: sim->now_ms + job->run_ms,
+		    .crash_at_ms = order->task.index < job->crashing_tasks
+			? sim->now_ms + sim->crash_ms
+			: 0,
 		};
 		return FLEET_STARTED;
 	}
@@ -355,7 +359,7 @@
 	for (size_t i = 0; i < SIM_RUNS; i++) {
 		struct sim_run *run = &worker->runs[i];
 
-		if (!run->used || !same_task(&run->task, &order->task) ||
+		if (!run->used || !sim_same_task(&run->task, &order->task) ||
 		    run->run != order->run)
 			continue;
 		if (sim->stop_ms == 0)
@@ -428,6 +432,15 @@
 {
 	bool expired = sim_worker_clock(sim, worker) >= worker->lease_until_ms;
 
+	for (size_t i = 0; i < SIM_RUNS; i++) {
+		const struct sim_run *run = &worker->runs[i];
+
+		if (!run->used || run->crash_at_ms == 0 ||
+		    sim->now_ms < run->crash_at_ms)
+			continue;
+		sim_crash_worker(sim, (size_t)(worker - sim->workers));
+		return;
+	}
 	for (size_t i = 0; expired && i < worker->ends_count; i++)
 		worker->ends[i].lease_expired = true;
 	for (size_t i = 0; i < SIM_RUNS; i++) {
