Give up tasks that crash their workers

Cause: a run lost with its worker counted for nothing, so the fault was charged to the worker alone.

A loss is now charged to the runs that had begun less than a second before the worker was last seen at work, as crashes followed a start by 16 ms (median, 45 ms at most, 964 workers). Their tasks are suspects: each is tried again on a worker where nothing else has just begun, and nothing else begins there until it has settled. If that worker crashes too, the task is the cause and its job is given up: after two crashes, or after three when the last one did not follow the start at once or workers are lost for other causes. The counts are in the job's record, so that they outlive a change of lead, and so does the incarnation on which a run was placed: a new lead now takes a worker that has restarted for a crash. The same task of another occurrence waits for the verdict.

--- a/proto/ibistrestle.pb-c.c
+++ b/proto/ibistrestle.pb-c.c
@@ -4155,7 +4155,7 @@
   (ProtobufCMessageInit) ibis__step_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ibis__task_progress__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ibis__task_progress__field_descriptors[10] =
 {
   {
     "number",
@@ -4229,19 +4229,71 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "early_losses",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__TaskProgress, early_losses),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__TaskProgress, crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sole_crashes",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__TaskProgress, sole_crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation_wall_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__TaskProgress, incarnation_wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ibis__task_progress__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
+  7,   /* field[7] = crashes */
   5,   /* field[5] = done */
+  6,   /* field[6] = early_losses */
   3,   /* field[3] = failures */
+  9,   /* field[9] = incarnation_wall_ms */
   0,   /* field[0] = number */
   1,   /* field[1] = run */
+  8,   /* field[8] = sole_crashes */
   2,   /* field[2] = worker */
 };
 static const ProtobufCIntRange ibis__task_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor ibis__task_progress__descriptor =
 {
@@ -4251,7 +4303,7 @@
   "Ibis__TaskProgress",
   "ibis",
   sizeof(Ibis__TaskProgress),
-  6,
+  10,
   ibis__task_progress__field_descriptors,
   ibis__task_progress__field_indices_by_name,
   1,  ibis__task_progress__number_ranges,
--- a/proto/ibistrestle.pb-c.h
+++ b/proto/ibistrestle.pb-c.h
@@ -760,10 +760,27 @@
   uint32_t failures;
   char *checkpoint;
   protobuf_c_boolean done;
+  /*
+   * Runs lost with their worker soon after their start, since a run was last
+   * at work for a while; of a gang, in its first task.
+   */
+  uint32_t early_losses;
+  /*
+   * of them, those where the worker crashed
+   */
+  uint32_t crashes;
+  /*
+   * of these, where no other run had just begun
+   */
+  uint32_t sole_crashes;
+  /*
+   * Start of the worker's incarnation when the run was placed; 0: unknown.
+   */
+  int64_t incarnation_wall_ms;
 };
 #define IBIS__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ibis__task_progress__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Ibis__OccurrenceProgress
--- a/src/agent/agent_fleet_log.c
+++ b/src/agent/agent_fleet_log.c
@@ -23,6 +23,8 @@
 	case FLEET_EVENT_START_RESOLVED:
 	case FLEET_EVENT_OVER_CAPACITY:
 	case FLEET_EVENT_DOUBLE_RUN:
+	case FLEET_EVENT_LOSS_CHARGED:
+	case FLEET_EVENT_GIVEN_UP:
 		break; /* have log lines of their own */
 	}
 	return "note";
@@ -204,6 +206,56 @@
 	    log_number((int64_t)epoch), NULL);
 }
 
+static const char *
+loss_name(enum fleet_loss loss)
+{
+	switch (loss) {
+	case FLEET_LOSS_RESTARTED:
+		return "restarted";
+	case FLEET_LOSS_REPLACED:
+		return "replaced";
+	case FLEET_LOSS_LEASE_EXPIRED:
+		return "lease expired";
+	}
+	return "";
+}
+
+static void
+log_charged_loss(const struct fleet_event *event, uint64_t epoch)
+{
+	const struct fleet_charged_loss *loss = &event->charged_loss;
+
+	counter_add(COUNTER_CHARGED_LOSSES, 1);
+	log_event(LOG_WARN, "loss_charged", "worker", event->worker, "loss",
+	    loss_name(loss->loss), "incarnation",
+	    log_number(loss->incarnation_wall_ms), "runs",
+	    log_number(loss->runs), "charged_runs",
+	    log_number(loss->charged_runs), "newest_age_ms",
+	    log_number(loss->newest_age_ms), "job", event->task.job,
+	    "occurrence", log_number(event->task.occurrence), "step",
+	    log_number(event->task.step), "index",
+	    log_number(event->task.index), "run",
+	    log_number((int64_t)event->run), "epoch",
+	    log_number((int64_t)epoch), NULL);
+}
+
+static void
+log_given_up(const struct fleet_event *event, uint64_t epoch)
+{
+	const struct fleet_given_up *given_up = &event->given_up;
+
+	counter_add(COUNTER_JOBS_GIVEN_UP, 1);
+	log_event(LOG_WARN, "job_given_up", "job", event->task.job,
+	    "occurrence", log_number(event->task.occurrence), "step",
+	    log_number(event->task.step), "index",
+	    log_number(event->task.index), "run",
+	    log_number((int64_t)event->run), "worker", event->worker,
+	    "early_losses", log_number(given_up->early_losses), "crashes",
+	    log_number(given_up->crashes), "sole_crashes",
+	    log_number(given_up->sole_crashes), "epoch",
+	    log_number((int64_t)epoch), NULL);
+}
+
 static void
 log_fleet_event(const struct fleet_event *event, uint64_t epoch)
 {
@@ -232,6 +284,12 @@
 	case FLEET_EVENT_DOUBLE_RUN:
 		log_double_run(event, epoch);
 		break;
+	case FLEET_EVENT_LOSS_CHARGED:
+		log_charged_loss(event, epoch);
+		break;
+	case FLEET_EVENT_GIVEN_UP:
+		log_given_up(event, epoch);
+		break;
 	}
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -394,7 +394,18 @@
 	FLEET_EVENT_OVER_CAPACITY,
 	/* The last reports of two workers list the same task, or one report
 	 * lists it twice. */
-	FLEET_EVENT_DOUBLE_RUN
+	FLEET_EVENT_DOUBLE_RUN,
+	/* The loss of a worker is charged to runs that had just begun. */
+	FLEET_EVENT_LOSS_CHARGED,
+	/* A job is given up, as a task of it crashes its workers. */
+	FLEET_EVENT_GIVEN_UP
+};
+
+/* How a worker was lost with its runs. */
+enum fleet_loss {
+	FLEET_LOSS_RESTARTED,	 /* a new incarnation answers under its id */
+	FLEET_LOSS_REPLACED,	 /* another worker answers at its address */
+	FLEET_LOSS_LEASE_EXPIRED /* it is silent; it may have been cut off */
 };
 
 /* Why a run is considered ended without its worker's word. */
@@ -467,6 +478,22 @@
 	int64_t start_age_ms; /* of the latest start; -1: not by this lead */
 };
 
+/* The loss of a worker, charged to the event's task and others. */
+struct fleet_charged_loss {
+	enum fleet_loss loss;
+	uint32_t runs;	       /* on the worker */
+	uint32_t charged_runs; /* of them */
+	int64_t newest_age_ms; /* of the last start; -1: not by this lead */
+	int64_t incarnation_wall_ms;
+};
+
+/* Why a job is given up: the counts of the event's task. */
+struct fleet_given_up {
+	uint32_t early_losses;
+	uint32_t crashes;
+	uint32_t sole_crashes;
+};
+
 struct fleet_event {
 	enum fleet_event_kind kind;
 	struct fleet_task_id task; /* the first one of a step's tasks */
@@ -484,6 +511,8 @@
 		struct fleet_resolved_start resolved_start;
 		struct fleet_over_capacity over_capacity;
 		struct fleet_double_run double_run;
+		struct fleet_charged_loss charged_loss;
+		struct fleet_given_up given_up;
 	};
 };
 
@@ -508,7 +537,8 @@
 	FLEET_WAITS_RESOURCES, /* too few are free */
 	FLEET_WAITS_RACK,      /* enough are free, but outside the rack */
 	FLEET_WAITS_RECORD,    /* placed; the record is being written */
-	FLEET_WAITS_STOPS      /* placed; earlier runs are being stopped */
+	FLEET_WAITS_STOPS,     /* placed; earlier runs are being stopped */
+	FLEET_WAITS_TRIAL      /* placed; a suspect, begins alone */
 };
 
 struct fleet_wait {
--- /dev/null
+++ b/src/fleet/fleet_crashes.c
@@ -0,0 +1,291 @@
+/*
+ * Tasks that crash their workers. A task does so soon after its start, so a
+ * crash is charged to the runs that had just begun on the worker. A task that
+ * is charged is a suspect: it is tried again on a worker where nothing else has
+ * just begun, and nothing else begins there until it has settled. A second
+ * crash then shows which task is the cause, and its job is given up.
+ *
+ * Members of a gang are charged and given up together; their counts are in the
+ * gang's first task.
+ */
+#include "fleet/fleet_model.h"
+
+/* A run that is at work for this long after its start has settled: it is not
+ * the cause of a later crash. */
+#define SETTLE_MS 1000
+/* Crashes after which a suspect is given up, if it was the only one once and
+ * the last crash followed its start at once. */
+#define CRASHES_TO_GIVE_UP 2
+/* The same if that is not known, or workers are lost for other causes too. */
+#define CRASHES_TO_GIVE_UP_IN_DOUBT 3
+/* A worker that is missed within this time of a start crashed at once. */
+#define AT_ONCE_MS 100
+/* Runs lost with a worker after which a suspect is given up although no crash
+ * is certain to be its own. */
+#define MAX_EARLY_LOSSES 5
+/* A worker that became silent without a run that had just begun shows an
+ * outage for this time. */
+#define OUTAGE_MS 5000
+
+/* Returns the task that holds the counts of a task's gang, or of the task
+ * alone. */
+static struct fleet_task *
+charged_task(const struct fleet_task *task)
+{
+	if (fleet_step_of(task)->gang)
+		return fleet_step_tasks(task->occurrence, task->step);
+	return &task->occurrence->tasks[task->number];
+}
+
+/* Returns whether two tasks are charged together. */
+static bool
+same_unit(const struct fleet_task *a, const struct fleet_task *b)
+{
+	return charged_task(a) == charged_task(b);
+}
+
+bool
+fleet_is_suspect(const struct fleet_task *task)
+{
+	const struct fleet_job *job = task->occurrence->job;
+	uint32_t number = charged_task(task)->number;
+
+	/* The other occurrences of a periodic job run the same task. */
+	for (size_t i = 0; i < job->occurrences_count; i++) {
+		if (job->occurrences[i]->tasks[number].early_losses > 0)
+			return true;
+	}
+	return false;
+}
+
+void
+fleet_begin_trial(struct fleet_task *task)
+{
+	task->settled = false;
+	task->on_trial = fleet_is_suspect(task);
+	task->worker->trials += task->on_trial;
+}
+
+void
+fleet_end_trial(struct fleet_task *task)
+{
+	if (!task->on_trial)
+		return;
+	task->on_trial = false;
+	task->worker->trials--;
+}
+
+/* Returns whether a task's run may still crash its worker. */
+static bool
+is_unsettled(const struct fleet_task *task)
+{
+	return !task->settled &&
+	    (task->state == TASK_PLACED ||
+		fleet_task_holds_resources(task->state));
+}
+
+bool
+fleet_worker_has_unsettled(
+    const struct fleet_worker *worker, const struct fleet_task *except)
+{
+	const struct fleet_task *task;
+
+	cds_list_for_each_entry (task, &worker->tasks, on_worker) {
+		if (is_unsettled(task) &&
+		    (except == NULL || !same_unit(task, except)))
+			return true;
+	}
+	return false;
+}
+
+bool
+fleet_trial_may_start(const struct fleet_task *task)
+{
+	return !task->on_trial ||
+	    !fleet_worker_has_unsettled(task->worker, task);
+}
+
+/* Returns whether a run may still crash its worker, or has done so, and is the
+ * one that shows whether its task does. */
+static bool
+is_decisive(const struct fleet_task *task)
+{
+	return is_unsettled(task) &&
+	    (task->on_trial || !fleet_worker_answers(task->worker));
+}
+
+bool
+fleet_awaits_verdict(const struct fleet_task *task)
+{
+	const struct fleet_job *job = task->occurrence->job;
+	uint32_t first = charged_task(task)->number;
+	uint32_t count =
+	    fleet_step_of(task)->gang ? fleet_step_of(task)->tasks : 1;
+
+	for (size_t i = 0; i < job->occurrences_count; i++) {
+		const struct fleet_occurrence *other = job->occurrences[i];
+
+		if (other == task->occurrence)
+			continue;
+		for (uint32_t j = 0; j < count; j++) {
+			if (is_decisive(&other->tasks[first + j]))
+				return true;
+		}
+	}
+	return false;
+}
+
+/* Returns whether all members of a task's gang have settled, or the task has.
+ */
+static bool
+unit_has_settled(const struct fleet_task *task)
+{
+	const struct fleet_task *first = charged_task(task);
+	uint32_t count =
+	    fleet_step_of(task)->gang ? fleet_step_of(task)->tasks : 1;
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (!first[i].settled)
+			return false;
+	}
+	return true;
+}
+
+void
+fleet_clear_suspicion(struct fleet *fleet, struct fleet_task *task)
+{
+	struct fleet_task *charged = charged_task(task);
+
+	if (charged->early_losses == 0)
+		return;
+	charged->early_losses = 0;
+	charged->crashes = 0;
+	charged->sole_crashes = 0;
+	fleet_mark_dirty(fleet, task->occurrence->job);
+}
+
+void
+fleet_settle_task(struct fleet *fleet, struct fleet_task *task, int64_t seen_ms)
+{
+	if (task->settled || task->state != TASK_RUNNING ||
+	    seen_ms - task->started_ms < SETTLE_MS)
+		return;
+	task->settled = true;
+	if (task->worker->trials > 0) {
+		fleet->changed = true;
+		fleet_wake_at(fleet, fleet->now_ms);
+	}
+	fleet_end_trial(task);
+	if (unit_has_settled(task))
+		fleet_clear_suspicion(fleet, task);
+}
+
+void
+fleet_note_silence(
+    struct fleet *fleet, const struct fleet_worker *worker, int64_t now_ms)
+{
+	if (!fleet_worker_has_unsettled(worker, NULL))
+		fleet->outage_until_ms = now_ms + OUTAGE_MS;
+}
+
+/* Returns whether a run was lost before it had settled. */
+static bool
+is_lost_early(const struct fleet *fleet, const struct fleet_task *task,
+    enum fleet_loss loss)
+{
+	if (!fleet_task_holds_resources(task->state) || task->settled)
+		return false;
+	return loss != FLEET_LOSS_RESTARTED ||
+	    fleet_began_on_earlier_incarnation(fleet, task);
+}
+
+/* The runs that a loss may be charged to. */
+struct suspects {
+	const struct fleet_task *first; /* NULL: there are none */
+	uint32_t runs;
+	bool sole;    /* all are of one task or gang */
+	bool charged; /* all have been charged for these runs before */
+};
+
+static struct suspects
+find_suspects(const struct fleet *fleet, const struct fleet_worker *worker,
+    enum fleet_loss loss)
+{
+	struct suspects suspects = {.sole = true, .charged = true};
+	const struct fleet_task *task;
+
+	cds_list_for_each_entry (task, &worker->tasks, on_worker) {
+		if (!is_lost_early(fleet, task, loss))
+			continue;
+		if (suspects.first == NULL)
+			suspects.first = task;
+		suspects.runs++;
+		suspects.sole &= same_unit(suspects.first, task);
+		suspects.charged &=
+		    charged_task(task)->charged_run == task->run;
+	}
+	return suspects;
+}
+
+/* Returns whether a task's worker was missed soon after its start. */
+static bool
+crashed_at_once(const struct fleet_task *task)
+{
+	return task->start_sent_ms != 0 && task->worker->missed_ms != 0 &&
+	    task->worker->missed_ms - task->start_sent_ms < AT_ONCE_MS;
+}
+
+static bool
+must_give_up(const struct fleet *fleet, const struct fleet_task *task)
+{
+	const struct fleet_task *charged = charged_task(task);
+	bool in_doubt = !crashed_at_once(task) ||
+	    task->worker->missed_ms < fleet->outage_until_ms;
+	uint32_t enough =
+	    in_doubt ? CRASHES_TO_GIVE_UP_IN_DOUBT : CRASHES_TO_GIVE_UP;
+
+	if (charged->early_losses >= MAX_EARLY_LOSSES)
+		return true;
+	return charged->crashes >= enough && charged->sole_crashes > 0;
+}
+
+/* Charges a task or gang for the loss of its run, once a run. */
+static void
+charge_unit(struct fleet *fleet, struct fleet_task *task, bool sole,
+    enum fleet_loss loss, int64_t now_ms)
+{
+	struct fleet_task *charged = charged_task(task);
+	struct fleet_job *job = task->occurrence->job;
+	bool certain = loss != FLEET_LOSS_LEASE_EXPIRED;
+
+	if (charged->charged_run == task->run)
+		return;
+	charged->charged_run = task->run;
+	charged->early_losses++;
+	charged->crashes += certain;
+	charged->sole_crashes += certain && sole;
+	fleet_mark_dirty(fleet, job);
+	if (!must_give_up(fleet, task) || job->cancelled ||
+	    fleet_job_final(job))
+		return;
+	job->phase = IBIS__STEP_JOB_PHASE__PHASE_FAILED;
+	fleet_add_given_up_event(fleet, task, charged);
+	fleet_add_job_event(fleet, job, "failed", now_ms);
+}
+
+void
+fleet_charge_loss(struct fleet *fleet, struct fleet_worker *worker,
+    enum fleet_loss loss, int64_t now_ms)
+{
+	struct suspects suspects = find_suspects(fleet, worker, loss);
+	struct fleet_task *task;
+
+	if (suspects.first == NULL || suspects.charged)
+		return;
+	fleet_add_crash_event(
+	    fleet, worker, suspects.first, suspects.runs, loss, now_ms);
+	cds_list_for_each_entry (task, &worker->tasks, on_worker) {
+		if (is_lost_early(fleet, task, loss))
+			charge_unit(fleet, task, suspects.sole, loss, now_ms);
+	}
+}
--- a/src/fleet/fleet_decide.c
+++ b/src/fleet/fleet_decide.c
@@ -64,37 +64,72 @@
 	    : fleet->next_wakeup_ms;
 }
 
+static void
+add_waiting(struct placement_round *round, struct fleet_task *task)
+{
+	round->waiting = mem_grow(round->waiting, &round->waiting_capacity,
+	    round->waiting_count + 1, sizeof(struct fleet_task *));
+	round->waiting[round->waiting_count++] = task;
+}
+
+/* Adds a unit of the waiting tasks from the first one on, if there are any. */
 static void
 add_unit(struct placement_round *round, struct fleet_occurrence *occurrence,
-    uint32_t step_number)
+    uint32_t step, size_t first)
 {
-	const Ibis__JobStep *step = occurrence->job->spec->steps[step_number];
-	struct fleet_task *tasks = fleet_step_tasks(occurrence, step_number);
-	struct placement_unit unit = {
+	if (round->waiting_count == first)
+		return;
+	round->units = mem_grow(round->units, &round->units_capacity,
+	    round->units_count + 1, sizeof(*round->units));
+	round->units[round->units_count++] = (struct placement_unit){
 	    .occurrence = occurrence,
-	    .step = step_number,
-	    .first = round->waiting_count,
+	    .step = step,
+	    .first = first,
+	    .count = round->waiting_count - first,
 	};
+}
 
-	for (uint32_t i = 0; i < step->tasks; i++) {
+static void
+add_gang(struct placement_round *round, struct fleet_occurrence *occurrence,
+    uint32_t step)
+{
+	struct fleet_task *tasks = fleet_step_tasks(occurrence, step);
+	uint32_t count = occurrence->job->spec->steps[step]->tasks;
+	size_t first = round->waiting_count;
+
+	for (uint32_t i = 0; i < count; i++) {
 		if (tasks[i].state != TASK_WAITING) {
-			if (step->gang)
-				break;
-			continue;
+			round->waiting_count = first;
+			return;
 		}
-		round->waiting =
-		    mem_grow(round->waiting, &round->waiting_capacity,
-			round->waiting_count + 1, sizeof(struct fleet_task *));
-		round->waiting[round->waiting_count++] = &tasks[i];
-		unit.count++;
+		add_waiting(round, &tasks[i]);
 	}
-	if (unit.count == 0 || (step->gang && unit.count < step->tasks)) {
-		round->waiting_count = unit.first;
-		return;
+	add_unit(round, occurrence, step, first);
+}
+
+/* Adds a unit of the step's waiting tasks, and one for each suspect. */
+static void
+add_single_tasks(struct placement_round *round,
+    struct fleet_occurrence *occurrence, uint32_t step)
+{
+	struct fleet_task *tasks = fleet_step_tasks(occurrence, step);
+	uint32_t count = occurrence->job->spec->steps[step]->tasks;
+	size_t first = round->waiting_count;
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (tasks[i].state == TASK_WAITING &&
+		    !fleet_is_suspect(&tasks[i]) &&
+		    !fleet_awaits_verdict(&tasks[i]))
+			add_waiting(round, &tasks[i]);
+	}
+	add_unit(round, occurrence, step, first);
+	for (uint32_t i = 0; i < count; i++) {
+		first = round->waiting_count;
+		if (tasks[i].state == TASK_WAITING &&
+		    fleet_is_suspect(&tasks[i]))
+			add_waiting(round, &tasks[i]);
+		add_unit(round, occurrence, step, first);
 	}
-	round->units = mem_grow(round->units, &round->units_capacity,
-	    round->units_count + 1, sizeof(*round->units));
-	round->units[round->units_count++] = unit;
 }
 
 static void
@@ -106,8 +141,12 @@
 		if (occurrence->waiting == 0)
 			continue;
 		for (uint32_t step = 0; step < job->spec->n_steps; step++) {
-			if (fleet_step_ready(occurrence, step))
-				add_unit(round, occurrence, step);
+			if (!fleet_step_ready(occurrence, step))
+				continue;
+			if (job->spec->steps[step]->gang)
+				add_gang(round, occurrence, step);
+			else
+				add_single_tasks(round, occurrence, step);
 		}
 	}
 }
@@ -161,6 +200,8 @@
 	const char *outcome = "free room";
 	size_t found;
 
+	if (fleet_awaits_verdict(tasks[0]))
+		return;
 	round->targets = mem_grow(round->targets, &round->targets_capacity,
 	    unit->count, sizeof(struct fleet_worker *));
 	found = fleet_find_targets(
@@ -238,7 +279,8 @@
 }
 
 /* Returns whether a task's placement is recorded, its resources are free on the
- * worker, and none of its earlier runs may still be at work. */
+ * worker, none of its earlier runs may still be at work, and a suspect's
+ * worker has nothing else that has just begun. */
 static bool
 may_start(const struct fleet *fleet, const struct fleet_task *task)
 {
@@ -251,7 +293,7 @@
 		return false;
 	left = fleet_worker_unoccupied(task->worker);
 	return fleet_resources_fit(&left, &need, 1) > 0 &&
-	    !fleet_task_has_orphan(fleet, task);
+	    !fleet_task_has_orphan(fleet, task) && fleet_trial_may_start(task);
 }
 
 /* Returns whether all members of a gang may start now. Members on the same
--- a/src/fleet/fleet_events.c
+++ b/src/fleet/fleet_events.c
@@ -286,6 +286,47 @@
 	STRING_COPY(event->double_run.other_worker, other->worker->entry.id);
 }
 
+void
+fleet_add_crash_event(struct fleet *fleet, const struct fleet_worker *worker,
+    const struct fleet_task *first, uint32_t runs, enum fleet_loss loss,
+    int64_t now_ms)
+{
+	struct fleet_event *event = add_event(fleet, FLEET_EVENT_LOSS_CHARGED);
+	struct fleet_worker_runs on_worker;
+
+	if (event == NULL)
+		return;
+	fleet_count_runs(worker, now_ms, &on_worker);
+	fleet_task_id(first, &event->task);
+	event->run = first->run;
+	STRING_COPY(event->worker, worker->entry.id);
+	event->charged_loss = (struct fleet_charged_loss){
+	    .loss = loss,
+	    .runs = on_worker.runs,
+	    .charged_runs = runs,
+	    .newest_age_ms = on_worker.newest_age_ms,
+	    .incarnation_wall_ms = first->placed_incarnation_wall_ms,
+	};
+}
+
+void
+fleet_add_given_up_event(struct fleet *fleet, const struct fleet_task *task,
+    const struct fleet_task *charged)
+{
+	struct fleet_event *event = add_event(fleet, FLEET_EVENT_GIVEN_UP);
+
+	if (event == NULL)
+		return;
+	fleet_task_id(task, &event->task);
+	event->run = task->run;
+	STRING_COPY(event->worker, task->worker->entry.id);
+	event->given_up = (struct fleet_given_up){
+	    .early_losses = charged->early_losses,
+	    .crashes = charged->crashes,
+	    .sole_crashes = charged->sole_crashes,
+	};
+}
+
 size_t
 fleet_take_events(struct fleet *fleet, const struct fleet_event **events)
 {
--- a/src/fleet/fleet_explain.c
+++ b/src/fleet/fleet_explain.c
@@ -15,6 +15,8 @@
     [FLEET_WAITS_RACK] = "room only away from its rack or data",
     [FLEET_WAITS_RECORD] = "its placement is being recorded",
     [FLEET_WAITS_STOPS] = "what holds its room is being stopped",
+    [FLEET_WAITS_TRIAL] = "workers crashed when it began; it waits until "
+			  "nothing else has just begun on its worker",
 };
 
 const char *
@@ -171,19 +173,30 @@
 static void
 explain_placed(struct explanation *explanation,
     const struct fleet_occurrence *occurrence, uint32_t number, uint32_t tasks,
-    bool recorded)
+    enum fleet_wait_cause cause)
 {
 	struct fleet_wait wait = {
 	    .occurrence = occurrence->number,
 	    .step = number,
 	    .tasks = tasks,
 	    .wait_ms = explanation->now_ms - occurrence->ready_ms,
-	    .cause = recorded ? FLEET_WAITS_STOPS : FLEET_WAITS_RECORD,
+	    .cause = cause,
 	};
 
 	add_wait(explanation, &wait);
 }
 
+/* Returns what a placed task waits for. */
+static enum fleet_wait_cause
+cause_of_placed(
+    const struct explanation *explanation, const struct fleet_task *task)
+{
+	if (task->placed_generation > explanation->job->recorded_generation)
+		return FLEET_WAITS_RECORD;
+	return fleet_trial_may_start(task) ? FLEET_WAITS_STOPS
+					   : FLEET_WAITS_TRIAL;
+}
+
 static void
 explain_step(struct explanation *explanation,
     const struct fleet_occurrence *occurrence, uint32_t number)
@@ -192,22 +205,20 @@
 	const struct fleet_task *tasks = fleet_step_tasks(occurrence, number);
 	uint32_t waiting = 0;
 	uint32_t placed = 0;
-	bool recorded = true;
+	enum fleet_wait_cause cause = FLEET_WAITS_RECORD;
 
 	for (uint32_t i = 0; i < step->tasks; i++) {
 		waiting += tasks[i].state == TASK_WAITING;
 		if (tasks[i].state != TASK_PLACED)
 			continue;
+		if (placed == 0 || cause != FLEET_WAITS_RECORD)
+			cause = cause_of_placed(explanation, &tasks[i]);
 		placed++;
-		if (tasks[i].placed_generation >
-		    explanation->job->recorded_generation)
-			recorded = false;
 	}
 	if (waiting > 0)
 		explain_waiting(explanation, occurrence, number, waiting);
 	if (placed > 0)
-		explain_placed(
-		    explanation, occurrence, number, placed, recorded);
+		explain_placed(explanation, occurrence, number, placed, cause);
 }
 
 /* Explains the wait for the next occurrence, if there is one. */
--- a/src/fleet/fleet_jobs.c
+++ b/src/fleet/fleet_jobs.c
@@ -135,6 +135,10 @@
 
 	task->run = progress->run;
 	task->failures = progress->failures;
+	task->early_losses = progress->early_losses;
+	task->crashes = progress->crashes;
+	task->sole_crashes = progress->sole_crashes;
+	task->placed_incarnation_wall_ms = progress->incarnation_wall_ms;
 	fleet_set_checkpoint(task, progress->checkpoint);
 	if (progress->done) {
 		fleet_set_state(task, TASK_DONE);
@@ -152,6 +156,7 @@
 		worker->listed = false;
 	}
 	fleet_assign_task(task, worker);
+	fleet_begin_trial(task);
 	fleet_set_state(task, TASK_RUNNING);
 	task->started_ms = now_ms;
 	task->visible_from_ms = now_ms;
@@ -361,9 +366,15 @@
 	progress->number = task->number;
 	progress->run = task->run;
 	progress->failures = task->failures;
+	progress->early_losses = task->early_losses;
+	progress->crashes = task->crashes;
+	progress->sole_crashes = task->sole_crashes;
 	progress->done = task->state == TASK_DONE;
-	if (task->worker != NULL)
+	if (task->worker != NULL) {
 		progress->worker = task->worker->entry.id;
+		progress->incarnation_wall_ms =
+		    task->placed_incarnation_wall_ms;
+	}
 	if (task->checkpoint != NULL && !progress->done)
 		progress->checkpoint = task->checkpoint;
 }
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -58,6 +58,16 @@
 	uint32_t step;
 	uint32_t index; /* within the step */
 	uint32_t failures;
+	/* Runs lost with their worker before they had settled, since a run last
+	 * did; of a gang, in its first task. */
+	uint32_t early_losses;
+	uint32_t crashes;      /* of them, those where the worker crashed */
+	uint32_t sole_crashes; /* of these, where no other run was unsettled */
+	uint64_t charged_run;  /* the last one counted above */
+	bool settled;	       /* the run has been at work for a while */
+	bool on_trial; /* it is a suspect's, has not settled, has a worker */
+	/* Start of the worker's incarnation when it was placed; 0: unknown. */
+	int64_t placed_incarnation_wall_ms;
 	int32_t percent;	/* as last reported */
 	int64_t percent_ms;	/* when it was reported */
 	int32_t sample_percent; /* progress at the last rate sample */
@@ -121,8 +131,11 @@
 	bool listed;		    /* its entry is in the store */
 	bool reported;		    /* to a poll with the current fence */
 	bool silent;
-	uint64_t fence;		     /* added to the epoch in fencing tokens */
-	uint32_t unanswered_polls;   /* since the last answer */
+	uint64_t fence;		   /* added to the epoch in fencing tokens */
+	uint32_t unanswered_polls; /* since the last answer */
+	/* When the first of these failed, or the worker was seen to have
+	 * restarted; 0: it answers. */
+	int64_t missed_ms;
 	int64_t incarnation_wall_ms; /* start of the incarnation; 0: unknown */
 	int64_t reported_incarnation_wall_ms; /* in the last report */
 	int64_t clock_ms;		      /* its clock at clock_at_ms */
@@ -139,6 +152,7 @@
 	 * the orphans whose need is known. */
 	struct fleet_resources occupied;
 	uint32_t stopping; /* tasks in TASK_STOPPING */
+	uint32_t trials;   /* tasks that are on trial */
 	/* By its last report; for the log only. */
 	uint64_t last_report; /* its number */
 	bool over_capacity;
@@ -228,7 +242,8 @@
 	size_t unmet_count;
 	struct fleet_candidate *candidates; /* of the current search */
 	size_t candidates_capacity;
-	uint64_t searches; /* since the fleet was created */
+	int64_t outage_until_ms; /* workers are lost for other causes */
+	uint64_t searches;	 /* since the fleet was created */
 	struct fleet_orphan *orphans;
 	size_t orphans_count;
 	size_t orphans_capacity;
@@ -351,6 +366,63 @@
 void fleet_add_restart_event(
     struct fleet *fleet, const struct fleet_worker *worker, int64_t now_ms);
 
+/* The loss was charged to runs of the worker, first among them. Call it before
+ * the runs are requeued. */
+void fleet_add_crash_event(struct fleet *fleet,
+    const struct fleet_worker *worker, const struct fleet_task *first,
+    uint32_t runs, enum fleet_loss loss, int64_t now_ms);
+
+/* charged holds the counts of the task, whose job is given up. */
+void fleet_add_given_up_event(struct fleet *fleet,
+    const struct fleet_task *task, const struct fleet_task *charged);
+
+/*
+ * Crash group: charges the loss of workers to the tasks that may be its cause.
+ * A task that has been charged is a suspect until one of its runs has settled.
+ */
+
+/* Returns whether the task, or the same one of another occurrence, is a
+ * suspect. */
+bool fleet_is_suspect(const struct fleet_task *task);
+
+/* Returns whether the same task of another occurrence is on trial, or has just
+ * begun on a worker that does not answer. The task then waits for what becomes
+ * of it. */
+bool fleet_awaits_verdict(const struct fleet_task *task);
+
+/* A task has been assigned to its worker under a new run number. A suspect is
+ * on trial there until it has settled or left. */
+void fleet_begin_trial(struct fleet_task *task);
+
+/* The task is about to leave its worker. Does nothing if it isn't on trial. */
+void fleet_end_trial(struct fleet_task *task);
+
+/* Returns whether a start may follow now: a suspect's waits until no other run
+ * on its worker can be the cause of a crash. */
+bool fleet_trial_may_start(const struct fleet_task *task);
+
+/* Returns whether a run on the worker may still crash it; runs of the task or
+ * gang of except are left out, unless it is NULL. */
+bool fleet_worker_has_unsettled(
+    const struct fleet_worker *worker, const struct fleet_task *except);
+
+/* A report has shown the task's run at work at seen_ms. */
+void fleet_settle_task(
+    struct fleet *fleet, struct fleet_task *task, int64_t seen_ms);
+
+/* The task is no suspect any more. */
+void fleet_clear_suspicion(struct fleet *fleet, struct fleet_task *task);
+
+/* A worker has become silent. */
+void fleet_note_silence(
+    struct fleet *fleet, const struct fleet_worker *worker, int64_t now_ms);
+
+/* Charges the runs that are lost with the worker and had not settled, and gives
+ * up the jobs of those that are found to be the cause. Call it before the runs
+ * are requeued. */
+void fleet_charge_loss(struct fleet *fleet, struct fleet_worker *worker,
+    enum fleet_loss loss, int64_t now_ms);
+
 /*
  * Audit group.
  */
@@ -424,6 +496,11 @@
 bool fleet_worker_has_label(
     const struct fleet_worker *worker, const char *label);
 
+/* Returns whether a task's run began on an earlier incarnation of its worker
+ * than the one that answers, and the current report does not show it. */
+bool fleet_began_on_earlier_incarnation(
+    const struct fleet *fleet, const struct fleet_task *task);
+
 /* The worker may have restarted: raises its fence. It gets no tasks until it
  * has answered a poll that was sent with the new one. */
 void fleet_raise_fence(
--- a/src/fleet/fleet_place.c
+++ b/src/fleet/fleet_place.c
@@ -32,6 +32,7 @@
 	    .need = fleet_step_need(step),
 	    .tasks = tasks,
 	    .wanted = count,
+	    .suspect = fleet_is_suspect(tasks[0]),
 	    .candidates = fleet->candidates,
 	    .now_ms = now_ms,
 	};
@@ -115,6 +116,31 @@
 		    sizeof(*search->candidates), compare_candidates);
 }
 
+bool
+fleet_search_allows(
+    const struct fleet_search *search, const struct fleet_worker *worker)
+{
+	return worker->trials == 0 &&
+	    fleet_worker_usable(
+		worker, search->job, search->step, search->now_ms);
+}
+
+/* Returns the cost of a worker for placement. Most tasks go where the least
+ * capacity is left. A suspect goes where it harms few: to an idle worker, and
+ * rather where nothing has just begun, as its start has to wait for that. */
+static int64_t
+placement_cost(const struct fleet_search *search,
+    const struct fleet_worker *worker, const struct fleet_resources *left)
+{
+	int64_t weight = fleet_resources_weight(left);
+
+	if (!search->suspect)
+		return weight;
+	if (fleet_worker_has_unsettled(worker, NULL))
+		return INT32_MAX - weight;
+	return -weight;
+}
+
 static void
 collect_candidates(struct fleet_search *search)
 {
@@ -130,8 +156,7 @@
 		 * first. */
 		if (fleet_resources_fit(&left, &search->need, 1) == 0)
 			continue;
-		if (!fleet_worker_usable(
-			worker, search->job, search->step, search->now_ms)) {
+		if (!fleet_search_allows(search, worker)) {
 			if (worker->paused_until_ms > search->now_ms)
 				fleet_schedule_placement(
 				    fleet, worker->paused_until_ms);
@@ -145,7 +170,7 @@
 		    .worker = worker,
 		    .fits = fits,
 		    .speed_rank = fleet_search_speed_rank(search, worker),
-		    .cost = fleet_resources_weight(&left),
+		    .cost = placement_cost(search, worker, &left),
 		};
 	}
 	fleet_search_sort(search);
--- a/src/fleet/fleet_reclaim.c
+++ b/src/fleet/fleet_reclaim.c
@@ -160,8 +160,7 @@
 		struct fleet_worker *worker = fleet->workers.items[i].item;
 		uint32_t fits;
 
-		if (!fleet_worker_usable(
-			worker, search->job, search->step, search->now_ms))
+		if (!fleet_search_allows(search, worker))
 			continue;
 		fits = fits_after_preemption(search, worker);
 		if (fits == 0)
--- a/src/fleet/fleet_reports.c
+++ b/src/fleet/fleet_reports.c
@@ -108,6 +108,7 @@
 		task->started_ms = now_ms;
 		task->visible_from_ms = now_ms;
 	}
+	fleet_settle_task(fleet, task, sent_ms);
 	fleet_update_progress(fleet, task, run->percent, now_ms);
 }
 
@@ -194,9 +195,10 @@
 }
 
 static void
-requeue_absent_task(struct fleet *fleet, struct fleet_task *task,
-    bool restarted, int64_t now_ms)
+requeue_absent_task(
+    struct fleet *fleet, struct fleet_task *task, int64_t now_ms)
 {
+	bool restarted = fleet_began_on_earlier_incarnation(fleet, task);
 	const char *outcome = restarted ? "lost with worker" : "not there";
 
 	fleet_add_presumed_end_event(fleet, task,
@@ -207,12 +209,13 @@
 /* Requeues the tasks whose runs the first report with the worker's current
  * fence does not show: this incarnation refuses all earlier starts. */
 static void
-requeue_absent_tasks(struct fleet *fleet, struct fleet_worker *worker,
-    bool restarted, int64_t now_ms)
+requeue_absent_tasks(
+    struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms)
 {
 	struct fleet_task *task;
 	bool more = true;
 
+	fleet_charge_loss(fleet, worker, FLEET_LOSS_RESTARTED, now_ms);
 	/* Requeueing a member of a gang may remove others from the list. */
 	while (more) {
 		more = false;
@@ -220,7 +223,7 @@
 			if (!fleet_task_holds_resources(task->state) ||
 			    task->last_poll == fleet->polls)
 				continue;
-			requeue_absent_task(fleet, task, restarted, now_ms);
+			requeue_absent_task(fleet, task, now_ms);
 			more = true;
 			break;
 		}
@@ -284,11 +287,12 @@
 	/* A run that is not shown may be among the ends that are not listed. */
 	if (!report->more_ends) {
 		if (first)
-			requeue_absent_tasks(fleet, worker, restarted, now_ms);
+			requeue_absent_tasks(fleet, worker, now_ms);
 		handle_unreported_tasks(fleet, worker, report->sent_ms, now_ms);
 		fleet_release_unreported_orphans(
 		    fleet, worker, report->sent_ms);
 	}
+	worker->missed_ms = 0;
 	fleet_audit_report(fleet, worker, report, now_ms);
 }
 
--- a/src/fleet/fleet_search.h
+++ b/src/fleet/fleet_search.h
@@ -28,6 +28,7 @@
 	struct fleet_candidate *candidates; /* the fleet's */
 	size_t count;			    /* of candidates */
 	int64_t now_ms;
+	bool suspect; /* the tasks are a suspect's */
 	/* Urgent jobs over their workspace's guarantee may be preempted too. */
 	bool guaranteed;
 };
@@ -40,6 +41,11 @@
 /* Sorts the candidates by speed rank and cost, best first. */
 void fleet_search_sort(struct fleet_search *search);
 
+/* Returns whether tasks may be placed on a worker now, whatever its capacity:
+ * it is usable, and no suspect is on trial there. */
+bool fleet_search_allows(
+    const struct fleet_search *search, const struct fleet_worker *worker);
+
 /* Returns how many more tasks of the step a worker may have, whatever its
  * capacity. */
 uint32_t fleet_search_limit(
--- a/src/fleet/fleet_tasks.c
+++ b/src/fleet/fleet_tasks.c
@@ -185,6 +185,7 @@
 	fleet_set_state(task, state);
 	if (task->worker == NULL)
 		return;
+	fleet_end_trial(task);
 	cds_list_del(&task->on_worker);
 	task->worker = NULL;
 	task->occurrence->job->assigned--;
@@ -215,6 +216,8 @@
 	task->rate = 0;
 	task->best_rate = 0;
 	task->last_poll = 0;
+	task->placed_incarnation_wall_ms = worker->incarnation_wall_ms;
+	fleet_begin_trial(task);
 	fleet_set_state(task, TASK_PLACED);
 	fleet_mark_dirty(fleet, task->occurrence->job);
 	task->placed_generation = fleet->generation;
@@ -303,6 +306,7 @@
 	fleet_add_task_event(fleet, task, FLEET_EVENT_RUN_ENDED, "done",
 	    task->started_ms, now_ms);
 	fleet_detach_task(task, TASK_DONE);
+	fleet_clear_suspicion(fleet, task);
 	task->ended_ms = now_ms;
 	task->occurrence->done++;
 }
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -131,6 +131,8 @@
 			if (!fleet_task_holds_resources(task->state) ||
 			    may_outlive_lease(fleet, task, now_ms))
 				continue;
+			fleet_charge_loss(
+			    fleet, worker, FLEET_LOSS_LEASE_EXPIRED, now_ms);
 			fleet_add_presumed_end_event(
 			    fleet, task, FLEET_LEASE_EXPIRED, now_ms);
 			fleet_requeue_task(
@@ -162,6 +164,16 @@
 	}
 }
 
+bool
+fleet_began_on_earlier_incarnation(
+    const struct fleet *fleet, const struct fleet_task *task)
+{
+	return task->last_poll != fleet->polls &&
+	    task->placed_incarnation_wall_ms != 0 &&
+	    task->placed_incarnation_wall_ms !=
+	    task->worker->incarnation_wall_ms;
+}
+
 uint64_t
 fleet_worker_fence(const struct fleet_worker *worker)
 {
@@ -174,6 +186,8 @@
 {
 	worker->fence++;
 	worker->reported = false;
+	if (worker->missed_ms == 0)
+		worker->missed_ms = now_ms;
 	fleet->changed = true;
 	withdraw_placed_tasks(fleet, worker, now_ms);
 	fleet_wake_at(fleet, now_ms);
@@ -405,9 +419,13 @@
 	bool before = worker->silent;
 
 	worker->unanswered_polls++;
+	if (worker->missed_ms == 0)
+		worker->missed_ms = now_ms;
 	if (worker->reported && !before && !unreachable &&
 	    worker->unanswered_polls < SILENT_AFTER_POLLS)
 		return false;
+	if (worker->reported && !before)
+		fleet_note_silence(fleet, worker, now_ms);
 	worker->silent = true;
 	fleet->changed |= !before;
 	withdraw_placed_tasks(fleet, worker, now_ms);
