Take a worker for gone when another one answers at its address

It proves that the worker is gone: its runs are lost with it at once, nothing that was sent to it can begin any more, and the crash is certain, so that a task that causes it is given up after two crashes instead of five.

A refused connection, a reset or silence proves nothing and changes nothing: the lease is still waited for.

--- a/src/agent/agent_fleet_log.c
+++ b/src/agent/agent_fleet_log.c
@@ -62,6 +62,8 @@
 		return "not reported";
 	case FLEET_NEW_INCARNATION:
 		return "new incarnation";
+	case FLEET_WORKER_REPLACED:
+		return "worker replaced";
 	case FLEET_LEASE_EXPIRED:
 		return "lease expired";
 	}
@@ -74,6 +76,8 @@
 	switch (presumption) {
 	case FLEET_NEW_INCARNATION:
 		return COUNTER_PRESUMED_ENDS_NEW_INCARNATION;
+	case FLEET_WORKER_REPLACED:
+		return COUNTER_PRESUMED_ENDS_WORKER_REPLACED;
 	case FLEET_LEASE_EXPIRED:
 		return COUNTER_PRESUMED_ENDS_LEASE_EXPIRED;
 	case FLEET_NOT_REPORTED:
--- a/src/agent/agent_workers.c
+++ b/src/agent/agent_workers.c
@@ -134,7 +134,9 @@
 	bool was_retry = fleet_worker_missed_poll(worker);
 
 	if (fleet_handle_unanswered_poll(agent->fleet, worker,
-		outcome == PLATFORM_ORDER_REFUSED, now_ms)) {
+		outcome == PLATFORM_ORDER_REFUSED ||
+		    outcome == PLATFORM_ORDER_REPLACED,
+		now_ms)) {
 		counter_add(COUNTER_WORKERS_LOST, 1);
 		log_silent_worker(call, worker, now_ms);
 	}
@@ -228,6 +230,9 @@
 	} else if (!has_old_fence(call, worker)) {
 		log_failed_poll(call, reason);
 		poll_failed(call, worker, outcome, now_ms);
+		if (outcome == PLATFORM_ORDER_REPLACED)
+			fleet_handle_replaced_worker(
+			    agent->fleet, worker, now_ms);
 	}
 	mem_free(call);
 }
@@ -307,6 +312,7 @@
 	case PLATFORM_ORDER_UNKNOWN:
 		return FLEET_START_UNKNOWN;
 	case PLATFORM_ORDER_REFUSED:
+	case PLATFORM_ORDER_REPLACED:
 	case PLATFORM_ORDER_FENCED:
 		break;
 	}
@@ -320,7 +326,8 @@
 
 	if (outcome == PLATFORM_ORDER_UNKNOWN)
 		counter = COUNTER_WORKER_CALLS_UNKNOWN;
-	else if (outcome == PLATFORM_ORDER_REFUSED)
+	else if (outcome == PLATFORM_ORDER_REFUSED ||
+	    outcome == PLATFORM_ORDER_REPLACED)
 		counter = COUNTER_WORKER_CALLS_UNAVAILABLE;
 	counter_add(counter, 1);
 	duration_observe(HISTOGRAM_WORKER_CALL, clock_now_ms() - call->sent_ms);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -312,6 +312,14 @@
 bool fleet_handle_unanswered_poll(struct fleet *fleet,
     struct fleet_worker *worker, bool unreachable, int64_t now_ms);
 
+/*
+ * Another worker has answered at the address of this one, which it has replaced
+ * there. The runs of this worker have ended with it; a start that is under way
+ * to the address is refused there.
+ */
+void fleet_handle_replaced_worker(
+    struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms);
+
 /* The runs that may be on a worker. */
 struct fleet_worker_runs {
 	uint32_t runs;
@@ -412,6 +420,7 @@
 enum fleet_presumption {
 	FLEET_NOT_REPORTED,    /* a report that should list it does not */
 	FLEET_NEW_INCARNATION, /* it began on an earlier incarnation */
+	FLEET_WORKER_REPLACED, /* another worker is at the worker's address */
 	FLEET_LEASE_EXPIRED
 };
 
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -115,31 +115,41 @@
 	    now_ms < longest_lease_end_ms(fleet, task->worker);
 }
 
-/* Requeues the tasks of a worker whose lease has expired, except those whose
- * runs may continue. */
-static void
-mark_lost_tasks(
-    struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms)
+/* Returns a task whose run is lost with its worker, or NULL. One that may
+ * outlive the lease of a silent worker is not. */
+static struct fleet_task *
+next_lost_task(const struct fleet *fleet, const struct fleet_worker *worker,
+    enum fleet_loss loss, int64_t now_ms)
 {
 	struct fleet_task *task;
-	bool more = true;
 
-	/* Requeueing a member of a gang may remove others from the list. */
-	while (more) {
-		more = false;
-		cds_list_for_each_entry (task, &worker->tasks, on_worker) {
-			if (!fleet_task_holds_resources(task->state) ||
-			    may_outlive_lease(fleet, task, now_ms))
-				continue;
-			fleet_charge_loss(
-			    fleet, worker, FLEET_LOSS_LEASE_EXPIRED, now_ms);
-			fleet_add_presumed_end_event(
-			    fleet, task, FLEET_LEASE_EXPIRED, now_ms);
-			fleet_requeue_task(
-			    fleet, task, "lost with worker", NULL, now_ms);
-			more = true;
-			break;
-		}
+	cds_list_for_each_entry (task, &worker->tasks, on_worker) {
+		if (fleet_task_holds_resources(task->state) &&
+		    (loss == FLEET_LOSS_REPLACED ||
+			!may_outlive_lease(fleet, task, now_ms)))
+			return task;
+	}
+	return NULL;
+}
+
+/* Requeues the tasks whose runs are lost with the worker. */
+static void
+mark_lost_tasks(struct fleet *fleet, struct fleet_worker *worker,
+    enum fleet_loss loss, int64_t now_ms)
+{
+	enum fleet_presumption presumption = loss == FLEET_LOSS_REPLACED
+	    ? FLEET_WORKER_REPLACED
+	    : FLEET_LEASE_EXPIRED;
+	struct fleet_task *task = next_lost_task(fleet, worker, loss, now_ms);
+
+	if (task != NULL)
+		fleet_charge_loss(fleet, worker, loss, now_ms);
+	/* Requeueing a member of a gang may remove others from the worker. */
+	for (; task != NULL;
+	     task = next_lost_task(fleet, worker, loss, now_ms)) {
+		fleet_add_presumed_end_event(fleet, task, presumption, now_ms);
+		fleet_requeue_task(
+		    fleet, task, "lost with worker", NULL, now_ms);
 	}
 	fleet->changed = true;
 }
@@ -193,6 +203,19 @@
 	fleet_wake_at(fleet, now_ms);
 }
 
+void
+fleet_handle_replaced_worker(
+    struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms)
+{
+	mark_lost_tasks(fleet, worker, FLEET_LOSS_REPLACED, now_ms);
+	fleet_release_lost_orphans(fleet, worker, true);
+	worker->lease_until_ms = now_ms;
+	worker->granted_ms = 0;
+	/* Answers that this worker gave before are out of date. */
+	if (worker->reported)
+		fleet_raise_fence(fleet, worker, now_ms);
+}
+
 void
 fleet_confirm_worker(struct fleet *fleet, struct fleet_worker *worker,
     int64_t incarnation_wall_ms, int64_t now_ms)
@@ -477,7 +500,8 @@
 			continue;
 		}
 		if (!fleet_worker_answers(worker)) {
-			mark_lost_tasks(fleet, worker, now_ms);
+			mark_lost_tasks(
+			    fleet, worker, FLEET_LOSS_LEASE_EXPIRED, now_ms);
 			fleet_release_lost_orphans(fleet, worker,
 			    now_ms >= longest_lease_end_ms(fleet, worker));
 		}
--- a/src/process/counters.c
+++ b/src/process/counters.c
@@ -95,6 +95,8 @@
 	"Runs considered ended without their worker's word, by reason."},
     [COUNTER_PRESUMED_ENDS_NEW_INCARNATION] = {"ibis_runs_presumed_ended_total",
 	"reason=\"new_incarnation\"", NULL},
+    [COUNTER_PRESUMED_ENDS_WORKER_REPLACED] = {"ibis_runs_presumed_ended_total",
+	"reason=\"worker_replaced\"", NULL},
     [COUNTER_PRESUMED_ENDS_LEASE_EXPIRED] = {"ibis_runs_presumed_ended_total",
 	"reason=\"lease_expired\"", NULL},
     [COUNTER_WORKER_RESTARTS] = {"ibis_worker_restarts_total", "",
--- a/tests/common_fleet_sim.c
+++ b/tests/common_fleet_sim.c
@@ -243,6 +243,8 @@
 	if (is_replaced(sim, fleet_worker)) {
 		(void)fleet_handle_unanswered_poll(
 		    sim->fleet, fleet_worker, true, sim->now_ms);
+		fleet_handle_replaced_worker(
+		    sim->fleet, fleet_worker, sim->now_ms);
 		return;
 	}
 	if (worker->delays_polls && !worker->unreachable)
--- a/tests/test_fleet_crashes.c
+++ b/tests/test_fleet_crashes.c
@@ -37,6 +37,46 @@
 	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
 }
 
+/* Guards against a lead that believes in the runs of a crashed worker until its
+ * lease has expired, while another worker answers at its address. */
+static void
+test_replaced_worker_holds_no_runs(void)
+{
+	CLEANUP(sim_close) struct sim sim;
+	Ibis__StepJob *spec = sim_new_job(1, 1, 4, 8);
+	size_t gang;
+
+	spec->steps[0]->gang = true;
+	sim_open(&sim, 4, 4);
+	sim.new_ids = true;
+	gang = sim_submit(&sim, spec, 3000);
+	sim_advance(&sim, 2000);
+	sim_crash_worker(&sim, 0);
+	/* Until its entry is in the store, and the gang has started there. */
+	sim_advance(&sim, sim.back_ms + 1200);
+	CU_ASSERT_EQUAL(sim_running_tasks(&sim, gang), 4);
+	sim_advance(&sim, 4000);
+	CU_ASSERT_EQUAL(sim_phase(&sim, gang), COMPLETED);
+	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
+}
+
+/* Guards against crashes that are not certain as the workers come back under
+ * other ids: the task is tried five times. */
+static void
+test_crash_of_replaced_worker_is_certain(void)
+{
+	CLEANUP(sim_close) struct sim sim;
+	size_t job;
+
+	sim_open(&sim, 8, 4);
+	sim.new_ids = true;
+	job = submit_crashing(&sim, sim_new_job(1, 1, 1, 1), 2000);
+	sim_advance(&sim, 120000);
+	CU_ASSERT_EQUAL(sim_phase(&sim, job), FAILED);
+	CU_ASSERT_EQUAL(sim.worker_crashes, MAX_CRASHES);
+	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
+}
+
 /* Guards against innocent jobs that are given up with a job whose task crashes
  * the worker that they share. */
 static void
@@ -247,6 +287,10 @@
 	CU_TestInfo tests[] = {
 	    {"task that crashes workers is given up",
 		test_task_that_crashes_workers_is_given_up},
+	    {"replaced worker holds no runs",
+		test_replaced_worker_holds_no_runs},
+	    {"crash of replaced worker is certain",
+		test_crash_of_replaced_worker_is_certain},
 	    {"tasks beside it complete", test_tasks_beside_it_complete},
 	    {"two on one worker are told apart",
 		test_two_on_one_worker_are_told_apart},
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -425,8 +425,7 @@
 test_only_refusals_count_as_refused(void)
 {
 	static const char *const refusals[] = {"400 Bad Request",
-	    "421 Misdirected Request", "429 Too Many Requests",
-	    "503 Service Unavailable"};
+	    "429 Too Many Requests", "503 Service Unavailable"};
 	static const char *const others[] = {"404 Not Found",
 	    "408 Request Timeout", "500 Internal Server Error",
 	    "502 Bad Gateway", "504 Gateway Timeout"};
@@ -437,6 +436,8 @@
 	for (size_t i = 0; i < COUNT_OF(others); i++)
 		CU_ASSERT_EQUAL(
 		    stop_outcome(others[i], ""), PLATFORM_ORDER_UNKNOWN);
+	CU_ASSERT_EQUAL(stop_outcome("421 Misdirected Request", ""),
+	    PLATFORM_ORDER_REPLACED);
 	CU_ASSERT_EQUAL(stop_outcome("409 Conflict", "{\"Reason\":\"room\"}"),
 	    PLATFORM_ORDER_REFUSED);
 	CU_ASSERT_EQUAL(stop_outcome("409 Conflict", "{\"Reason\":\"old\"}"),
