Give a job up only if two workers have crashed under one of its tasks

Jobs could be given up with fewer: a gang was charged as a whole, so that two members that each lost a worker counted as two crashes, and a run counted whose start had never reached its worker (no answer, or known only from the record of an earlier lead).

Each task is charged for its own worker, and only a run that is known to have begun there makes a crash certain.

--- a/proto/ibistrestle.pb-c.h
+++ b/proto/ibistrestle.pb-c.h
@@ -762,7 +762,7 @@
   protobuf_c_boolean done;
   /*
    * Runs lost with their worker soon after their start, since a run was last
-   * at work for a while; of a gang, in its first task.
+   * at work for a while.
    */
   uint32_t early_losses;
   /*
--- a/src/fleet/fleet_crashes.c
+++ b/src/fleet/fleet_crashes.c
@@ -5,8 +5,8 @@
  * just begun, and nothing else begins there until it has settled. A second
  * crash then shows which task is the cause, and its job is given up.
  *
- * Members of a gang are charged and given up together; their counts are in the
- * gang's first task.
+ * Each member of a gang is charged for its own worker, but a gang is tried as a
+ * whole.
  */
 #include "fleet/fleet_model.h"
 
@@ -27,32 +27,48 @@
  * outage for this time. */
 #define OUTAGE_MS 5000
 
-/* Returns the task that holds the counts of a task's gang, or of the task
- * alone. */
-static struct fleet_task *
-charged_task(const struct fleet_task *task)
+/* Tasks that begin together: all members of a gang, or one task. */
+struct unit {
+	struct fleet_task *tasks;
+	uint32_t count;
+};
+
+static struct unit
+unit_of(const struct fleet_task *task, const struct fleet_occurrence *in)
 {
-	if (fleet_step_of(task)->gang)
-		return fleet_step_tasks(task->occurrence, task->step);
-	return &task->occurrence->tasks[task->number];
+	if (!fleet_step_of(task)->gang)
+		return (struct unit){&in->tasks[task->number], 1};
+	return (struct unit){
+	    fleet_step_tasks(in, task->step), fleet_step_of(task)->tasks};
 }
 
-/* Returns whether two tasks are charged together. */
 static bool
 same_unit(const struct fleet_task *a, const struct fleet_task *b)
 {
-	return charged_task(a) == charged_task(b);
+	return unit_of(a, a->occurrence).tasks ==
+	    unit_of(b, b->occurrence).tasks;
+}
+
+static bool
+has_early_losses(const struct unit *unit)
+{
+	for (uint32_t i = 0; i < unit->count; i++) {
+		if (unit->tasks[i].early_losses > 0)
+			return true;
+	}
+	return false;
 }
 
 bool
 fleet_is_suspect(const struct fleet_task *task)
 {
 	const struct fleet_job *job = task->occurrence->job;
-	uint32_t number = charged_task(task)->number;
 
 	/* The other occurrences of a periodic job run the same task. */
 	for (size_t i = 0; i < job->occurrences_count; i++) {
-		if (job->occurrences[i]->tasks[number].early_losses > 0)
+		struct unit unit = unit_of(task, job->occurrences[i]);
+
+		if (has_early_losses(&unit))
 			return true;
 	}
 	return false;
@@ -61,6 +77,7 @@
 void
 fleet_begin_trial(struct fleet_task *task)
 {
+	task->begun = false;
 	task->settled = false;
 	task->on_trial = fleet_is_suspect(task);
 	task->worker->trials += task->on_trial;
@@ -118,55 +135,55 @@
 fleet_awaits_verdict(const struct fleet_task *task)
 {
 	const struct fleet_job *job = task->occurrence->job;
-	uint32_t first = charged_task(task)->number;
-	uint32_t count =
-	    fleet_step_of(task)->gang ? fleet_step_of(task)->tasks : 1;
 
 	for (size_t i = 0; i < job->occurrences_count; i++) {
-		const struct fleet_occurrence *other = job->occurrences[i];
+		struct unit unit = unit_of(task, job->occurrences[i]);
 
-		if (other == task->occurrence)
+		if (job->occurrences[i] == task->occurrence)
 			continue;
-		for (uint32_t j = 0; j < count; j++) {
-			if (is_decisive(&other->tasks[first + j]))
+		for (uint32_t j = 0; j < unit.count; j++) {
+			if (is_decisive(&unit.tasks[j]))
 				return true;
 		}
 	}
 	return false;
 }
 
-/* Returns whether all members of a task's gang have settled, or the task has.
- */
 static bool
-unit_has_settled(const struct fleet_task *task)
+has_settled(const struct unit *unit)
 {
-	const struct fleet_task *first = charged_task(task);
-	uint32_t count =
-	    fleet_step_of(task)->gang ? fleet_step_of(task)->tasks : 1;
-
-	for (uint32_t i = 0; i < count; i++) {
-		if (!first[i].settled)
+	for (uint32_t i = 0; i < unit->count; i++) {
+		if (!unit->tasks[i].settled)
 			return false;
 	}
 	return true;
 }
 
+static void
+clear_losses(struct fleet *fleet, struct fleet_task *task)
+{
+	if (task->early_losses == 0)
+		return;
+	task->early_losses = 0;
+	task->crashes = 0;
+	task->sole_crashes = 0;
+	fleet_mark_dirty(fleet, task->occurrence->job);
+}
+
 void
 fleet_clear_suspicion(struct fleet *fleet, struct fleet_task *task)
 {
-	struct fleet_task *charged = charged_task(task);
+	struct unit unit = unit_of(task, task->occurrence);
 
-	if (charged->early_losses == 0)
-		return;
-	charged->early_losses = 0;
-	charged->crashes = 0;
-	charged->sole_crashes = 0;
-	fleet_mark_dirty(fleet, task->occurrence->job);
+	for (uint32_t i = 0; i < unit.count; i++)
+		clear_losses(fleet, &unit.tasks[i]);
 }
 
 void
 fleet_settle_task(struct fleet *fleet, struct fleet_task *task, int64_t seen_ms)
 {
+	struct unit unit = unit_of(task, task->occurrence);
+
 	if (task->settled || task->state != TASK_RUNNING ||
 	    seen_ms - task->started_ms < SETTLE_MS)
 		return;
@@ -176,7 +193,7 @@
 		fleet_wake_at(fleet, fleet->now_ms);
 	}
 	fleet_end_trial(task);
-	if (unit_has_settled(task))
+	if (has_settled(&unit))
 		fleet_clear_suspicion(fleet, task);
 }
 
@@ -221,8 +238,7 @@
 			suspects.first = task;
 		suspects.runs++;
 		suspects.sole &= same_unit(suspects.first, task);
-		suspects.charged &=
-		    charged_task(task)->charged_run == task->run;
+		suspects.charged &= task->charged_run == task->run;
 	}
 	return suspects;
 }
@@ -238,38 +254,36 @@
 static bool
 must_give_up(const struct fleet *fleet, const struct fleet_task *task)
 {
-	const struct fleet_task *charged = charged_task(task);
 	bool in_doubt = !crashed_at_once(task) ||
 	    task->worker->missed_ms < fleet->outage_until_ms;
 	uint32_t enough =
 	    in_doubt ? CRASHES_TO_GIVE_UP_IN_DOUBT : CRASHES_TO_GIVE_UP;
 
-	if (charged->early_losses >= MAX_EARLY_LOSSES)
+	if (task->early_losses >= MAX_EARLY_LOSSES)
 		return true;
-	return charged->crashes >= enough && charged->sole_crashes > 0;
+	return task->crashes >= enough && task->sole_crashes > 0;
 }
 
-/* Charges a task or gang for the loss of its run, once a run. */
+/* Charges a task for the loss of its run, once a run. */
 static void
-charge_unit(struct fleet *fleet, struct fleet_task *task, bool sole,
+charge_task(struct fleet *fleet, struct fleet_task *task, bool sole,
     enum fleet_loss loss, int64_t now_ms)
 {
-	struct fleet_task *charged = charged_task(task);
 	struct fleet_job *job = task->occurrence->job;
-	bool certain = loss != FLEET_LOSS_LEASE_EXPIRED;
+	bool certain = loss != FLEET_LOSS_LEASE_EXPIRED && task->begun;
 
-	if (charged->charged_run == task->run)
+	if (task->charged_run == task->run)
 		return;
-	charged->charged_run = task->run;
-	charged->early_losses++;
-	charged->crashes += certain;
-	charged->sole_crashes += certain && sole;
+	task->charged_run = task->run;
+	task->early_losses++;
+	task->crashes += certain;
+	task->sole_crashes += certain && sole;
 	fleet_mark_dirty(fleet, job);
 	if (!must_give_up(fleet, task) || job->cancelled ||
 	    fleet_job_final(job))
 		return;
 	job->phase = IBIS__STEP_JOB_PHASE__PHASE_FAILED;
-	fleet_add_given_up_event(fleet, task, charged);
+	fleet_add_given_up_event(fleet, task);
 	fleet_add_job_event(fleet, job, "failed", now_ms);
 }
 
@@ -286,6 +300,6 @@
 	    fleet, worker, suspects.first, suspects.runs, loss, now_ms);
 	cds_list_for_each_entry (task, &worker->tasks, on_worker) {
 		if (is_lost_early(fleet, task, loss))
-			charge_unit(fleet, task, suspects.sole, loss, now_ms);
+			charge_task(fleet, task, suspects.sole, loss, now_ms);
 	}
 }
--- a/src/fleet/fleet_events.c
+++ b/src/fleet/fleet_events.c
@@ -310,8 +310,7 @@
 }
 
 void
-fleet_add_given_up_event(struct fleet *fleet, const struct fleet_task *task,
-    const struct fleet_task *charged)
+fleet_add_given_up_event(struct fleet *fleet, const struct fleet_task *task)
 {
 	struct fleet_event *event = add_event(fleet, FLEET_EVENT_GIVEN_UP);
 
@@ -321,9 +320,9 @@
 	event->run = task->run;
 	STRING_COPY(event->worker, task->worker->entry.id);
 	event->given_up = (struct fleet_given_up){
-	    .early_losses = charged->early_losses,
-	    .crashes = charged->crashes,
-	    .sole_crashes = charged->sole_crashes,
+	    .early_losses = task->early_losses,
+	    .crashes = task->crashes,
+	    .sole_crashes = task->sole_crashes,
 	};
 }
 
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -59,11 +59,12 @@
 	uint32_t index; /* within the step */
 	uint32_t failures;
 	/* Runs lost with their worker before they had settled, since a run last
-	 * did; of a gang, in its first task. */
+	 * did. */
 	uint32_t early_losses;
 	uint32_t crashes;      /* of them, those where the worker crashed */
 	uint32_t sole_crashes; /* of these, where no other run was unsettled */
 	uint64_t charged_run;  /* the last one counted above */
+	bool begun;	       /* the run is known to have been on the worker */
 	bool settled;	       /* the run has been at work for a while */
 	bool on_trial; /* it is a suspect's, has not settled, has a worker */
 	/* Start of the worker's incarnation when it was placed; 0: unknown. */
@@ -372,9 +373,9 @@
     const struct fleet_worker *worker, const struct fleet_task *first,
     uint32_t runs, enum fleet_loss loss, int64_t now_ms);
 
-/* charged holds the counts of the task, whose job is given up. */
-void fleet_add_given_up_event(struct fleet *fleet,
-    const struct fleet_task *task, const struct fleet_task *charged);
+/* The task's job is given up, as its counts show that it crashes workers. */
+void fleet_add_given_up_event(
+    struct fleet *fleet, const struct fleet_task *task);
 
 /*
  * Crash group: charges the loss of workers to the tasks that may be its cause.
@@ -410,7 +411,7 @@
 void fleet_settle_task(
     struct fleet *fleet, struct fleet_task *task, int64_t seen_ms);
 
-/* The task is no suspect any more. */
+/* The task or its gang is no suspect any more. */
 void fleet_clear_suspicion(struct fleet *fleet, struct fleet_task *task);
 
 /* A worker has become silent. */
--- a/src/fleet/fleet_reports.c
+++ b/src/fleet/fleet_reports.c
@@ -101,6 +101,7 @@
 		return;
 	}
 	fleet_resolve_start(fleet, task, "listed", now_ms);
+	task->begun = true;
 	task->last_poll = fleet->polls;
 	fleet_set_checkpoint(task, run->checkpoint);
 	if (task->state == TASK_SENT) {
@@ -314,6 +315,7 @@
 			task->started_ms = now_ms;
 			task->visible_from_ms = now_ms;
 		}
+		task->begun = true;
 		break;
 	case FLEET_START_REFUSED:
 		worker->paused_until_ms = now_ms + REFUSED_PAUSE_MS;
--- a/tests/common_fleet_sim_internal.h
+++ b/tests/common_fleet_sim_internal.h
@@ -43,6 +43,9 @@
 /* Counts a start of a task that may have crashed workers before. */
 void sim_check_crashes(struct sim *sim, const struct fleet_task_id *id);
 
+/* Counts a crash of the worker for each task there or on its way there. */
+void sim_count_crashes(struct sim *sim, size_t index);
+
 /* Brings back the workers whose time after a crash is over. */
 void sim_return_workers(struct sim *sim);
 
