Follow a worker's capacity while it runs

- A task that needs none of the resource that is short was started on a worker that is over its capacity ('nothing starts beside what is over capacity').
- A changed entry woke nobody, so that a larger capacity was used at the next change ('grown capacity is used at once').
- Tasks whose records were being written stayed assigned to a worker that had no room for them any more ('placed tasks leave a shrunk worker').
- The entry in the store was believed over the worker's own newer answer (the three tests with reports; they need the new field, so they were not run on the code before).

A worker's resources are now a value of their own (fleet_capacity.c): an answer that shows them decides, an entry lowers them until the next answer, and decides alone for workers whose answers don't show them.

--- a/src/agent/agent_fleet_log.c
+++ b/src/agent/agent_fleet_log.c
@@ -23,6 +23,7 @@
 	case FLEET_EVENT_START_RESOLVED:
 	case FLEET_EVENT_OVER_CAPACITY:
 	case FLEET_EVENT_DOUBLE_RUN:
+	case FLEET_EVENT_CAPACITY_CHANGED:
 	case FLEET_EVENT_LOSS_CHARGED:
 	case FLEET_EVENT_GIVEN_UP:
 		break; /* have log lines of their own */
@@ -210,6 +211,26 @@
 	    log_number((int64_t)epoch), NULL);
 }
 
+static void
+log_capacity_change(const struct fleet_event *event, uint64_t epoch)
+{
+	const struct fleet_capacity_change *change = &event->capacity_change;
+
+	counter_add(COUNTER_CAPACITY_CHANGES, 1);
+	log_event(LOG_INFO, "capacity_changed", "worker", event->worker,
+	    "source", change->reported ? "report" : "entry", "cpu_milli_before",
+	    log_number(change->before.cpu_milli), "cpu_milli",
+	    log_number(change->after.cpu_milli), "cpu_milli_committed",
+	    log_number(change->committed.cpu_milli), "memory_mb_before",
+	    log_number(change->before.memory_mb), "memory_mb",
+	    log_number(change->after.memory_mb), "memory_mb_committed",
+	    log_number(change->committed.memory_mb), "accelerators_before",
+	    log_number(change->before.accelerators), "accelerators",
+	    log_number(change->after.accelerators), "accelerators_committed",
+	    log_number(change->committed.accelerators), "epoch",
+	    log_number((int64_t)epoch), NULL);
+}
+
 static const char *
 loss_name(enum fleet_loss loss)
 {
@@ -288,6 +309,9 @@
 	case FLEET_EVENT_DOUBLE_RUN:
 		log_double_run(event, epoch);
 		break;
+	case FLEET_EVENT_CAPACITY_CHANGED:
+		log_capacity_change(event, epoch);
+		break;
 	case FLEET_EVENT_LOSS_CHARGED:
 		log_charged_loss(event, epoch);
 		break;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -119,6 +119,8 @@
 	struct fleet_reported_end *ends;
 	size_t ends_count;
 	bool more_ends; /* the worker may have ends that it did not list */
+	bool has_resources;
+	struct fleet_resources resources; /* in total, when it answered */
 };
 
 enum fleet_start_answer {
@@ -403,6 +405,7 @@
 	/* The last reports of two workers list the same task, or one report
 	 * lists it twice. */
 	FLEET_EVENT_DOUBLE_RUN,
+	FLEET_EVENT_CAPACITY_CHANGED, /* of a worker that goes on */
 	/* The loss of a worker is charged to runs that had just begun. */
 	FLEET_EVENT_LOSS_CHARGED,
 	/* A job is given up, as a task of it crashes its workers. */
@@ -487,6 +490,14 @@
 	int64_t start_age_ms; /* of the latest start; -1: not by this lead */
 };
 
+/* A worker's resources. */
+struct fleet_capacity_change {
+	struct fleet_resources before;
+	struct fleet_resources after;
+	struct fleet_resources committed; /* to tasks there */
+	bool reported; /* by the worker's answer; else by its entry */
+};
+
 /* The loss of a worker, charged to the event's task and others. */
 struct fleet_charged_loss {
 	enum fleet_loss loss;
@@ -520,6 +531,7 @@
 		struct fleet_resolved_start resolved_start;
 		struct fleet_over_capacity over_capacity;
 		struct fleet_double_run double_run;
+		struct fleet_capacity_change capacity_change;
 		struct fleet_charged_loss charged_loss;
 		struct fleet_given_up given_up;
 	};
--- a/src/fleet/fleet_audit.c
+++ b/src/fleet/fleet_audit.c
@@ -118,7 +118,7 @@
     const struct fleet_report *report, int64_t now_ms)
 {
 	struct fleet_over_capacity load = {
-	    .capacity = worker->entry.resources,
+	    .capacity = worker->resources,
 	    .incarnation_wall_ms = report->incarnation_wall_ms,
 	};
 
--- a/src/fleet/fleet_decide.c
+++ b/src/fleet/fleet_decide.c
@@ -475,9 +475,8 @@
 
 		usage->workers += worker->listed;
 		usage->silent_workers += worker->silent;
-		usage->accelerators += worker->entry.resources.accelerators;
-		usage->free_accelerators +=
-		    worker->entry.resources.accelerators -
+		usage->accelerators += worker->resources.accelerators;
+		usage->free_accelerators += worker->resources.accelerators -
 		    worker->occupied.accelerators;
 		cds_list_for_each_entry (task, &worker->tasks, on_worker) {
 			usage->placed_tasks += task->state == TASK_PLACED;
--- a/src/fleet/fleet_events.c
+++ b/src/fleet/fleet_events.c
@@ -286,6 +286,24 @@
 	STRING_COPY(event->double_run.other_worker, other->worker->entry.id);
 }
 
+void
+fleet_add_capacity_event(struct fleet *fleet, const struct fleet_worker *worker,
+    const struct fleet_resources *before, bool reported)
+{
+	struct fleet_event *event =
+	    add_event(fleet, FLEET_EVENT_CAPACITY_CHANGED);
+
+	if (event == NULL)
+		return;
+	STRING_COPY(event->worker, worker->entry.id);
+	event->capacity_change = (struct fleet_capacity_change){
+	    .before = *before,
+	    .after = worker->resources,
+	    .committed = worker->committed,
+	    .reported = reported,
+	};
+}
+
 void
 fleet_add_crash_event(struct fleet *fleet, const struct fleet_worker *worker,
     const struct fleet_task *first, uint32_t runs, enum fleet_loss loss,
--- a/src/fleet/fleet_explain.c
+++ b/src/fleet/fleet_explain.c
@@ -85,8 +85,8 @@
 		if (!is_eligible(worker, explanation->job, step))
 			continue;
 		wait->listed++;
-		*fits_empty += fleet_resources_fit(
-		    &worker->entry.resources, &need, wait->tasks);
+		*fits_empty +=
+		    fleet_resources_fit(&worker->resources, &need, wait->tasks);
 		if (age_ms > wait->oldest_poll_ms)
 			wait->oldest_poll_ms = age_ms;
 		if (!fleet_worker_usable(
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -128,6 +128,9 @@
 
 struct fleet_worker {
 	struct fleet_worker_entry entry;
+	struct fleet_resources resources; /* see the capacity group */
+	bool reports_resources;		  /* in its answers to polls */
+	bool resources_unconfirmed; /* its entry has changed since the last */
 	struct cds_list_head tasks; /* assigned to it */
 	bool listed;		    /* its entry is in the store */
 	bool reported;		    /* to a poll with the current fence */
@@ -270,6 +273,9 @@
 struct fleet_resources fleet_resources_remaining(
     const struct fleet_resources *all, const struct fleet_resources *used);
 
+/* Returns whether more is in use than there is of some resource. */
+bool fleet_resources_exceeded(const struct fleet_resources *left);
+
 /* Returns how many tasks with this need fit, at most limit. */
 uint32_t fleet_resources_fit(const struct fleet_resources *left,
     const struct fleet_resources *need, uint32_t limit);
@@ -363,6 +369,11 @@
     const struct fleet_worker *worker, const struct fleet_reported_run *run,
     const struct fleet_listing *other, int64_t now_ms);
 
+/* The worker's resources were these before, and have changed. */
+void fleet_add_capacity_event(struct fleet *fleet,
+    const struct fleet_worker *worker, const struct fleet_resources *before,
+    bool reported);
+
 /* Call it before the state of the earlier incarnation is discarded. */
 void fleet_add_restart_event(
     struct fleet *fleet, const struct fleet_worker *worker, int64_t now_ms);
@@ -502,6 +513,10 @@
 bool fleet_began_on_earlier_incarnation(
     const struct fleet *fleet, const struct fleet_task *task);
 
+/* Requeues the worker's placed tasks whose start has not been sent. */
+void fleet_withdraw_placed(
+    struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms);
+
 /* The worker may have restarted: raises its fence. It gets no tasks until it
  * has answered a poll that was sent with the new one. */
 void fleet_raise_fence(
@@ -516,6 +531,25 @@
  * expired, and removes unlisted workers without tasks after their lease. */
 void fleet_expire_leases(struct fleet *fleet, int64_t now_ms);
 
+/*
+ * Capacity group: a worker's resources may change while it runs. Its entry in
+ * the store and its answers to polls both show them. An answer is newer than
+ * an entry that this lead read before it; an entry may be older than the last
+ * answer.
+ */
+
+/* The worker's entry shows these resources; same_incarnation is false when the
+ * worker has restarted or is new. Without reports, the entry decides. With
+ * them, it can only lower the resources until the next report. */
+void fleet_note_listed_resources(struct fleet *fleet,
+    struct fleet_worker *worker, const struct fleet_resources *listed,
+    bool same_incarnation, int64_t now_ms);
+
+/* The worker's last report shows these resources. */
+void fleet_note_reported_resources(struct fleet *fleet,
+    struct fleet_worker *worker, const struct fleet_resources *reported,
+    int64_t now_ms);
+
 /*
  * Orphan group: see struct fleet_orphan.
  */
--- a/src/fleet/fleet_place.c
+++ b/src/fleet/fleet_place.c
@@ -254,7 +254,7 @@
 		    fleet_worker_usable(
 			worker, search->job, search->step, search->now_ms))
 			fits += fleet_resources_fit(
-			    &worker->entry.resources, &search->need, count);
+			    &worker->resources, &search->need, count);
 	}
 	return fits >= count;
 }
@@ -288,7 +288,7 @@
 		if (!fleet_worker_usable(
 			worker, search->job, search->step, search->now_ms))
 			continue;
-		all += fleet_resources_weight(&worker->entry.resources);
+		all += fleet_resources_weight(&worker->resources);
 		used += fleet_resources_weight(&worker->committed);
 	}
 	return used * 2 < all;
--- a/src/fleet/fleet_reports.c
+++ b/src/fleet/fleet_reports.c
@@ -257,6 +257,8 @@
 	bool first = !worker->reported;
 	bool restarted = worker->incarnation_wall_ms != 0 &&
 	    worker->incarnation_wall_ms != report->incarnation_wall_ms;
+	/* Answers of one incarnation may overtake each other. */
+	bool overtaken = !first && report->clock_ms < worker->clock_ms;
 
 	if (poll->fence != worker->fence)
 		return;
@@ -282,6 +284,9 @@
 	worker->unanswered_polls = 0;
 	worker->clock_ms = report->clock_ms;
 	worker->clock_at_ms = report->received_ms;
+	if (report->has_resources && !overtaken)
+		fleet_note_reported_resources(
+		    fleet, worker, &report->resources, now_ms);
 	apply_lists(fleet, worker, report, now_ms);
 	if (first)
 		repeat_stops(worker);
@@ -310,12 +315,12 @@
 	switch (answer) {
 	case FLEET_STARTED:
 	case FLEET_START_ALREADY_ENDED:
+		task->begun = true;
 		if (task->state == TASK_SENT) {
 			fleet_set_state(task, TASK_RUNNING);
 			task->started_ms = now_ms;
 			task->visible_from_ms = now_ms;
 		}
-		task->begun = true;
 		break;
 	case FLEET_START_REFUSED:
 		worker->paused_until_ms = now_ms + REFUSED_PAUSE_MS;
--- a/src/fleet/fleet_tasks.c
+++ b/src/fleet/fleet_tasks.c
@@ -53,12 +53,22 @@
 	return left / need < limit ? left / need : limit;
 }
 
+bool
+fleet_resources_exceeded(const struct fleet_resources *left)
+{
+	return left->cpu_milli < 0 || left->memory_mb < 0 ||
+	    left->accelerators < 0;
+}
+
 uint32_t
 fleet_resources_fit(const struct fleet_resources *left,
     const struct fleet_resources *need, uint32_t limit)
 {
 	int64_t fits = limit;
 
+	/* Where more is in use than there is, nothing may be added. */
+	if (fleet_resources_exceeded(left))
+		return 0;
 	fits = fits_by(left->cpu_milli, need->cpu_milli, fits);
 	fits = fits_by(left->memory_mb, need->memory_mb, fits);
 	fits = fits_by(left->accelerators, need->accelerators, fits);
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -154,9 +154,8 @@
 	fleet->changed = true;
 }
 
-/* Requeues the worker's placed tasks whose start has not been sent. */
-static void
-withdraw_placed_tasks(
+void
+fleet_withdraw_placed(
     struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms)
 {
 	struct fleet_task *task;
@@ -199,7 +198,7 @@
 	if (worker->missed_ms == 0)
 		worker->missed_ms = now_ms;
 	fleet->changed = true;
-	withdraw_placed_tasks(fleet, worker, now_ms);
+	fleet_withdraw_placed(fleet, worker, now_ms);
 	fleet_wake_at(fleet, now_ms);
 }
 
@@ -235,6 +234,8 @@
 	worker->reported_generation = 0;
 	worker->failures = 0;
 	worker->paused_until_ms = 0;
+	worker->reports_resources = false;
+	worker->resources_unconfirmed = false;
 }
 
 /* Returns whether the entry shows that the worker has restarted. An entry may
@@ -259,6 +260,7 @@
 	if (worker == NULL) {
 		worker = mem_calloc(1, sizeof(*worker));
 		worker->entry = *entry;
+		worker->resources = entry->resources;
 		worker->fence = fleet->first_fence;
 		CDS_INIT_LIST_HEAD(&worker->tasks);
 		(void)name_index_add(&fleet->workers, worker->entry.id, worker);
@@ -280,12 +282,14 @@
 	if (shows_restart(worker, entry))
 		fleet_raise_fence(fleet, worker, now_ms);
 	fleet_note_leaving(fleet, worker, entry, now_ms);
+	fleet_note_listed_resources(
+	    fleet, worker, &entry->resources, !restarted, now_ms);
 	worker->entry = *entry;
 	worker->listed = true;
 	worker->zone_out_of_service =
 	    zone_is_out_of_service(fleet, entry->zone);
 	if (entry->draining || restarted)
-		withdraw_placed_tasks(fleet, worker, now_ms);
+		fleet_withdraw_placed(fleet, worker, now_ms);
 	return worker;
 }
 
@@ -323,7 +327,7 @@
 		return;
 	worker->listed = false;
 	fleet->changed = true;
-	withdraw_placed_tasks(fleet, worker, now_ms);
+	fleet_withdraw_placed(fleet, worker, now_ms);
 	fleet_wake_at(fleet, now_ms);
 }
 
@@ -355,7 +359,7 @@
 	if (*worker->entry.address == '\0')
 		return false;
 	return !worker->reported || worker->silent ||
-	    !entry_is_current(worker) ||
+	    !entry_is_current(worker) || worker->resources_unconfirmed ||
 	    worker->last_reported_end > worker->last_acked_end ||
 	    worker->orphans > 0 || fleet_worker_busy(worker);
 }
@@ -451,7 +455,7 @@
 		fleet_note_silence(fleet, worker, now_ms);
 	worker->silent = true;
 	fleet->changed |= !before;
-	withdraw_placed_tasks(fleet, worker, now_ms);
+	fleet_withdraw_placed(fleet, worker, now_ms);
 	fleet_wake_at(fleet, worker->lease_until_ms);
 	return worker->reported && !before;
 }
@@ -582,7 +586,7 @@
 fleet_worker_free_capacity(const struct fleet_worker *worker)
 {
 	return fleet_resources_remaining(
-	    &worker->entry.resources, &worker->committed);
+	    &worker->resources, &worker->committed);
 }
 
 struct fleet_resources
@@ -590,8 +594,7 @@
 {
 	if (worker->orphans_of_unknown_need > 0)
 		return (struct fleet_resources){0};
-	return fleet_resources_remaining(
-	    &worker->entry.resources, &worker->occupied);
+	return fleet_resources_remaining(&worker->resources, &worker->occupied);
 }
 
 bool
--- a/src/process/counters.c
+++ b/src/process/counters.c
@@ -114,6 +114,8 @@
 	"state=\"ended\"", NULL},
     [COUNTER_OVER_CAPACITY] = {"ibis_over_capacity_total", "",
 	"Times that a worker began to list runs that need more than it has."},
+    [COUNTER_CAPACITY_CHANGES] = {"ibis_capacity_changes_total", "",
+	"Times that a worker's resources changed while it went on."},
     [COUNTER_CHARGED_LOSSES] = {"ibis_charged_losses_total", "",
 	"Losses of workers that were charged to runs that had just begun."},
     [COUNTER_JOBS_GIVEN_UP] = {"ibis_jobs_given_up_total", "",
--- a/tests/common_fleet_sim.c
+++ b/tests/common_fleet_sim.c
@@ -14,9 +14,11 @@
 #define MAX_POLLS_IN_FLIGHT 2
 #define CRASH_MS	    10
 #define BACK_MS		    3300
-#define CPU_MILLI	    128000
-#define MEMORY_MB	    262144
-#define ACCELERATORS	    8
+/* A room that has shrunk counts after this time. */
+#define SHRINK_GRACE_MS 4500
+#define CPU_MILLI	128000
+#define MEMORY_MB	262144
+#define ACCELERATORS	8
 
 /* Returns the worker at a worker's address, which may have another id by now.
  */
@@ -79,6 +81,7 @@
 	bool is_start = order->kind == FLEET_START;
 	struct sim_call call = {
 	    .order = *order,
+	    .sent_ms = sim->now_ms,
 	    .fencing_token = token_for(sim, order->worker),
 	    .lease_clock_ms = is_start
 		? fleet_grant_lease(
@@ -148,6 +151,8 @@
 
 	report->clock_ms = sim_worker_clock(sim, worker);
 	report->incarnation_wall_ms = worker->incarnation_wall_ms;
+	report->has_resources = sim->reports_resources;
+	report->resources = worker->entry.resources;
 	report->runs = held->runs;
 	report->ends = held->ends;
 	for (size_t i = 0; i < SIM_RUNS; i++) {
@@ -572,6 +577,8 @@
 	worker->refused_runs_count = 0;
 	worker->fencing_token = 0;
 	worker->lease_until_ms = 0;
+	worker->resources_unknown |= sim->now_ms < worker->former_until_ms;
+	worker->former_until_ms = 0;
 	worker->back_ms = 0;
 	worker->clock_offset_ms = -sim->now_ms;
 	worker->incarnation_wall_ms++;
@@ -588,6 +595,21 @@
 	sim_restart_worker(sim, index);
 }
 
+void
+sim_resize_worker(
+    struct sim *sim, size_t index, const struct fleet_resources *resources)
+{
+	struct sim_worker *worker = &sim->workers[index];
+
+	if (resources->accelerators < worker->entry.resources.accelerators &&
+	    sim->now_ms >= worker->former_until_ms)
+		worker->former_resources = worker->entry.resources;
+	if (resources->accelerators < worker->entry.resources.accelerators)
+		worker->former_until_ms = sim->now_ms + SHRINK_GRACE_MS;
+	worker->entry.resources = *resources;
+	worker->entry_due_ms = sim->now_ms + REGISTER_MS + sim->entry_ms;
+}
+
 void
 sim_unlist_worker(struct sim *sim, size_t index)
 {
--- a/tests/common_fleet_sim.h
+++ b/tests/common_fleet_sim.h
@@ -75,6 +75,9 @@
 	/* It has other resources since its restart, and has not answered a poll
 	 * with a raised fencing token yet. */
 	bool resources_unknown;
+	/* The room that it had before it shrank, and until when that counts. */
+	struct fleet_resources former_resources;
+	int64_t former_until_ms;
 	bool unlisted;	      /* its entry is not in the store */
 	int64_t entry_due_ms; /* when its entry is sent to the lead; 0: sent */
 	bool delays_polls;    /* carries out polls later, without an answer */
@@ -91,6 +94,7 @@
 struct sim_call {
 	bool poll;
 	struct fleet_order order; /* unless it is a poll */
+	int64_t sent_ms;
 	uint64_t fencing_token;
 	int64_t lease_clock_ms;
 	uint64_t acked_end;
@@ -166,6 +170,7 @@
 	int64_t crash_ms;	  /* from a start to the crash that it causes */
 	int64_t back_ms;	  /* from a crash until the worker is back */
 	bool new_ids;		  /* workers come back under other ids */
+	bool reports_resources;	  /* answers to polls show them */
 	uint64_t starts;	  /* of runs */
 	uint32_t stalled_workers; /* counter for the test's use */
 	uint64_t stops;		  /* orders */
@@ -209,9 +214,19 @@
 void sim_replace_worker(
     struct sim *sim, size_t index, const struct fleet_resources *resources);
 
+/* Gives a worker other resources while it runs, all larger or all smaller. Its
+ * entry reaches the lead a moment later; what has shrunk counts some seconds
+ * later. */
+void sim_resize_worker(
+    struct sim *sim, size_t index, const struct fleet_resources *resources);
+
 /* Crashes a worker: its runs are lost, and it is back after back_ms. */
 void sim_crash_worker(struct sim *sim, size_t index);
 
+/* Returns the highest number of workers that have crashed under one task of a
+ * job, whatever the cause. */
+uint32_t sim_crashes_under(const struct sim *sim, size_t job);
+
 /* Returns the highest number of workers that one task has crashed. */
 uint32_t sim_most_crashes(const struct sim *sim);
 
@@ -223,10 +238,6 @@
 
 /* Returns whether the workers have seen no violation; prints the first one. */
 bool sim_has_no_violation(const struct sim *sim);
-/* Returns the highest number of workers that have crashed under one task of a
- * job, whatever the cause. */
-uint32_t sim_crashes_under(const struct sim *sim, size_t job);
-
 
 /* Returns how many runs of a job are on the workers. */
 uint32_t sim_running_tasks(const struct sim *sim, size_t job);
