Pause a worker for one job when only that job has failed there

A job whose runs fail by its own fault paused healthy workers for all others: two failures in a row, of any job, kept a worker out for 5 s and longer.

A worker is now paused for the job alone while the failures in a row are all of that job, and for all jobs when another one has failed there too. test_fleet 'failing job pauses no worker for others' failed before; 'worker that fails several jobs is paused' holds the other side. The worker of a task's last failed run was kept and never used: removed.

worker_paused names the job where it is for one only.

--- a/src/fleet/fleet_events.c
+++ b/src/fleet/fleet_events.c
@@ -115,6 +115,8 @@
 	if (event == NULL)
 		return;
 	STRING_COPY(event->worker, worker->entry.id);
+	if (!worker->several_jobs_failed)
+		STRING_COPY(event->task.job, worker->failed_job);
 	event->after_ms = pause_ms;
 }
 
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -36,8 +36,7 @@
 struct fleet_task {
 	struct cds_list_head on_worker; /* in worker->tasks, if worker is set */
 	struct fleet_occurrence *occurrence;
-	struct fleet_worker *worker;	/* NULL: not assigned */
-	struct fleet_worker *failed_on; /* of the last failed run */
+	struct fleet_worker *worker; /* NULL: not assigned */
 	/* Owned; NULL: none. A gang's is stored in its first task. */
 	char *checkpoint;
 	uint64_t run; /* number of the last run; 0: never placed */
@@ -164,10 +163,13 @@
 	int64_t audited_incarnation_wall_ms;
 	size_t orphans;			/* on this worker */
 	size_t orphans_of_unknown_need; /* those among them */
-	double slowness;	 /* relative to a healthy worker; 0: unknown */
-	int64_t slowness_ms;	 /* time of the last sample */
-	uint32_t failures;	 /* failed runs since the last done one */
-	int64_t paused_until_ms; /* gets no tasks before this time */
+	double slowness;     /* relative to a healthy worker; 0: unknown */
+	int64_t slowness_ms; /* time of the last sample */
+	uint32_t failures;   /* failed runs since the last done one */
+	char failed_job[FLEET_ID_BYTES]; /* of the first of these */
+	bool several_jobs_failed;	 /* these are not all of that job */
+	int64_t paused_until_ms;	 /* gets no tasks before this time */
+	int64_t job_paused_until_ms;	 /* nor any of failed_job */
 	bool zone_out_of_service;
 };
 
@@ -504,6 +506,11 @@
 bool fleet_worker_usable(const struct fleet_worker *worker,
     const struct fleet_job *job, const Ibis__JobStep *step, int64_t now_ms);
 
+/* Returns until when a worker gets no tasks of a job; 0 or earlier than now: it
+ * gets some. */
+int64_t fleet_worker_paused_until_ms(
+    const struct fleet_worker *worker, const struct fleet_job *job);
+
 /* Returns whether a worker has a label; true for the empty label. */
 bool fleet_worker_has_label(
     const struct fleet_worker *worker, const char *label);
--- a/src/fleet/fleet_place.c
+++ b/src/fleet/fleet_place.c
@@ -141,6 +141,18 @@
 	return -weight;
 }
 
+void
+fleet_search_note_pause(
+    struct fleet_search *search, const struct fleet_worker *worker)
+{
+	int64_t until_ms = fleet_worker_paused_until_ms(worker, search->job);
+
+	if (until_ms <= search->now_ms)
+		return;
+	search->paused_for_job |= until_ms != worker->paused_until_ms;
+	fleet_schedule_placement(search->fleet, until_ms);
+}
+
 static void
 collect_candidates(struct fleet_search *search)
 {
@@ -157,9 +169,7 @@
 		if (fleet_resources_fit(&left, &search->need, 1) == 0)
 			continue;
 		if (!fleet_search_allows(search, worker)) {
-			if (worker->paused_until_ms > search->now_ms)
-				fleet_schedule_placement(
-				    fleet, worker->paused_until_ms);
+			fleet_search_note_pause(search, worker);
 			continue;
 		}
 		fits = fleet_resources_fit(
@@ -384,7 +394,9 @@
 	collect_candidates(&search);
 	fits = fleet_search_fits(&search, NULL);
 	if (fits < wanted) {
-		fleet_unmet_add(fleet, FLEET_SEARCH_FREE, job, step, fits);
+		if (!search.paused_for_job)
+			fleet_unmet_add(
+			    fleet, FLEET_SEARCH_FREE, job, step, fits);
 		return 0;
 	}
 	return step->gang ? find_for_gang(&search, targets)
--- a/src/fleet/fleet_reclaim.c
+++ b/src/fleet/fleet_reclaim.c
@@ -160,8 +160,10 @@
 		struct fleet_worker *worker = fleet->workers.items[i].item;
 		uint32_t fits;
 
-		if (!fleet_search_allows(search, worker))
+		if (!fleet_search_allows(search, worker)) {
+			fleet_search_note_pause(search, worker);
 			continue;
+		}
 		fits = fits_after_preemption(search, worker);
 		if (fits == 0)
 			continue;
@@ -280,7 +282,8 @@
 	collect_reclaim_candidates(&search);
 	fits = fleet_search_fits(&search, NULL);
 	if (fits < count) {
-		fleet_unmet_add(fleet, kind, job, step, fits);
+		if (!search.paused_for_job)
+			fleet_unmet_add(fleet, kind, job, step, fits);
 		return 0;
 	}
 	if (search.step->same_rack) {
--- a/src/fleet/fleet_reports.c
+++ b/src/fleet/fleet_reports.c
@@ -1,4 +1,6 @@
 /* Applies the reports of workers and their answers to orders. */
+#include <string.h>
+
 #include "fleet/fleet_model.h"
 #include "process/alloc.h"
 
@@ -12,17 +14,29 @@
  * show. */
 #define UNANSWERED_PAUSE_MS 1500
 
-/* Counts a failed run and pauses a worker that fails repeatedly. */
+/* Counts a failed run, and pauses a worker that fails repeatedly. Failures of
+ * one job may be the job's fault, so they pause the worker for this job only.
+ */
 static void
-count_failure(struct fleet *fleet, struct fleet_worker *worker, int64_t now_ms)
+count_failure(struct fleet *fleet, struct fleet_worker *worker,
+    const struct fleet_job *job, int64_t now_ms)
 {
 	int64_t pause_ms;
 
+	if (worker->failures == 0) {
+		STRING_COPY(worker->failed_job, job->id);
+		worker->several_jobs_failed = false;
+	} else if (strcmp(worker->failed_job, job->id) != 0) {
+		worker->several_jobs_failed = true;
+	}
 	worker->failures++;
 	if (worker->failures < FAILURES_BEFORE_PAUSE)
 		return;
 	pause_ms = (int64_t)FAILURE_PAUSE_MS * worker->failures;
-	worker->paused_until_ms = now_ms + pause_ms;
+	if (worker->several_jobs_failed)
+		worker->paused_until_ms = now_ms + pause_ms;
+	else
+		worker->job_paused_until_ms = now_ms + pause_ms;
 	fleet_add_pause_event(fleet, worker, pause_ms);
 }
 
@@ -49,7 +63,7 @@
 		fleet_complete_task(fleet, task, now_ms);
 		break;
 	case FLEET_END_FAILED:
-		count_failure(fleet, worker, now_ms);
+		count_failure(fleet, worker, task->occurrence->job, now_ms);
 		fleet_fail_task(fleet, task, now_ms);
 		break;
 	case FLEET_END_STOPPED:
--- a/src/fleet/fleet_search.h
+++ b/src/fleet/fleet_search.h
@@ -29,6 +29,8 @@
 	size_t count;			    /* of candidates */
 	int64_t now_ms;
 	bool suspect; /* the tasks are a suspect's */
+	/* A worker was left out that other jobs may use. */
+	bool paused_for_job;
 	/* Urgent jobs over their workspace's guarantee may be preempted too. */
 	bool guaranteed;
 };
@@ -46,6 +48,11 @@
 bool fleet_search_allows(
     const struct fleet_search *search, const struct fleet_worker *worker);
 
+/* The worker is not allowed. If it is paused, schedules a placement for the end
+ * of that time. */
+void fleet_search_note_pause(
+    struct fleet_search *search, const struct fleet_worker *worker);
+
 /* Returns how many more tasks of the step a worker may have, whatever its
  * capacity. */
 uint32_t fleet_search_limit(
--- a/src/fleet/fleet_tasks.c
+++ b/src/fleet/fleet_tasks.c
@@ -378,7 +378,6 @@
 	struct fleet_job *job = task->occurrence->job;
 	struct fleet_task *counted = task;
 
-	task->failed_on = task->worker;
 	if (fleet_step_of(task)->gang)
 		counted = fleet_step_tasks(task->occurrence, task->step);
 	if (!fleet_step_of(task)->lasting)
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -234,6 +234,7 @@
 	worker->reported_generation = 0;
 	worker->failures = 0;
 	worker->paused_until_ms = 0;
+	worker->job_paused_until_ms = 0;
 	worker->reports_resources = false;
 	worker->resources_unconfirmed = false;
 }
@@ -305,8 +306,6 @@
 				struct fleet_task *task =
 				    &job->occurrences[j]->tasks[k];
 
-				if (task->failed_on == worker)
-					task->failed_on = NULL;
 				if (task->listing.worker == worker)
 					task->listing.worker = NULL;
 			}
@@ -609,13 +608,24 @@
 	return false;
 }
 
+int64_t
+fleet_worker_paused_until_ms(
+    const struct fleet_worker *worker, const struct fleet_job *job)
+{
+	if (worker->job_paused_until_ms > worker->paused_until_ms &&
+	    strcmp(worker->failed_job, job->id) == 0)
+		return worker->job_paused_until_ms;
+	return worker->paused_until_ms;
+}
+
 bool
 fleet_worker_usable(const struct fleet_worker *worker,
     const struct fleet_job *job, const Ibis__JobStep *step, int64_t now_ms)
 {
 	return worker->listed && fleet_worker_answers(worker) &&
 	    entry_is_current(worker) && !worker->entry.draining &&
-	    !worker->zone_out_of_service && now_ms >= worker->paused_until_ms &&
+	    !worker->zone_out_of_service &&
+	    now_ms >= fleet_worker_paused_until_ms(worker, job) &&
 	    strcmp(worker->entry.service, job->spec->service) == 0 &&
 	    fleet_worker_has_label(worker, step->label);
 }
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -698,6 +698,54 @@
 	CU_ASSERT_PTR_NULL(fleet_take_unrecorded(sim.fleet));
 }
 
+/* Guards against a worker that is charged for what its work did: the failures
+ * of one job paused it for all others. */
+static void
+test_failing_job_pauses_no_worker_for_others(void)
+{
+	CLEANUP(sim_close) struct sim sim;
+	Ibis__StepJob *spec = sim_new_job(1, 1, 4, 1);
+	size_t failing;
+	size_t other;
+
+	spec->attempts = 4;
+	sim_open(&sim, 1, 1);
+	failing = sim_submit(&sim, spec, 200);
+	sim.jobs[failing].always_fails = true;
+	sim_advance(&sim, 500);
+	other = sim_submit(&sim, sim_new_job(1, 1, 1, 1), 500);
+	sim_advance(&sim, 200);
+	CU_ASSERT_EQUAL(sim_running_tasks(&sim, other), 1);
+	sim_advance(&sim, 60000);
+	CU_ASSERT_EQUAL(sim_phase(&sim, failing), FAILED);
+	CU_ASSERT_EQUAL(sim_phase(&sim, other), COMPLETED);
+	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
+}
+
+/* The other side: a worker that fails the tasks of several jobs is paused for
+ * all. */
+static void
+test_worker_that_fails_several_jobs_is_paused(void)
+{
+	CLEANUP(sim_close) struct sim sim;
+	size_t job;
+
+	sim_open(&sim, 1, 1);
+	sim.workers[0].fails_all = true;
+	(void)sim_submit(&sim, sim_new_job(1, 1, 1, 1), 500);
+	(void)sim_submit(&sim, sim_new_job(1, 1, 1, 1), 500);
+	sim_advance(&sim, 500);
+	job = sim_submit(&sim, sim_new_job(1, 1, 1, 1), 500);
+	sim_advance(&sim, 500);
+	CU_ASSERT_EQUAL(sim_running_tasks(&sim, job), 0);
+	CU_ASSERT_EQUAL(
+	    sim_phase(&sim, job), IBIS__STEP_JOB_PHASE__PHASE_PENDING);
+	sim.workers[0].fails_all = false;
+	sim_advance(&sim, 60000);
+	CU_ASSERT_EQUAL(sim_phase(&sim, job), COMPLETED);
+	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
+}
+
 int
 main(void)
 {
@@ -748,6 +796,10 @@
 	    {"failure is counted once across takeovers",
 		test_failure_is_counted_once_across_takeovers},
 	    {"job removed during write", test_job_removed_during_write},
+	    {"failing job pauses no worker for others",
+		test_failing_job_pauses_no_worker_for_others},
+	    {"worker that fails several jobs is paused",
+		test_worker_that_fails_several_jobs_is_paused},
 	    CU_TEST_INFO_NULL,
 	};
 
