--- a/src/fleet/fleet_crashes.c
+++ b/src/fleet/fleet_crashes.c
@@ -216,6 +216,22 @@
 	    fleet_began_on_earlier_incarnation(fleet, task);
 }
 
+/* Returns whether a loss shows that the worker has crashed under a run. */
+static bool
+is_certain(const struct fleet_task *task, enum fleet_loss loss)
+{
+	return loss != FLEET_LOSS_LEASE_EXPIRED && task->begun;
+}
+
+/* Returns whether a run has been charged with this loss or, if it is certain
+ * now, was charged as certain. */
+static bool
+is_charged(const struct fleet_task *task, enum fleet_loss loss)
+{
+	return task->charged_run == task->run &&
+	    (task->charged_crash || !is_certain(task, loss));
+}
+
 /* The runs that a loss may be charged to. */
 struct suspects {
 	const struct fleet_task *first; /* NULL: there are none */
@@ -238,7 +254,7 @@
 			suspects.first = task;
 		suspects.runs++;
 		suspects.sole &= same_unit(suspects.first, task);
-		suspects.charged &= task->charged_run == task->run;
+		suspects.charged &= is_charged(task, loss);
 	}
 	return suspects;
 }
@@ -264,20 +280,22 @@
 	return task->crashes >= enough && task->sole_crashes > 0;
 }
 
-/* Charges a task for the loss of its run, once a run. */
+/* Charges a task for the loss of its run, once a run, and once more when the
+ * crash becomes certain. */
 static void
 charge_task(struct fleet *fleet, struct fleet_task *task, bool sole,
     enum fleet_loss loss, int64_t now_ms)
 {
 	struct fleet_job *job = task->occurrence->job;
-	bool certain = loss != FLEET_LOSS_LEASE_EXPIRED && task->begun;
+	bool certain = is_certain(task, loss);
 
-	if (task->charged_run == task->run)
+	if (is_charged(task, loss))
 		return;
-	task->charged_run = task->run;
-	task->early_losses++;
+	task->early_losses += task->charged_run != task->run;
 	task->crashes += certain;
 	task->sole_crashes += certain && sole;
+	task->charged_run = task->run;
+	task->charged_crash = certain;
 	fleet_mark_dirty(fleet, job);
 	if (!must_give_up(fleet, task) || job->cancelled ||
 	    fleet_job_final(job))
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -63,6 +63,7 @@
 	uint32_t crashes;      /* of them, those where the worker crashed */
 	uint32_t sole_crashes; /* of these, where no other run was unsettled */
 	uint64_t charged_run;  /* the last one counted above */
+	bool charged_crash;    /* as a crash */
 	bool begun;	       /* the run is known to have been on the worker */
 	bool settled;	       /* the run has been at work for a while */
 	bool on_trial; /* it is a suspect's, has not settled, has a worker */
--- a/tests/test_fleet_crashes.c
+++ b/tests/test_fleet_crashes.c
@@ -77,6 +77,31 @@
 	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
 }
 
+/* Guards against a crash that stays uncertain as another worker answers at the
+ * address only after the lease has expired: the task was tried again more
+ * often. */
+static void
+test_crash_becomes_certain_after_the_lease(void)
+{
+	CLEANUP(sim_close) struct sim sim;
+	size_t settled;
+	size_t job;
+
+	sim_open(&sim, 4, 4);
+	sim.new_ids = true;
+	/* A run that no report has shown is believed in for longer than the
+	 * lease of a settled one, which makes the loss known. */
+	sim.back_ms = 7000;
+	settled = sim_submit(&sim, sim_new_job(1, 1, 4, 1), 25000);
+	sim_advance(&sim, 6000);
+	job = submit_crashing(&sim, sim_new_job(1, 1, 1, 1), 2000);
+	sim_advance(&sim, 120000);
+	CU_ASSERT_EQUAL(sim_phase(&sim, job), FAILED);
+	CU_ASSERT_EQUAL(sim_phase(&sim, settled), COMPLETED);
+	CU_ASSERT_EQUAL(sim.worker_crashes, MAX_CRASHES);
+	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
+}
+
 /* Guards against innocent jobs that are given up with a job whose task crashes
  * the worker that they share. */
 static void
@@ -291,6 +316,8 @@
 		test_replaced_worker_holds_no_runs},
 	    {"crash of replaced worker is certain",
 		test_crash_of_replaced_worker_is_certain},
+	    {"crash becomes certain after the lease",
+		test_crash_becomes_certain_after_the_lease},
 	    {"tasks beside it complete", test_tasks_beside_it_complete},
 	    {"two on one worker are told apart",
 		test_two_on_one_worker_are_told_apart},
