Count a crash that comes before the answer to the start

A task whose worker crashed before it had answered the start was tried five times: the run was not known to have begun.

--- a/src/fleet/fleet_crashes.c
+++ b/src/fleet/fleet_crashes.c
@@ -216,11 +216,23 @@
 	    fleet_began_on_earlier_incarnation(fleet, task);
 }
 
+/* Returns whether a run was on its worker: it is known to have begun, or the
+ * worker was gone right after the start was sent, and so before the answer. */
+static bool
+was_on_worker(const struct fleet_task *task)
+{
+	int64_t refused_ms = task->worker->refused_ms;
+
+	return task->begun ||
+	    (refused_ms != 0 && task->start_sent_ms != 0 &&
+		refused_ms - task->start_sent_ms < AT_ONCE_MS);
+}
+
 /* Returns whether a loss shows that the worker has crashed under a run. */
 static bool
 is_certain(const struct fleet_task *task, enum fleet_loss loss)
 {
-	return loss != FLEET_LOSS_LEASE_EXPIRED && task->begun;
+	return loss != FLEET_LOSS_LEASE_EXPIRED && was_on_worker(task);
 }
 
 /* Returns whether a run has been charged with this loss or, if it is certain
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -140,6 +140,9 @@
 	/* When the first of these failed, or the worker was seen to have
 	 * restarted; 0: it answers. */
 	int64_t missed_ms;
+	/* When it first refused a connection since its last answer; 0: never.
+	 */
+	int64_t refused_ms;
 	int64_t incarnation_wall_ms; /* start of the incarnation; 0: unknown */
 	int64_t reported_incarnation_wall_ms; /* in the last report */
 	int64_t clock_ms;		      /* its clock at clock_at_ms */
--- a/src/fleet/fleet_reports.c
+++ b/src/fleet/fleet_reports.c
@@ -313,6 +313,7 @@
 		    fleet, worker, report->sent_ms);
 	}
 	worker->missed_ms = 0;
+	worker->refused_ms = 0;
 	fleet_audit_report(fleet, worker, report, now_ms);
 }
 
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -447,6 +447,8 @@
 	worker->unanswered_polls++;
 	if (worker->missed_ms == 0)
 		worker->missed_ms = now_ms;
+	if (unreachable && worker->refused_ms == 0)
+		worker->refused_ms = now_ms;
 	if (worker->reported && !before && !unreachable &&
 	    worker->unanswered_polls < SILENT_AFTER_POLLS)
 		return false;
--- a/tests/test_fleet_crashes.c
+++ b/tests/test_fleet_crashes.c
@@ -102,6 +102,25 @@
 	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
 }
 
+/* Guards against a task that is tried five times as its worker crashes before
+ * it answers the start. */
+static void
+test_unanswered_start_of_a_crash_counts(void)
+{
+	CLEANUP(sim_close) struct sim sim;
+	size_t job;
+
+	sim_open(&sim, 8, 4);
+	sim.new_ids = true;
+	for (size_t i = 0; i < sim.workers_count; i++)
+		sim.workers[i].drops_answers = true;
+	job = submit_crashing(&sim, sim_new_job(1, 1, 1, 1), 2000);
+	sim_advance(&sim, 120000);
+	CU_ASSERT_EQUAL(sim_phase(&sim, job), FAILED);
+	CU_ASSERT_EQUAL(sim.worker_crashes, MAX_CRASHES);
+	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
+}
+
 /* Guards against innocent jobs that are given up with a job whose task crashes
  * the worker that they share. */
 static void
@@ -318,6 +337,8 @@
 		test_crash_of_replaced_worker_is_certain},
 	    {"crash becomes certain after the lease",
 		test_crash_becomes_certain_after_the_lease},
+	    {"unanswered start of a crash counts",
+		test_unanswered_start_of_a_crash_counts},
 	    {"tasks beside it complete", test_tasks_beside_it_complete},
 	    {"two on one worker are told apart",
 		test_two_on_one_worker_are_told_apart},
