Test tasks that crash workers with real processes

The workers of the fake platform can crash by a start, and are back a second later at the same address under another id, with the former entry still in the store; calls to the former id are answered 421, as the platform says.

--- a/fakes/common/fake_server.c
+++ b/fakes/common/fake_server.c
@@ -55,6 +55,13 @@
 	    request->connection, MHD_GET_ARGUMENT_KIND, name);
 }
 
+const char *
+fake_request_header(const struct fake_request *request, const char *name)
+{
+	return MHD_lookup_connection_value(
+	    request->connection, MHD_HEADER_KIND, name);
+}
+
 int64_t
 fake_request_number(
     const struct fake_request *request, const char *name, int64_t fallback)
@@ -67,8 +74,8 @@
 bool
 fake_request_if_match(const struct fake_request *request, uint64_t *revision)
 {
-	const char *value = MHD_lookup_connection_value(
-	    request->connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_IF_MATCH);
+	const char *value =
+	    fake_request_header(request, MHD_HTTP_HEADER_IF_MATCH);
 	char *end;
 
 	if (value == NULL)
--- a/fakes/common/fake_server.h
+++ b/fakes/common/fake_server.h
@@ -67,6 +67,11 @@
 const char *fake_request_query(
     const struct fake_request *request, const char *name);
 
+/* Returns a header, or NULL when it is absent. Valid during the handler call.
+ */
+const char *fake_request_header(
+    const struct fake_request *request, const char *name);
+
 /* Returns a query argument as a decimal number, or fallback when it is absent.
  */
 int64_t fake_request_number(
--- a/tests/common_users_platform.c
+++ b/tests/common_users_platform.c
@@ -28,13 +28,16 @@
 	ne_free(value);
 }
 
-static void
-put_worker(struct users_platform *platform, const struct users_worker *worker)
+void
+users_put_worker(
+    struct users_platform *platform, const struct users_worker *worker)
 {
 	CLEANUP(buffer_free) struct buffer text = {0};
+	char id[USERS_KEY_BYTES / 2];
 	char key[USERS_KEY_BYTES];
 
-	(void)snprintf(key, sizeof(key), "servers/w%" PRIu32, worker->index);
+	users_worker_id(worker, id, sizeof(id));
+	(void)snprintf(key, sizeof(key), "servers/%s", id);
 	buffer_printf(&text,
 	    "{\"Service\":\"s\",\"Address\":\"%s\",\"Zone\":\"z\",\"State\":"
 	    "\"%s\",\"Capacity\":{\"Cpu\":8000,\"MemMb\":8000,\"Gpus\":%d},"
@@ -123,7 +126,7 @@
 		worker->incarnation = 1;
 		worker->server = fake_server_start(
 		    "127.0.0.1:0", users_worker_handler, worker);
-		put_worker(platform, worker);
+		users_put_worker(platform, worker);
 	}
 	users_set_config(
 	    platform, &(struct users_config){.version = 1, .service = "s"});
@@ -136,7 +139,7 @@
 	(void)pthread_mutex_lock(&platform->lock);
 	for (uint32_t i = 0; i < USERS_WORKERS; i++) {
 		platform->workers[i].draining = true;
-		put_worker(platform, &platform->workers[i]);
+		users_put_worker(platform, &platform->workers[i]);
 	}
 	(void)pthread_mutex_unlock(&platform->lock);
 }
@@ -160,7 +163,7 @@
 	(void)pthread_mutex_lock(&platform->lock);
 	for (uint32_t i = 0; i < USERS_WORKERS; i++) {
 		restart_worker(&platform->workers[i]);
-		put_worker(platform, &platform->workers[i]);
+		users_put_worker(platform, &platform->workers[i]);
 	}
 	(void)pthread_mutex_unlock(&platform->lock);
 }
@@ -505,8 +508,8 @@
 }
 
 bool
-users_wait_completed(struct users_platform *platform, uint32_t instance,
-    uint32_t number, int32_t timeout_ms)
+users_wait_state(struct users_platform *platform, uint32_t instance,
+    uint32_t number, const char *state, int32_t timeout_ms)
 {
 	CLEANUP(buffer_free) struct buffer answer = {0};
 	int64_t until_ms = clock_now_ms() + timeout_ms;
@@ -516,13 +519,41 @@
 	while (clock_now_ms() < until_ms) {
 		if (users_call(platform, instance, "GET", path, "", &answer) ==
 			200 &&
-		    strstr(buffer_string(&answer), "\"completed\"") != NULL)
+		    strstr(buffer_string(&answer), state) != NULL)
 			return true;
 		process_sleep(USERS_POLL_INTERVAL_MS * 4);
 	}
 	return false;
 }
 
+bool
+users_wait_completed(struct users_platform *platform, uint32_t instance,
+    uint32_t number, int32_t timeout_ms)
+{
+	return users_wait_state(
+	    platform, instance, number, "\"completed\"", timeout_ms);
+}
+
+void
+users_crash_workers(struct users_platform *platform, uint32_t number)
+{
+	(void)pthread_mutex_lock(&platform->lock);
+	(void)snprintf(platform->crashing_task, sizeof(platform->crashing_task),
+	    "%016" PRIx32 ".0.0.0", number);
+	(void)pthread_mutex_unlock(&platform->lock);
+}
+
+uint32_t
+users_worker_crashes(struct users_platform *platform)
+{
+	uint32_t crashes;
+
+	(void)pthread_mutex_lock(&platform->lock);
+	crashes = platform->worker_crashes;
+	(void)pthread_mutex_unlock(&platform->lock);
+	return crashes;
+}
+
 void
 users_set_run_ms(struct users_platform *platform, int64_t run_ms)
 {
--- a/tests/common_users_platform.h
+++ b/tests/common_users_platform.h
@@ -117,6 +117,18 @@
 bool users_wait_completed(struct users_platform *platform, uint32_t instance,
     uint32_t number, int32_t timeout_ms);
 
+/* Waits until an instance's answer about a job contains a text. */
+bool users_wait_state(struct users_platform *platform, uint32_t instance,
+    uint32_t number, const char *state, int32_t timeout_ms);
+
+/* Lets the first task of a job crash each worker that starts it. The worker is
+ * back at its address a second later, under another id. Its former entry stays.
+ */
+void users_crash_workers(struct users_platform *platform, uint32_t number);
+
+/* Returns how many workers have crashed. */
+uint32_t users_worker_crashes(struct users_platform *platform);
+
 /* Restarts all workers under their ids. They lose their runs and ends and have
  * seen no fencing token; their entries in the store change. */
 void users_restart_workers(struct users_platform *platform);
--- a/tests/common_users_state.h
+++ b/tests/common_users_state.h
@@ -63,6 +63,8 @@
 	uint32_t index;
 	struct fake_server *server;
 	int64_t incarnation; /* its "born" value */
+	uint32_t crashes;    /* it has another id after each */
+	int64_t back_ms;     /* end of the time after a crash; 0: it is up */
 	bool draining;
 	int64_t fencing_token; /* highest seen */
 	int64_t lease_expires_ms;
@@ -107,6 +109,9 @@
 	struct users_worker workers[USERS_WORKERS];
 	struct users_instance_state instances[USERS_INSTANCES];
 	int64_t run_ms;
+	/* A task whose start crashes the worker; empty: none. */
+	char crashing_task[USERS_TASK_BYTES];
+	uint32_t worker_crashes;
 	uint32_t started_runs;
 	uint32_t duplicate_starts;
 	uint32_t lead_key_deletions;
@@ -126,6 +131,13 @@
     struct users_platform *platform, struct users_lease *lease);
 void users_expire_leases(struct users_platform *platform);
 
+/* Writes a worker's entry. */
+void users_put_worker(
+    struct users_platform *platform, const struct users_worker *worker);
+
+/* Formats the id that a worker has now. */
+void users_worker_id(const struct users_worker *worker, char *id, size_t bytes);
+
 /* HTTP handlers; the context is a listener of the store or a worker. */
 void users_store_handler(void *context, const struct fake_request *request,
     struct fake_reply *reply);
--- a/tests/common_users_workers.c
+++ b/tests/common_users_workers.c
@@ -12,6 +12,9 @@
 #include "process/clock.h"
 
 #define MAX_LEASE_MS 10000
+/* From a crash until the worker is back. */
+#define CRASH_MS	1000
+#define WORKER_ID_BYTES 32
 
 static void
 record_end(
@@ -70,6 +73,47 @@
 	return false;
 }
 
+void
+users_worker_id(const struct users_worker *worker, char *id, size_t bytes)
+{
+	if (worker->crashes == 0)
+		(void)snprintf(id, bytes, "w%" PRIu32, worker->index);
+	else
+		(void)snprintf(id, bytes, "w%" PRIu32 "-%" PRIu32,
+		    worker->index, worker->crashes);
+}
+
+/* Its runs and ends are lost; it comes back under another id. */
+static void
+crash_worker(struct users_worker *worker)
+{
+	struct users_platform *platform = worker->platform;
+
+	worker->crashes++;
+	platform->worker_crashes++;
+	worker->back_ms = clock_now_ms() + CRASH_MS;
+	worker->incarnation++;
+	worker->fencing_token = 0;
+	worker->lease_expires_ms = 0;
+	worker->acked_end = 0;
+	worker->last_end = 0;
+	worker->ends_count = 0;
+	memset(worker->runs, 0, sizeof(worker->runs));
+	users_put_worker(platform, worker);
+}
+
+/* Returns whether a call is meant for the worker's current id. */
+static bool
+is_addressed(
+    const struct users_worker *worker, const struct fake_request *request)
+{
+	char id[WORKER_ID_BYTES];
+	const char *expected = fake_request_header(request, "Expect-Instance");
+
+	users_worker_id(worker, id, sizeof(id));
+	return expected == NULL || strcmp(expected, id) == 0;
+}
+
 /* Returns NULL, or the reason for refusing the start. */
 static const char *
 start_run(struct users_worker *worker, const char *task, int64_t number)
@@ -166,18 +210,21 @@
 {
 	int64_t until_ms = clock_now_ms() + fake_json_number(body, "WaitMs", 0);
 	int64_t acked_end = fake_json_number(body, "AckSeq", 0);
+	uint32_t crashes = worker->crashes;
 
 	if (acked_end > worker->acked_end)
 		worker->acked_end = acked_end;
 	extend_lease(worker, body);
 	while (worker->last_end <= worker->acked_end &&
-	    clock_now_ms() < until_ms) {
+	    worker->crashes == crashes && clock_now_ms() < until_ms) {
 		(void)pthread_mutex_unlock(&worker->platform->lock);
 		process_sleep(USERS_POLL_INTERVAL_MS);
 		(void)pthread_mutex_lock(&worker->platform->lock);
 		advance_runs(worker);
 	}
-	append_report(worker, &reply->body);
+	reply->cut = worker->crashes != crashes;
+	if (!reply->cut)
+		append_report(worker, &reply->body);
 }
 
 static void
@@ -191,6 +238,14 @@
 	const char *reason = NULL;
 
 	advance_runs(worker);
+	if (clock_now_ms() < worker->back_ms) {
+		reply->cut = true;
+		return;
+	}
+	if (!is_addressed(worker, request)) {
+		reply->status = 421;
+		return;
+	}
 	if (fencing_token < worker->fencing_token) {
 		reason = "fence";
 	} else if (strcmp(request->path, "/ibistrestle/hold") == 0) {
@@ -201,6 +256,8 @@
 		worker->fencing_token = fencing_token;
 		extend_lease(worker, body);
 		reason = start_run(worker, task, run);
+		if (strcmp(task, worker->platform->crashing_task) == 0)
+			crash_worker(worker);
 	} else {
 		worker->fencing_token = fencing_token;
 		stop_run(worker, task, run);
