Look for suspects only in jobs that have had any

A round of placement looked at each waiting task twice for losses charged to it. Also one static text for what a suspect waits for.

--- a/src/fleet/fleet_crashes.c
+++ b/src/fleet/fleet_crashes.c
@@ -64,6 +64,8 @@
 {
 	const struct fleet_job *job = task->occurrence->job;
 
+	if (!job->was_charged)
+		return false;
 	/* The other occurrences of a periodic job run the same task. */
 	for (size_t i = 0; i < job->occurrences_count; i++) {
 		struct unit unit = unit_of(task, job->occurrences[i]);
@@ -136,6 +138,8 @@
 {
 	const struct fleet_job *job = task->occurrence->job;
 
+	if (job->occurrences_count < 2)
+		return false;
 	for (size_t i = 0; i < job->occurrences_count; i++) {
 		struct unit unit = unit_of(task, job->occurrences[i]);
 
@@ -308,6 +312,7 @@
 	task->sole_crashes += certain && sole;
 	task->charged_run = task->run;
 	task->charged_crash = certain;
+	job->was_charged = true;
 	fleet_mark_dirty(fleet, job);
 	if (!must_give_up(fleet, task) || job->cancelled ||
 	    fleet_job_final(job))
--- a/src/fleet/fleet_decide.c
+++ b/src/fleet/fleet_decide.c
@@ -123,6 +123,8 @@
 			add_waiting(round, &tasks[i]);
 	}
 	add_unit(round, occurrence, step, first);
+	if (!occurrence->job->was_charged)
+		return;
 	for (uint32_t i = 0; i < count; i++) {
 		first = round->waiting_count;
 		if (tasks[i].state == TASK_WAITING &&
--- a/src/fleet/fleet_explain.c
+++ b/src/fleet/fleet_explain.c
@@ -15,8 +15,7 @@
     [FLEET_WAITS_RACK] = "room only away from its rack or data",
     [FLEET_WAITS_RECORD] = "its placement is being recorded",
     [FLEET_WAITS_STOPS] = "what holds its room is being stopped",
-    [FLEET_WAITS_TRIAL] = "workers crashed when it began; it waits until "
-			  "nothing else has just begun on its worker",
+    [FLEET_WAITS_TRIAL] = "begins alone, as workers crashed when it began",
 };
 
 const char *
--- a/src/fleet/fleet_jobs.c
+++ b/src/fleet/fleet_jobs.c
@@ -136,6 +136,7 @@
 	task->run = progress->run;
 	task->failures = progress->failures;
 	task->early_losses = progress->early_losses;
+	task->occurrence->job->was_charged |= task->early_losses > 0;
 	task->crashes = progress->crashes;
 	task->sole_crashes = progress->sole_crashes;
 	task->placed_incarnation_wall_ms = progress->incarnation_wall_ms;
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -109,6 +109,7 @@
 	uint32_t assigned;	  /* tasks with a worker */
 	uint32_t orphans;	  /* runs of its tasks that are orphans */
 	bool is_active;
+	bool was_charged; /* a task of it is or was a suspect */
 	size_t workspace; /* index in fleet->workspaces */
 	Ibis__StepJobPhase phase;
 	bool cancelled;
