Log a changed capacity only of a worker that goes on

A restarted worker, and one known from a record only, also counted as a change of capacity. A replaced worker asked for a placement with each poll that was refused at its address. One name for the event of a charged loss, and one function for an absent worker.

--- a/src/agent/agent_workers.c
+++ b/src/agent/agent_workers.c
@@ -124,6 +124,14 @@
 	    log_number((int64_t)call->agent->lead.epoch), NULL);
 }
 
+/* Returns whether nothing, or another worker, is at the worker's address. */
+static bool
+is_absent(enum platform_order_outcome outcome)
+{
+	return outcome == PLATFORM_ORDER_REFUSED ||
+	    outcome == PLATFORM_ORDER_REPLACED;
+}
+
 /* Handles a failed poll: the first failure is retried at once, later ones
  * after POLL_RETRY_MS. */
 static void
@@ -133,10 +141,8 @@
 	struct agent *agent = call->agent;
 	bool was_retry = fleet_worker_missed_poll(worker);
 
-	if (fleet_handle_unanswered_poll(agent->fleet, worker,
-		outcome == PLATFORM_ORDER_REFUSED ||
-		    outcome == PLATFORM_ORDER_REPLACED,
-		now_ms)) {
+	if (fleet_handle_unanswered_poll(
+		agent->fleet, worker, is_absent(outcome), now_ms)) {
 		counter_add(COUNTER_WORKERS_LOST, 1);
 		log_silent_worker(call, worker, now_ms);
 	}
@@ -326,8 +332,7 @@
 
 	if (outcome == PLATFORM_ORDER_UNKNOWN)
 		counter = COUNTER_WORKER_CALLS_UNKNOWN;
-	else if (outcome == PLATFORM_ORDER_REFUSED ||
-	    outcome == PLATFORM_ORDER_REPLACED)
+	else if (is_absent(outcome))
 		counter = COUNTER_WORKER_CALLS_UNAVAILABLE;
 	counter_add(counter, 1);
 	duration_observe(HISTOGRAM_WORKER_CALL, clock_now_ms() - call->sent_ms);
--- a/src/fleet/fleet_capacity.c
+++ b/src/fleet/fleet_capacity.c
@@ -50,9 +50,13 @@
 {
 	struct fleet_resources resources = *listed;
 
-	if (same_incarnation && is_equal(listed, &worker->entry.resources))
+	if (!same_incarnation) {
+		worker->resources = *listed;
 		return;
-	if (same_incarnation && worker->reports_resources) {
+	}
+	if (is_equal(listed, &worker->entry.resources))
+		return;
+	if (worker->reports_resources) {
 		resources = lower_of(listed, &worker->resources);
 		worker->resources_unconfirmed = true;
 	}
--- a/src/fleet/fleet_crashes.c
+++ b/src/fleet/fleet_crashes.c
@@ -331,7 +331,7 @@
 
 	if (suspects.first == NULL || suspects.charged)
 		return;
-	fleet_add_crash_event(
+	fleet_add_charged_loss_event(
 	    fleet, worker, suspects.first, suspects.runs, loss, now_ms);
 	cds_list_for_each_entry (task, &worker->tasks, on_worker) {
 		if (is_lost_early(fleet, task, loss))
--- a/src/fleet/fleet_events.c
+++ b/src/fleet/fleet_events.c
@@ -307,9 +307,9 @@
 }
 
 void
-fleet_add_crash_event(struct fleet *fleet, const struct fleet_worker *worker,
-    const struct fleet_task *first, uint32_t runs, enum fleet_loss loss,
-    int64_t now_ms)
+fleet_add_charged_loss_event(struct fleet *fleet,
+    const struct fleet_worker *worker, const struct fleet_task *first,
+    uint32_t runs, enum fleet_loss loss, int64_t now_ms)
 {
 	struct fleet_event *event = add_event(fleet, FLEET_EVENT_LOSS_CHARGED);
 	struct fleet_worker_runs on_worker;
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -387,7 +387,7 @@
 
 /* The loss was charged to runs of the worker, first among them. Call it before
  * the runs are requeued. */
-void fleet_add_crash_event(struct fleet *fleet,
+void fleet_add_charged_loss_event(struct fleet *fleet,
     const struct fleet_worker *worker, const struct fleet_task *first,
     uint32_t runs, enum fleet_loss loss, int64_t now_ms);
 
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -142,8 +142,10 @@
 	    : FLEET_LEASE_EXPIRED;
 	struct fleet_task *task = next_lost_task(fleet, worker, loss, now_ms);
 
-	if (task != NULL)
-		fleet_charge_loss(fleet, worker, loss, now_ms);
+	if (task == NULL)
+		return;
+	fleet->changed = true;
+	fleet_charge_loss(fleet, worker, loss, now_ms);
 	/* Requeueing a member of a gang may remove others from the worker. */
 	for (; task != NULL;
 	     task = next_lost_task(fleet, worker, loss, now_ms)) {
@@ -151,7 +153,6 @@
 		fleet_requeue_task(
 		    fleet, task, "lost with worker", NULL, now_ms);
 	}
-	fleet->changed = true;
 }
 
 void
