--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -559,7 +559,7 @@
 	FLEET_WAITS_RACK,      /* enough are free, but outside the rack */
 	FLEET_WAITS_RECORD,    /* placed; the record is being written */
 	FLEET_WAITS_STOPS,     /* placed; earlier runs are being stopped */
-	FLEET_WAITS_TRIAL      /* placed; a suspect, begins alone */
+	FLEET_WAITS_ISOLATION  /* placed; a suspect, begins alone */
 };
 
 struct fleet_wait {
--- a/src/fleet/fleet_crashes.c
+++ b/src/fleet/fleet_crashes.c
@@ -77,21 +77,21 @@
 }
 
 void
-fleet_begin_trial(struct fleet_task *task)
+fleet_begin_run(struct fleet_task *task)
 {
 	task->begun = false;
 	task->settled = false;
-	task->on_trial = fleet_is_suspect(task);
-	task->worker->trials += task->on_trial;
+	task->isolated = fleet_is_suspect(task);
+	task->worker->isolated_tasks += task->isolated;
 }
 
 void
-fleet_end_trial(struct fleet_task *task)
+fleet_end_isolation(struct fleet_task *task)
 {
-	if (!task->on_trial)
+	if (!task->isolated)
 		return;
-	task->on_trial = false;
-	task->worker->trials--;
+	task->isolated = false;
+	task->worker->isolated_tasks--;
 }
 
 /* Returns whether a task's run may still crash its worker. */
@@ -118,23 +118,23 @@
 }
 
 bool
-fleet_trial_may_start(const struct fleet_task *task)
+fleet_isolation_allows_start(const struct fleet_task *task)
 {
-	return !task->on_trial ||
+	return !task->isolated ||
 	    !fleet_worker_has_unsettled(task->worker, task);
 }
 
-/* Returns whether a run may still crash its worker, or has done so, and is the
- * one that shows whether its task does. */
+/* Returns whether a run will show whether its task crashes workers: it is
+ * isolated, or its worker may just have crashed. */
 static bool
-is_decisive(const struct fleet_task *task)
+is_undecided(const struct fleet_task *task)
 {
 	return is_unsettled(task) &&
-	    (task->on_trial || !fleet_worker_answers(task->worker));
+	    (task->isolated || !fleet_worker_answers(task->worker));
 }
 
 bool
-fleet_awaits_verdict(const struct fleet_task *task)
+fleet_waits_for_other_occurrence(const struct fleet_task *task)
 {
 	const struct fleet_job *job = task->occurrence->job;
 
@@ -146,7 +146,7 @@
 		if (job->occurrences[i] == task->occurrence)
 			continue;
 		for (uint32_t j = 0; j < unit.count; j++) {
-			if (is_decisive(&unit.tasks[j]))
+			if (is_undecided(&unit.tasks[j]))
 				return true;
 		}
 	}
@@ -192,11 +192,11 @@
 	    seen_ms - task->started_ms < SETTLE_MS)
 		return;
 	task->settled = true;
-	if (task->worker->trials > 0) {
+	if (task->worker->isolated_tasks > 0) {
 		fleet->changed = true;
 		fleet_wake_at(fleet, fleet->now_ms);
 	}
-	fleet_end_trial(task);
+	fleet_end_isolation(task);
 	if (has_settled(&unit))
 		fleet_clear_suspicion(fleet, task);
 }
@@ -253,7 +253,7 @@
 	const struct fleet_task *first; /* NULL: there are none */
 	uint32_t runs;
 	bool sole;    /* all are of one task or gang */
-	bool charged; /* all have been charged for these runs before */
+	bool charged; /* all have been charged with this loss before */
 };
 
 static struct suspects
--- a/src/fleet/fleet_decide.c
+++ b/src/fleet/fleet_decide.c
@@ -119,7 +119,7 @@
 	for (uint32_t i = 0; i < count; i++) {
 		if (tasks[i].state == TASK_WAITING &&
 		    !fleet_is_suspect(&tasks[i]) &&
-		    !fleet_awaits_verdict(&tasks[i]))
+		    !fleet_waits_for_other_occurrence(&tasks[i]))
 			add_waiting(round, &tasks[i]);
 	}
 	add_unit(round, occurrence, step, first);
@@ -202,7 +202,7 @@
 	const char *outcome = "free room";
 	size_t found;
 
-	if (fleet_awaits_verdict(tasks[0]))
+	if (fleet_waits_for_other_occurrence(tasks[0]))
 		return;
 	round->targets = mem_grow(round->targets, &round->targets_capacity,
 	    unit->count, sizeof(struct fleet_worker *));
@@ -295,7 +295,8 @@
 		return false;
 	left = fleet_worker_unoccupied(task->worker);
 	return fleet_resources_fit(&left, &need, 1) > 0 &&
-	    !fleet_task_has_orphan(fleet, task) && fleet_trial_may_start(task);
+	    !fleet_task_has_orphan(fleet, task) &&
+	    fleet_isolation_allows_start(task);
 }
 
 /* Returns whether all members of a gang may start now. Members on the same
--- a/src/fleet/fleet_explain.c
+++ b/src/fleet/fleet_explain.c
@@ -15,7 +15,7 @@
     [FLEET_WAITS_RACK] = "room only away from its rack or data",
     [FLEET_WAITS_RECORD] = "its placement is being recorded",
     [FLEET_WAITS_STOPS] = "what holds its room is being stopped",
-    [FLEET_WAITS_TRIAL] = "begins alone, as workers crashed when it began",
+    [FLEET_WAITS_ISOLATION] = "begins alone, as workers crashed when it began",
 };
 
 const char *
@@ -192,8 +192,8 @@
 {
 	if (task->placed_generation > explanation->job->recorded_generation)
 		return FLEET_WAITS_RECORD;
-	return fleet_trial_may_start(task) ? FLEET_WAITS_STOPS
-					   : FLEET_WAITS_TRIAL;
+	return fleet_isolation_allows_start(task) ? FLEET_WAITS_STOPS
+						  : FLEET_WAITS_ISOLATION;
 }
 
 static void
--- a/src/fleet/fleet_jobs.c
+++ b/src/fleet/fleet_jobs.c
@@ -157,7 +157,7 @@
 		worker->listed = false;
 	}
 	fleet_assign_task(task, worker);
-	fleet_begin_trial(task);
+	fleet_begin_run(task);
 	fleet_set_state(task, TASK_RUNNING);
 	task->started_ms = now_ms;
 	task->visible_from_ms = now_ms;
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -66,7 +66,7 @@
 	bool charged_crash;    /* as a crash */
 	bool begun;	       /* the run is known to have been on the worker */
 	bool settled;	       /* the run has been at work for a while */
-	bool on_trial; /* it is a suspect's, has not settled, has a worker */
+	bool isolated; /* a suspect's that has a worker and has not settled */
 	/* Start of the worker's incarnation when it was placed; 0: unknown. */
 	int64_t placed_incarnation_wall_ms;
 	int32_t percent;	/* as last reported */
@@ -159,8 +159,8 @@
 	/* Resources of the tasks that are sent, running or stopping, and of
 	 * the orphans whose need is known. */
 	struct fleet_resources occupied;
-	uint32_t stopping; /* tasks in TASK_STOPPING */
-	uint32_t trials;   /* tasks that are on trial */
+	uint32_t stopping;	 /* tasks in TASK_STOPPING */
+	uint32_t isolated_tasks; /* tasks there that are isolated */
 	/* By its last report; for the log only. */
 	uint64_t last_report; /* its number */
 	bool over_capacity;
@@ -404,21 +404,22 @@
  * suspect. */
 bool fleet_is_suspect(const struct fleet_task *task);
 
-/* Returns whether the same task of another occurrence is on trial, or has just
+/* Returns whether the same task of another occurrence is isolated, or has just
  * begun on a worker that does not answer. The task then waits for what becomes
  * of it. */
-bool fleet_awaits_verdict(const struct fleet_task *task);
+bool fleet_waits_for_other_occurrence(const struct fleet_task *task);
 
 /* A task has been assigned to its worker under a new run number. A suspect is
- * on trial there until it has settled or left. */
-void fleet_begin_trial(struct fleet_task *task);
+ * isolated there until it has settled or left: nothing else is placed on the
+ * worker. */
+void fleet_begin_run(struct fleet_task *task);
 
-/* The task is about to leave its worker. Does nothing if it isn't on trial. */
-void fleet_end_trial(struct fleet_task *task);
+/* The task is about to leave its worker. Does nothing if it isn't isolated. */
+void fleet_end_isolation(struct fleet_task *task);
 
 /* Returns whether a start may follow now: a suspect's waits until no other run
  * on its worker can be the cause of a crash. */
-bool fleet_trial_may_start(const struct fleet_task *task);
+bool fleet_isolation_allows_start(const struct fleet_task *task);
 
 /* Returns whether a run on the worker may still crash it; runs of the task or
  * gang of except are left out, unless it is NULL. */
--- a/src/fleet/fleet_place.c
+++ b/src/fleet/fleet_place.c
@@ -120,7 +120,7 @@
 fleet_search_allows(
     const struct fleet_search *search, const struct fleet_worker *worker)
 {
-	return worker->trials == 0 &&
+	return worker->isolated_tasks == 0 &&
 	    fleet_worker_usable(
 		worker, search->job, search->step, search->now_ms);
 }
--- a/src/fleet/fleet_search.h
+++ b/src/fleet/fleet_search.h
@@ -44,7 +44,7 @@
 void fleet_search_sort(struct fleet_search *search);
 
 /* Returns whether tasks may be placed on a worker now, whatever its capacity:
- * it is usable, and no suspect is on trial there. */
+ * it is usable, and no suspect is isolated there. */
 bool fleet_search_allows(
     const struct fleet_search *search, const struct fleet_worker *worker);
 
--- a/src/fleet/fleet_tasks.c
+++ b/src/fleet/fleet_tasks.c
@@ -195,7 +195,7 @@
 	fleet_set_state(task, state);
 	if (task->worker == NULL)
 		return;
-	fleet_end_trial(task);
+	fleet_end_isolation(task);
 	cds_list_del(&task->on_worker);
 	task->worker = NULL;
 	task->occurrence->job->assigned--;
@@ -227,7 +227,7 @@
 	task->best_rate = 0;
 	task->last_poll = 0;
 	task->placed_incarnation_wall_ms = worker->incarnation_wall_ms;
-	fleet_begin_trial(task);
+	fleet_begin_run(task);
 	fleet_set_state(task, TASK_PLACED);
 	fleet_mark_dirty(fleet, task->occurrence->job);
 	task->placed_generation = fleet->generation;
--- a/tests/common_users_platform.c
+++ b/tests/common_users_platform.c
@@ -144,25 +144,12 @@
 	(void)pthread_mutex_unlock(&platform->lock);
 }
 
-/* Resets what a worker has seen and done. */
-static void
-restart_worker(struct users_worker *worker)
-{
-	worker->incarnation++;
-	worker->fencing_token = 0;
-	worker->lease_expires_ms = 0;
-	worker->acked_end = 0;
-	worker->last_end = 0;
-	worker->ends_count = 0;
-	memset(worker->runs, 0, sizeof(worker->runs));
-}
-
 void
 users_restart_workers(struct users_platform *platform)
 {
 	(void)pthread_mutex_lock(&platform->lock);
 	for (uint32_t i = 0; i < USERS_WORKERS; i++) {
-		restart_worker(&platform->workers[i]);
+		users_reset_worker(&platform->workers[i]);
 		users_put_worker(platform, &platform->workers[i]);
 	}
 	(void)pthread_mutex_unlock(&platform->lock);
--- a/tests/common_users_state.h
+++ b/tests/common_users_state.h
@@ -135,6 +135,9 @@
 void users_put_worker(
     struct users_platform *platform, const struct users_worker *worker);
 
+/* Begins a new incarnation of a worker, which has seen and done nothing. */
+void users_reset_worker(struct users_worker *worker);
+
 /* Formats the id that a worker has now. */
 void users_worker_id(const struct users_worker *worker, char *id, size_t bytes);
 
--- a/tests/common_users_workers.c
+++ b/tests/common_users_workers.c
@@ -83,6 +83,18 @@
 		    worker->index, worker->crashes);
 }
 
+void
+users_reset_worker(struct users_worker *worker)
+{
+	worker->incarnation++;
+	worker->fencing_token = 0;
+	worker->lease_expires_ms = 0;
+	worker->acked_end = 0;
+	worker->last_end = 0;
+	worker->ends_count = 0;
+	memset(worker->runs, 0, sizeof(worker->runs));
+}
+
 /* Its runs and ends are lost; it comes back under another id. */
 static void
 crash_worker(struct users_worker *worker)
@@ -92,13 +104,7 @@
 	worker->crashes++;
 	platform->worker_crashes++;
 	worker->back_ms = clock_now_ms() + CRASH_MS;
-	worker->incarnation++;
-	worker->fencing_token = 0;
-	worker->lease_expires_ms = 0;
-	worker->acked_end = 0;
-	worker->last_end = 0;
-	worker->ends_count = 0;
-	memset(worker->runs, 0, sizeof(worker->runs));
+	users_reset_worker(worker);
 	users_put_worker(platform, worker);
 }
 
