Lose a simulated worker's runs in one place

A crash and a restart wrote the same loop, and the property test the same resources twice. Tests only; the fleet's tests and prop_fleet pass, known red test_late_start.

--- a/tests/common_fleet_sim.c
+++ b/tests/common_fleet_sim.c
@@ -564,13 +564,7 @@
 		drop_refused_calls(sim, index);
 	if (worker->back_ms == 0)
 		sim_count_crashes(sim, index);
-	for (size_t i = 0; i < SIM_RUNS; i++) {
-		struct sim_run run = worker->runs[i];
-
-		worker->runs[i].used = false;
-		if (run.used && sim_is_gang(sim, &run.task))
-			sim_end_gang(sim, &run, FLEET_END_GANG_ENDED);
-	}
+	sim_lose_runs(sim, worker);
 	memset(worker->runs, 0, sizeof(worker->runs));
 	worker->ends_count = 0;
 	worker->last_end = 0;
--- a/tests/common_fleet_sim_crash.c
+++ b/tests/common_fleet_sim_crash.c
@@ -100,6 +100,18 @@
 	return most;
 }
 
+void
+sim_lose_runs(struct sim *sim, struct sim_worker *worker)
+{
+	for (size_t i = 0; i < SIM_RUNS; i++) {
+		struct sim_run run = worker->runs[i];
+
+		worker->runs[i].used = false;
+		if (run.used && sim_is_gang(sim, &run.task))
+			sim_end_gang(sim, &run, FLEET_END_GANG_ENDED);
+	}
+}
+
 void
 sim_crash_worker(struct sim *sim, size_t index)
 {
@@ -110,13 +122,7 @@
 	sim->worker_crashes++;
 	worker->back_ms = sim->now_ms + sim->back_ms;
 	sim_count_crashes(sim, index);
-	for (size_t i = 0; i < SIM_RUNS; i++) {
-		struct sim_run run = worker->runs[i];
-
-		worker->runs[i].used = false;
-		if (run.used && sim_is_gang(sim, &run.task))
-			sim_end_gang(sim, &run, FLEET_END_GANG_ENDED);
-	}
+	sim_lose_runs(sim, worker);
 }
 
 /* Gives a worker another id, at the same address. Its former entry remains for
--- a/tests/common_fleet_sim_internal.h
+++ b/tests/common_fleet_sim_internal.h
@@ -46,6 +46,10 @@
 /* Counts a crash of the worker for each task there or on its way there. */
 void sim_count_crashes(struct sim *sim, size_t index);
 
+/* Ends a worker's runs without a trace; the members of their gangs elsewhere
+ * end too. */
+void sim_lose_runs(struct sim *sim, struct sim_worker *worker);
+
 /* Brings back the workers whose time after a crash is over. */
 void sim_return_workers(struct sim *sim);
 
--- a/tests/prop_fleet.cc
+++ b/tests/prop_fleet.cc
@@ -97,12 +97,18 @@
 	sim_submit(&sim, job, 200 + operation.b * 50);
 }
 
-void
-replaceWorker(struct sim &sim, size_t index, int64_t accelerators)
+fleet_resources
+resourcesFor(int64_t accelerators)
 {
-	fleet_resources resources = {.cpu_milli = accelerators * 16000,
+	return {.cpu_milli = accelerators * 16000,
 	    .memory_mb = accelerators * 32768,
 	    .accelerators = accelerators};
+}
+
+void
+replaceWorker(struct sim &sim, size_t index, int64_t accelerators)
+{
+	fleet_resources resources = resourcesFor(accelerators);
 
 	sim_replace_worker(&sim, index, &resources);
 }
@@ -120,9 +126,7 @@
 void
 resizeWorker(struct sim &sim, size_t index, int64_t accelerators)
 {
-	fleet_resources resources = {.cpu_milli = accelerators * 16000,
-	    .memory_mb = accelerators * 32768,
-	    .accelerators = accelerators};
+	fleet_resources resources = resourcesFor(accelerators);
 
 	sim_resize_worker(&sim, index, &resources);
 }
