--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -5,7 +5,6 @@
 #include "process/proto_memory.h"
 
 #define COMPLETED IBIS__STEP_JOB_PHASE__PHASE_COMPLETED
-#define FAILED	  IBIS__STEP_JOB_PHASE__PHASE_FAILED
 #define CANCELLED IBIS__STEP_JOB_PHASE__PHASE_CANCELLED
 
 static void
@@ -363,21 +362,6 @@
 	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
 }
 
-static void
-test_failing_job_ends_after_its_attempts(void)
-{
-	CLEANUP(sim_close) struct sim sim;
-	size_t job;
-
-	sim_open(&sim, 4, 2);
-	job = sim_submit(&sim, sim_new_job(1, 1, 1, 1), 200);
-	sim.jobs[job].always_fails = true;
-	sim_advance(&sim, 20000);
-	CU_ASSERT_EQUAL(sim_phase(&sim, job), FAILED);
-	CU_ASSERT_EQUAL(sim.starts, 3);
-	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
-}
-
 static void
 test_cancelled_job_is_stopped(void)
 {
@@ -514,27 +498,6 @@
 	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
 }
 
-/* A worker that fails every run must not use up the attempts of the jobs. */
-static void
-test_failing_worker_fails_no_job(void)
-{
-	CLEANUP(sim_close) struct sim sim;
-	size_t done = 0;
-
-	sim_open(&sim, 4, 2);
-	sim_advance(&sim, 200);
-	sim.workers[0].fails_all = true;
-	for (size_t i = 0; i < 10; i++) {
-		(void)sim_submit(&sim, sim_new_job(1, 1, 2, 2), 400);
-		sim_advance(&sim, 300);
-	}
-	sim_advance(&sim, 30000);
-	for (size_t i = 0; i < sim.jobs_count; i++)
-		done += sim_phase(&sim, i) == COMPLETED;
-	CU_ASSERT_EQUAL(done, 10);
-	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
-}
-
 static void
 test_zone_out_of_service_gets_no_tasks(void)
 {
@@ -653,33 +616,6 @@
 	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
 }
 
-/* The lead crashes after it has recorded an end and before the worker has
- * discarded it, so the worker reports it to the next lead again. */
-static void
-test_failure_is_counted_once_across_takeovers(void)
-{
-	CLEANUP(sim_close) struct sim sim;
-	size_t job;
-
-	sim_open(&sim, 1, 1);
-	job = sim_submit(&sim, sim_new_job(1, 1, 1, 1), 200);
-	sim.jobs[job].always_fails = true;
-	while (sim.starts < 2)
-		sim_advance(&sim, 10);
-	/* Prevent starts, so that the failed run stays the last one. */
-	fleet_set_zone(sim.fleet, "z0", false);
-	for (size_t i = 0; i < 30; i++) {
-		sim_advance(&sim, 20);
-		sim_take_over(&sim);
-		fleet_set_zone(sim.fleet, "z0", false);
-	}
-	fleet_set_zone(sim.fleet, "z0", true);
-	sim_advance(&sim, 20000);
-	CU_ASSERT_EQUAL(sim_phase(&sim, job), FAILED);
-	CU_ASSERT_EQUAL(sim.starts, 3);
-	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
-}
-
 static void
 test_job_removed_during_write(void)
 {
@@ -698,54 +634,6 @@
 	CU_ASSERT_PTR_NULL(fleet_take_unrecorded(sim.fleet));
 }
 
-/* Guards against a worker that is charged for what its work did: the failures
- * of one job paused it for all others. */
-static void
-test_failing_job_pauses_no_worker_for_others(void)
-{
-	CLEANUP(sim_close) struct sim sim;
-	Ibis__StepJob *spec = sim_new_job(1, 1, 4, 1);
-	size_t failing;
-	size_t other;
-
-	spec->attempts = 4;
-	sim_open(&sim, 1, 1);
-	failing = sim_submit(&sim, spec, 200);
-	sim.jobs[failing].always_fails = true;
-	sim_advance(&sim, 500);
-	other = sim_submit(&sim, sim_new_job(1, 1, 1, 1), 500);
-	sim_advance(&sim, 200);
-	CU_ASSERT_EQUAL(sim_running_tasks(&sim, other), 1);
-	sim_advance(&sim, 60000);
-	CU_ASSERT_EQUAL(sim_phase(&sim, failing), FAILED);
-	CU_ASSERT_EQUAL(sim_phase(&sim, other), COMPLETED);
-	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
-}
-
-/* The other side: a worker that fails the tasks of several jobs is paused for
- * all. */
-static void
-test_worker_that_fails_several_jobs_is_paused(void)
-{
-	CLEANUP(sim_close) struct sim sim;
-	size_t job;
-
-	sim_open(&sim, 1, 1);
-	sim.workers[0].fails_all = true;
-	(void)sim_submit(&sim, sim_new_job(1, 1, 1, 1), 500);
-	(void)sim_submit(&sim, sim_new_job(1, 1, 1, 1), 500);
-	sim_advance(&sim, 500);
-	job = sim_submit(&sim, sim_new_job(1, 1, 1, 1), 500);
-	sim_advance(&sim, 500);
-	CU_ASSERT_EQUAL(sim_running_tasks(&sim, job), 0);
-	CU_ASSERT_EQUAL(
-	    sim_phase(&sim, job), IBIS__STEP_JOB_PHASE__PHASE_PENDING);
-	sim.workers[0].fails_all = false;
-	sim_advance(&sim, 60000);
-	CU_ASSERT_EQUAL(sim_phase(&sim, job), COMPLETED);
-	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
-}
-
 int
 main(void)
 {
@@ -771,8 +659,6 @@
 		test_guarantee_is_reclaimed_from_urgent_jobs},
 	    {"job within guarantee is not preempted",
 		test_job_within_guarantee_is_not_preempted},
-	    {"failing job ends after its attempts",
-		test_failing_job_ends_after_its_attempts},
 	    {"cancelled job is stopped", test_cancelled_job_is_stopped},
 	    {"unreachable worker keeps tasks until lease expires",
 		test_unreachable_worker_keeps_tasks_until_lease_expires},
@@ -784,7 +670,6 @@
 	    {"takeover with unreachable worker",
 		test_takeover_with_unreachable_worker},
 	    {"store outage delays starts", test_store_outage_delays_starts},
-	    {"failing worker fails no job", test_failing_worker_fails_no_job},
 	    {"zone out of service gets no tasks",
 		test_zone_out_of_service_gets_no_tasks},
 	    {"occurrences start when due", test_occurrences_start_when_due},
@@ -793,13 +678,7 @@
 	    {"poll crosses a start", test_poll_crosses_a_start},
 	    {"urgent gang moves from a stalled worker",
 		test_urgent_gang_moves_from_a_stalled_worker},
-	    {"failure is counted once across takeovers",
-		test_failure_is_counted_once_across_takeovers},
 	    {"job removed during write", test_job_removed_during_write},
-	    {"failing job pauses no worker for others",
-		test_failing_job_pauses_no_worker_for_others},
-	    {"worker that fails several jobs is paused",
-		test_worker_that_fails_several_jobs_is_paused},
 	    CU_TEST_INFO_NULL,
 	};
 
--- /dev/null
+++ b/tests/test_fleet_failures.c
@@ -0,0 +1,137 @@
+/* Tests of the fleet with runs that fail, by their fault or the worker's. */
+#include "common_cunit.h"
+#include "common_fleet_sim.h"
+#include "process/alloc.h"
+
+#define COMPLETED IBIS__STEP_JOB_PHASE__PHASE_COMPLETED
+#define FAILED	  IBIS__STEP_JOB_PHASE__PHASE_FAILED
+
+static void
+test_failing_job_ends_after_its_attempts(void)
+{
+	CLEANUP(sim_close) struct sim sim;
+	size_t job;
+
+	sim_open(&sim, 4, 2);
+	job = sim_submit(&sim, sim_new_job(1, 1, 1, 1), 200);
+	sim.jobs[job].always_fails = true;
+	sim_advance(&sim, 20000);
+	CU_ASSERT_EQUAL(sim_phase(&sim, job), FAILED);
+	CU_ASSERT_EQUAL(sim.starts, 3);
+	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
+}
+
+/* A worker that fails every run must not use up the attempts of the jobs. */
+static void
+test_failing_worker_fails_no_job(void)
+{
+	CLEANUP(sim_close) struct sim sim;
+	size_t done = 0;
+
+	sim_open(&sim, 4, 2);
+	sim_advance(&sim, 200);
+	sim.workers[0].fails_all = true;
+	for (size_t i = 0; i < 10; i++) {
+		(void)sim_submit(&sim, sim_new_job(1, 1, 2, 2), 400);
+		sim_advance(&sim, 300);
+	}
+	sim_advance(&sim, 30000);
+	for (size_t i = 0; i < sim.jobs_count; i++)
+		done += sim_phase(&sim, i) == COMPLETED;
+	CU_ASSERT_EQUAL(done, 10);
+	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
+}
+
+/* The lead crashes after it has recorded an end and before the worker has
+ * discarded it, so the worker reports it to the next lead again. */
+static void
+test_failure_is_counted_once_across_takeovers(void)
+{
+	CLEANUP(sim_close) struct sim sim;
+	size_t job;
+
+	sim_open(&sim, 1, 1);
+	job = sim_submit(&sim, sim_new_job(1, 1, 1, 1), 200);
+	sim.jobs[job].always_fails = true;
+	while (sim.starts < 2)
+		sim_advance(&sim, 10);
+	/* Prevent starts, so that the failed run stays the last one. */
+	fleet_set_zone(sim.fleet, "z0", false);
+	for (size_t i = 0; i < 30; i++) {
+		sim_advance(&sim, 20);
+		sim_take_over(&sim);
+		fleet_set_zone(sim.fleet, "z0", false);
+	}
+	fleet_set_zone(sim.fleet, "z0", true);
+	sim_advance(&sim, 20000);
+	CU_ASSERT_EQUAL(sim_phase(&sim, job), FAILED);
+	CU_ASSERT_EQUAL(sim.starts, 3);
+	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
+}
+
+/* Guards against a worker that is charged for what its work did: the failures
+ * of one job paused it for all others. */
+static void
+test_failing_job_pauses_no_worker_for_others(void)
+{
+	CLEANUP(sim_close) struct sim sim;
+	Ibis__StepJob *spec = sim_new_job(1, 1, 4, 1);
+	size_t failing;
+	size_t other;
+
+	spec->attempts = 4;
+	sim_open(&sim, 1, 1);
+	failing = sim_submit(&sim, spec, 200);
+	sim.jobs[failing].always_fails = true;
+	sim_advance(&sim, 500);
+	other = sim_submit(&sim, sim_new_job(1, 1, 1, 1), 500);
+	sim_advance(&sim, 200);
+	CU_ASSERT_EQUAL(sim_running_tasks(&sim, other), 1);
+	sim_advance(&sim, 60000);
+	CU_ASSERT_EQUAL(sim_phase(&sim, failing), FAILED);
+	CU_ASSERT_EQUAL(sim_phase(&sim, other), COMPLETED);
+	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
+}
+
+/* The other side: a worker that fails the tasks of several jobs is paused for
+ * all. */
+static void
+test_worker_that_fails_several_jobs_is_paused(void)
+{
+	CLEANUP(sim_close) struct sim sim;
+	size_t job;
+
+	sim_open(&sim, 1, 1);
+	sim.workers[0].fails_all = true;
+	(void)sim_submit(&sim, sim_new_job(1, 1, 1, 1), 500);
+	(void)sim_submit(&sim, sim_new_job(1, 1, 1, 1), 500);
+	sim_advance(&sim, 500);
+	job = sim_submit(&sim, sim_new_job(1, 1, 1, 1), 500);
+	sim_advance(&sim, 500);
+	CU_ASSERT_EQUAL(sim_running_tasks(&sim, job), 0);
+	CU_ASSERT_EQUAL(
+	    sim_phase(&sim, job), IBIS__STEP_JOB_PHASE__PHASE_PENDING);
+	sim.workers[0].fails_all = false;
+	sim_advance(&sim, 60000);
+	CU_ASSERT_EQUAL(sim_phase(&sim, job), COMPLETED);
+	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"failing job ends after its attempts",
+		test_failing_job_ends_after_its_attempts},
+	    {"failing worker fails no job", test_failing_worker_fails_no_job},
+	    {"failure is counted once across takeovers",
+		test_failure_is_counted_once_across_takeovers},
+	    {"failing job pauses no worker for others",
+		test_failing_job_pauses_no_worker_for_others},
+	    {"worker that fails several jobs is paused",
+		test_worker_that_fails_several_jobs_is_paused},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("fleet failures", tests);
+}
