--- a/review/common/site.h
+++ b/review/common/site.h
@@ -62,12 +62,11 @@
 
 struct store;
 
-/* How the store treats writes from now on. */
+/* How the store treats some writes from now on. */
 struct store_fault {
-	/* Calls get no answer. A conditional write that arrives meanwhile is
-	 * carried out, if its condition still holds, write_late_ms after its
-	 * arrival. */
-	bool silent;
+	/* A write that puts this key gets no answer, and is carried out this
+	 * long after its arrival if its condition still holds; NULL: none. */
+	const char *late_key;
 	int64_t write_late_ms;
 };
 
--- a/review/common/store.c
+++ b/review/common/store.c
@@ -482,26 +482,29 @@
 		reply->status = STATUS_NOT_FOUND;
 }
 
-/* Lets a call that arrives at a silent store wait. A write is carried out late.
- * None of these calls gets an answer. */
+/* Carries a write out late, without an answer. */
 static void
-handle_silently(struct store *store, const struct fake_request *request,
+write_late(struct store *store, const struct fake_request *request,
     const struct store_fault *fault, struct fake_reply *reply)
 {
 	int64_t write_at_ms = record_ms() + fault->write_late_ms;
 
-	reply->cut = true;
-	if (strcmp(request->path, "/ibistrestle/kv-txn") == 0) {
-		while (record_ms() < write_at_ms && !store->stopping)
-			wait_unlocked(store, POLL_INTERVAL_MS);
-		answer_write(store, request->body, reply);
-		record_line("store: carries out a late write: %s",
-		    reply->status == STATUS_CONFLICT ? "condition fails"
-						     : "done");
-		return;
-	}
-	while (store->fault.silent && !store->stopping)
+	record_line("store: leaves a write of %s unanswered", fault->late_key);
+	while (record_ms() < write_at_ms && !store->stopping)
 		wait_unlocked(store, POLL_INTERVAL_MS);
+	answer_write(store, request->body, reply);
+	reply->cut = true;
+	record_line("store: late write of %s: %s", fault->late_key,
+	    reply->status == STATUS_CONFLICT ? "condition fails" : "done");
+}
+
+/* Returns whether a call is a write that the fault makes late. */
+static bool
+is_late(const struct store_fault *fault, const struct fake_request *request)
+{
+	return fault->late_key != NULL &&
+	    strcmp(request->path, "/ibistrestle/kv-txn") == 0 &&
+	    strstr(request->body, fault->late_key) != NULL;
 }
 
 static void
@@ -514,8 +517,8 @@
 	sleep_ms(ANSWER_MS);
 	(void)pthread_mutex_lock(&store->lock);
 	fault = store->fault;
-	if (fault.silent)
-		handle_silently(store, request, &fault, reply);
+	if (is_late(&fault, request))
+		write_late(store, request, &fault, reply);
 	else
 		answer_call(store, request, reply);
 	(void)pthread_mutex_unlock(&store->lock);
@@ -550,7 +553,9 @@
 	(void)pthread_mutex_lock(&store->lock);
 	store->fault = *fault;
 	(void)pthread_mutex_unlock(&store->lock);
-	record_line("store: %s", fault->silent ? "silent" : "answers");
+	record_line("store: %s",
+	    fault->late_key == NULL ? "answers all calls"
+				    : "leaves some writes unanswered");
 }
 
 void
