--- a/review/common/site.h
+++ b/review/common/site.h
@@ -19,7 +19,7 @@
 
 enum {
 	SITE_INSTANCES = 3,
-	SITE_MAX_WORKERS = 16,
+	SITE_MAX_WORKERS = 24,
 	SITE_WORKER_CPU_MILLI = 64000,
 	SITE_WORKER_MEMORY_MB = 262144,
 	SITE_WORKER_ACCELERATORS = 8,
@@ -87,6 +87,8 @@
 enum run_outcome {
 	RUN_RUNNING,
 	RUN_DONE,
+	RUN_FAILED,
+	RUN_BROKEN, /* another member of its gang has ended */
 	RUN_STOPPED,
 	RUN_LAPSED,
 	RUN_CRASHED /* lost with its worker */
@@ -100,6 +102,7 @@
 	int64_t work_ms;
 	int64_t end_number; /* 0: not listed */
 	enum run_outcome outcome;
+	bool fails;
 };
 
 struct worker {
@@ -114,6 +117,7 @@
 	int64_t born_ms; /* its clock starts then */
 	bool down;
 	bool refuses_starts; /* unhealthy: answers 503 */
+	bool fails_runs;     /* runs end as failed soon after their start */
 	int64_t token;
 	int64_t lease_until_ms; /* on its clock */
 	int64_t acked_end;
@@ -136,6 +140,9 @@
 void worker_crash(struct worker *worker);
 /* Starts a crashed worker again under its id. */
 void worker_restart(struct worker *worker);
+/* Ends the runs of a job with this number that are at work, as broken. */
+void worker_break_runs(
+    struct worker *worker, const char *job_id, int64_t number);
 /* Counts the runs of a job on the worker, in all its incarnations. */
 size_t worker_count_runs(struct worker *worker, const char *job_id);
 size_t worker_count_outcomes(
@@ -198,6 +205,7 @@
 	uint32_t accelerators; /* of a task */
 	int64_t work_ms;
 	const char *requires; /* label; NULL: none */
+	bool gang;
 };
 
 /* Submits a job; returns the status. */
--- a/review/common/worker.c
+++ b/review/common/worker.c
@@ -17,6 +17,7 @@
 #define MAX_LEASE_MS	   10000
 #define MAX_LISTED_ENDS	   500
 #define DEFAULT_WORK_MS	   300
+#define FAIL_AFTER_MS	   200
 #define FIRST_CLOCK_MS	   1000
 #define POLL_INTERVAL_MS   3
 #define RACK_WORKERS	   4
@@ -30,6 +31,8 @@
 static const char *const outcome_names[] = {
     [RUN_RUNNING] = "running",
     [RUN_DONE] = "done",
+    [RUN_FAILED] = "failed",
+    [RUN_BROKEN] = "broken",
     [RUN_STOPPED] = "stopped",
     [RUN_LAPSED] = "lapsed",
     [RUN_CRASHED] = "lost with its worker",
@@ -65,7 +68,8 @@
 		if (run->outcome != RUN_RUNNING)
 			continue;
 		if (now_ms >= run->started_ms + run->work_ms)
-			end_run(worker, run, RUN_DONE);
+			end_run(
+			    worker, run, run->fails ? RUN_FAILED : RUN_DONE);
 		else if (lapsed)
 			end_run(worker, run, RUN_LAPSED);
 	}
@@ -170,6 +174,9 @@
 	    .work_ms = work_ms_of(fake_json_text(body, "Spec", "")),
 	};
 	STRING_COPY(run->task, task);
+	run->fails = worker->fails_runs;
+	if (run->fails)
+		run->work_ms = FAIL_AFTER_MS;
 	record_line(
 	    "%s: run %" PRId64 " of %s starts", worker->id, number, task);
 	return NULL;
@@ -450,6 +457,21 @@
 	return strncmp(run->task, job_id, strlen(job_id)) == 0;
 }
 
+void
+worker_break_runs(struct worker *worker, const char *job_id, int64_t number)
+{
+	(void)pthread_mutex_lock(&worker->lock);
+	advance(worker);
+	for (size_t i = worker->first; i < worker->runs_count; i++) {
+		struct worker_run *run = &worker->runs[i];
+
+		if (run->outcome == RUN_RUNNING && run->number == number &&
+		    is_of_job(run, job_id))
+			end_run(worker, run, RUN_BROKEN);
+	}
+	(void)pthread_mutex_unlock(&worker->lock);
+}
+
 size_t
 worker_count_runs(struct worker *worker, const char *job_id)
 {
