--- a/review/build.sh
+++ b/review/build.sh
@@ -8,7 +8,7 @@
 	-Iinclude -Isrc -Iproto -Iplatform"
 packages="json-c neon libmicrohttpd liburcu liburcu-cds libprotobuf-c
 	libxxhash libcurl"
-for case in review/[1-9]; do
+for case in ${CASES:-review/[1-9]}; do
 	[ -f "$case/case.c" ] || continue
 	# shellcheck disable=SC2046,SC2086
 	${CC:-cc} $flags -o "target/review/case-${case#review/}" \
--- a/review/common/site.h
+++ b/review/common/site.h
@@ -27,7 +27,7 @@
 	SITE_KEY_BYTES = 201,
 	SITE_ID_BYTES = 17,
 	SITE_MAX_RUNS = 64,
-	SITE_MAX_ENDS = 1024
+	SITE_MAX_ENDS = 4096
 };
 
 /* Bounds of the deployment, in the units of the settings. */
@@ -101,6 +101,7 @@
 	int64_t ended_ms;
 	int64_t work_ms;
 	int64_t end_number; /* 0: not listed */
+	int64_t noted_ms;   /* when AckSeq had reached the end; 0: not yet */
 	enum run_outcome outcome;
 	bool fails;
 };
@@ -120,7 +121,7 @@
 	bool fails_runs;     /* runs end as failed soon after their start */
 	int64_t token;
 	int64_t lease_until_ms; /* on its clock */
-	int64_t acked_end;
+	int64_t acked_end;	/* highest AckSeq of this incarnation */
 	int64_t last_end;
 	/* All runs of all incarnations; those before first are of earlier
 	 * ones. */
@@ -138,8 +139,9 @@
 void worker_stop(struct worker *worker);
 /* Crashes the worker: what runs there is lost, and nothing listens. */
 void worker_crash(struct worker *worker);
-/* Starts a crashed worker again under its id. */
-void worker_restart(struct worker *worker);
+/* Starts a crashed worker again under its id, and writes its entry this long
+ * after that: workers write theirs about every HeartbeatMs. */
+void worker_restart(struct worker *worker, int64_t entry_after_ms);
 /* Ends the runs of a job with this number that are at work, as broken. */
 void worker_break_runs(
     struct worker *worker, const char *job_id, int64_t number);
--- a/review/common/worker.c
+++ b/review/common/worker.c
@@ -51,6 +51,8 @@
 	run->ended_ms = record_ms();
 	if (outcome != RUN_CRASHED)
 		run->end_number = ++worker->last_end;
+	if (run->end_number > 0 && run->end_number <= worker->acked_end)
+		run->noted_ms = run->ended_ms;
 	record_line("%s: run %" PRId64 " of %s ends: %s", worker->id,
 	    run->number, run->task, outcome_names[outcome]);
 }
@@ -264,6 +266,27 @@
 	return answer;
 }
 
+/* Forgets the ends up to a number, as long as the incarnation lasts. */
+static void
+forget_ends(struct worker *worker, int64_t acked_end)
+{
+	if (acked_end <= worker->acked_end)
+		return;
+	if (acked_end > worker->last_end)
+		record_line("%s: AckSeq %" PRId64
+			    ", and this incarnation has numbered %" PRId64
+			    " ends",
+		    worker->id, acked_end, worker->last_end);
+	worker->acked_end = acked_end;
+	for (size_t i = worker->first; i < worker->runs_count; i++) {
+		struct worker_run *run = &worker->runs[i];
+
+		if (run->end_number > 0 && run->end_number <= acked_end &&
+		    run->noted_ms == 0)
+			run->noted_ms = record_ms();
+	}
+}
+
 static void
 answer_hold(
     struct worker *worker, struct json_object *body, struct fake_reply *reply)
@@ -275,8 +298,7 @@
 	struct json_object *running = json_object_new_array();
 	struct json_object *ends = json_object_new_array();
 
-	if (acked_end > worker->acked_end)
-		worker->acked_end = acked_end;
+	forget_ends(worker, acked_end);
 	extend_lease(worker, body);
 	while (worker->last_end <= worker->acked_end &&
 	    record_ms() < until_ms && !worker->down) {
@@ -439,16 +461,17 @@
 }
 
 void
-worker_restart(struct worker *worker)
+worker_restart(struct worker *worker, int64_t entry_after_ms)
 {
 	(void)pthread_mutex_lock(&worker->lock);
 	begin_incarnation(worker);
 	(void)pthread_mutex_unlock(&worker->lock);
 	worker->server =
 	    fake_server_start(worker->address, handle_request, worker);
-	write_entry(worker);
 	record_line(
 	    "%s: is up again, born %" PRId64, worker->id, worker->born_wall_ms);
+	sleep_ms(entry_after_ms);
+	write_entry(worker);
 }
 
 static bool
