--- a/review/common/site.c
+++ b/review/common/site.c
@@ -432,8 +432,6 @@
 	    job->work_ms, job->tasks, job->accelerators, job->work_ms);
 	if (job->requires != NULL)
 		buffer_printf(&body, ",\"Requires\":\"%s\"", job->requires);
-	if (job->gang)
-		buffer_puts(&body, ",\"Gang\":true");
 	buffer_puts(&body, "}]}");
 	call.body = buffer_string(&body);
 	return site_call(site, &call);
--- a/review/common/site.h
+++ b/review/common/site.h
@@ -32,8 +32,6 @@
 
 /* Bounds of the deployment, in the units of the settings. */
 #define SITE_VISIBLE_MS 3000
-#define SITE_CANCEL_MS	3000
-#define SITE_STOP_MS	200
 #define SITE_FINISH_S	14
 
 #define SITE_PREFIX "/lohu930/"
@@ -62,21 +60,10 @@
 
 struct store;
 
-/* How the store treats some writes from now on. */
-struct store_fault {
-	/* A write that puts this key gets no answer, and is carried out this
-	 * long after its arrival if its condition still holds; NULL: none. */
-	const char *late_key;
-	int64_t write_late_ms;
-};
-
 struct store *store_start(const char *address);
 void store_stop(struct store *store);
-void store_set_fault(struct store *store, const struct store_fault *fault);
 /* Writes an item as an operator or a worker does; value is plain text. */
 void store_put(struct store *store, const char *key, const char *value);
-/* Returns whether an item exists. */
-bool store_has(struct store *store, const char *key);
 /* Copies the name that the lead key holds; empty when there is none. */
 void store_lead(struct store *store, char *name, size_t bytes);
 
@@ -87,8 +74,6 @@
 enum run_outcome {
 	RUN_RUNNING,
 	RUN_DONE,
-	RUN_FAILED,
-	RUN_BROKEN, /* another member of its gang has ended */
 	RUN_STOPPED,
 	RUN_LAPSED,
 	RUN_CRASHED /* lost with its worker */
@@ -103,7 +88,6 @@
 	int64_t end_number; /* 0: not listed */
 	int64_t noted_ms;   /* when AckSeq had reached the end; 0: not yet */
 	enum run_outcome outcome;
-	bool fails;
 };
 
 struct worker {
@@ -117,8 +101,10 @@
 	int64_t born_wall_ms;
 	int64_t born_ms; /* its clock starts then */
 	bool down;
+	/* The next start is not answered, and is carried out at this time of
+	 * the record; 0: starts are answered. */
+	int64_t late_start_ms;
 	bool refuses_starts; /* unhealthy: answers 503 */
-	bool fails_runs;     /* runs end as failed soon after their start */
 	int64_t token;
 	int64_t lease_until_ms; /* on its clock */
 	int64_t acked_end;	/* highest AckSeq of this incarnation */
@@ -142,13 +128,8 @@
 /* Starts a crashed worker again under its id, and writes its entry this long
  * after that: workers write theirs about every HeartbeatMs. */
 void worker_restart(struct worker *worker, int64_t entry_after_ms);
-/* Ends the runs of a job with this number that are at work, as broken. */
-void worker_break_runs(
-    struct worker *worker, const char *job_id, int64_t number);
 /* Counts the runs of a job on the worker, in all its incarnations. */
 size_t worker_count_runs(struct worker *worker, const char *job_id);
-size_t worker_count_outcomes(
-    struct worker *worker, const char *job_id, enum run_outcome outcome);
 
 /*
  * Instances and callers.
@@ -207,7 +188,6 @@
 	uint32_t accelerators; /* of a task */
 	int64_t work_ms;
 	const char *requires; /* label; NULL: none */
-	bool gang;
 };
 
 /* Submits a job; returns the status. */
--- a/review/common/store.c
+++ b/review/common/store.c
@@ -59,7 +59,6 @@
 	struct lease leases[MAX_LEASES];
 	uint64_t revision;
 	uint64_t last_lease;
-	struct store_fault fault;
 	bool stopping;
 };
 
@@ -482,45 +481,15 @@
 		reply->status = STATUS_NOT_FOUND;
 }
 
-/* Carries a write out late, without an answer. */
-static void
-write_late(struct store *store, const struct fake_request *request,
-    const struct store_fault *fault, struct fake_reply *reply)
-{
-	int64_t write_at_ms = record_ms() + fault->write_late_ms;
-
-	record_line("store: leaves a write of %s unanswered", fault->late_key);
-	while (record_ms() < write_at_ms && !store->stopping)
-		wait_unlocked(store, POLL_INTERVAL_MS);
-	answer_write(store, request->body, reply);
-	reply->cut = true;
-	record_line("store: late write of %s: %s", fault->late_key,
-	    reply->status == STATUS_CONFLICT ? "condition fails" : "done");
-}
-
-/* Returns whether a call is a write that the fault makes late. */
-static bool
-is_late(const struct store_fault *fault, const struct fake_request *request)
-{
-	return fault->late_key != NULL &&
-	    strcmp(request->path, "/ibistrestle/kv-txn") == 0 &&
-	    strstr(request->body, fault->late_key) != NULL;
-}
-
 static void
 handle_request(
     void *context, const struct fake_request *request, struct fake_reply *reply)
 {
 	struct store *store = context;
-	struct store_fault fault;
 
 	sleep_ms(ANSWER_MS);
 	(void)pthread_mutex_lock(&store->lock);
-	fault = store->fault;
-	if (is_late(&fault, request))
-		write_late(store, request, &fault, reply);
-	else
-		answer_call(store, request, reply);
+	answer_call(store, request, reply);
 	(void)pthread_mutex_unlock(&store->lock);
 }
 
@@ -547,17 +516,6 @@
 	fake_server_stop(store->server);
 }
 
-void
-store_set_fault(struct store *store, const struct store_fault *fault)
-{
-	(void)pthread_mutex_lock(&store->lock);
-	store->fault = *fault;
-	(void)pthread_mutex_unlock(&store->lock);
-	record_line("store: %s",
-	    fault->late_key == NULL ? "answers all calls"
-				    : "leaves some writes unanswered");
-}
-
 void
 store_put(struct store *store, const char *key, const char *value)
 {
@@ -570,17 +528,6 @@
 	ne_free(encoded);
 }
 
-bool
-store_has(struct store *store, const char *key)
-{
-	bool found;
-
-	(void)pthread_mutex_lock(&store->lock);
-	found = find_item(store, key) != NULL;
-	(void)pthread_mutex_unlock(&store->lock);
-	return found;
-}
-
 void
 store_lead(struct store *store, char *name, size_t bytes)
 {
--- a/review/common/worker.c
+++ b/review/common/worker.c
@@ -17,7 +17,7 @@
 #define MAX_LEASE_MS	   10000
 #define MAX_LISTED_ENDS	   500
 #define DEFAULT_WORK_MS	   300
-#define FAIL_AFTER_MS	   200
+#define NO_ANSWER_MS	   400
 #define FIRST_CLOCK_MS	   1000
 #define POLL_INTERVAL_MS   3
 #define RACK_WORKERS	   4
@@ -31,8 +31,6 @@
 static const char *const outcome_names[] = {
     [RUN_RUNNING] = "running",
     [RUN_DONE] = "done",
-    [RUN_FAILED] = "failed",
-    [RUN_BROKEN] = "broken",
     [RUN_STOPPED] = "stopped",
     [RUN_LAPSED] = "lapsed",
     [RUN_CRASHED] = "lost with its worker",
@@ -70,8 +68,7 @@
 		if (run->outcome != RUN_RUNNING)
 			continue;
 		if (now_ms >= run->started_ms + run->work_ms)
-			end_run(
-			    worker, run, run->fails ? RUN_FAILED : RUN_DONE);
+			end_run(worker, run, RUN_DONE);
 		else if (lapsed)
 			end_run(worker, run, RUN_LAPSED);
 	}
@@ -176,9 +173,6 @@
 	    .work_ms = work_ms_of(fake_json_text(body, "Spec", "")),
 	};
 	STRING_COPY(run->task, task);
-	run->fails = worker->fails_runs;
-	if (run->fails)
-		run->work_ms = FAIL_AFTER_MS;
 	record_line(
 	    "%s: run %" PRId64 " of %s starts", worker->id, number, task);
 	return NULL;
@@ -387,6 +381,60 @@
 	}
 }
 
+/* A start that was not answered and is carried out later. */
+struct late_start {
+	struct worker *worker;
+	struct json_object *body; /* owned */
+	int64_t at_ms;
+};
+
+static void *
+carry_out_late(void *context)
+{
+	struct late_start *late = context;
+	struct worker *worker = late->worker;
+	struct fake_reply reply = {0};
+
+	sleep_until(late->at_ms);
+	(void)pthread_mutex_lock(&worker->lock);
+	record_line("%s: a late start of %s arrives, token %" PRId64
+		    ", highest seen %" PRId64,
+	    worker->id, fake_json_text(late->body, "Task", ""),
+	    fake_json_number(late->body, "FencingToken", 0), worker->token);
+	if (!worker->down &&
+	    fake_json_number(late->body, "FencingToken", 0) >= worker->token) {
+		worker->token = fake_json_number(late->body, "FencingToken", 0);
+		answer_start(worker, late->body, &reply);
+	}
+	(void)pthread_mutex_unlock(&worker->lock);
+	buffer_free(&reply.body);
+	json_object_put(late->body);
+	mem_free(late);
+	return NULL;
+}
+
+/* Leaves a start unanswered. Returns false when it is not to be late. */
+static bool
+delay_start(struct worker *worker, const struct fake_request *request)
+{
+	struct late_start *late;
+	pthread_t thread;
+
+	if (worker->late_start_ms == 0 ||
+	    strcmp(request->path, "/ibistrestle/run-start") != 0)
+		return false;
+	late = mem_calloc(1, sizeof(*late));
+	late->worker = worker;
+	late->body = json_tokener_parse(request->body);
+	late->at_ms = worker->late_start_ms;
+	worker->late_start_ms = 0;
+	record_line("%s: leaves the start of %s unanswered", worker->id,
+	    fake_json_text(late->body, "Task", ""));
+	if (pthread_create(&thread, NULL, carry_out_late, late) == 0)
+		(void)pthread_detach(thread);
+	return true;
+}
+
 static void
 handle_request(
     void *context, const struct fake_request *request, struct fake_reply *reply)
@@ -395,8 +443,12 @@
 	struct json_object *body = json_tokener_parse(request->body);
 
 	(void)pthread_mutex_lock(&worker->lock);
-	answer_call(worker, request, body, reply);
+	reply->cut = delay_start(worker, request);
+	if (!reply->cut)
+		answer_call(worker, request, body, reply);
 	(void)pthread_mutex_unlock(&worker->lock);
+	if (reply->cut)
+		sleep_ms(NO_ANSWER_MS);
 	json_object_put(body);
 }
 
@@ -480,21 +532,6 @@
 	return strncmp(run->task, job_id, strlen(job_id)) == 0;
 }
 
-void
-worker_break_runs(struct worker *worker, const char *job_id, int64_t number)
-{
-	(void)pthread_mutex_lock(&worker->lock);
-	advance(worker);
-	for (size_t i = worker->first; i < worker->runs_count; i++) {
-		struct worker_run *run = &worker->runs[i];
-
-		if (run->outcome == RUN_RUNNING && run->number == number &&
-		    is_of_job(run, job_id))
-			end_run(worker, run, RUN_BROKEN);
-	}
-	(void)pthread_mutex_unlock(&worker->lock);
-}
-
 size_t
 worker_count_runs(struct worker *worker, const char *job_id)
 {
@@ -506,19 +543,3 @@
 	(void)pthread_mutex_unlock(&worker->lock);
 	return count;
 }
-
-size_t
-worker_count_outcomes(
-    struct worker *worker, const char *job_id, enum run_outcome outcome)
-{
-	size_t count = 0;
-
-	(void)pthread_mutex_lock(&worker->lock);
-	if (!worker->down)
-		advance(worker);
-	for (size_t i = 0; i < worker->runs_count; i++)
-		count += is_of_job(&worker->runs[i], job_id) &&
-		    worker->runs[i].outcome == outcome;
-	(void)pthread_mutex_unlock(&worker->lock);
-	return count;
-}
