--- a/tests/test_agent_lead.c
+++ b/tests/test_agent_lead.c
@@ -7,19 +7,17 @@
 #include <unistd.h>
 
 #include "agent/agent_state.h"
+#include "common_agent.h"
 #include "common_cunit.h"
 #include "connection/address.h"
 #include "process/alloc.h"
 #include "process/clock.h"
 #include "process/proto_memory.h"
 
-#define OUR_LEASE		   77
-#define OUR_EPOCH		   52
 #define STATUS_OK		   200
 #define STATUS_PRECONDITION_FAILED 412
 #define JOB_ID			   "0123456789abcdef"
 #define NEW_JOB_ID		   "0123456789abcd00"
-#define MAX_CALLS		   32
 /* Longer than a lead grants leases and leads without an answer of the store. */
 #define STUCK_WATCH_MS 20000
 /* Longer than a worker's lease, the pause between two watches of workers, and
@@ -40,99 +38,6 @@
 #define MAX_REQUEST_BYTES 4096
 #define CONFIG_APPLY_MS	  3000
 
-/* A store call of the instance. */
-struct call {
-	char path[256];
-	http_callback *done;
-	void *context;
-};
-
-struct fixture {
-	struct agent agent;
-	struct call calls[MAX_CALLS];
-	size_t count;
-};
-
-static void
-record_call(void *context, const struct http_call *call, http_callback *done,
-    void *done_context)
-{
-	struct fixture *fixture = context;
-	struct call *recorded;
-
-	CU_ASSERT_TRUE_FATAL(fixture->count < MAX_CALLS);
-	recorded = &fixture->calls[fixture->count++];
-	STRING_COPY(recorded->path, call->path);
-	recorded->done = done;
-	recorded->context = done_context;
-}
-
-static void
-open_fixture(struct fixture *fixture)
-{
-	struct agent *agent = &fixture->agent;
-
-	memset(fixture, 0, sizeof(*fixture));
-	STRING_COPY(agent->settings.name, "i1");
-	agent->settings.max_lease_ms = 10000;
-	agent->settings.min_store_lease_ms = 1000;
-	agent->settings.remote_factor = 3;
-	agent->settings.config_apply_ms = CONFIG_APPLY_MS;
-	agent->random_state = 1;
-	agent->store = (struct platform_store){
-	    .send = record_call,
-	    .send_context = fixture,
-	    .address = "127.0.0.1:1",
-	    .timeout_ms = STORE_TIMEOUT_MS,
-	};
-	CDS_INIT_LIST_HEAD(&agent->pending_requests);
-	CDS_INIT_LIST_HEAD(&agent->relay.peer_calls);
-	CDS_INIT_LIST_HEAD(&agent->relay.short_calls);
-	agent_config_start(agent);
-	agent_view_start(agent);
-}
-
-static void
-close_fixture(struct fixture *fixture)
-{
-	struct http_result nothing = {
-	    .outcome = HTTP_OUTCOME_UNKNOWN, .body = ""};
-
-	agent_lead_step_down(&fixture->agent, "test over");
-	agent_view_free(&fixture->agent);
-	agent_config_free(&fixture->agent);
-	for (size_t i = 0; i < fixture->count; i++) {
-		if (fixture->calls[i].done != NULL)
-			fixture->calls[i].done(
-			    fixture->calls[i].context, &nothing);
-	}
-}
-
-static void
-append_item(struct buffer *body, const char *key, const void *value,
-    size_t length, uint64_t revision, uint64_t lease)
-{
-	char *text = ne_base64(value, length);
-
-	buffer_printf(body,
-	    "%s{\"Key\":\"%s\",\"Value\":\"%s\",\"Revision\":%llu,"
-	    "\"Created\":%llu,\"Lease\":%llu}",
-	    body->length == 0 ? "" : ",", key, text,
-	    (unsigned long long)revision, (unsigned long long)revision,
-	    (unsigned long long)lease);
-	ne_free(text);
-}
-
-static void
-append_message(struct buffer *body, const char *key,
-    const ProtobufCMessage *message, uint64_t revision)
-{
-	CLEANUP(buffer_free) struct buffer packed = {0};
-
-	proto_pack(message, &packed);
-	append_item(body, key, packed.data, packed.length, revision, 0);
-}
-
 /* Builds the answer to a listing of the store, in key order: a completed job's
  * record, this instance's lead key and the job's progress. */
 static void
@@ -158,83 +63,23 @@
 	progress.phase = IBIS__STEP_JOB_PHASE__PHASE_COMPLETED;
 	progress.occurrences = occurrences;
 	progress.n_occurrences = 1;
-	append_message(&items, AGENT_JOB_PREFIX JOB_ID, &job.base, 40);
-	append_item(&items, AGENT_LEAD_KEY, "i1", 2, OUR_EPOCH, OUR_LEASE);
-	append_message(
+	append_store_message(&items, AGENT_JOB_PREFIX JOB_ID, &job.base, 40);
+	append_store_item(&items, AGENT_LEAD_KEY, "i1", 2, AGENT_FIXTURE_EPOCH,
+	    AGENT_FIXTURE_LEASE);
+	append_store_message(
 	    &items, AGENT_PROGRESS_PREFIX JOB_ID, &progress.base, 45);
 	buffer_printf(body, "{\"items\":[%s],\"HasMore\":false,\"At\":60}",
 	    buffer_string(&items));
 }
 
-/* Answers the newest unanswered call whose path contains a text. */
-static void
-answer_status(struct fixture *fixture, const char *path_part, int32_t status,
-    const char *body)
-{
-	int64_t now_ms = clock_now_ms();
-	struct http_result reply = {
-	    .outcome = HTTP_RESPONDED,
-	    .status = status,
-	    .body = body,
-	    .body_length = strlen(body),
-	    .sent_ms = now_ms,
-	    .received_ms = now_ms,
-	};
-
-	for (size_t i = fixture->count; i > 0; i--) {
-		struct call *call = &fixture->calls[i - 1];
-
-		if (strstr(call->path, path_part) == NULL || call->done == NULL)
-			continue;
-		call->done(call->context, &reply);
-		call->done = NULL;
-		return;
-	}
-	CU_FAIL("no unanswered store call with this path");
-}
-
-static void
-answer(struct fixture *fixture, const char *path_part, const char *body)
-{
-	answer_status(fixture, path_part, STATUS_OK, body);
-}
-
-/* Returns how many calls with a text in their path are unanswered. */
-static size_t
-unanswered(const struct fixture *fixture, const char *path_part)
-{
-	size_t count = 0;
-
-	for (size_t i = 0; i < fixture->count; i++)
-		count += fixture->calls[i].done != NULL &&
-		    strstr(fixture->calls[i].path, path_part) != NULL;
-	return count;
-}
-
-/* Brings the instance to the state after its request for the lead key. */
+/* Makes the instance lead a store with a completed job. */
 static void
-await_key(struct agent *agent)
-{
-	agent->lead.state = AGENT_AWAITING_KEY;
-	agent->lead.lease = OUR_LEASE;
-	agent->lead.key_requested_ms = clock_now_ms();
-	agent->lead.renewed_ms = clock_now_ms();
-}
-
-/* Makes the instance lead: it has written the lead key, and a listing shows the
- * key. */
-static void
-become_lead(struct fixture *fixture)
+lead_completed_job(struct agent_fixture *fixture)
 {
 	CLEANUP(buffer_free) struct buffer listing = {0};
-	struct agent *agent = &fixture->agent;
 
-	await_key(agent);
-	agent_view_step(agent, clock_now_ms());
 	build_listing(&listing);
-	answer(fixture, "Prefix=ibis", buffer_string(&listing));
-	agent_lead_step(agent, clock_now_ms());
-	CU_ASSERT_EQUAL_FATAL(agent->lead.state, AGENT_LEADING);
+	become_lead(fixture, buffer_string(&listing));
 }
 
 /* Guards against a new lead that takes over without the progress of jobs. The
@@ -243,12 +88,12 @@
 static void
 test_new_lead_takes_over_with_a_complete_listing(void)
 {
-	CLEANUP(close_fixture) struct fixture fixture;
+	CLEANUP(close_agent_fixture) struct agent_fixture fixture;
 	const struct fleet_job *job;
 
-	open_fixture(&fixture);
-	become_lead(&fixture);
-	CU_ASSERT_EQUAL(fixture.agent.lead.epoch, OUR_EPOCH);
+	open_agent_fixture(&fixture);
+	lead_completed_job(&fixture);
+	CU_ASSERT_EQUAL(fixture.agent.lead.epoch, AGENT_FIXTURE_EPOCH);
 	job = fleet_find_job(fixture.agent.fleet, JOB_ID);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(job);
 	CU_ASSERT_EQUAL(
@@ -261,12 +106,12 @@
 static void
 test_renewals_without_a_watch_grant_no_leases(void)
 {
-	CLEANUP(close_fixture) struct fixture fixture;
+	CLEANUP(close_agent_fixture) struct agent_fixture fixture;
 	struct agent *agent = &fixture.agent;
 	int64_t now_ms = clock_now_ms();
 
-	open_fixture(&fixture);
-	become_lead(&fixture);
+	open_agent_fixture(&fixture);
+	lead_completed_job(&fixture);
 	CU_ASSERT_EQUAL(agent_lead_grant_start_ms(agent, now_ms), now_ms);
 	agent->lead.renewed_ms = now_ms + STUCK_WATCH_MS;
 	CU_ASSERT_TRUE(agent_lead_grant_start_ms(agent,
@@ -279,12 +124,12 @@
 static void
 test_lead_steps_down_when_its_key_changes(void)
 {
-	CLEANUP(close_fixture) struct fixture fixture;
+	CLEANUP(close_agent_fixture) struct agent_fixture fixture;
 
-	open_fixture(&fixture);
-	become_lead(&fixture);
+	open_agent_fixture(&fixture);
+	lead_completed_job(&fixture);
 	agent_view_step(&fixture.agent, clock_now_ms());
-	answer(&fixture, "Prefix=ibis",
+	answer_store(&fixture, "Prefix=ibis",
 	    "{\"events\":[{\"Key\":\"ibis/lead\",\"Revision\":61,"
 	    "\"Deleted\":true}],\"At\":61}");
 	agent_lead_step(&fixture.agent, clock_now_ms());
@@ -298,7 +143,7 @@
 static void
 test_new_lead_waits_for_changes_during_the_listing(void)
 {
-	CLEANUP(close_fixture) struct fixture fixture;
+	CLEANUP(close_agent_fixture) struct agent_fixture fixture;
 	CLEANUP(buffer_free) struct buffer lead = {0};
 	CLEANUP(buffer_free) struct buffer second_page = {0};
 	CLEANUP(buffer_free) struct buffer job = {0};
@@ -306,25 +151,28 @@
 	Ibis__StepJob record = IBIS__STEP_JOB__INIT;
 	struct agent *agent = &fixture.agent;
 
-	open_fixture(&fixture);
-	await_key(agent);
+	open_agent_fixture(&fixture);
+	await_lead_key(agent);
 	agent_view_step(agent, clock_now_ms());
-	answer(&fixture, "Prefix=ibis",
+	answer_store(&fixture, "Prefix=ibis",
 	    "{\"items\":[{\"Key\":\"ibis/instance/i1\",\"Value\":\"\","
 	    "\"Revision\":9}],\"HasMore\":true,\"At\":50}");
-	append_item(&lead, AGENT_LEAD_KEY, "i1", 2, OUR_EPOCH, OUR_LEASE);
+	append_store_item(&lead, AGENT_LEAD_KEY, "i1", 2, AGENT_FIXTURE_EPOCH,
+	    AGENT_FIXTURE_LEASE);
 	buffer_printf(&second_page,
 	    "{\"items\":[%s],\"HasMore\":false,\"At\":52}",
 	    buffer_string(&lead));
 	agent_view_step(agent, clock_now_ms());
-	answer(&fixture, "kv-range?Prefix=ibis", buffer_string(&second_page));
+	answer_store(
+	    &fixture, "kv-range?Prefix=ibis", buffer_string(&second_page));
 	agent_lead_step(agent, clock_now_ms());
 	CU_ASSERT_NOT_EQUAL(agent->lead.state, AGENT_LEADING);
-	append_message(&job, AGENT_JOB_PREFIX NEW_JOB_ID, &record.base, 51);
+	append_store_message(
+	    &job, AGENT_JOB_PREFIX NEW_JOB_ID, &record.base, 51);
 	buffer_printf(
 	    &events, "{\"events\":[%s],\"At\":52}", buffer_string(&job));
 	agent_view_step(agent, clock_now_ms());
-	answer(&fixture, "kv-watch?Prefix=ibis", buffer_string(&events));
+	answer_store(&fixture, "kv-watch?Prefix=ibis", buffer_string(&events));
 	agent_lead_step(agent, clock_now_ms());
 	CU_ASSERT_EQUAL_FATAL(agent->lead.state, AGENT_LEADING);
 	CU_ASSERT_PTR_NOT_NULL(fleet_find_job(agent->fleet, NEW_JOB_ID));
@@ -333,7 +181,7 @@
 /* Answers the watch of records with a job without progress that has been
  * cancelled, so that the lead writes its progress. */
 static void
-cancel_new_job(struct fixture *fixture)
+cancel_new_job(struct agent_fixture *fixture)
 {
 	CLEANUP(buffer_free) struct buffer items = {0};
 	CLEANUP(buffer_free) struct buffer events = {0};
@@ -344,12 +192,13 @@
 	step.tasks = 1;
 	job.steps = steps;
 	job.n_steps = 1;
-	append_message(&items, AGENT_JOB_PREFIX NEW_JOB_ID, &job.base, 61);
-	append_item(&items, AGENT_CANCEL_PREFIX NEW_JOB_ID, "", 0, 62, 0);
+	append_store_message(
+	    &items, AGENT_JOB_PREFIX NEW_JOB_ID, &job.base, 61);
+	append_store_item(&items, AGENT_CANCEL_PREFIX NEW_JOB_ID, "", 0, 62, 0);
 	buffer_printf(
 	    &events, "{\"events\":[%s],\"At\":62}", buffer_string(&items));
 	agent_view_step(&fixture->agent, clock_now_ms());
-	answer(fixture, "kv-watch?Prefix=ibis", buffer_string(&events));
+	answer_store(fixture, "kv-watch?Prefix=ibis", buffer_string(&events));
 }
 
 /* Guards against two runs of one task: a lead that had missed a record of an
@@ -358,27 +207,29 @@
 static void
 test_lead_reloads_after_a_conflict_with_an_unread_record(void)
 {
-	CLEANUP(close_fixture) struct fixture fixture;
+	CLEANUP(close_agent_fixture) struct agent_fixture fixture;
 	CLEANUP(buffer_free) struct buffer items = {0};
 	CLEANUP(buffer_free) struct buffer conflict = {0};
 	struct agent *agent = &fixture.agent;
 	int64_t now_ms = clock_now_ms();
 
-	open_fixture(&fixture);
-	become_lead(&fixture);
+	open_agent_fixture(&fixture);
+	lead_completed_job(&fixture);
 	cancel_new_job(&fixture);
 	agent_view_step(agent, now_ms);
 	agent_records_step(agent, now_ms);
-	append_item(&items, AGENT_LEAD_KEY, "i1", 2, OUR_EPOCH, OUR_LEASE);
-	append_item(&items, AGENT_PROGRESS_PREFIX NEW_JOB_ID, "x", 1, 50, 0);
+	append_store_item(&items, AGENT_LEAD_KEY, "i1", 2, AGENT_FIXTURE_EPOCH,
+	    AGENT_FIXTURE_LEASE);
+	append_store_item(
+	    &items, AGENT_PROGRESS_PREFIX NEW_JOB_ID, "x", 1, 50, 0);
 	buffer_printf(&conflict, "{\"items\":[%s]}", buffer_string(&items));
-	answer_status(&fixture, "kv-txn", STATUS_PRECONDITION_FAILED,
+	answer_store_status(&fixture, "kv-txn", STATUS_PRECONDITION_FAILED,
 	    buffer_string(&conflict));
 	agent_records_step(agent, now_ms);
-	CU_ASSERT_EQUAL(unanswered(&fixture, "kv-txn"), 0);
+	CU_ASSERT_EQUAL(count_unanswered(&fixture, "kv-txn"), 0);
 	CU_ASSERT_NOT_EQUAL(agent->lead.state, AGENT_LEADING);
 	agent_view_step(agent, now_ms);
-	CU_ASSERT_EQUAL(unanswered(&fixture, "kv-range?Prefix=ibis"), 1);
+	CU_ASSERT_EQUAL(count_unanswered(&fixture, "kv-range?Prefix=ibis"), 1);
 }
 
 /* Guards against two runs of one task: a job whose progress can't be read was
@@ -386,21 +237,23 @@
 static void
 test_job_with_unreadable_progress_is_not_run(void)
 {
-	CLEANUP(close_fixture) struct fixture fixture;
+	CLEANUP(close_agent_fixture) struct agent_fixture fixture;
 	CLEANUP(buffer_free) struct buffer items = {0};
 	CLEANUP(buffer_free) struct buffer listing = {0};
 	struct agent *agent = &fixture.agent;
 	Ibis__StepJob job = IBIS__STEP_JOB__INIT;
 
-	open_fixture(&fixture);
-	await_key(agent);
+	open_agent_fixture(&fixture);
+	await_lead_key(agent);
 	agent_view_step(agent, clock_now_ms());
-	append_message(&items, AGENT_JOB_PREFIX JOB_ID, &job.base, 40);
-	append_item(&items, AGENT_LEAD_KEY, "i1", 2, OUR_EPOCH, OUR_LEASE);
-	append_item(&items, AGENT_PROGRESS_PREFIX JOB_ID, "\xff", 1, 45, 0);
+	append_store_message(&items, AGENT_JOB_PREFIX JOB_ID, &job.base, 40);
+	append_store_item(&items, AGENT_LEAD_KEY, "i1", 2, AGENT_FIXTURE_EPOCH,
+	    AGENT_FIXTURE_LEASE);
+	append_store_item(
+	    &items, AGENT_PROGRESS_PREFIX JOB_ID, "\xff", 1, 45, 0);
 	buffer_printf(&listing, "{\"items\":[%s],\"HasMore\":false,\"At\":60}",
 	    buffer_string(&items));
-	answer(&fixture, "Prefix=ibis", buffer_string(&listing));
+	answer_store(&fixture, "Prefix=ibis", buffer_string(&listing));
 	agent_lead_step(agent, clock_now_ms());
 	CU_ASSERT_EQUAL_FATAL(agent->lead.state, AGENT_LEADING);
 	CU_ASSERT_PTR_NULL(fleet_find_job(agent->fleet, JOB_ID));
@@ -408,7 +261,8 @@
 
 /* Reports the worker to the lead as listed at an address, or as deleted. */
 static void
-change_worker(struct fixture *fixture, const char *address, uint64_t revision)
+change_worker(
+    struct agent_fixture *fixture, const char *address, uint64_t revision)
 {
 	CLEANUP(buffer_free) struct buffer entry = {0};
 	CLEANUP(buffer_free) struct buffer item = {0};
@@ -425,26 +279,26 @@
 		    "\"State\":\"ready\",\"Capacity\":{\"Cpu\":1000,"
 		    "\"MemMb\":1000,\"Gpus\":0}}",
 		    address);
-		append_item(&item, "servers/w", buffer_string(&entry),
+		append_store_item(&item, "servers/w", buffer_string(&entry),
 		    entry.length, revision, 0);
 	}
 	buffer_printf(&events, "{\"events\":[%s],\"At\":%llu}",
 	    buffer_string(&item), (unsigned long long)revision);
-	answer(fixture, "Prefix=servers", buffer_string(&events));
+	answer_store(fixture, "Prefix=servers", buffer_string(&events));
 }
 
 /* Makes the instance lead, and lets it see a worker and poll it. */
 static void
-lead_with_worker(struct fixture *fixture, const char *address)
+lead_with_worker(struct agent_fixture *fixture, const char *address)
 {
 	struct agent *agent = &fixture->agent;
 	struct ibis_status status = {0};
 
-	open_fixture(fixture);
+	open_agent_fixture(fixture);
 	agent->pool = http_pool_new(&status);
-	become_lead(fixture);
+	lead_completed_job(fixture);
 	agent_workers_step(agent, clock_now_ms());
-	answer(fixture, "Prefix=servers", "{\"items\":[],\"At\":60}");
+	answer_store(fixture, "Prefix=servers", "{\"items\":[],\"At\":60}");
 	agent_workers_step(agent, clock_now_ms());
 	change_worker(fixture, address, 70);
 	agent_workers_step(agent, clock_now_ms());
@@ -501,7 +355,7 @@
 static void
 test_idle_worker_is_polled_rarely(void)
 {
-	CLEANUP(close_fixture) struct fixture fixture;
+	CLEANUP(close_agent_fixture) struct agent_fixture fixture;
 	struct agent *agent = &fixture.agent;
 	struct ibis_status status = {0};
 	char address[ADDRESS_TEXT_BYTES];
@@ -530,7 +384,7 @@
 static void
 test_run_without_a_record_makes_the_lead_reload(void)
 {
-	CLEANUP(close_fixture) struct fixture fixture;
+	CLEANUP(close_agent_fixture) struct agent_fixture fixture;
 	struct agent *agent = &fixture.agent;
 	struct ibis_status status = {0};
 	char address[ADDRESS_TEXT_BYTES];
@@ -542,7 +396,7 @@
 	answer_poll(agent, listener, UNRECORDED_END_REPORT);
 	CU_ASSERT_NOT_EQUAL(agent->lead.state, AGENT_LEADING);
 	agent_view_step(agent, clock_now_ms());
-	CU_ASSERT_EQUAL(unanswered(&fixture, "kv-range?Prefix=ibis"), 1);
+	CU_ASSERT_EQUAL(count_unanswered(&fixture, "kv-range?Prefix=ibis"), 1);
 	http_pool_free(agent->pool);
 	(void)close(listener);
 }
@@ -552,7 +406,7 @@
 static void
 test_returning_worker_is_polled(void)
 {
-	CLEANUP(close_fixture) struct fixture fixture;
+	CLEANUP(close_agent_fixture) struct agent_fixture fixture;
 	struct agent *agent = &fixture.agent;
 	struct ibis_status status = {0};
 	char address[ADDRESS_TEXT_BYTES];
@@ -587,12 +441,12 @@
 	static const char *const bodies[] = {"", "{}", "{\"Lease\":0}"};
 
 	for (size_t i = 0; i < COUNT_OF(bodies); i++) {
-		CLEANUP(close_fixture) struct fixture fixture;
+		CLEANUP(close_agent_fixture) struct agent_fixture fixture;
 
-		open_fixture(&fixture);
+		open_agent_fixture(&fixture);
 		agent_lead_request(&fixture.agent, 0);
-		answer(&fixture, "kv-lease", bodies[i]);
-		CU_ASSERT_EQUAL(unanswered(&fixture, "kv-txn"), 0);
+		answer_store(&fixture, "kv-lease", bodies[i]);
+		CU_ASSERT_EQUAL(count_unanswered(&fixture, "kv-txn"), 0);
 		CU_ASSERT_EQUAL(fixture.agent.lead.state, AGENT_FOLLOWING);
 		CU_ASSERT_TRUE(fixture.agent.lead.next_try_ms > clock_now_ms());
 	}
@@ -601,18 +455,18 @@
 static void
 test_lead_key_is_requested_with_its_lease(void)
 {
-	CLEANUP(close_fixture) struct fixture fixture;
+	CLEANUP(close_agent_fixture) struct agent_fixture fixture;
 
-	open_fixture(&fixture);
+	open_agent_fixture(&fixture);
 	agent_lead_request(&fixture.agent, 0);
-	answer(&fixture, "kv-lease", "{\"Lease\":77,\"TtlMs\":1000}");
-	CU_ASSERT_EQUAL(unanswered(&fixture, "kv-txn"), 1);
-	CU_ASSERT_EQUAL(fixture.agent.lead.lease, OUR_LEASE);
+	answer_store(&fixture, "kv-lease", "{\"Lease\":77,\"TtlMs\":1000}");
+	CU_ASSERT_EQUAL(count_unanswered(&fixture, "kv-txn"), 1);
+	CU_ASSERT_EQUAL(fixture.agent.lead.lease, AGENT_FIXTURE_LEASE);
 }
 
 /* Makes records of this many jobs due. */
 static void
-add_dirty_jobs(struct fixture *fixture, int count)
+add_dirty_jobs(struct agent_fixture *fixture, int count)
 {
 	CLEANUP(buffer_free) struct buffer packed = {0};
 	Ibis__StepJob job = IBIS__STEP_JOB__INIT;
@@ -635,23 +489,23 @@
 static void
 test_records_are_written_beside_each_other(void)
 {
-	CLEANUP(close_fixture) struct fixture fixture;
+	CLEANUP(close_agent_fixture) struct agent_fixture fixture;
 	struct agent *agent = &fixture.agent;
 	int64_t now_ms = clock_now_ms();
 
-	open_fixture(&fixture);
-	become_lead(&fixture);
+	open_agent_fixture(&fixture);
+	lead_completed_job(&fixture);
 	agent->next_removal_ms = INT64_MAX;
 	add_dirty_jobs(&fixture, 40);
 	agent_records_step(agent, now_ms);
-	CU_ASSERT_EQUAL(unanswered(&fixture, "kv-txn"), 2);
+	CU_ASSERT_EQUAL(count_unanswered(&fixture, "kv-txn"), 2);
 	agent_records_step(agent, now_ms + 1000);
-	CU_ASSERT_EQUAL(unanswered(&fixture, "kv-txn"), 3);
+	CU_ASSERT_EQUAL(count_unanswered(&fixture, "kv-txn"), 3);
 	agent_records_step(agent, now_ms + 2000);
-	CU_ASSERT_EQUAL(unanswered(&fixture, "kv-txn"), 3);
-	answer(&fixture, "kv-txn", "{\"Revision\":70}");
-	answer(&fixture, "kv-txn", "{\"Revision\":71}");
-	answer(&fixture, "kv-txn", "{\"Revision\":72}");
+	CU_ASSERT_EQUAL(count_unanswered(&fixture, "kv-txn"), 3);
+	answer_store(&fixture, "kv-txn", "{\"Revision\":70}");
+	answer_store(&fixture, "kv-txn", "{\"Revision\":71}");
+	answer_store(&fixture, "kv-txn", "{\"Revision\":72}");
 	CU_ASSERT_EQUAL(agent->lead.state, AGENT_LEADING);
 	CU_ASSERT_FALSE(fleet_has_unrecorded(agent->fleet, 1));
 }
@@ -661,17 +515,17 @@
 static void
 test_late_answers_to_records_are_ignored(void)
 {
-	CLEANUP(close_fixture) struct fixture fixture;
+	CLEANUP(close_agent_fixture) struct agent_fixture fixture;
 	struct agent *agent = &fixture.agent;
 
-	open_fixture(&fixture);
-	become_lead(&fixture);
+	open_agent_fixture(&fixture);
+	lead_completed_job(&fixture);
 	agent->next_removal_ms = INT64_MAX;
 	add_dirty_jobs(&fixture, 40);
 	agent_records_step(agent, clock_now_ms());
 	agent_lead_step_down(agent, "test");
-	answer(&fixture, "kv-txn", "{\"Revision\":70}");
-	answer(&fixture, "kv-txn", "{\"Revision\":71}");
+	answer_store(&fixture, "kv-txn", "{\"Revision\":70}");
+	answer_store(&fixture, "kv-txn", "{\"Revision\":71}");
 	CU_ASSERT_EQUAL(agent->lead.state, AGENT_FOLLOWING);
 }
 
