Leave room for all keys of a job that is removed

Callers saw: some time after jobs had ended, each instance that led crashed, one after the other and again after each restart.

Cause: remove_expired collected the keys of expired jobs, two for a job and three for a cancelled one, as long as one key was left. With 22 or 23 used it wrote past two arrays on the stack.

Now a job's keys are added all or none, and the place that adds them knows the room. A job without room stays until the next round.

Looked for the same elsewhere: batches of records stop at 15 jobs (31 rows), the fleet's list of writes, unmet needs, waits of a job, failed plans and shapes, victims and avoided workers each check their bound where they add.

--- a/src/agent/agent_records.c
+++ b/src/agent/agent_records.c
@@ -23,7 +23,7 @@
  * that has taken this long. */
 #define BATCH_OVERLAP_MS 40
 #define RECORD_RETRY_MS	 40
-/* Keys removed in one transaction: up to three for a job. */
+/* Keys removed in one transaction. */
 #define REMOVAL_MAX_KEYS    24
 #define REMOVAL_INTERVAL_MS 5000
 /* An ended job is removed this long after its retention time. */
@@ -304,56 +304,72 @@
 	}
 }
 
+/* A transaction that removes keys while this instance leads. */
+struct removal {
+	struct platform_store_op changes[REMOVAL_MAX_KEYS + 1];
+	char keys[REMOVAL_MAX_KEYS][PLATFORM_KEY_BYTES];
+	size_t count; /* keys */
+};
+
+/* Appends a key. The caller has checked that there is room. */
 static void
-add_removal(struct platform_store_op *change, char key[PLATFORM_KEY_BYTES],
-    const char *prefix, const char *id)
+add_key(struct removal *removal, const char *prefix, const char *id)
 {
+	char *key = removal->keys[removal->count++];
+
 	(void)snprintf(key, PLATFORM_KEY_BYTES, "%s%s", prefix, id);
-	*change = (struct platform_store_op){.key = key, .remove = true};
+	removal->changes[removal->count] =
+	    (struct platform_store_op){.key = key, .remove = true};
+}
+
+/* Appends all keys of a job, or none if there is no room for all. Returns
+ * whether there was. */
+static bool
+add_job_keys(struct removal *removal, const struct view_job *job)
+{
+	size_t needed = job->cancelled ? 3 : 2;
+
+	if (needed > COUNT_OF(removal->keys) - removal->count)
+		return false;
+	add_key(removal, AGENT_JOB_PREFIX, job->id);
+	add_key(removal, AGENT_PROGRESS_PREFIX, job->id);
+	if (job->cancelled)
+		add_key(removal, AGENT_CANCEL_PREFIX, job->id);
+	return true;
 }
 
+/* Removes expired jobs. Those for which there is no room stay until the next
+ * round. */
 static void
 remove_expired(struct agent *agent, int64_t now_ms)
 {
-	struct platform_store_op changes[REMOVAL_MAX_KEYS + 1] = {
-	    {
+	struct removal removal = {
+	    .changes = {{
 		.key = AGENT_LEAD_KEY,
 		.has_condition = true,
 		.condition = agent->lead.epoch,
-	    },
+	    }},
 	};
-	char keys[REMOVAL_MAX_KEYS][PLATFORM_KEY_BYTES];
 	int64_t ended_before_ms =
 	    clock_wall_ms() - agent->settings.retention_ms - REMOVAL_MARGIN_MS;
-	size_t count = 0;
 
 	agent->next_removal_ms = now_ms + REMOVAL_INTERVAL_MS;
-	for (size_t i = 0; i < agent->jobs.count && count < COUNT_OF(keys);
-	     i++) {
+	for (size_t i = 0; i < agent->jobs.count; i++) {
 		struct view_job *job = agent->jobs.items[i].item;
 
 		if (job->ended_wall_ms == 0 ||
 		    job->ended_wall_ms > ended_before_ms ||
 		    job->removal_requested)
 			continue;
+		if (!add_job_keys(&removal, job))
+			break;
 		job->removal_requested = true;
-		add_removal(&changes[count + 1], keys[count], AGENT_JOB_PREFIX,
-		    job->id);
-		count++;
-		add_removal(&changes[count + 1], keys[count],
-		    AGENT_PROGRESS_PREFIX, job->id);
-		count++;
-		if (!job->cancelled)
-			continue;
-		add_removal(&changes[count + 1], keys[count],
-		    AGENT_CANCEL_PREFIX, job->id);
-		count++;
 	}
-	if (count == 0)
+	if (removal.count == 0)
 		return;
 	agent->removal_in_flight = true;
-	platform_store_commit(
-	    &agent->store, changes, count + 1, removal_answered, agent);
+	platform_store_commit(&agent->store, removal.changes, removal.count + 1,
+	    removal_answered, agent);
 }
 
 /* Returns when the next batch may begin: after a pause, or beside the batches
--- /dev/null
+++ b/tests/test_agent_records.c
@@ -0,0 +1,137 @@
+/* Tests of the lead's writes of records, with a simulated store. */
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "agent/agent_state.h"
+#include "common_agent.h"
+#include "common_cunit.h"
+#include "process/alloc.h"
+#include "process/clock.h"
+
+#define JOBS 60
+/* What the store accepts in a transaction. */
+#define TRANSACTION_ROWS 32
+#define RETENTION_MS	 20000
+/* Longer than the lead waits between two rounds of removal. */
+#define ROUND_MS 60000
+
+/* Makes the instance lead a store with jobs that ended long ago. Of each four,
+ * the first ones were cancelled. */
+static void
+lead_ended_jobs(struct agent_fixture *fixture, size_t cancelled_of_4)
+{
+	CLEANUP(buffer_free) struct buffer items = {0};
+	CLEANUP(buffer_free) struct buffer listing = {0};
+	Ibis__StepJob job = IBIS__STEP_JOB__INIT;
+	Ibis__JobProgress progress = IBIS__JOB_PROGRESS__INIT;
+
+	open_agent_fixture(fixture);
+	fixture->agent.settings.retention_ms = RETENTION_MS;
+	progress.phase = IBIS__STEP_JOB_PHASE__PHASE_COMPLETED;
+	progress.ended_wall_ms = 1;
+	append_store_item(&items, AGENT_LEAD_KEY, AGENT_FIXTURE_NAME,
+	    strlen(AGENT_FIXTURE_NAME), AGENT_FIXTURE_EPOCH,
+	    AGENT_FIXTURE_LEASE);
+	for (unsigned int i = 0; i < JOBS; i++) {
+		char key[PLATFORM_KEY_BYTES];
+
+		(void)snprintf(
+		    key, sizeof(key), "%s%016x", AGENT_JOB_PREFIX, i);
+		append_store_message(&items, key, &job.base, 40);
+		(void)snprintf(
+		    key, sizeof(key), "%s%016x", AGENT_PROGRESS_PREFIX, i);
+		append_store_message(&items, key, &progress.base, 41);
+		if (i % 4 >= cancelled_of_4)
+			continue;
+		(void)snprintf(
+		    key, sizeof(key), "%s%016x", AGENT_CANCEL_PREFIX, i);
+		append_store_item(&items, key, "", 0, 42, 0);
+	}
+	buffer_printf(&listing, "{\"items\":[%s],\"HasMore\":false,\"At\":60}",
+	    buffer_string(&items));
+	become_lead(fixture, buffer_string(&listing));
+}
+
+static void
+put_object(struct json_object **object)
+{
+	(void)json_object_put(*object);
+}
+
+/* Deletes the keys that the newest transaction removes from the instance's
+ * copy, as the watch would, and answers it. Returns their number. */
+static size_t
+apply_removal(struct agent_fixture *fixture)
+{
+	CLEANUP(put_object)
+	struct json_object *body =
+	    json_tokener_parse(fixture->calls[fixture->count - 1].body);
+	struct json_object *keys = json_object_object_get(body, "Remove");
+	struct json_object *conditions =
+	    json_object_object_get(body, "Precondition");
+	size_t count = json_object_array_length(keys);
+
+	CU_ASSERT_TRUE(
+	    count + json_object_array_length(conditions) <= TRANSACTION_ROWS);
+	for (size_t i = 0; i < count; i++) {
+		struct platform_store_item item = {
+		    .key = json_object_get_string(
+			json_object_array_get_idx(keys, i)),
+		    .revision = 70,
+		    .deleted = true,
+		};
+
+		agent_watch_apply(fixture->agent.records_watch, &item);
+	}
+	answer_store(fixture, "kv-txn", "{\"Revision\":70}");
+	return count;
+}
+
+/* Runs rounds of removal, at this interval, until none is sent. Returns the
+ * number of keys removed. */
+static size_t
+remove_all(struct agent_fixture *fixture, int64_t interval_ms, int64_t limit_ms)
+{
+	int64_t now_ms = clock_now_ms();
+	int64_t until_ms = now_ms + limit_ms;
+	size_t removed = 0;
+
+	for (; now_ms < until_ms; now_ms += interval_ms) {
+		agent_records_step(&fixture->agent, now_ms);
+		if (count_unanswered(fixture, "kv-txn") > 0)
+			removed += apply_removal(fixture);
+	}
+	return removed;
+}
+
+/* Guards against a removal that overruns its arrays and ends the process: a
+ * cancelled job has three keys, others have two, and the loop only left room
+ * for two. Each lead ended, one after the other, and accepted jobs never began.
+ */
+static void
+test_removal_of_cancelled_jobs_fits_a_transaction(void)
+{
+	for (size_t cancelled = 0; cancelled <= 4; cancelled++) {
+		CLEANUP(close_agent_fixture) struct agent_fixture fixture;
+
+		lead_ended_jobs(&fixture, cancelled);
+		CU_ASSERT_EQUAL(fixture.agent.jobs.count, JOBS);
+		CU_ASSERT_EQUAL(remove_all(&fixture, ROUND_MS, 20 * ROUND_MS),
+		    JOBS * 2 + JOBS / 4 * cancelled);
+		CU_ASSERT_EQUAL(fixture.agent.jobs.count, 0);
+		CU_ASSERT_EQUAL(fixture.agent.lead.state, AGENT_LEADING);
+	}
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"removal of cancelled jobs fits a transaction",
+		test_removal_of_cancelled_jobs_fits_a_transaction},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("agent_records", tests);
+}
