Remove ended jobs as fast as callers submit them

Now a full transaction is followed by the next after 200 ms.

test_agent_records, 'removal keeps up with submissions' (60 jobs in 4 s): failed before (44 jobs or more were left), passes now.

--- a/src/agent/agent_records.c
+++ b/src/agent/agent_records.c
@@ -26,6 +26,8 @@
 /* Keys removed in one transaction. */
 #define REMOVAL_MAX_KEYS    24
 #define REMOVAL_INTERVAL_MS 5000
+/* Pause after a full transaction. */
+#define REMOVAL_PAUSE_MS 200
 /* An ended job is removed this long after its retention time. */
 #define REMOVAL_MARGIN_MS 30000
 
@@ -361,8 +363,11 @@
 		    job->ended_wall_ms > ended_before_ms ||
 		    job->removal_requested)
 			continue;
-		if (!add_job_keys(&removal, job))
+		if (!add_job_keys(&removal, job)) {
+			agent->next_removal_ms = now_ms + REMOVAL_PAUSE_MS;
+			agent_wake_at(agent, agent->next_removal_ms);
 			break;
+		}
 		job->removal_requested = true;
 	}
 	if (removal.count == 0)
--- a/tests/test_agent_records.c
+++ b/tests/test_agent_records.c
@@ -15,6 +15,10 @@
 #define RETENTION_MS	 20000
 /* Longer than the lead waits between two rounds of removal. */
 #define ROUND_MS 60000
+/* Jobs that callers submit on the largest site. */
+#define JOBS_A_SECOND 15
+#define MS_PER_SECOND 1000
+#define STEP_MS	      100
 
 /* Makes the instance lead a store with jobs that ended long ago. Of each four,
  * the first ones were cancelled. */
@@ -124,12 +128,28 @@
 	}
 }
 
+/* Guards against records that pile up: a transaction removed 8 to 12 jobs each
+ * 5 s, so that above two jobs a second every instance's copy and the store grew
+ * without end. */
+static void
+test_removal_keeps_up_with_submissions(void)
+{
+	CLEANUP(close_agent_fixture) struct agent_fixture fixture;
+
+	lead_ended_jobs(&fixture, 4);
+	(void)remove_all(
+	    &fixture, STEP_MS, JOBS * MS_PER_SECOND / JOBS_A_SECOND);
+	CU_ASSERT_EQUAL(fixture.agent.jobs.count, 0);
+}
+
 int
 main(void)
 {
 	CU_TestInfo tests[] = {
 	    {"removal of cancelled jobs fits a transaction",
 		test_removal_of_cancelled_jobs_fits_a_transaction},
+	    {"removal keeps up with submissions",
+		test_removal_keeps_up_with_submissions},
 	    CU_TEST_INFO_NULL,
 	};
 
