Reject entries of workers with numbers or ports out of range

Another writer's entry among those of the workers: with two entries of 2^62 or more accelerators the sum over all workers overflows in fleet_usage, which is undefined; built with sanitizers each lead ends, one after the other, and jobs never complete. With a port out of range the lead called the worker each 300 ms for good and logged each as an error; an id with a line break would have become a header.

An entry is now usable only with amounts of 0 to 2^40, a time of birth of 0 to 2^43 ms, a printable id and IP:PORT with a port of 1 to 65535. Others are logged and left out, as malformed ones are. Deep nesting was harmless already: what is nested more than 32 deep isn't read.

--- a/src/connection/address.c
+++ b/src/connection/address.c
@@ -43,10 +43,10 @@
 static bool
 is_port(const char *text)
 {
-	char *end;
-	long port = strtol(text, &end, DECIMAL);
+	size_t digits = strspn(text, "0123456789");
 
-	return *text != '\0' && *end == '\0' && port >= 0 && port <= UINT16_MAX;
+	return digits > 0 && text[digits] == '\0' &&
+	    strtoul(text, NULL, DECIMAL) <= UINT16_MAX;
 }
 
 enum ibis_code
@@ -72,6 +72,17 @@
 	return IBIS_OK;
 }
 
+bool
+address_is_callable(const char *text)
+{
+	struct sockaddr_storage address;
+	socklen_t length;
+	const char *port = strrchr(text, ':');
+
+	return address_parse(text, &address, &length, NULL) == IBIS_OK &&
+	    strspn(port + 1, "0") != strlen(port + 1);
+}
+
 int
 address_listen(const char *text, int backlog, struct ibis_status *status)
 {
--- a/src/connection/address.h
+++ b/src/connection/address.h
@@ -2,6 +2,7 @@
 #ifndef IBIS_ADDRESS_H
 #define IBIS_ADDRESS_H
 
+#include <stdbool.h>
 #include <sys/socket.h>
 
 #include "ibistrestle.h"
@@ -10,6 +11,9 @@
 	ADDRESS_TEXT_BYTES = 64
 };
 
+/* Returns whether an address is IP:PORT with a port that can be called. */
+bool address_is_callable(const char *text);
+
 /*
  * Parses an address without a name lookup. Returns IBIS_OK, or IBIS_INVALID
  * with the text and the expected form in status, which may be NULL.
--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -294,17 +294,6 @@
 		    easy, CURLOPT_HTTPHEADER, transfer->headers);
 }
 
-/* Host names are refused, since looking them up would block the thread. */
-static bool
-is_ip_address(const char *text)
-{
-	struct ibis_status status = {0};
-	struct sockaddr_storage address;
-	socklen_t length;
-
-	return address_parse(text, &address, &length, &status) == IBIS_OK;
-}
-
 void
 http_pool_call(struct http_pool *pool, const struct http_call *call,
     http_callback *done, void *context)
@@ -314,7 +303,9 @@
 	transfer->done = done;
 	transfer->context = context;
 	transfer->sent_ms = clock_now_ms();
-	if (!is_ip_address(call->address)) {
+	/* Host names are refused, since looking them up would block the thread.
+	 */
+	if (!address_is_callable(call->address)) {
 		log_event(LOG_ERROR, "call_refused", "address", call->address,
 		    "path", call->path, NULL);
 		cds_list_add_tail(&transfer->node, &pool->refused);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -29,6 +29,12 @@
 	FLEET_MAX_LABELS = 8 /* maximum per worker; further ones are ignored */
 };
 
+/* Largest amount of one resource of a worker or task. Sums and products of
+ * valid amounts don't overflow. */
+#define FLEET_MAX_AMOUNT (INT64_C(1) << 40)
+/* Latest time of day, longest duration and highest reading of a clock. */
+#define FLEET_MAX_TIME_MS (INT64_C(1) << 43)
+
 struct fleet;
 struct fleet_job;
 struct fleet_worker;
--- a/tests/common_process.c
+++ b/tests/common_process.c
@@ -87,8 +87,8 @@
 	return open(path, O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, LOG_MODE);
 }
 
-static bool
-has_ended(const struct process *process)
+bool
+process_has_ended(const struct process *process)
 {
 	siginfo_t info = {0};
 
@@ -132,7 +132,7 @@
 	while (!found && !ended && clock_now_ms() < end_ms) {
 		ssize_t length;
 
-		ended = has_ended(process);
+		ended = process_has_ended(process);
 		length = pread(log, text, READ_BYTES - 1, from);
 		text[length < 0 ? 0 : length] = '\0';
 		found = copy_ready_line(process, text);
--- a/tests/common_process.h
+++ b/tests/common_process.h
@@ -43,6 +43,9 @@
  */
 void process_kill(struct process *process);
 
+/* Returns whether a process that was started has ended by itself. */
+bool process_has_ended(const struct process *process);
+
 /* Sends SIGTERM, which requests a planned stop. */
 void process_terminate(const struct process *process);
 
--- a/tests/common_users_platform.c
+++ b/tests/common_users_platform.c
@@ -48,6 +48,29 @@
 	put_text(platform, key, buffer_string(&text));
 }
 
+void
+users_put_entry(struct users_platform *platform, const char *key,
+    const void *value, size_t length)
+{
+	char *text = ne_base64(value, length);
+
+	(void)pthread_mutex_lock(&platform->lock);
+	platform->revision++;
+	users_put_item(platform, key, text, 0);
+	(void)pthread_mutex_unlock(&platform->lock);
+	ne_free(text);
+}
+
+void
+users_set_odd_rows(
+    struct users_platform *platform, const char *runs, const char *ends)
+{
+	(void)pthread_mutex_lock(&platform->lock);
+	platform->odd_runs = runs;
+	platform->odd_ends = ends;
+	(void)pthread_mutex_unlock(&platform->lock);
+}
+
 /* Appends the routes that a large configuration has besides the usual ones. */
 static void
 append_extra_routes(const struct users_config *config, struct buffer *text)
@@ -107,6 +130,8 @@
 
 	(void)pthread_mutex_init(&platform->lock, NULL);
 	platform->run_ms = 300;
+	platform->odd_runs = "";
+	platform->odd_ends = "";
 	platform->revision = 10;
 	STRING_COPY(platform->folder, "/tmp/ibis-users-XXXXXX");
 	if (mkdtemp(platform->folder) == NULL)
--- a/tests/common_users_platform.h
+++ b/tests/common_users_platform.h
@@ -42,6 +42,15 @@
 /* Takes a zone out of service as operators do. The workers are in zone "z". */
 void users_evacuate(struct users_platform *platform, const char *zone);
 
+/* Writes a key of the store as some other writer does. */
+void users_put_entry(struct users_platform *platform, const char *key,
+    const void *value, size_t length);
+
+/* Lets all workers put rows, each followed by a comma, before the first row of
+ * their lists of runs and of ends. They are not copied. */
+void users_set_odd_rows(
+    struct users_platform *platform, const char *runs, const char *ends);
+
 /* Starts an instance; false with a message when it doesn't become ready. */
 bool users_start_instance(struct users_platform *platform, uint32_t index);
 /* Starts an instance without waiting until it is ready. */
--- a/tests/common_users_state.h
+++ b/tests/common_users_state.h
@@ -109,6 +109,9 @@
 	struct users_worker workers[USERS_WORKERS];
 	struct users_instance_state instances[USERS_INSTANCES];
 	int64_t run_ms;
+	/* Put before the rows of workers' reports. */
+	const char *odd_runs;
+	const char *odd_ends;
 	/* A task whose start crashes the worker; empty: none. */
 	char crashing_task[USERS_TASK_BYTES];
 	uint32_t worker_crashes;
--- a/tests/common_users_workers.c
+++ b/tests/common_users_workers.c
@@ -180,34 +180,38 @@
 		worker->lease_expires_ms = until_ms;
 }
 
+/* Removes the comma after the last row of a list. */
 static void
-append_report(struct users_worker *worker, struct buffer *body)
+end_list(struct buffer *body)
 {
-	const char *comma = "";
+	if (body->data[body->length - 1] == ',')
+		body->length--;
+	buffer_puts(body, "]");
+}
 
+static void
+append_report(struct users_worker *worker, struct buffer *body)
+{
 	buffer_printf(body,
-	    "{\"ClockMs\":%" PRId64 ",\"born\":%" PRId64 ",\"Running\":[",
-	    clock_now_ms(), worker->incarnation);
+	    "{\"ClockMs\":%" PRId64 ",\"born\":%" PRId64 ",\"Running\":[%s",
+	    clock_now_ms(), worker->incarnation, worker->platform->odd_runs);
 	for (size_t i = 0; i < USERS_MAX_RUNS; i++) {
-		if (!worker->runs[i].used)
-			continue;
-		buffer_printf(body, "%s[\"%s\",%" PRId64 ",\"\",50,0]", comma,
-		    worker->runs[i].task, worker->runs[i].number);
-		comma = ",";
+		if (worker->runs[i].used)
+			buffer_printf(body, "[\"%s\",%" PRId64 ",\"\",50,0],",
+			    worker->runs[i].task, worker->runs[i].number);
 	}
-	buffer_puts(body, "],\"EndedRuns\":[");
-	comma = "";
+	end_list(body);
+	buffer_printf(body, ",\"EndedRuns\":[%s", worker->platform->odd_ends);
 	for (size_t i = 0; i < worker->ends_count; i++) {
 		const struct users_end *end = &worker->ends[i];
 
-		if (end->number <= worker->acked_end)
-			continue;
-		buffer_printf(body,
-		    "%s[%" PRId64 ",\"%s\",%" PRId64 ",\"%s\",\"\"]", comma,
-		    end->number, end->task, end->run, end->outcome);
-		comma = ",";
+		if (end->number > worker->acked_end)
+			buffer_printf(body,
+			    "[%" PRId64 ",\"%s\",%" PRId64 ",\"%s\",\"\"],",
+			    end->number, end->task, end->run, end->outcome);
 	}
-	buffer_puts(body, "]}");
+	end_list(body);
+	buffer_puts(body, "}");
 }
 
 static void
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -297,6 +297,58 @@
 	}
 }
 
+/* Guards against an entry of another writer with which sums overflow, and
+ * against calls to what is no address. */
+static void
+test_worker_entries_out_of_range(void)
+{
+	static const struct {
+		const char *id;
+		const char *address;
+		const char *amount;
+		const char *born;
+		bool usable;
+	} entries[] = {
+	    {"i-1", "10.0.0.1:65535", "1099511627776", "1796448607376", true},
+	    {"i-1", "10.0.0.1:65536", "1", "1", false},
+	    {"i-1", "10.0.0.1:99999999999999999999", "1", "1", false},
+	    {"i-1", "10.0.0.1:0", "1", "1", false},
+	    {"i-1", "10.0.0.1:00", "1", "1", false},
+	    {"i-1", "10.0.0.1:-1", "1", "1", false},
+	    {"i-1", "10.0.0.1: 80", "1", "1", false},
+	    {"i-1", "10.0.0.1:+80", "1", "1", false},
+	    {"i-1", "10.0.0.1", "1", "1", false},
+	    {"i-1", "example.org:80", "1", "1", false},
+	    {"i-1", "10.0.0.1:80", "1099511627777", "1", false},
+	    {"i-1", "10.0.0.1:80", "9223372036854775807", "1", false},
+	    {"i-1", "10.0.0.1:80", "99999999999999999999", "1", false},
+	    {"i-1", "10.0.0.1:80", "-1", "1", false},
+	    {"i-1", "10.0.0.1:80", "1e3", "1", false},
+	    {"i-1", "10.0.0.1:80", "NaN", "1", false},
+	    {"i-1", "10.0.0.1:80", "1", "-1", false},
+	    {"i-1", "10.0.0.1:80", "1", "9223372036854775807", false},
+	    {"i\r\nX: y", "10.0.0.1:80", "1", "1", false},
+	    {"i 1", "10.0.0.1:80", "1", "1", false},
+	    {"i\xff", "10.0.0.1:80", "1", "1", false},
+	    {"", "10.0.0.1:80", "1", "1", false},
+	};
+
+	for (size_t i = 0; i < COUNT_OF(entries); i++) {
+		CLEANUP(buffer_free) struct buffer text = {0};
+		struct fleet_worker_entry entry;
+		struct ibis_status status = {0};
+
+		buffer_printf(&text,
+		    "{\"Service\":\"s\",\"Address\":\"%s\",\"Zone\":\"z\","
+		    "\"State\":\"ready\",\"Capacity\":{\"Cpu\":1,\"MemMb\":1,"
+		    "\"Gpus\":%s},\"born\":%s}",
+		    entries[i].address, entries[i].amount, entries[i].born);
+		CU_ASSERT_EQUAL(platform_worker_parse(entries[i].id, text.data,
+				    text.length, &entry, &status),
+		    entries[i].usable);
+	}
+}
+
 static void
 test_bad_worker_entries(void)
 {
@@ -575,6 +627,7 @@
 	    {"worker entry", test_worker_entry},
 	    {"remaining time of a worker", test_remaining_time_of_a_worker},
 	    {"bad worker entries", test_bad_worker_entries},
+	    {"worker entries out of range", test_worker_entries_out_of_range},
 	    {"report", test_report},
 	    {"only refusals count as refused",
 		test_only_refusals_count_as_refused},
