Ignore entries of instances that name no instance

Another writer's entry under ibis/instance/ became a peer whatever it said: an address with a port out of range, a host name, an empty value (read through a null pointer), or a name of more than 63 bytes, which was cut, so that two of them were taken for one and the second was lost. The instance sent hellos and store calls there. The hello of a peer was taken likewise.

A peer now needs a name of 1 to 63 bytes and an address IP:PORT with a port that can be called; other entries are logged and left out.

test_agent_peers, 'odd entries are no peers': failed before (peers that don't exist), passes now.

--- a/src/agent/agent_peers.c
+++ b/src/agent/agent_peers.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "agent/agent_state.h"
+#include "connection/address.h"
 #include "process/alloc.h"
 #include "process/clock.h"
 #include "process/proto_memory.h"
@@ -110,6 +111,16 @@
 	    HELLO_TIMEOUT_MS, hello_answered, call);
 }
 
+/* Returns whether a name and an address can be an instance's. */
+static bool
+is_peer(const char *name, const char *address)
+{
+	size_t length = strlen(name);
+
+	return length > 0 && length < FLEET_NAME_BYTES &&
+	    address_is_callable(address);
+}
+
 bool
 agent_peers_request(struct agent *agent, struct gateway_request *request)
 {
@@ -122,7 +133,7 @@
 	hello = (Ibis__PeerHello *)proto_unpack(&ibis__peer_hello__descriptor,
 	    request->body.data, request->body.length);
 	if (hello != NULL) {
-		if (*hello->name != '\0' && *hello->address != '\0' &&
+		if (is_peer(hello->name, hello->address) &&
 		    strcmp(hello->name, agent->settings.name) != 0) {
 			add_peer(agent, hello->name, hello->address)->knows_us =
 			    true;
@@ -138,16 +149,19 @@
 agent_peers_apply_item(struct agent *agent, const char *name,
     const struct platform_store_item *item)
 {
-	char address[PLATFORM_TEXT_BYTES * 2];
+	char address[PLATFORM_TEXT_BYTES * 2] = "";
 
 	if (strcmp(name, agent->settings.name) == 0)
 		return;
-	if (item->deleted || item->value_length >= sizeof(address)) {
+	if (item->value_length > 0 && item->value_length < sizeof(address))
+		memcpy(address, item->value, item->value_length);
+	if (item->deleted || !is_peer(name, address)) {
 		mem_free(name_index_remove(&agent->peers.index, name));
+		if (!item->deleted)
+			agent_watch_log_unreadable(
+			    item, "not a name and an address IP:PORT");
 		return;
 	}
-	memcpy(address, item->value, item->value_length);
-	address[item->value_length] = '\0';
 	greet(agent, add_peer(agent, name, address), clock_now_ms());
 }
 
@@ -179,9 +193,9 @@
 	if (item->deleted || strcmp(name, agent->settings.name) == 0)
 		return;
 	value = parse_capacity(item->value, item->value_length);
-	if (value < 0) {
+	if (value < 0 || strlen(name) >= FLEET_NAME_BYTES) {
 		agent_watch_log_unreadable(
-		    item, "the value is not a decimal number");
+		    item, "not a name and a decimal number");
 		return;
 	}
 	capacity = mem_calloc(1, sizeof(*capacity));
--- a/tests/test_agent_peers.c
+++ b/tests/test_agent_peers.c
@@ -13,7 +13,10 @@
 #define WAIT_MS		  4000
 #define QUIET_MS	  1500
 #define MAX_REQUEST_BYTES 4096
-#define OK_RESPONSE	  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+#define LONG_NAME                                                      \
+	"n23456789-123456789-123456789-123456789-123456789-123456789-" \
+	"123456789"
+#define OK_RESPONSE "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 /* An instance whose only peer is the test. */
 struct fixture {
@@ -101,11 +104,53 @@
 	(void)close(connection);
 }
 
+/* Guards against calls to entries of other writers that name no instance, and
+ * against two long names that were taken for one: the second entry was lost. */
+static void
+test_odd_entries_are_no_peers(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+	struct agent *agent = &fixture.agent;
+	static const struct {
+		const char *name;
+		const char *value;
+	} entries[] = {
+	    {"port", "127.0.0.1:65536"},
+	    {"zero", "127.0.0.1:0"},
+	    {"host", "example.org:7000"},
+	    {"empty", ""},
+	    {"none", NULL},
+	    {"", "127.0.0.1:1"},
+	    {LONG_NAME "1", "127.0.0.1:1"},
+	    {LONG_NAME "2", "127.0.0.1:2"},
+	};
+
+	open_fixture(&fixture);
+	list_peer(&fixture);
+	for (size_t i = 0; i < COUNT_OF(entries); i++) {
+		struct platform_store_item item = {
+		    .key = "ibis/instance/odd",
+		    .value = entries[i].value,
+		    .value_length =
+			entries[i].value == NULL ? 0 : strlen(entries[i].value),
+		};
+
+		agent_peers_apply_item(agent, entries[i].name, &item);
+		item.value = "5";
+		item.value_length = 1;
+		agent_peers_apply_capacity(agent, LONG_NAME "1", &item);
+	}
+	CU_ASSERT_EQUAL(agent->peers.index.count, 1);
+	CU_ASSERT_PTR_NOT_NULL(name_index_get(&agent->peers.index, "peer"));
+	CU_ASSERT_EQUAL(agent->peers.capacities.count, 0);
+}
+
 int
 main(void)
 {
 	CU_TestInfo tests[] = {
 	    {"lost hello is repeated", test_lost_hello_is_repeated},
+	    {"odd entries are no peers", test_odd_entries_are_no_peers},
 	    CU_TEST_INFO_NULL,
 	};
 
