Replace a lead's key that has no lease

Another writer that wrote the lead's key without a lease stopped the system: the lead stepped down as its key was taken, and no instance took over, since the key never expires.

A lead always attaches its key to its lease, so one without a lease is nobody's: it counts as vacant, and is replaced on the condition that its revision is still the one seen.

--- a/src/agent/agent_lead.c
+++ b/src/agent/agent_lead.c
@@ -144,6 +144,14 @@
 	agent_lead_step_down(agent, reason);
 }
 
+/* Returns whether nobody leads. A key without a lease is not a lead's, and
+ * would never expire. */
+static bool
+is_vacant(const struct agent_lead_key *key)
+{
+	return !key->present || key->lease == 0;
+}
+
 /*
  * Takes over, steps down or schedules an attempt to lead after the lead key
  * has changed. A listing reports the lead key before the records that follow
@@ -168,7 +176,7 @@
 	if (key->present && key->lease == agent->lead.lease &&
 	    agent->lead.lease != 0 && !agent->stopping)
 		take_over(agent, now_ms);
-	else if (!key->present && agent->lead.state == AGENT_FOLLOWING)
+	else if (is_vacant(key) && agent->lead.state == AGENT_FOLLOWING)
 		agent->lead.next_try_ms = now_ms +
 		    agent_fitness_yield_ms(agent) +
 		    agent_random(agent, LEAD_JITTER_MS);
@@ -252,14 +260,16 @@
 static void
 try_to_lead(struct agent *agent, int64_t now_ms)
 {
-	if (agent->lead_key.present || agent->stopping ||
+	const struct agent_lead_key *key = &agent->lead_key;
+
+	if (!is_vacant(key) || agent->stopping ||
 	    !agent_view_fresh(agent, now_ms))
 		return;
 	if (now_ms < agent->lead.next_try_ms) {
 		agent_wake_at(agent, agent->lead.next_try_ms);
 		return;
 	}
-	agent_lead_request(agent, 0);
+	agent_lead_request(agent, key->present ? key->revision : 0);
 }
 
 /* A renewal in flight. When it is answered, this instance may hold another
--- a/tests/test_agent_lead.c
+++ b/tests/test_agent_lead.c
@@ -24,7 +24,9 @@
  * the timeout of a poll. */
 #define LEASE_END_MS	20000
 #define WORKER_PAUSE_MS 500
-#define POLL_END_MS	1200
+/* Longer than the pause before the next attempt to lead. */
+#define RETRY_MS    500
+#define POLL_END_MS 1200
 /* Times after which an idle worker is not polled yet, and polled again. */
 #define OFTEN_MS  20000
 #define RARELY_MS 60000
@@ -464,6 +466,48 @@
 	CU_ASSERT_EQUAL(fixture.agent.lead.lease, AGENT_FIXTURE_LEASE);
 }
 
+/* Lets the instance read a configuration, so that it may lead. */
+static void
+use_configuration(struct agent_fixture *fixture)
+{
+	static const char config[] = "{\"Version\":1,\"Routes\":[]}";
+	CLEANUP(buffer_free) struct buffer items = {0};
+	CLEANUP(buffer_free) struct buffer listing = {0};
+
+	append_store_item(
+	    &items, PLATFORM_CONFIG_KEY, config, strlen(config), 5, 0);
+	buffer_printf(&listing, "{\"items\":[%s],\"HasMore\":false,\"At\":70}",
+	    buffer_string(&items));
+	agent_config_step(&fixture->agent, clock_now_ms());
+	answer_store(fixture, "Prefix=op", buffer_string(&listing));
+}
+
+/* Guards against a lead's key that another writer left without a lease: it
+ * never expires, and nobody led from then on. */
+static void
+test_key_without_a_lease_is_replaced(void)
+{
+	CLEANUP(close_agent_fixture) struct agent_fixture fixture;
+	CLEANUP(buffer_free) struct buffer items = {0};
+	CLEANUP(buffer_free) struct buffer events = {0};
+	struct agent *agent = &fixture.agent;
+
+	open_agent_fixture(&fixture);
+	lead_completed_job(&fixture);
+	append_store_item(&items, AGENT_LEAD_KEY, "", 0, 70, 0);
+	buffer_printf(
+	    &events, "{\"events\":[%s],\"At\":70}", buffer_string(&items));
+	agent_view_step(agent, clock_now_ms());
+	answer_store(&fixture, "kv-watch", buffer_string(&events));
+	agent_lead_step(agent, clock_now_ms());
+	CU_ASSERT_EQUAL(agent->lead.state, AGENT_FOLLOWING);
+	use_configuration(&fixture);
+	agent_lead_step(agent, clock_now_ms() + RETRY_MS);
+	answer_store(&fixture, "kv-lease", "{\"Lease\":78,\"TtlMs\":1000}");
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(fixture.calls[fixture.count - 1].body, "\"Revision\":70"));
+}
+
 /* Makes records of this many jobs due. */
 static void
 add_dirty_jobs(struct agent_fixture *fixture, int count)
@@ -553,6 +597,8 @@
 		test_answer_without_a_lease_is_a_failed_try},
 	    {"lead key is requested with its lease",
 		test_lead_key_is_requested_with_its_lease},
+	    {"key without a lease is replaced",
+		test_key_without_a_lease_is_replaced},
 	    {"records are written beside each other",
 		test_records_are_written_beside_each_other},
 	    {"late answers to records are ignored",
