--- a/src/agent/agent_peers.c
+++ b/src/agent/agent_peers.c
@@ -6,7 +6,6 @@
 #include <string.h>
 
 #include "agent/agent_state.h"
-#include "connection/address.h"
 #include "process/alloc.h"
 #include "process/clock.h"
 #include "process/proto_memory.h"
@@ -118,7 +117,7 @@
 	size_t length = strlen(name);
 
 	return length > 0 && length < FLEET_NAME_BYTES &&
-	    address_is_callable(address);
+	    http_pool_accepts(address);
 }
 
 bool
--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -294,6 +294,13 @@
 		    easy, CURLOPT_HTTPHEADER, transfer->headers);
 }
 
+/* Host names are refused, since looking them up would block the thread. */
+bool
+http_pool_accepts(const char *address)
+{
+	return address_is_callable(address);
+}
+
 void
 http_pool_call(struct http_pool *pool, const struct http_call *call,
     http_callback *done, void *context)
@@ -303,9 +310,7 @@
 	transfer->done = done;
 	transfer->context = context;
 	transfer->sent_ms = clock_now_ms();
-	/* Host names are refused, since looking them up would block the thread.
-	 */
-	if (!address_is_callable(call->address)) {
+	if (!http_pool_accepts(call->address)) {
 		log_event(LOG_ERROR, "call_refused", "address", call->address,
 		    "path", call->path, NULL);
 		cds_list_add_tail(&transfer->node, &pool->refused);
--- a/src/connection/http_pool.h
+++ b/src/connection/http_pool.h
@@ -92,6 +92,10 @@
  */
 void http_pool_watch(struct http_pool *pool, int fd);
 
+/* Returns whether an address is IP:PORT with a port that can be called. A call
+ * to another one is not sent. */
+bool http_pool_accepts(const char *address);
+
 /*
  * Begins a call. Copies all that call points to. done is called later, from
  * http_pool_wait, also when the call can't be sent.
