Check records of jobs and progress before a lead uses them

Another writer's record among the jobs crashed each lead, one after the other and again after each restart: a step with 2^32 - 1 tasks (no memory), one that waits for a step that isn't there (read out of bounds), resources of which the sum overflows; in the progress, a task or an occurrence that is listed twice (a list linked into itself), and a worker's name that was cut to another one.

fleet_check_job and fleet_check_progress say what a record must be, and the view and the lead use no other. A job whose record is unreadable is logged and left out; one with unreadable progress isn't run, as before, since it isn't known what runs of it. Ids that are none are left out.

Tests that used a job without steps as any job now use one of one task; what they check is the same.

--- a/src/agent/agent_view.c
+++ b/src/agent/agent_view.c
@@ -34,14 +34,13 @@
 	platform_render_phase(phase, body);
 }
 
-/* Returns the job, which is added if needed, or NULL when the id is too long.
- */
+/* Returns the job, which is added if needed, or NULL when the id is none. */
 static struct view_job *
 get_or_add_job(struct agent *agent, const char *id)
 {
 	struct view_job *job = agent_view_job(agent, id);
 
-	if (job != NULL || strlen(id) >= FLEET_ID_BYTES)
+	if (job != NULL || !platform_is_job_id(id))
 		return job;
 	job = mem_calloc(1, sizeof(*job));
 	STRING_COPY(job->id, id);
@@ -63,7 +62,8 @@
     struct agent *agent, const char *id, const struct platform_store_item *item)
 {
 	struct view_job *job = get_or_add_job(agent, id);
-	ProtobufCMessage *record;
+	struct ibis_status status = {0};
+	Ibis__StepJob *spec;
 
 	if (job == NULL)
 		return;
@@ -77,14 +77,17 @@
 	}
 	if (job->spec != NULL)
 		return; /* a job's record never changes */
-	record = proto_unpack(
+	spec = (Ibis__StepJob *)proto_unpack(
 	    &ibis__step_job__descriptor, item->value, item->value_length);
-	if (record == NULL) {
-		agent_watch_log_unreadable(
-		    item, "the value is not a packed StepJob");
+	if (spec == NULL || fleet_check_job(spec, &status) != IBIS_OK) {
+		agent_watch_log_unreadable(item,
+		    spec == NULL ? "the value is not a packed StepJob"
+				 : status.message);
+		if (spec != NULL)
+			proto_free(&spec->base);
 		return;
 	}
-	job->spec = (Ibis__StepJob *)record;
+	job->spec = spec;
 	job->revision = item->revision;
 	agent_lead_update_job(agent, job, clock_now_ms());
 }
@@ -95,16 +98,21 @@
 {
 	struct view_job *job = item->deleted ? agent_view_job(agent, id)
 					     : get_or_add_job(agent, id);
+	struct ibis_status status = {0};
 	Ibis__JobProgress *progress;
 
 	if (job == NULL || item->deleted)
 		return;
 	progress = (Ibis__JobProgress *)proto_unpack(
 	    &ibis__job_progress__descriptor, item->value, item->value_length);
-	if (progress == NULL) {
-		agent_watch_log_unreadable(
-		    item, "the value is not a packed JobProgress");
+	if (progress == NULL ||
+	    fleet_check_progress(job->spec, progress, &status) != IBIS_OK) {
+		agent_watch_log_unreadable(item,
+		    progress == NULL ? "the value is not a packed JobProgress"
+				     : status.message);
 		job->progress_unreadable = true;
+		if (progress != NULL)
+			proto_free(&progress->base);
 		return;
 	}
 	job->progress_unreadable = false;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -17,6 +17,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "ibistrestle.h"
 #include "ibistrestle.pb-c.h"
 
 #ifdef __cplusplus
@@ -26,14 +27,20 @@
 enum {
 	FLEET_ID_BYTES = 17, /* of a job: 16 hexadecimal digits and NUL */
 	FLEET_NAME_BYTES = 64,
-	FLEET_MAX_LABELS = 8 /* maximum per worker; further ones are ignored */
+	FLEET_MAX_LABELS = 8, /* maximum per worker; further ones are ignored */
+	/* Of a job. */
+	FLEET_MAX_STEPS = 256,
+	FLEET_MAX_TASKS = 65536, /* of one occurrence, over all steps */
+	FLEET_MAX_OCCURRENCES = 100000
 };
 
 /* Largest amount of one resource of a worker or task. Sums and products of
  * valid amounts don't overflow. */
-#define FLEET_MAX_AMOUNT (INT64_C(1) << 40)
+#define FLEET_MAX_AMOUNT (INT64_C(1) << 32)
 /* Latest time of day, longest duration and highest reading of a clock. */
 #define FLEET_MAX_TIME_MS (INT64_C(1) << 43)
+/* Highest number of a run or of the end of a run. */
+#define FLEET_MAX_NUMBER (UINT64_C(1) << 53)
 
 struct fleet;
 struct fleet_job;
@@ -168,7 +175,18 @@
  */
 
 /*
- * Adds a job and takes ownership of spec. progress is the job's last record
+ * Check records that may come from another writer. Return IBIS_OK, or
+ * IBIS_INVALID with the field at fault in status. A record of progress is
+ * checked against its job's; NULL: as far as it can be without.
+ */
+enum ibis_code fleet_check_job(
+    const Ibis__StepJob *spec, struct ibis_status *status);
+enum ibis_code fleet_check_progress(const Ibis__StepJob *spec,
+    const Ibis__JobProgress *progress, struct ibis_status *status);
+
+/*
+ * Adds a job and takes ownership of spec, both of which have passed their
+ * check. progress is the job's last record
  * with revision progress_revision; NULL for a job without one. It stays the
  * caller's. Returns NULL, and leaves spec to the caller, when a job with this
  * id exists.
--- a/tests/common_agent.c
+++ b/tests/common_agent.c
@@ -1,4 +1,5 @@
 #include <ne_string.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "common_agent.h"
@@ -92,6 +93,30 @@
 	append_store_item(body, key, packed.data, packed.length, revision, 0);
 }
 
+void
+pack_store_job(struct buffer *record)
+{
+	Ibis__StepJob job = IBIS__STEP_JOB__INIT;
+	Ibis__JobStep step = IBIS__JOB_STEP__INIT;
+	Ibis__JobStep *steps[] = {&step};
+
+	step.tasks = 1;
+	job.steps = steps;
+	job.n_steps = 1;
+	proto_pack(&job.base, record);
+}
+
+void
+append_store_job(struct buffer *items, const char *id, uint64_t revision)
+{
+	CLEANUP(buffer_free) struct buffer record = {0};
+	char key[PLATFORM_KEY_BYTES];
+
+	(void)snprintf(key, sizeof(key), "%s%s", AGENT_JOB_PREFIX, id);
+	pack_store_job(&record);
+	append_store_item(items, key, record.data, record.length, revision, 0);
+}
+
 void
 answer_store_status(struct agent_fixture *fixture, const char *path_part,
     int32_t status, const char *body)
--- a/tests/common_agent.h
+++ b/tests/common_agent.h
@@ -40,6 +40,10 @@
 void append_store_message(struct buffer *items, const char *key,
     const ProtobufCMessage *message, uint64_t revision);
 
+/* Append the record of a job of one task. */
+void pack_store_job(struct buffer *record);
+void append_store_job(struct buffer *items, const char *id, uint64_t revision);
+
 /* Answer the newest unanswered call whose path contains a text. */
 void answer_store_status(struct agent_fixture *fixture, const char *path_part,
     int32_t status, const char *body);
--- a/tests/test_agent_lead.c
+++ b/tests/test_agent_lead.c
@@ -46,18 +46,12 @@
 build_listing(struct buffer *body)
 {
 	CLEANUP(buffer_free) struct buffer items = {0};
-	Ibis__StepJob job = IBIS__STEP_JOB__INIT;
-	Ibis__JobStep step = IBIS__JOB_STEP__INIT;
-	Ibis__JobStep *steps[] = {&step};
 	Ibis__TaskProgress task = IBIS__TASK_PROGRESS__INIT;
 	Ibis__TaskProgress *tasks[] = {&task};
 	Ibis__OccurrenceProgress occurrence = IBIS__OCCURRENCE_PROGRESS__INIT;
 	Ibis__OccurrenceProgress *occurrences[] = {&occurrence};
 	Ibis__JobProgress progress = IBIS__JOB_PROGRESS__INIT;
 
-	step.tasks = 1;
-	job.steps = steps;
-	job.n_steps = 1;
 	task.run = 1;
 	task.done = true;
 	occurrence.tasks = tasks;
@@ -65,7 +59,7 @@
 	progress.phase = IBIS__STEP_JOB_PHASE__PHASE_COMPLETED;
 	progress.occurrences = occurrences;
 	progress.n_occurrences = 1;
-	append_store_message(&items, AGENT_JOB_PREFIX JOB_ID, &job.base, 40);
+	append_store_job(&items, JOB_ID, 40);
 	append_store_item(&items, AGENT_LEAD_KEY, "i1", 2, AGENT_FIXTURE_EPOCH,
 	    AGENT_FIXTURE_LEASE);
 	append_store_message(
@@ -150,7 +144,6 @@
 	CLEANUP(buffer_free) struct buffer second_page = {0};
 	CLEANUP(buffer_free) struct buffer job = {0};
 	CLEANUP(buffer_free) struct buffer events = {0};
-	Ibis__StepJob record = IBIS__STEP_JOB__INIT;
 	struct agent *agent = &fixture.agent;
 
 	open_agent_fixture(&fixture);
@@ -169,8 +162,7 @@
 	    &fixture, "kv-range?Prefix=ibis", buffer_string(&second_page));
 	agent_lead_step(agent, clock_now_ms());
 	CU_ASSERT_NOT_EQUAL(agent->lead.state, AGENT_LEADING);
-	append_store_message(
-	    &job, AGENT_JOB_PREFIX NEW_JOB_ID, &record.base, 51);
+	append_store_job(&job, NEW_JOB_ID, 51);
 	buffer_printf(
 	    &events, "{\"events\":[%s],\"At\":52}", buffer_string(&job));
 	agent_view_step(agent, clock_now_ms());
@@ -187,15 +179,8 @@
 {
 	CLEANUP(buffer_free) struct buffer items = {0};
 	CLEANUP(buffer_free) struct buffer events = {0};
-	Ibis__StepJob job = IBIS__STEP_JOB__INIT;
-	Ibis__JobStep step = IBIS__JOB_STEP__INIT;
-	Ibis__JobStep *steps[] = {&step};
 
-	step.tasks = 1;
-	job.steps = steps;
-	job.n_steps = 1;
-	append_store_message(
-	    &items, AGENT_JOB_PREFIX NEW_JOB_ID, &job.base, 61);
+	append_store_job(&items, NEW_JOB_ID, 61);
 	append_store_item(&items, AGENT_CANCEL_PREFIX NEW_JOB_ID, "", 0, 62, 0);
 	buffer_printf(
 	    &events, "{\"events\":[%s],\"At\":62}", buffer_string(&items));
@@ -243,12 +228,11 @@
 	CLEANUP(buffer_free) struct buffer items = {0};
 	CLEANUP(buffer_free) struct buffer listing = {0};
 	struct agent *agent = &fixture.agent;
-	Ibis__StepJob job = IBIS__STEP_JOB__INIT;
 
 	open_agent_fixture(&fixture);
 	await_lead_key(agent);
 	agent_view_step(agent, clock_now_ms());
-	append_store_message(&items, AGENT_JOB_PREFIX JOB_ID, &job.base, 40);
+	append_store_job(&items, JOB_ID, 40);
 	append_store_item(&items, AGENT_LEAD_KEY, "i1", 2, AGENT_FIXTURE_EPOCH,
 	    AGENT_FIXTURE_LEASE);
 	append_store_item(
@@ -513,10 +497,9 @@
 add_dirty_jobs(struct agent_fixture *fixture, int count)
 {
 	CLEANUP(buffer_free) struct buffer packed = {0};
-	Ibis__StepJob job = IBIS__STEP_JOB__INIT;
 	struct agent *agent = &fixture->agent;
 
-	proto_pack(&job.base, &packed);
+	pack_store_job(&packed);
 	for (int i = 0; i < count; i++) {
 		char id[FLEET_ID_BYTES];
 
--- a/tests/test_agent_records.c
+++ b/tests/test_agent_records.c
@@ -27,7 +27,6 @@
 {
 	CLEANUP(buffer_free) struct buffer items = {0};
 	CLEANUP(buffer_free) struct buffer listing = {0};
-	Ibis__StepJob job = IBIS__STEP_JOB__INIT;
 	Ibis__JobProgress progress = IBIS__JOB_PROGRESS__INIT;
 
 	open_agent_fixture(fixture);
@@ -38,18 +37,18 @@
 	    strlen(AGENT_FIXTURE_NAME), AGENT_FIXTURE_EPOCH,
 	    AGENT_FIXTURE_LEASE);
 	for (unsigned int i = 0; i < JOBS; i++) {
+		char id[FLEET_ID_BYTES];
 		char key[PLATFORM_KEY_BYTES];
 
+		(void)snprintf(id, sizeof(id), "%016x", i);
+		append_store_job(&items, id, 40);
 		(void)snprintf(
-		    key, sizeof(key), "%s%016x", AGENT_JOB_PREFIX, i);
-		append_store_message(&items, key, &job.base, 40);
-		(void)snprintf(
-		    key, sizeof(key), "%s%016x", AGENT_PROGRESS_PREFIX, i);
+		    key, sizeof(key), "%s%s", AGENT_PROGRESS_PREFIX, id);
 		append_store_message(&items, key, &progress.base, 41);
 		if (i % 4 >= cancelled_of_4)
 			continue;
 		(void)snprintf(
-		    key, sizeof(key), "%s%016x", AGENT_CANCEL_PREFIX, i);
+		    key, sizeof(key), "%s%s", AGENT_CANCEL_PREFIX, id);
 		append_store_item(&items, key, "", 0, 42, 0);
 	}
 	buffer_printf(&listing, "{\"items\":[%s],\"HasMore\":false,\"At\":60}",
