--- a/src/fleet/fleet_reports.c
+++ b/src/fleet/fleet_reports.c
@@ -249,10 +249,14 @@
 apply_lists(struct fleet *fleet, struct fleet_worker *worker,
     const struct fleet_report *report, int64_t now_ms)
 {
+	uint64_t last_before = worker->last_reported_end;
+
+	/* The rows may have any order. */
 	for (size_t i = 0; i < report->ends_count; i++) {
-		if (report->ends[i].number <= worker->last_reported_end)
+		if (report->ends[i].number <= last_before)
 			continue;
-		worker->last_reported_end = report->ends[i].number;
+		if (report->ends[i].number > worker->last_reported_end)
+			worker->last_reported_end = report->ends[i].number;
 		fleet_release_orphan(
 		    fleet, worker, &report->ends[i].task, report->ends[i].run);
 		apply_end(fleet, worker, &report->ends[i], now_ms);
--- a/tests/common_fleet_job.c
+++ b/tests/common_fleet_job.c
@@ -8,8 +8,6 @@
 #define ACCELERATORS 8
 #define LEASE_MS     6000
 #define START_MS     1000000
-#define INCARNATION  1
-#define JOB	     "00000000000000aa"
 
 void
 fleet_job_report_tasks(struct fleet_job_fixture *fixture, size_t worker_index,
@@ -23,14 +21,14 @@
 	    .sent_ms = fixture->now_ms,
 	    .received_ms = fixture->now_ms,
 	    .clock_ms = fixture->now_ms,
-	    .incarnation_wall_ms = INCARNATION,
+	    .incarnation_wall_ms = FLEET_JOB_INCARNATION,
 	    .runs = listed,
 	    .runs_count = count,
 	};
 
 	for (uint32_t i = 0; i < count; i++)
 		listed[i] = (struct fleet_reported_run){
-		    .task = {.job = JOB, .index = first + i},
+		    .task = {.job = FLEET_JOB_ID, .index = first + i},
 		    .run = 1,
 		    .checkpoint = "",
 		    .percent = percent,
@@ -120,8 +118,8 @@
 	step->accelerators = fixture->accelerators;
 	step->gang = gang;
 	step->estimate_ms = FLEET_JOB_ESTIMATE_MS;
-	CU_ASSERT_PTR_NOT_NULL_FATAL(
-	    fleet_add_job(fixture->fleet, JOB, spec, NULL, 0, fixture->now_ms));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(fleet_add_job(
+	    fixture->fleet, FLEET_JOB_ID, spec, NULL, 0, fixture->now_ms));
 	(void)fleet_job_decide(fixture, FLEET_START);
 	CU_ASSERT_EQUAL_FATAL(fleet_job_decide(fixture, FLEET_START), tasks);
 }
--- a/tests/common_fleet_job.h
+++ b/tests/common_fleet_job.h
@@ -16,6 +16,9 @@
 	FLEET_JOB_ESTIMATE_MS = 10000 /* of each task */
 };
 
+#define FLEET_JOB_ID	      "00000000000000aa"
+#define FLEET_JOB_INCARNATION 1 /* of the workers */
+
 struct fleet_job_fixture {
 	struct fleet *fleet;
 	int64_t now_ms;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -309,7 +309,7 @@
 		const char *born;
 		bool usable;
 	} entries[] = {
-	    {"i-1", "10.0.0.1:65535", "1099511627776", "1796448607376", true},
+	    {"i-1", "10.0.0.1:65535", "4294967296", "1796448607376", true},
 	    {"i-1", "10.0.0.1:65536", "1", "1", false},
 	    {"i-1", "10.0.0.1:99999999999999999999", "1", "1", false},
 	    {"i-1", "10.0.0.1:0", "1", "1", false},
@@ -319,7 +319,7 @@
 	    {"i-1", "10.0.0.1:+80", "1", "1", false},
 	    {"i-1", "10.0.0.1", "1", "1", false},
 	    {"i-1", "example.org:80", "1", "1", false},
-	    {"i-1", "10.0.0.1:80", "1099511627777", "1", false},
+	    {"i-1", "10.0.0.1:80", "4294967297", "1", false},
 	    {"i-1", "10.0.0.1:80", "9223372036854775807", "1", false},
 	    {"i-1", "10.0.0.1:80", "99999999999999999999", "1", false},
 	    {"i-1", "10.0.0.1:80", "-1", "1", false},
@@ -380,6 +380,45 @@
 	"[58,\"5c0e7a21d94b36f8.2.1.9\",1,\"done\",\"\"],"                     \
 	"[59,\"5c0e7a21d94b36f8.2.1.9\",1,\"odd\",\"\"]]}"
 
+/* Guards against a row with a number out of range: an end with the largest one
+ * hid all later ends of its worker, and was acknowledged. */
+static void
+test_report_rows_out_of_range(void)
+{
+	static const char text[] =
+	    "{\"ClockMs\":5,\"Running\":["
+	    "[\"5c0e7a21d94b36f8.0.0.1\",9223372036854775807,\"\",1],"
+	    "[\"5c0e7a21d94b36f8.0.0.2\",0,\"\",1],"
+	    "[\"5c0e7a21d94b36f8.0.0.3\",-1,\"\",1],"
+	    "[\"5c0e7a21d94b36f8.0.4294967296.4\",1,\"\",1],"
+	    "[[[[[[[[[[[[[[[[[[[[5]]]]]]]]]]]]]]]]]]]],"
+	    "[\"5c0e7a21d94b36f8.0.0.5\",1,\"\",9223372036854775807]],"
+	    "\"EndedRuns\":["
+	    "[9223372036854775807,\"5c0e7a21d94b36f8.0.0.6\",1,\"done\",\"\"],"
+	    "[99999999999999999999,\"5c0e7a21d94b36f8.0.0.6\",1,\"done\","
+	    "\"\"],[0,\"5c0e7a21d94b36f8.0.0.7\",1,\"done\",\"\"],"
+	    "[1,\"5c0e7a21d94b36f8.0.0.8\",-5,\"done\",\"\"],"
+	    "[2,\"5c0e7a21d94b36f8.0.0.9\",1,\"done\",\"\"]]}";
+	static const char *const malformed[] = {
+	    "{\"ClockMs\":9223372036854775807,\"Running\":[],\"EndedRuns\":[]}",
+	    "{\"ClockMs\":1,\"born\":-1,\"Running\":[],\"EndedRuns\":[]}",
+	};
+	struct ibis_status status = {0};
+	struct fleet_report *report =
+	    platform_report_parse(text, strlen(text), &status);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(report);
+	CU_ASSERT_EQUAL_FATAL(report->runs_count, 1);
+	CU_ASSERT_EQUAL(report->runs[0].task.index, 5);
+	CU_ASSERT_EQUAL(report->runs[0].percent, 100);
+	CU_ASSERT_EQUAL_FATAL(report->ends_count, 1);
+	CU_ASSERT_EQUAL(report->ends[0].task.index, 9);
+	platform_report_free(report);
+	for (size_t i = 0; i < COUNT_OF(malformed); i++)
+		CU_ASSERT_PTR_NULL(platform_report_parse(
+		    malformed[i], strlen(malformed[i]), &status));
+}
+
 static void
 test_report(void)
 {
@@ -629,6 +668,7 @@
 	    {"bad worker entries", test_bad_worker_entries},
 	    {"worker entries out of range", test_worker_entries_out_of_range},
 	    {"report", test_report},
+	    {"report rows out of range", test_report_rows_out_of_range},
 	    {"only refusals count as refused",
 		test_only_refusals_count_as_refused},
 	    {"report with a full list of ends",
