Keep a cancel that comes before its job

A write of the record that got no answer, and that the store carried out seconds later, or a submission that reached another instance after the cancel, stored the job, and the lead ran it.

A cancel now always writes its key: for a job that isn't known to exist on the condition that it has no record (410), else as before (200). The write of a record is conditional on there being no cancel, so it is rejected by the store, however late. A submission after its cancel gets 503: it never runs. The key is removed as an ended job is, after the retention time. A cancel of an unknown job costs one write in place of a read, or two writes in place of a read and a write.

--- a/src/agent/agent_callers.c
+++ b/src/agent/agent_callers.c
@@ -123,7 +123,7 @@
 {
 	struct view_job *job = agent_view_job(agent, id);
 
-	if (job != NULL && job->cancelled) {
+	if (job != NULL && job->cancelled && job->spec != NULL) {
 		reply(agent, request, STATUS_OK, NULL, 0);
 		return;
 	}
--- a/src/agent/agent_pending.c
+++ b/src/agent/agent_pending.c
@@ -52,11 +52,20 @@
 	int64_t give_up_ms;  /* answered at this time at the latest */
 	int64_t retry_at_ms;
 	bool call_in_flight;
-	bool sent;	      /* at least one call was made */
-	bool writing_cancel;  /* the job exists; its cancel key is written */
-	bool unknown_outcome; /* a write may have been applied */
+	bool sent;	       /* at least one call was made */
+	bool job_exists;       /* of a cancellation: as far as known */
+	bool unknown_outcome;  /* a write may have been applied */
+	bool cancelled_before; /* a submission after its cancellation */
 };
 
+/* Logs the outcome of a cancellation. */
+static void
+log_cancel(const struct pending_request *pending, const char *outcome)
+{
+	agent_log_answer(pending->agent, LOG_INFO, "cancel", pending->id,
+	    outcome, pending->request->received_ms);
+}
+
 /* Refusals are logged as a separate event, so that the rate limit for each
  * event doesn't drop them when many jobs are accepted. */
 static void
@@ -72,6 +81,8 @@
 	} else if (status != STATUS_OK) {
 		event = "submit_refused";
 		outcome = pending->sent ? "store refused" : "store not asked";
+		if (pending->cancelled_before)
+			outcome = "cancelled before";
 	}
 	agent_log_answer(pending->agent, level, event, pending->id, outcome,
 	    pending->request->received_ms);
@@ -120,6 +131,34 @@
 	    unreachable ? UNREACHABLE_RETRY_AFTER_MS : RETRY_AFTER_MS);
 }
 
+static bool
+item_exists(const struct platform_store_answer *answer, const char *prefix)
+{
+	for (size_t i = 0; i < answer->items_count; i++) {
+		const struct platform_store_item *item = &answer->items[i];
+
+		if (item->revision != 0 && !item->deleted &&
+		    agent_watch_key_suffix(item->key, prefix) != NULL)
+			return true;
+	}
+	return false;
+}
+
+/* Answers a submission whose job has been stored by an earlier try, or has been
+ * cancelled before it was stored. */
+static void
+submit_conflict(
+    struct pending_request *pending, const struct platform_store_answer *answer)
+{
+	if (item_exists(answer, AGENT_CANCEL_PREFIX) &&
+	    !item_exists(answer, AGENT_JOB_PREFIX)) {
+		pending->cancelled_before = true;
+		finish(pending, STATUS_UNAVAILABLE, NULL, 0);
+		return;
+	}
+	finish(pending, STATUS_OK, NULL, 0);
+}
+
 static void
 submit_answered(
     struct pending_request *pending, const struct platform_store_answer *answer)
@@ -130,8 +169,8 @@
 		    &pending->value);
 		finish(pending, STATUS_OK, NULL, 0);
 		return;
-	case STORE_CONFLICT: /* an earlier try has stored the job */
-		finish(pending, STATUS_OK, NULL, 0);
+	case STORE_CONFLICT:
+		submit_conflict(pending, answer);
 		return;
 	case STORE_UNKNOWN:
 		pending->unknown_outcome = true;
@@ -153,8 +192,7 @@
 	agent_wake_at(pending->agent, pending->retry_at_ms);
 }
 
-/* Handles the answer to a read of the job's record, for a read request or
- * before a cancellation is written. */
+/* Handles the answer to a read of the job's record. */
 static void
 read_answered(
     struct pending_request *pending, const struct platform_store_answer *answer)
@@ -172,12 +210,6 @@
 		agent_wake_at(pending->agent, pending->retry_at_ms);
 		return;
 	}
-	if (pending->kind == PENDING_CANCEL) {
-		pending->writing_cancel = true;
-		pending->retry_at_ms = answer->received_ms;
-		agent_wake_at(pending->agent, pending->retry_at_ms);
-		return;
-	}
 	job = agent_view_job(pending->agent, pending->id);
 	if (job != NULL)
 		agent_view_render_phase(job, &body);
@@ -191,15 +223,23 @@
 cancel_answered(
     struct pending_request *pending, const struct platform_store_answer *answer)
 {
-	if (answer->outcome == STORE_DONE) {
-		agent_log_answer(pending->agent, LOG_INFO, "cancel",
-		    pending->id, "stored", pending->request->received_ms);
+	if (answer->outcome == STORE_DONE && pending->job_exists) {
+		log_cancel(pending, "stored");
 		finish(pending, STATUS_OK, NULL, 0);
 		return;
 	}
+	if (answer->outcome == STORE_DONE) {
+		log_cancel(pending, "no such job");
+		finish(pending, STATUS_GONE, NULL, 0);
+		return;
+	}
+	pending->retry_at_ms = answer->received_ms + STORE_RETRY_INTERVAL_MS;
+	if (answer->outcome == STORE_CONFLICT) {
+		pending->job_exists = true;
+		pending->retry_at_ms = answer->received_ms;
+	}
 	if (answer->outcome == STORE_UNKNOWN)
 		pending->unknown_outcome = true;
-	pending->retry_at_ms = answer->received_ms + STORE_RETRY_INTERVAL_MS;
 	agent_wake_at(pending->agent, pending->retry_at_ms);
 }
 
@@ -213,42 +253,80 @@
 		mem_free(pending);
 		return;
 	}
-	if (pending->kind == PENDING_SUBMIT)
+	switch (pending->kind) {
+	case PENDING_SUBMIT:
 		submit_answered(pending, answer);
-	else if (pending->writing_cancel)
+		break;
+	case PENDING_CANCEL:
 		cancel_answered(pending, answer);
-	else
+		break;
+	case PENDING_READ:
 		read_answered(pending, answer);
+		break;
+	}
+}
+
+/* Stores the job's record, unless there is one, or the job has been cancelled:
+ * then it must not run, even if the store carries this out late. */
+static void
+write_job(struct pending_request *pending, const char *job_key,
+    const char *cancel_key)
+{
+	struct platform_store_op changes[] = {
+	    {
+		.key = job_key,
+		.has_condition = true,
+		.put = true,
+		.value = buffer_string(&pending->value),
+		.value_length = pending->value.length,
+	    },
+	    {.key = cancel_key, .has_condition = true},
+	};
+
+	platform_store_commit(&pending->agent->store, changes,
+	    COUNT_OF(changes), store_answered, pending);
+}
+
+/* Stores the cancellation. That of a job without a record is conditional, so
+ * that it is known whether there is one. */
+static void
+write_cancel(struct pending_request *pending, const char *job_key,
+    const char *cancel_key)
+{
+	struct platform_store_op changes[] = {
+	    {.key = cancel_key, .put = true, .value = ""},
+	    {.key = job_key, .has_condition = true},
+	};
+
+	platform_store_commit(&pending->agent->store, changes,
+	    pending->job_exists ? 1 : COUNT_OF(changes), store_answered,
+	    pending);
 }
 
 /* Makes the store call that a pending request needs next. */
 static void
 call_store(struct pending_request *pending)
 {
-	struct agent *agent = pending->agent;
-	char key[PLATFORM_KEY_BYTES];
-	struct platform_store_op change = {.key = key, .put = true};
+	char job_key[PLATFORM_KEY_BYTES];
+	char cancel_key[PLATFORM_KEY_BYTES];
 
+	(void)snprintf(
+	    job_key, sizeof(job_key), "%s%s", AGENT_JOB_PREFIX, pending->id);
+	(void)snprintf(cancel_key, sizeof(cancel_key), "%s%s",
+	    AGENT_CANCEL_PREFIX, pending->id);
 	pending->call_in_flight = true;
 	pending->sent = true;
-	if (pending->kind == PENDING_SUBMIT) {
-		(void)snprintf(
-		    key, sizeof(key), "%s%s", AGENT_JOB_PREFIX, pending->id);
-		change.has_condition = true;
-		change.value = buffer_string(&pending->value);
-		change.value_length = pending->value.length;
-		platform_store_commit(
-		    &agent->store, &change, 1, store_answered, pending);
-	} else if (pending->writing_cancel) {
-		(void)snprintf(
-		    key, sizeof(key), "%s%s", AGENT_CANCEL_PREFIX, pending->id);
-		change.value = "";
-		platform_store_commit(
-		    &agent->store, &change, 1, store_answered, pending);
-	} else {
-		(void)snprintf(
-		    key, sizeof(key), "%s%s", AGENT_JOB_PREFIX, pending->id);
-		platform_store_get(&agent->store, key, store_answered, pending);
+	switch (pending->kind) {
+	case PENDING_SUBMIT:
+		write_job(pending, job_key, cancel_key);
+		break;
+	case PENDING_CANCEL:
+		write_cancel(pending, job_key, cancel_key);
+		break;
+	case PENDING_READ:
+		platform_store_get(
+		    &pending->agent->store, job_key, store_answered, pending);
+		break;
 	}
 }
 
@@ -320,7 +398,7 @@
 	struct pending_request *pending =
 	    new_pending_request(agent, request, PENDING_CANCEL, id);
 
-	pending->writing_cancel = known;
+	pending->job_exists = known;
 	call_store(pending);
 }
 
--- a/src/agent/agent_records.c
+++ b/src/agent/agent_records.c
@@ -324,22 +324,46 @@
 	    (struct platform_store_op){.key = key, .remove = true};
 }
 
+/* Returns whether this is the cancellation of a job that has no record. */
+static bool
+is_lone_cancellation(const struct view_job *job)
+{
+	return job->cancelled && job->spec == NULL && job->progress.length == 0;
+}
+
 /* Appends all keys of a job, or none if there is no room for all. Returns
  * whether there was. */
 static bool
 add_job_keys(struct removal *removal, const struct view_job *job)
 {
-	size_t needed = job->cancelled ? 3 : 2;
+	bool has_records = !is_lone_cancellation(job);
+	size_t needed = (has_records ? 2 : 0) + (job->cancelled ? 1 : 0);
 
 	if (needed > COUNT_OF(removal->keys) - removal->count)
 		return false;
-	add_key(removal, AGENT_JOB_PREFIX, job->id);
-	add_key(removal, AGENT_PROGRESS_PREFIX, job->id);
+	if (has_records) {
+		add_key(removal, AGENT_JOB_PREFIX, job->id);
+		add_key(removal, AGENT_PROGRESS_PREFIX, job->id);
+	}
 	if (job->cancelled)
 		add_key(removal, AGENT_CANCEL_PREFIX, job->id);
 	return true;
 }
 
+/* Returns whether a job, or a cancellation without one, has been kept for long
+ * enough. */
+static bool
+is_expired(const struct agent *agent, const struct view_job *job,
+    int64_t now_ms, int64_t wall_ms)
+{
+	int64_t kept_ms = agent->settings.retention_ms + REMOVAL_MARGIN_MS;
+
+	if (is_lone_cancellation(job))
+		return job->cancel_seen_ms <= now_ms - kept_ms;
+	return job->ended_wall_ms != 0 &&
+	    job->ended_wall_ms <= wall_ms - kept_ms;
+}
+
 /* Removes expired jobs. Those for which there is no room stay until the next
  * round. */
 static void
@@ -352,16 +376,14 @@
 		.condition = agent->lead.epoch,
 	    }},
 	};
-	int64_t ended_before_ms =
-	    clock_wall_ms() - agent->settings.retention_ms - REMOVAL_MARGIN_MS;
+	int64_t wall_ms = clock_wall_ms();
 
 	agent->next_removal_ms = now_ms + REMOVAL_INTERVAL_MS;
 	for (size_t i = 0; i < agent->jobs.count; i++) {
 		struct view_job *job = agent->jobs.items[i].item;
 
-		if (job->ended_wall_ms == 0 ||
-		    job->ended_wall_ms > ended_before_ms ||
-		    job->removal_requested)
+		if (job->removal_requested ||
+		    !is_expired(agent, job, now_ms, wall_ms))
 			continue;
 		if (!add_job_keys(&removal, job)) {
 			agent->next_removal_ms = now_ms + REMOVAL_PAUSE_MS;
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -53,6 +53,7 @@
 	Ibis__StepJobPhase phase;
 	int64_t ended_wall_ms; /* 0: not ended */
 	bool cancelled;
+	int64_t cancel_seen_ms; /* by this instance */
 	bool removal_requested;
 };
 
@@ -505,7 +506,8 @@
 void agent_pending_read(
     struct agent *agent, struct gateway_request *request, const char *id);
 
-/* Cancels a job, after a read of its record unless that is known to exist. */
+/* Cancels a job, whether or not it has a record. known: it has. Without one, a
+ * record that is written later is rejected by the store. */
 void agent_pending_cancel(struct agent *agent, struct gateway_request *request,
     const char *id, bool known);
 
--- a/src/agent/agent_view.c
+++ b/src/agent/agent_view.c
@@ -131,8 +131,17 @@
 	struct view_job *job = item->deleted ? agent_view_job(agent, id)
 					     : get_or_add_job(agent, id);
 
-	if (job == NULL || item->deleted)
+	if (job == NULL)
 		return;
+	if (item->deleted) {
+		if (job->spec == NULL && job->progress.length == 0) {
+			(void)name_index_remove(&agent->jobs, id);
+			free_job(job);
+		}
+		return;
+	}
+	if (!job->cancelled)
+		job->cancel_seen_ms = clock_now_ms();
 	job->cancelled = true;
 	agent_lead_update_job(agent, job, clock_now_ms());
 }
--- a/tests/common_users_platform.h
+++ b/tests/common_users_platform.h
@@ -69,6 +69,10 @@
  * NULL: none. prefix is not copied. */
 void users_store_hang_reads(
     struct users_platform *platform, const char *prefix);
+/* Lets writes of jobs' records get no answer. They are carried out when they
+ * are released, if their conditions hold then. */
+void users_store_hold_submissions(struct users_platform *platform);
+void users_store_release_submissions(struct users_platform *platform);
 /* Delays all answers of the store. */
 void users_store_delay(struct users_platform *platform, int64_t delay_ms);
 /* Forgets the history: a watch after an earlier revision gets 410. */
--- a/tests/common_users_state.h
+++ b/tests/common_users_state.h
@@ -14,6 +14,7 @@
 #define USERS_MAX_ITEMS	       512
 #define USERS_MAX_CHANGES      4096
 #define USERS_MAX_LEASES       64
+#define USERS_MAX_HELD	       128
 #define USERS_MAX_RUNS	       64
 #define USERS_MAX_ENDS	       512
 #define USERS_KEY_BYTES	       128
@@ -100,7 +101,10 @@
 	struct users_lease leases[USERS_MAX_LEASES];
 	uint64_t revision;
 	uint64_t next_lease;
-	bool hanging;		     /* the store doesn't answer */
+	bool hanging; /* the store doesn't answer */
+	bool holding_submissions;
+	char *held[USERS_MAX_HELD]; /* bodies of transactions */
+	size_t held_count;
 	int64_t delay_ms;	     /* of the store's answers */
 	uint64_t compacted_revision; /* changes up to this are forgotten */
 	/* Reads of this prefix are not answered, others are; NULL: none. */
--- a/tests/common_users_store.c
+++ b/tests/common_users_store.c
@@ -280,6 +280,66 @@
 	json_object_put(body);
 }
 
+static bool
+starts_with(const char *text, const char *prefix, const char **rest)
+{
+	size_t length = strlen(prefix);
+
+	*rest = text + length;
+	return strncmp(text, prefix, length) == 0;
+}
+
+/* Returns whether a transaction writes a job's record. */
+static bool
+is_submission(const char *text)
+{
+	struct json_object *body = json_tokener_parse(text);
+	struct json_object *put =
+	    json_object_array_get_idx(json_object_object_get(body, "Puts"), 0);
+	const char *rest;
+	bool found =
+	    starts_with(fake_json_text(put, "Key", ""), "ibis/job/", &rest);
+
+	json_object_put(body);
+	return found;
+}
+
+/* Keeps a write of a job's record for later, if such writes are held. Returns
+ * whether it is. */
+static bool
+hold_submission(struct users_platform *platform, const char *text)
+{
+	if (!platform->holding_submissions || !is_submission(text))
+		return false;
+	if (platform->held_count < USERS_MAX_HELD)
+		platform->held[platform->held_count++] = mem_strdup(text);
+	return true;
+}
+
+void
+users_store_hold_submissions(struct users_platform *platform)
+{
+	(void)pthread_mutex_lock(&platform->lock);
+	platform->holding_submissions = true;
+	(void)pthread_mutex_unlock(&platform->lock);
+}
+
+void
+users_store_release_submissions(struct users_platform *platform)
+{
+	(void)pthread_mutex_lock(&platform->lock);
+	platform->holding_submissions = false;
+	for (size_t i = 0; i < platform->held_count; i++) {
+		struct fake_reply unread = {0};
+
+		answer_transaction(platform, platform->held[i], &unread);
+		buffer_free(&unread.body);
+		mem_free(platform->held[i]);
+	}
+	platform->held_count = 0;
+	(void)pthread_mutex_unlock(&platform->lock);
+}
+
 static void
 answer_lease(
     struct users_platform *platform, const char *text, struct fake_reply *reply)
@@ -321,15 +381,6 @@
 		lease->expires_ms = clock_now_ms() + lease->ttl_ms;
 }
 
-static bool
-starts_with(const char *text, const char *prefix, const char **rest)
-{
-	size_t length = strlen(prefix);
-
-	*rest = text + length;
-	return strncmp(text, prefix, length) == 0;
-}
-
 static void
 answer_store_call(struct users_platform *platform,
     const struct users_listener *listener, const struct fake_request *request,
@@ -345,7 +396,9 @@
 	} else if (strcmp(path, "/ibistrestle/kv-watch") == 0) {
 		answer_watch(platform, listener, request, reply);
 	} else if (strcmp(path, "/ibistrestle/kv-txn") == 0) {
-		answer_transaction(platform, request->body, reply);
+		reply->cut = hold_submission(platform, request->body);
+		if (!reply->cut)
+			answer_transaction(platform, request->body, reply);
 	} else if (strcmp(path, "/ibistrestle/kv-lease") == 0) {
 		answer_lease(platform, request->body, reply);
 	} else if (starts_with(path, "/ibistrestle/kv-keep/", &rest)) {
--- a/tests/test_agent_records.c
+++ b/tests/test_agent_records.c
@@ -141,6 +141,29 @@
 	CU_ASSERT_EQUAL(fixture.agent.jobs.count, 0);
 }
 
+/* Guards against cancellations of jobs that were never stored, which would pile
+ * up in the store, and against their removal while a write of the job may still
+ * be carried out. */
+static void
+test_lone_cancellation_is_removed(void)
+{
+	CLEANUP(close_agent_fixture) struct agent_fixture fixture;
+	struct platform_store_item cancel = {
+	    .key = AGENT_CANCEL_PREFIX "00000000000000ff",
+	    .value = "",
+	    .revision = 65,
+	};
+
+	lead_ended_jobs(&fixture, 4);
+	CU_ASSERT_EQUAL(
+	    remove_all(&fixture, STEP_MS, JOBS * STEP_MS), JOBS * 3);
+	agent_watch_apply(fixture.agent.records_watch, &cancel);
+	CU_ASSERT_EQUAL(fixture.agent.jobs.count, 1);
+	CU_ASSERT_EQUAL(remove_all(&fixture, STEP_MS, RETENTION_MS), 0);
+	CU_ASSERT_EQUAL(remove_all(&fixture, ROUND_MS, 4 * ROUND_MS), 1);
+	CU_ASSERT_EQUAL(fixture.agent.jobs.count, 0);
+}
+
 int
 main(void)
 {
@@ -149,6 +172,7 @@
 		test_removal_of_cancelled_jobs_fits_a_transaction},
 	    {"removal keeps up with submissions",
 		test_removal_keeps_up_with_submissions},
+	    {"lone cancellation is removed", test_lone_cancellation_is_removed},
 	    CU_TEST_INFO_NULL,
 	};
 
