Bound the size of a write of records

A transaction of the lead's took up to 15 records of any size. A few of jobs with thousands of tasks are more than a link of 10 Mbit/s carries within the 600 ms of a store call, so that the write is given up and repeated for good, and with it the records of all jobs in it.

No further record is added once a batch has 64 KiB.

test_agent_records, 'large records are written in parts' (15 jobs of 8,000 tasks, at most 750,000 bytes): failed before, passes now.

--- a/src/agent/agent_records.c
+++ b/src/agent/agent_records.c
@@ -17,6 +17,9 @@
 /* The store accepts 32 rows in a transaction: a condition on the lead key, and
  * a condition and a put for each job. */
 #define BATCH_JOBS 15
+/* No further record is added to a batch of this size: it has to reach the store
+ * within STORE_TIMEOUT_MS on a slow link. */
+#define BATCH_MAX_BYTES 65536
 /* Pause after a successful write, to batch changes. */
 #define BATCH_INTERVAL_MS 6
 /* A further batch that is not full may be written while one is in flight, once
@@ -268,10 +271,11 @@
 {
 	struct record_batch *batch = mem_calloc(1, sizeof(*batch));
 	struct fleet_job *job;
+	size_t bytes = 0;
 
 	batch->agent = agent;
 	batch->begun_ms = clock_now_ms();
-	while (batch->count < BATCH_JOBS &&
+	while (batch->count < BATCH_JOBS && bytes < BATCH_MAX_BYTES &&
 	    (job = fleet_take_unrecorded(agent->fleet)) != NULL) {
 		size_t i = batch->count++;
 
@@ -280,6 +284,7 @@
 		(void)snprintf(batch->keys[i], sizeof(batch->keys[i]), "%s%s",
 		    AGENT_PROGRESS_PREFIX, fleet_job_id(job));
 		fleet_pack_progress(job, clock_wall_ms(), &batch->values[i]);
+		bytes += batch->values[i].length;
 	}
 	if (batch->count > 0)
 		return batch;
--- a/tests/test_agent_records.c
+++ b/tests/test_agent_records.c
@@ -8,8 +8,14 @@
 #include "common_cunit.h"
 #include "process/alloc.h"
 #include "process/clock.h"
+#include "process/proto_memory.h"
 
-#define JOBS 60
+#define JOBS	    60
+#define LARGE_JOBS  15
+#define LARGE_TASKS 8000
+/* What a link of 10 Mbit/s, the slowest of the grown sites, carries within
+ * STORE_TIMEOUT_MS. */
+#define SLOW_LINK_BYTES 750000
 /* What the store accepts in a transaction. */
 #define TRANSACTION_ROWS 32
 #define RETENTION_MS	 20000
@@ -164,6 +170,79 @@
 	CU_ASSERT_EQUAL(fixture.agent.jobs.count, 0);
 }
 
+/* Adds a cancelled job whose record of progress is large. */
+static void
+add_large_job(struct agent_fixture *fixture, const char *id)
+{
+	Ibis__StepJob job = IBIS__STEP_JOB__INIT;
+	Ibis__JobStep step = IBIS__JOB_STEP__INIT;
+	Ibis__JobStep *steps[] = {&step};
+	Ibis__TaskProgress *tasks = mem_calloc(LARGE_TASKS, sizeof(*tasks));
+	Ibis__TaskProgress **list = mem_calloc(LARGE_TASKS, sizeof(*list));
+	Ibis__OccurrenceProgress occurrence = IBIS__OCCURRENCE_PROGRESS__INIT;
+	Ibis__OccurrenceProgress *occurrences[] = {&occurrence};
+	Ibis__JobProgress progress = IBIS__JOB_PROGRESS__INIT;
+	CLEANUP(buffer_free) struct buffer packed_job = {0};
+	CLEANUP(buffer_free) struct buffer packed_progress = {0};
+	char key[PLATFORM_KEY_BYTES];
+	struct platform_store_item item = {.key = key, .revision = 60};
+
+	step.tasks = LARGE_TASKS;
+	job.steps = steps;
+	job.n_steps = 1;
+	for (uint32_t i = 0; i < LARGE_TASKS; i++) {
+		ibis__task_progress__init(&tasks[i]);
+		tasks[i].number = i;
+		tasks[i].run = 1;
+		list[i] = &tasks[i];
+	}
+	occurrence.tasks = list;
+	occurrence.n_tasks = LARGE_TASKS;
+	progress.occurrences = occurrences;
+	progress.n_occurrences = 1;
+	proto_pack(&job.base, &packed_job);
+	proto_pack(&progress.base, &packed_progress);
+	(void)snprintf(key, sizeof(key), "%s%s", AGENT_PROGRESS_PREFIX, id);
+	item.value = packed_progress.data;
+	item.value_length = packed_progress.length;
+	agent_watch_apply(fixture->agent.records_watch, &item);
+	agent_view_add_job(
+	    &fixture->agent, id, 60, packed_job.data, packed_job.length);
+	fleet_cancel_job(fixture->agent.fleet,
+	    fleet_find_job(fixture->agent.fleet, id), clock_now_ms());
+	mem_free(list);
+	mem_free(tasks);
+}
+
+/* Guards against a write of records that can't reach the store in time on a
+ * slow link, and is repeated for good: only the number of jobs was bounded. */
+static void
+test_large_records_are_written_in_parts(void)
+{
+	CLEANUP(close_agent_fixture) struct agent_fixture fixture;
+	CLEANUP(buffer_free) struct buffer items = {0};
+	CLEANUP(buffer_free) struct buffer listing = {0};
+	size_t bytes;
+
+	open_agent_fixture(&fixture);
+	append_store_item(&items, AGENT_LEAD_KEY, AGENT_FIXTURE_NAME,
+	    strlen(AGENT_FIXTURE_NAME), AGENT_FIXTURE_EPOCH,
+	    AGENT_FIXTURE_LEASE);
+	buffer_printf(&listing, "{\"items\":[%s],\"HasMore\":false,\"At\":60}",
+	    buffer_string(&items));
+	become_lead(&fixture, buffer_string(&listing));
+	for (unsigned int i = 0; i < LARGE_JOBS; i++) {
+		char id[FLEET_ID_BYTES];
+
+		(void)snprintf(id, sizeof(id), "%016x", i);
+		add_large_job(&fixture, id);
+	}
+	agent_records_step(&fixture.agent, clock_now_ms());
+	CU_ASSERT_EQUAL_FATAL(count_unanswered(&fixture, "kv-txn"), 1);
+	bytes = strlen(fixture.calls[fixture.count - 1].body);
+	CU_ASSERT_TRUE(bytes <= SLOW_LINK_BYTES);
+}
+
 int
 main(void)
 {
@@ -173,6 +252,8 @@
 	    {"removal keeps up with submissions",
 		test_removal_keeps_up_with_submissions},
 	    {"lone cancellation is removed", test_lone_cancellation_is_removed},
+	    {"large records are written in parts",
+		test_large_records_are_written_in_parts},
 	    CU_TEST_INFO_NULL,
 	};
 
