Open no more tasks of a job than its record can hold

A caller could end each lead in turn with one valid job: all occurrences that are due were opened at once, 100,000 of up to 65,536 tasks, which is more than the lead has memory for. And a job of more tasks than its record of progress can hold in one value of the store was accepted, and could never go on once the record was too long.

Occurrences are now opened while the open tasks fit a record, the others as earlier ones are done. A job of which one occurrence doesn't fit gets 400 at once. The limit follows from ValueBytes of the settings, which is read and checked now: 16,384 tasks for 1 MiB, at 64 bytes each; long names and checkpoints may still exceed it.

test_fleet 'overdue occurrences are opened in turn': failed with the bound off, passes now. fail_users_platform 'job with too many tasks is refused' is new behaviour. prop_fleet passes with the bound at 64.

--- a/src/agent/agent_callers.c
+++ b/src/agent/agent_callers.c
@@ -1,4 +1,5 @@
 /* Callers' requests: which are refused, and what is known to answer them. */
+#include <inttypes.h>
 #include <string.h>
 
 #include "agent/agent_state.h"
@@ -62,6 +63,24 @@
 	return true;
 }
 
+/* Reads a submitted job. Returns NULL with status filled when it is invalid, or
+ * has more tasks than the record of its progress could hold. */
+static Ibis__StepJob *
+parse_job(const struct agent *agent, const struct gateway_request *request,
+    struct ibis_status *status)
+{
+	Ibis__StepJob *spec = platform_job_parse(
+	    buffer_string(&request->body), request->body.length, status);
+	uint32_t max_tasks = agent_max_tasks(agent);
+
+	if (spec == NULL || fleet_count_tasks(spec) <= max_tasks)
+		return spec;
+	ibis__step_job__free_unpacked(spec, proto_allocator());
+	(void)ibis_status_set(status, IBIS_INVALID, "job", NULL,
+	    "tasks of all steps: expected at most %" PRIu32, max_tasks);
+	return NULL;
+}
+
 static void
 submit(struct agent *agent, struct gateway_request *request,
     const struct route *route, const struct routes_workspace *workspace,
@@ -82,8 +101,7 @@
 		reply(agent, request, STATUS_UNAVAILABLE, NULL, 0);
 		return;
 	}
-	spec = platform_job_parse(
-	    buffer_string(&request->body), request->body.length, &status);
+	spec = parse_job(agent, request, &status);
 	if (spec == NULL) {
 		counter_add(COUNTER_JOBS_REFUSED_INVALID, 1);
 		agent_log_answer(agent, LOG_WARN, "submit_invalid", id,
--- a/src/agent/agent_lead.c
+++ b/src/agent/agent_lead.c
@@ -117,6 +117,7 @@
 	    .max_lease_ms = agent->settings.max_lease_ms,
 	    .previous_lead_renew_ms = RUN_RENEWAL_LIMIT_MS,
 	    .remote_factor = agent->settings.remote_factor,
+	    .max_open_tasks = agent_max_tasks(agent),
 	};
 
 	agent->lead.state = AGENT_LEADING;
--- a/src/agent/agent_records.c
+++ b/src/agent/agent_records.c
@@ -46,6 +46,15 @@
 	int64_t retry_at_ms;
 };
 
+uint32_t
+agent_max_tasks(const struct agent *agent)
+{
+	uint32_t fitting =
+	    (uint32_t)agent->settings.max_value_bytes / FLEET_TASK_RECORD_BYTES;
+
+	return fitting < FLEET_MAX_TASKS ? fitting : FLEET_MAX_TASKS;
+}
+
 static void
 free_batch(struct record_batch *batch)
 {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -31,7 +31,10 @@
 	/* Of a job. */
 	FLEET_MAX_STEPS = 256,
 	FLEET_MAX_TASKS = 65536, /* of one occurrence, over all steps */
-	FLEET_MAX_OCCURRENCES = 100000
+	FLEET_MAX_OCCURRENCES = 100000,
+	/* Of a task in its job's record of progress, with the usual lengths of
+	 * names and checkpoints. */
+	FLEET_TASK_RECORD_BYTES = 64
 };
 
 /* Largest amount of one resource of a worker or task. Sums and products of
@@ -55,6 +58,9 @@
 	/* Run time outside the rack of the data or the gang, relative to the
 	 * run time inside. */
 	double remote_factor;
+	/* Tasks of one job's open occurrences, at most, unless one occurrence
+	 * has more; 0: FLEET_MAX_TASKS. */
+	uint32_t max_open_tasks;
 };
 
 /* Resources of a worker, or those that a task needs. */
@@ -184,6 +190,9 @@
 enum ibis_code fleet_check_progress(const Ibis__StepJob *spec,
     const Ibis__JobProgress *progress, struct ibis_status *status);
 
+/* Returns the tasks of one occurrence of a job. */
+uint64_t fleet_count_tasks(const Ibis__StepJob *spec);
+
 /*
  * Adds a job and takes ownership of spec, both of which have passed their
  * check. progress is the job's last record
--- a/src/fleet/fleet_checks.c
+++ b/src/fleet/fleet_checks.c
@@ -50,9 +50,8 @@
 	return spec->times == 0 ? 1 : spec->times;
 }
 
-/* Returns the tasks of one occurrence. */
-static uint64_t
-count_tasks(const Ibis__StepJob *spec)
+uint64_t
+fleet_count_tasks(const Ibis__StepJob *spec)
 {
 	uint64_t tasks = 0;
 
@@ -70,7 +69,7 @@
 		if (check_step(spec->steps[i], i, status) != IBIS_OK)
 			return IBIS_INVALID;
 	}
-	if (count_tasks(spec) > FLEET_MAX_TASKS)
+	if (fleet_count_tasks(spec) > FLEET_MAX_TASKS)
 		return set_invalid(
 		    status, "tasks of all steps: expected at most 65536");
 	if (spec->times > FLEET_MAX_OCCURRENCES)
@@ -150,7 +149,8 @@
 {
 	uint32_t times =
 	    spec == NULL ? FLEET_MAX_OCCURRENCES : count_occurrences(spec);
-	uint64_t tasks = spec == NULL ? FLEET_MAX_TASKS : count_tasks(spec);
+	uint64_t tasks =
+	    spec == NULL ? FLEET_MAX_TASKS : fleet_count_tasks(spec);
 
 	switch (progress->phase) {
 	case IBIS__STEP_JOB_PHASE__PHASE_PENDING:
--- a/src/fleet/fleet_jobs.c
+++ b/src/fleet/fleet_jobs.c
@@ -99,6 +99,19 @@
 	mem_free(occurrence);
 }
 
+/* Returns whether the record of a job's progress has room for another
+ * occurrence. */
+static bool
+may_open_occurrence(const struct fleet *fleet, const struct fleet_job *job)
+{
+	uint64_t limit = fleet->config.max_open_tasks == 0
+	    ? FLEET_MAX_TASKS
+	    : fleet->config.max_open_tasks;
+
+	return job->occurrences_count == 0 ||
+	    (uint64_t)job->tasks_count * (job->occurrences_count + 1) <= limit;
+}
+
 void
 fleet_open_due_occurrences(struct fleet *fleet, int64_t now_ms, int64_t wall_ms)
 {
@@ -107,7 +120,8 @@
 	cds_list_for_each_entry (job, &fleet->active, active) {
 		if (job->cancelled || fleet_job_final(job))
 			continue;
-		while (job->next_occurrence < total_occurrences(job->spec)) {
+		while (job->next_occurrence < total_occurrences(job->spec) &&
+		    may_open_occurrence(fleet, job)) {
 			int64_t due_ms = 0;
 
 			if (job->spec->times > 0)
--- a/tests/common_agent.c
+++ b/tests/common_agent.c
@@ -35,6 +35,7 @@
 	STRING_COPY(agent->settings.name, AGENT_FIXTURE_NAME);
 	agent->settings.max_lease_ms = 10000;
 	agent->settings.min_store_lease_ms = 1000;
+	agent->settings.max_value_bytes = 1 << 20;
 	agent->settings.remote_factor = 3;
 	agent->settings.config_apply_ms = CONFIG_APPLY_MS;
 	agent->random_state = 1;
--- a/tests/common_fleet_sim.c
+++ b/tests/common_fleet_sim.c
@@ -371,6 +371,7 @@
 	    .max_lease_ms = SIM_MAX_LEASE_MS,
 	    .previous_lead_renew_ms = PREVIOUS_LEAD_MS,
 	    .remote_factor = 3,
+	    .max_open_tasks = SIM_MAX_OPEN_TASKS,
 	};
 
 	sim->epoch = ++sim->revision;
--- a/tests/common_fleet_sim.h
+++ b/tests/common_fleet_sim.h
@@ -22,6 +22,7 @@
 /* Capacities of the arrays below. */
 enum {
 	SIM_WORKERS = 8,
+	SIM_MAX_OPEN_TASKS = 64, /* of a job; see struct fleet_config */
 	SIM_RUNS = 64,
 	SIM_ENDS = 256,
 	SIM_JOBS = 32,
--- a/tests/fail_users_platform.c
+++ b/tests/fail_users_platform.c
@@ -93,6 +93,17 @@
 	check_and_stop();
 }
 
+/* Guards against a job that is accepted and can't go on, since the record of
+ * its progress would be longer than the store accepts. */
+static void
+test_job_with_too_many_tasks_is_refused(void)
+{
+	start_all();
+	CU_ASSERT_EQUAL(users_submit(platform, 0, 1, 16385), 400);
+	CU_ASSERT_EQUAL(users_submit(platform, 0, 2, 16384), 200);
+	check_and_stop();
+}
+
 static void
 test_lead_killed(void)
 {
@@ -497,6 +508,8 @@
 {
 	CU_TestInfo tests[] = {
 	    {"submit to completion", test_submit_to_completion},
+	    {"job with too many tasks is refused",
+		test_job_with_too_many_tasks_is_refused},
 	    {"lead killed", test_lead_killed},
 	    {"workers restarted", test_workers_restarted},
 	    {"lead frozen and resumed", test_lead_frozen_and_resumed},
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -541,6 +541,32 @@
 	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
 }
 
+/* Guards against a lead that runs out of memory, and a record that is too long
+ * for the store: all occurrences that were due were opened at once, so that one
+ * job with 100,000 of them ended each lead. */
+static void
+test_overdue_occurrences_are_opened_in_turn(void)
+{
+	CLEANUP(sim_close) struct sim sim;
+	Ibis__StepJob *timed = sim_new_job(1, 1, 5, 1);
+	struct fleet_usage usage;
+	size_t job;
+
+	sim_open(&sim, 4, 8);
+	timed->times = 100;
+	timed->first_wall_ms = 1;
+	timed->interval_ms = 1;
+	job = sim_submit(&sim, timed, 50);
+	for (int i = 0; i < 300; i++) {
+		sim_advance(&sim, 100);
+		fleet_usage(sim.fleet, &usage);
+		CU_ASSERT_TRUE(usage.waiting_tasks <= SIM_MAX_OPEN_TASKS);
+	}
+	CU_ASSERT_EQUAL(sim.starts, 500);
+	CU_ASSERT_EQUAL(sim_phase(&sim, job), COMPLETED);
+	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
+}
+
 static void
 test_long_running_tasks_are_restarted(void)
 {
@@ -673,6 +699,8 @@
 	    {"zone out of service gets no tasks",
 		test_zone_out_of_service_gets_no_tasks},
 	    {"occurrences start when due", test_occurrences_start_when_due},
+	    {"overdue occurrences are opened in turn",
+		test_overdue_occurrences_are_opened_in_turn},
 	    {"long running tasks are restarted",
 		test_long_running_tasks_are_restarted},
 	    {"poll crosses a start", test_poll_crosses_a_start},
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -22,7 +22,8 @@
 	"\"Bounds\":{\"GraceS\":6,\"MaxHoldMs\":9000,\"RemotePenalty\":2.5}," \
 	"\"Limits\":{\"CpuFraction\":0.25,\"Cores\":2,\"MemoryMb\":260,"      \
 	"\"LinkMbps\":20.5},"                                                 \
-	"\"platform\":{\"Address\":\"10.2.0.1:90\",\"MinTtlMs\":1200}}"
+	"\"platform\":{\"Address\":\"10.2.0.1:90\",\"MinTtlMs\":1200,"        \
+	"\"ValueBytes\":65536}}"
 
 /* Valid settings up to the members that a test adds. */
 #define SETTINGS_WITHOUT_STORE                                   \
@@ -46,6 +47,7 @@
 	CU_ASSERT_EQUAL(settings.max_lease_ms, 9000);
 	CU_ASSERT_EQUAL(settings.internal_port, 7000);
 	CU_ASSERT_EQUAL(settings.min_store_lease_ms, 1200);
+	CU_ASSERT_EQUAL(settings.max_value_bytes, 65536);
 	CU_ASSERT_DOUBLE_EQUAL(settings.remote_factor, 2.5, 0.001);
 	CU_ASSERT_EQUAL(settings.cpu_milli, 500);
 	CU_ASSERT_EQUAL(settings.memory_mb, 260);
@@ -74,6 +76,9 @@
     {SETTINGS_WITHOUT_STORE "\"platform\":{\"Address\":\"1.2.3.4:5\","
 			    "\"MinTtlMs\":\"soon\"}}",
 	"platform.MinTtlMs: \"soon\"; expected a number from 1 to 600000 ms"},
+    {SETTINGS_WITHOUT_STORE "\"platform\":{\"Address\":\"1.2.3.4:5\","
+			    "\"ValueBytes\":1}}",
+	"platform.ValueBytes: 1; expected a number from 4096 to"},
     {SETTINGS_WITH_STORE "\"Advice\":\"there\"}",
 	"Advice: there; expected IP:PORT"},
     {SETTINGS_WITH_STORE "\"InternalPortRange\":[0,1]}", "InternalPortRange"},
