Answer requests that arrive while an instance ends

Cause: an open request, here one that is still being read, keeps the control thread going until the grace period is nearly over. After that the gateway still read and posted requests for up to a second, but nobody took them, and libmicrohttpd aborts when it is stopped while connections are suspended.

The gateway now stops posting first and answers with 503 by itself (others serve); the control thread answers all that was posted before, and only then the gateway is stopped. A counter that is raised before the flag is read makes sure that none is posted after that.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -26,6 +26,10 @@
 #define MIN_DRAIN_MS 2600
 /* The process exits at least this long before the grace period ends. */
 #define EXIT_MARGIN_MS 1200
+#define REFUSE_WAIT_MS 5
+/* Retry-After of what a stopping instance refuses: others serve. */
+#define STOPPING_RETRY_AFTER_MS 1000
+#define STATUS_UNAVAILABLE	503
 
 static atomic_bool stop_requested;
 static atomic_bool reload_requested;
@@ -322,11 +326,28 @@
 	return running;
 }
 
+/* Answers all requests that have been read: nobody takes further ones, and the
+ * HTTP library doesn't stop while one waits. */
 static void
-free_agent(struct agent *agent)
+refuse_requests(struct agent *agent)
 {
+	struct event event;
+
+	gateway_refuse(agent->gateway);
 	agent_pending_end(agent);
 	agent_relay_end(agent);
+	while (gateway_posted_requests(agent->gateway) > 0) {
+		if (event_queue_take(agent->events, REFUSE_WAIT_MS, &event) &&
+		    event.kind == EVENT_GATEWAY)
+			gateway_reply(agent->gateway, event.gateway,
+			    STATUS_UNAVAILABLE, NULL, STOPPING_RETRY_AFTER_MS);
+	}
+}
+
+static void
+free_agent(struct agent *agent)
+{
+	refuse_requests(agent);
 	agent_peers_free(agent);
 	gateway_stop(agent->gateway);
 	agent_lead_step_down(agent, "stopped");
--- a/src/connection/gateway.c
+++ b/src/connection/gateway.c
@@ -19,9 +19,11 @@
 #define MAX_LISTENERS		4
 #define STOP_TIMEOUT_MS		1000
 #define STOP_POLL_INTERVAL_MS	5
-#define MS_PER_S		1000
-#define NUMBER_BYTES		24
-#define BEARER_PREFIX		"Bearer "
+/* Retry-After of a request that a stopping instance refuses: others serve. */
+#define REFUSED_RETRY_AFTER_MS 1000
+#define MS_PER_S	       1000
+#define NUMBER_BYTES	       24
+#define BEARER_PREFIX	       "Bearer "
 
 /* An HTTP request, from its first line until its response has been sent. */
 struct gateway_exchange {
@@ -50,7 +52,9 @@
 	size_t listeners_count;
 	atomic_bool ready;
 	atomic_bool draining;
+	atomic_bool refusing;
 	atomic_uint open_requests;
+	atomic_uint posted_requests;
 };
 
 struct gateway *
@@ -201,6 +205,19 @@
 	return false;
 }
 
+/* Counts a request as posted, unless none may be any more. Counted first, so
+ * that whoever has seen gateway_refuse return and then no posted request knows
+ * that none follows. */
+static bool
+may_post(struct gateway *gateway)
+{
+	(void)atomic_fetch_add(&gateway->posted_requests, 1);
+	if (!atomic_load(&gateway->refusing))
+		return true;
+	(void)atomic_fetch_sub(&gateway->posted_requests, 1);
+	return false;
+}
+
 /* Responds to a completely received request or posts it. */
 static enum MHD_Result
 process_request(struct gateway *gateway, struct gateway_exchange *exchange)
@@ -213,6 +230,11 @@
 	}
 	if (answer_probe(gateway, exchange))
 		return send_response(gateway, exchange);
+	if (!may_post(gateway)) {
+		exchange->status = MHD_HTTP_SERVICE_UNAVAILABLE;
+		exchange->retry_after_ms = REFUSED_RETRY_AFTER_MS;
+		return send_response(gateway, exchange);
+	}
 	event.gateway = exchange->request;
 	event.gateway->exchange = exchange;
 	exchange->request = NULL;
@@ -329,6 +351,18 @@
 	atomic_store(&gateway->ready, false);
 }
 
+void
+gateway_refuse(struct gateway *gateway)
+{
+	atomic_store(&gateway->refusing, true);
+}
+
+uint32_t
+gateway_posted_requests(const struct gateway *gateway)
+{
+	return atomic_load(&gateway->posted_requests);
+}
+
 uint32_t
 gateway_open_requests(const struct gateway *gateway)
 {
@@ -336,8 +370,8 @@
 }
 
 static void
-resume_with_response(struct gateway_request *request, int32_t status,
-    const void *bytes, size_t length, int64_t retry_after_ms)
+resume_with_response(struct gateway *gateway, struct gateway_request *request,
+    int32_t status, const void *bytes, size_t length, int64_t retry_after_ms)
 {
 	struct gateway_exchange *exchange = request->exchange;
 
@@ -346,25 +380,24 @@
 	buffer_append(&exchange->body, bytes, length);
 	free_request(request);
 	MHD_resume_connection(exchange->connection);
+	(void)atomic_fetch_sub(&gateway->posted_requests, 1);
 }
 
 void
 gateway_reply(struct gateway *gateway, struct gateway_request *request,
     int32_t status, const char *body, int64_t retry_after_ms)
 {
-	(void)gateway;
 	if (body == NULL)
 		body = "";
 	resume_with_response(
-	    request, status, body, strlen(body), retry_after_ms);
+	    gateway, request, status, body, strlen(body), retry_after_ms);
 }
 
 void
 gateway_reply_bytes(struct gateway *gateway, struct gateway_request *request,
     int32_t status, const void *bytes, size_t length)
 {
-	(void)gateway;
-	resume_with_response(request, status, bytes, length, 0);
+	resume_with_response(gateway, request, status, bytes, length, 0);
 }
 
 void
--- a/src/connection/gateway.h
+++ b/src/connection/gateway.h
@@ -86,6 +86,13 @@
 /* Sets readiness to false and makes each response close its connection. */
 void gateway_drain(struct gateway *gateway);
 
+/* Makes the gateway answer requests that arrive from now on with 503 by itself:
+ * it posts none any more. */
+void gateway_refuse(struct gateway *gateway);
+
+/* Returns the number of posted requests that have had no reply. */
+uint32_t gateway_posted_requests(const struct gateway *gateway);
+
 /* Returns the number of requests whose response is not completely sent. */
 uint32_t gateway_open_requests(const struct gateway *gateway);
 
@@ -104,8 +111,7 @@
 
 /*
  * Waits briefly for open requests to be answered, stops listening and frees the
- * gateway. Requests still open must not be replied to afterwards. NULL is
- * allowed.
+ * gateway. All posted requests must have had their reply. NULL is allowed.
  */
 void gateway_stop(struct gateway *gateway);
 
--- a/tests/common_users_platform.c
+++ b/tests/common_users_platform.c
@@ -478,6 +478,14 @@
 	    path, body, answer);
 }
 
+void
+users_caller_address(const struct users_platform *platform, uint32_t instance,
+    char *address, size_t bytes)
+{
+	(void)snprintf(address, bytes, "%s:%d",
+	    platform->instances[instance].ip, CALLER_PORT);
+}
+
 void
 users_internal_address(const struct users_platform *platform, uint32_t instance,
     char *address, size_t bytes)
--- a/tests/common_users_platform.h
+++ b/tests/common_users_platform.h
@@ -110,6 +110,10 @@
     const char *method, const char *path, const char *body,
     struct buffer *answer);
 
+/* Formats the address that callers connect to. */
+void users_caller_address(const struct users_platform *platform,
+    uint32_t instance, char *address, size_t bytes);
+
 /* Formats the address that operators and other instances call. */
 void users_internal_address(const struct users_platform *platform,
     uint32_t instance, char *address, size_t bytes);
