Acknowledge ends only to a worker that can't have restarted

The new incarnation numbers its ends anew, took the number for its own and listed none of its ends up to it.

An acknowledgement now goes out only if no poll has failed since the worker's last answer and that is at most 300 ms old: no worker restarts within that. Otherwise a poll without one, which the worker answers at once, comes first and shows the incarnation. That costs a poll more only where records take longer than that to be stored.

--- a/bench/bench_fleet.c
+++ b/bench/bench_fleet.c
@@ -254,7 +254,8 @@
 		};
 	state->ends_count = 0;
 	begun_us = cpu_time_us();
-	poll.acked_end = fleet_worker_ends_to_ack(site->fleet, worker);
+	poll.acked_end =
+	    fleet_worker_ends_to_ack(site->fleet, worker, site->now_ms);
 	(void)fleet_grant_lease(
 	    site->fleet, worker, site->now_ms, site->now_ms);
 	fleet_apply_report(site->fleet, worker, &poll, &report, site->now_ms);
--- a/src/agent/agent_workers.c
+++ b/src/agent/agent_workers.c
@@ -248,15 +248,18 @@
     int64_t now_ms)
 {
 	struct worker_call *call = new_worker_call(agent, worker);
-	/* The worker answers at once when ends are to be acknowledged, or when
-	 * it is not known whether it still answers. */
+	uint64_t acked_ends =
+	    fleet_worker_ends_to_ack(agent->fleet, worker, now_ms);
+	/* The worker answers at once when it has ends that can't be
+	 * acknowledged yet, or when it is not known whether it still answers.
+	 */
 	bool wait = !extra && fleet_worker_answers(worker) &&
 	    !fleet_worker_missed_poll(worker) &&
-	    !fleet_worker_has_unrecorded_ends(agent->fleet, worker);
+	    (acked_ends > 0 || !fleet_worker_has_unacked_ends(worker));
 	struct platform_poll poll = {
 	    .worker = fleet_worker_entry(worker),
 	    .fencing_token = fencing_token(agent, worker),
-	    .acked_ends = fleet_worker_ends_to_ack(agent->fleet, worker),
+	    .acked_ends = acked_ends,
 	    .wait_ms = wait ? POLL_WAIT_MS : 0,
 	    .timeout_ms = POLL_TIMEOUT_MS + (wait ? POLL_WAIT_MS : 0),
 	};
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -299,10 +299,15 @@
  * which are recorded and which the worker may then discard; 0: none. Each end
  * is acknowledged until the worker has answered such a poll, and not again: a
  * worker that has restarted numbers its ends anew and would discard ends that
- * it has not reported.
+ * it has not reported. So a worker that may have restarted since its last
+ * answer is polled without an acknowledgement first.
  */
-uint64_t fleet_worker_ends_to_ack(
-    const struct fleet *fleet, const struct fleet_worker *worker);
+uint64_t fleet_worker_ends_to_ack(const struct fleet *fleet,
+    const struct fleet_worker *worker, int64_t now_ms);
+
+/* Returns whether the worker lists ends that have not been acknowledged, so
+ * that it has to answer the next poll at once. */
+bool fleet_worker_has_unacked_ends(const struct fleet_worker *worker);
 
 /*
  * Returns the number to be added to the lead's epoch in the fencing token of
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -7,6 +7,9 @@
 /* A worker is silent after this many polls in a row without an answer. */
 #define SILENT_AFTER_POLLS 2
 
+/* A worker takes at least this long to restart. */
+#define RESTART_MIN_MS 300
+
 /* A run that began less than this ago counts as recent in the log. */
 #define RECENT_START_MS 1000
 
@@ -353,6 +356,12 @@
 	    worker->entry.incarnation_wall_ms == worker->incarnation_wall_ms;
 }
 
+bool
+fleet_worker_has_unacked_ends(const struct fleet_worker *worker)
+{
+	return worker->last_reported_end > worker->last_acked_end;
+}
+
 bool
 fleet_worker_needs_poll(const struct fleet_worker *worker)
 {
@@ -360,8 +369,8 @@
 		return false;
 	return !worker->reported || worker->silent ||
 	    !entry_is_current(worker) || worker->resources_unconfirmed ||
-	    worker->last_reported_end > worker->last_acked_end ||
-	    worker->orphans > 0 || fleet_worker_busy(worker);
+	    fleet_worker_has_unacked_ends(worker) || worker->orphans > 0 ||
+	    fleet_worker_busy(worker);
 }
 
 /* Returns the lowest generation that is not stored yet. */
@@ -386,17 +395,26 @@
 fleet_worker_has_unrecorded_ends(
     const struct fleet *fleet, const struct fleet_worker *worker)
 {
-	return worker->last_reported_end > worker->last_acked_end &&
+	return fleet_worker_has_unacked_ends(worker) &&
 	    worker->reported_generation >= oldest_unrecorded(fleet);
 }
 
+/* Returns whether a poll sent now can't reach a later incarnation than the one
+ * that answered last. */
+static bool
+has_just_answered(const struct fleet_worker *worker, int64_t now_ms)
+{
+	return worker->missed_ms == 0 &&
+	    now_ms - worker->clock_at_ms <= RESTART_MIN_MS;
+}
+
 uint64_t
-fleet_worker_ends_to_ack(
-    const struct fleet *fleet, const struct fleet_worker *worker)
+fleet_worker_ends_to_ack(const struct fleet *fleet,
+    const struct fleet_worker *worker, int64_t now_ms)
 {
-	if (!worker->reported ||
-	    worker->last_reported_end <= worker->last_acked_end ||
-	    fleet_worker_has_unrecorded_ends(fleet, worker))
+	if (!worker->reported || !fleet_worker_has_unacked_ends(worker) ||
+	    fleet_worker_has_unrecorded_ends(fleet, worker) ||
+	    !has_just_answered(worker, now_ms))
 		return 0;
 	return worker->last_reported_end;
 }
--- a/tests/common_fleet_job.c
+++ b/tests/common_fleet_job.c
@@ -37,6 +37,35 @@
 	    fixture->fleet, worker, &poll, &report, fixture->now_ms);
 }
 
+void
+fleet_job_report_ends(struct fleet_job_fixture *fixture, size_t worker_index,
+    const uint64_t *numbers, uint32_t count)
+{
+	struct fleet_worker *worker = fleet_find_worker(
+	    fixture->fleet, fixture->entries[worker_index].id);
+	struct fleet_poll poll = {.fence = fleet_worker_fence(worker)};
+	struct fleet_reported_end listed[ACCELERATORS];
+	struct fleet_report report = {
+	    .sent_ms = fixture->now_ms,
+	    .received_ms = fixture->now_ms,
+	    .clock_ms = fixture->now_ms,
+	    .incarnation_wall_ms = FLEET_JOB_INCARNATION,
+	    .ends = listed,
+	    .ends_count = count,
+	};
+
+	for (uint32_t i = 0; i < count; i++)
+		listed[i] = (struct fleet_reported_end){
+		    .number = numbers[i],
+		    .task = {.job = FLEET_JOB_ID, .index = i},
+		    .run = 1,
+		    .outcome = FLEET_END_DONE,
+		    .checkpoint = "",
+		};
+	fleet_apply_report(
+	    fixture->fleet, worker, &poll, &report, fixture->now_ms);
+}
+
 void
 fleet_job_report(
     struct fleet_job_fixture *fixture, size_t worker_index, int32_t percent)
--- a/tests/common_fleet_job.h
+++ b/tests/common_fleet_job.h
@@ -45,6 +45,11 @@
 void fleet_job_report_tasks(struct fleet_job_fixture *fixture,
     size_t worker_index, uint32_t first, uint32_t count, int32_t percent);
 
+/* Passes a report of a worker without runs that lists ends of the job's tasks,
+ * as done in run 1: of the first task with the first number, and so on. */
+void fleet_job_report_ends(struct fleet_job_fixture *fixture,
+    size_t worker_index, const uint64_t *numbers, uint32_t count);
+
 /* Lets time pass, and the first workers report the same progress. */
 void fleet_job_run(struct fleet_job_fixture *fixture, int64_t ms,
     uint32_t tasks, int32_t percent);
--- a/tests/common_fleet_sim.c
+++ b/tests/common_fleet_sim.c
@@ -240,7 +240,8 @@
 	struct sim_call call = {
 	    .poll = true,
 	    .fencing_token = token_for(sim, fleet_worker),
-	    .acked_end = fleet_worker_ends_to_ack(sim->fleet, fleet_worker),
+	    .acked_end =
+		fleet_worker_ends_to_ack(sim->fleet, fleet_worker, sim->now_ms),
 	};
 	struct fleet_poll poll = {
 	    .fence = fleet_worker_fence(fleet_worker),
--- a/tests/test_fleet_failures.c
+++ b/tests/test_fleet_failures.c
@@ -124,40 +124,23 @@
 test_ends_count_in_any_order(void)
 {
 	CLEANUP(fleet_job_close) struct fleet_job_fixture fixture;
-	struct fleet_reported_end ends[2] = {
-	    {.number = 9, .run = 1, .checkpoint = ""},
-	    {.number = 8, .run = 1, .checkpoint = ""},
-	};
-	struct fleet_report report = {
-	    .incarnation_wall_ms = FLEET_JOB_INCARNATION,
-	    .ends = ends,
-	    .ends_count = COUNT_OF(ends),
-	};
-	struct fleet_worker *worker;
-	struct fleet_poll poll;
+	static const uint64_t numbers[] = {9, 8};
 
 	fleet_job_open(&fixture);
 	fleet_unlist_worker(fixture.fleet, "w1", fixture.now_ms);
 	fleet_unlist_worker(fixture.fleet, "w2", fixture.now_ms);
 	fixture.accelerators = 4;
-	fleet_job_start(&fixture, COUNT_OF(ends), false);
+	fleet_job_start(&fixture, COUNT_OF(numbers), false);
 	fixture.now_ms += 5000;
-	worker = fleet_find_worker(fixture.fleet, "w0");
-	poll = (struct fleet_poll){.fence = fleet_worker_fence(worker)};
-	for (uint32_t i = 0; i < COUNT_OF(ends); i++) {
-		STRING_COPY(ends[i].task.job, FLEET_JOB_ID);
-		ends[i].task.index = i;
-	}
-	report.sent_ms = fixture.now_ms;
-	report.received_ms = fixture.now_ms;
-	report.clock_ms = fixture.now_ms;
-	fleet_apply_report(
-	    fixture.fleet, worker, &poll, &report, fixture.now_ms);
+	fleet_job_report_ends(&fixture, 0, numbers, COUNT_OF(numbers));
 	CU_ASSERT_EQUAL(fleet_job_decide(&fixture, FLEET_START), 0);
 	CU_ASSERT_EQUAL(
 	    fleet_job_phase(fleet_find_job(fixture.fleet, FLEET_JOB_ID)),
 	    COMPLETED);
-	CU_ASSERT_EQUAL(fleet_worker_ends_to_ack(fixture.fleet, worker), 9);
+	CU_ASSERT_EQUAL(
+	    fleet_worker_ends_to_ack(fixture.fleet,
+		fleet_find_worker(fixture.fleet, "w0"), fixture.now_ms),
+	    9);
 }
 
 int
--- a/tests/test_fleet_restart.c
+++ b/tests/test_fleet_restart.c
@@ -1,5 +1,6 @@
 /* Tests of the fleet with workers that restart under their ids. */
 #include "common_cunit.h"
+#include "common_fleet_job.h"
 #include "common_fleet_sim.h"
 #include "process/alloc.h"
 
@@ -303,6 +304,39 @@
 	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
 }
 
+/* Guards against tasks that are done and run again: the first poll of a worker
+ * that had restarted carried the acknowledgement that was due when it crashed,
+ * and the new incarnation discarded ends that it had not listed. */
+static void
+test_no_acknowledgement_may_reach_another_incarnation(void)
+{
+	CLEANUP(fleet_job_close) struct fleet_job_fixture fixture;
+	static const uint64_t number = 9;
+	struct fleet_worker *worker;
+
+	fleet_job_open(&fixture);
+	fleet_job_start(&fixture, 1, false);
+	worker = fleet_find_worker(fixture.fleet, "w0");
+	fleet_job_report_ends(&fixture, 0, &number, 1);
+	(void)fleet_job_decide(&fixture, FLEET_START);
+	CU_ASSERT_EQUAL(
+	    fleet_worker_ends_to_ack(fixture.fleet, worker, fixture.now_ms),
+	    number);
+	/* The workers of the review and of the bench are down for 500 ms. */
+	CU_ASSERT_EQUAL(fleet_worker_ends_to_ack(
+			    fixture.fleet, worker, fixture.now_ms + 500),
+	    0);
+	(void)fleet_handle_unanswered_poll(
+	    fixture.fleet, worker, true, fixture.now_ms);
+	CU_ASSERT_EQUAL(
+	    fleet_worker_ends_to_ack(fixture.fleet, worker, fixture.now_ms), 0);
+	CU_ASSERT_TRUE(fleet_worker_has_unacked_ends(worker));
+	fleet_job_report_ends(&fixture, 0, &number, 1);
+	CU_ASSERT_EQUAL(
+	    fleet_worker_ends_to_ack(fixture.fleet, worker, fixture.now_ms),
+	    number);
+}
+
 /* Guards against a start by the capacity of a worker's previous incarnation,
  * whose entry the lead still has. */
 static void
@@ -374,6 +408,8 @@
 	    {"fence survives removal of worker",
 		test_fence_survives_removal_of_worker},
 	    {"ends are acknowledged once", test_ends_are_acknowledged_once},
+	    {"no acknowledgement may reach another incarnation",
+		test_no_acknowledgement_may_reach_another_incarnation},
 	    {"start waits for entry of new incarnation",
 		test_start_waits_for_entry_of_new_incarnation},
 	    {"idle worker is used after restart",
