Count a failed run of a gang once

The run that was counted last is kept with the failures, in the record too, so that a member's end that a later lead reads doesn't count again.

test_fleet_failures 'failed run of a gang counts once': fails with the new condition off, passes now.

--- a/proto/ibistrestle.pb-c.c
+++ b/proto/ibistrestle.pb-c.c
@@ -4155,7 +4155,7 @@
   (ProtobufCMessageInit) ibis__step_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ibis__task_progress__field_descriptors[10] =
+static const ProtobufCFieldDescriptor ibis__task_progress__field_descriptors[11] =
 {
   {
     "number",
@@ -4277,12 +4277,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failed_run",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ibis__TaskProgress, failed_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ibis__task_progress__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
   7,   /* field[7] = crashes */
   5,   /* field[5] = done */
   6,   /* field[6] = early_losses */
+  10,   /* field[10] = failed_run */
   3,   /* field[3] = failures */
   9,   /* field[9] = incarnation_wall_ms */
   0,   /* field[0] = number */
@@ -4293,7 +4306,7 @@
 static const ProtobufCIntRange ibis__task_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ibis__task_progress__descriptor =
 {
@@ -4303,7 +4316,7 @@
   "Ibis__TaskProgress",
   "ibis",
   sizeof(Ibis__TaskProgress),
-  10,
+  11,
   ibis__task_progress__field_descriptors,
   ibis__task_progress__field_indices_by_name,
   1,  ibis__task_progress__number_ranges,
--- a/proto/ibistrestle.pb-c.h
+++ b/proto/ibistrestle.pb-c.h
@@ -777,10 +777,14 @@
    * Start of the worker's incarnation when the run was placed; 0: unknown.
    */
   int64_t incarnation_wall_ms;
+  /*
+   * The last run that was counted in failures.
+   */
+  uint64_t failed_run;
 };
 #define IBIS__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ibis__task_progress__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ibis__OccurrenceProgress
--- a/src/fleet/fleet_jobs.c
+++ b/src/fleet/fleet_jobs.c
@@ -149,6 +149,7 @@
 
 	task->run = progress->run;
 	task->failures = progress->failures;
+	task->failed_run = progress->failed_run;
 	task->early_losses = progress->early_losses;
 	task->occurrence->job->was_charged |= task->early_losses > 0;
 	task->crashes = progress->crashes;
@@ -381,6 +382,7 @@
 	progress->number = task->number;
 	progress->run = task->run;
 	progress->failures = task->failures;
+	progress->failed_run = task->failed_run;
 	progress->early_losses = task->early_losses;
 	progress->crashes = task->crashes;
 	progress->sole_crashes = task->sole_crashes;
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -56,7 +56,9 @@
 	uint32_t number; /* over all steps of the occurrence */
 	uint32_t step;
 	uint32_t index; /* within the step */
+	/* Failed runs; a gang's are counted in its first task, once a run. */
 	uint32_t failures;
+	uint64_t failed_run; /* the last one counted */
 	/* Runs lost with their worker before they had settled, since a run last
 	 * did. */
 	uint32_t early_losses;
--- a/src/fleet/fleet_tasks.c
+++ b/src/fleet/fleet_tasks.c
@@ -372,6 +372,17 @@
 	fleet_wake_at(fleet, now_ms);
 }
 
+/* Counts a failed run. The members of a gang share their run, which counts
+ * once however many of them fail. */
+static void
+count_failed_run(struct fleet_task *counted, uint64_t run)
+{
+	if (counted->failed_run == run)
+		return;
+	counted->failed_run = run;
+	counted->failures++;
+}
+
 void
 fleet_fail_task(struct fleet *fleet, struct fleet_task *task, int64_t now_ms)
 {
@@ -381,7 +392,7 @@
 	if (fleet_step_of(task)->gang)
 		counted = fleet_step_tasks(task->occurrence, task->step);
 	if (!fleet_step_of(task)->lasting)
-		counted->failures++;
+		count_failed_run(counted, task->run);
 	fleet_requeue_task(fleet, task, "failed", NULL, now_ms);
 	if (counted->failures >= job->spec->attempts && !fleet_job_final(job) &&
 	    !fleet_step_of(task)->lasting) {
--- a/tests/common_fleet_job.c
+++ b/tests/common_fleet_job.c
@@ -85,6 +85,7 @@
 
 	*fixture = (struct fleet_job_fixture){
 	    .now_ms = START_MS,
+	    .attempts = 1,
 	    .accelerators = ACCELERATORS,
 	};
 	fixture->fleet = fleet_new(&config, START_MS);
@@ -141,7 +142,7 @@
 	spec->steps = mem_calloc(1, sizeof(struct Ibis__JobStep *));
 	spec->steps[0] = step;
 	spec->n_steps = 1;
-	spec->attempts = 1;
+	spec->attempts = fixture->attempts;
 	proto_set_string(&spec->service, "s");
 	step->tasks = tasks;
 	step->accelerators = fixture->accelerators;
--- a/tests/common_fleet_job.h
+++ b/tests/common_fleet_job.h
@@ -23,6 +23,7 @@
 	struct fleet *fleet;
 	int64_t now_ms;
 	uint64_t revision;
+	uint32_t attempts;    /* of the job; 1 at first */
 	int64_t accelerators; /* of each task; all of a worker's at first */
 	struct fleet_worker_entry entries[FLEET_JOB_WORKERS];
 };
--- a/tests/test_fleet_failures.c
+++ b/tests/test_fleet_failures.c
@@ -143,6 +143,58 @@
 	    9);
 }
 
+/* Lets both members of a gang end as failed in a run. */
+static void
+fail_gang_run(struct fleet_job_fixture *fixture, uint64_t run)
+{
+	for (uint32_t i = 0; i < 2; i++) {
+		struct fleet_worker *worker =
+		    fleet_find_worker(fixture->fleet, fixture->entries[i].id);
+		struct fleet_poll poll = {.fence = fleet_worker_fence(worker)};
+		struct fleet_reported_end end = {
+		    .number = run,
+		    .task = {.job = FLEET_JOB_ID, .index = i},
+		    .run = run,
+		    .outcome = FLEET_END_FAILED,
+		    .checkpoint = "",
+		};
+		struct fleet_report report = {
+		    .sent_ms = fixture->now_ms,
+		    .received_ms = fixture->now_ms,
+		    .clock_ms = fixture->now_ms,
+		    .incarnation_wall_ms = FLEET_JOB_INCARNATION,
+		    .ends = &end,
+		    .ends_count = 1,
+		};
+
+		fleet_apply_report(
+		    fixture->fleet, worker, &poll, &report, fixture->now_ms);
+	}
+}
+
+/* Guards against a job that is given up too early: a failed run of a gang
+ * counted once for each member that ended as failed. */
+static void
+test_failed_run_of_a_gang_counts_once(void)
+{
+	CLEANUP(fleet_job_close) struct fleet_job_fixture fixture;
+	const struct fleet_job *job;
+
+	fleet_job_open(&fixture);
+	fixture.attempts = 2;
+	fleet_job_start(&fixture, 2, true);
+	job = fleet_find_job(fixture.fleet, FLEET_JOB_ID);
+	fixture.now_ms += 500;
+	fail_gang_run(&fixture, 1);
+	CU_ASSERT_NOT_EQUAL(fleet_job_phase(job), FAILED);
+	fixture.now_ms += 20000;
+	(void)fleet_job_decide(&fixture, FLEET_START);
+	CU_ASSERT_EQUAL(fleet_job_decide(&fixture, FLEET_START), 2);
+	fixture.now_ms += 500;
+	fail_gang_run(&fixture, 2);
+	CU_ASSERT_EQUAL(fleet_job_phase(job), FAILED);
+}
+
 int
 main(void)
 {
@@ -157,6 +209,8 @@
 	    {"worker that fails several jobs is paused",
 		test_worker_that_fails_several_jobs_is_paused},
 	    {"ends count in any order", test_ends_count_in_any_order},
+	    {"failed run of a gang counts once",
+		test_failed_run_of_a_gang_counts_once},
 	    CU_TEST_INFO_NULL,
 	};
 
