--- a/tests/common_users_platform.c
+++ b/tests/common_users_platform.c
@@ -311,6 +311,17 @@
 	    &instance->process, "ibistrestled", arguments, "/dev/null", output);
 }
 
+bool
+users_start_all(struct users_platform *platform)
+{
+	for (uint32_t i = 0; i < USERS_INSTANCES; i++) {
+		if (!users_start_no_wait(platform, i))
+			return false;
+	}
+	return users_wait_ready(platform, READY_MS) &&
+	    users_wait_lead(platform, -1, READY_MS);
+}
+
 struct process *
 users_instance(struct users_platform *platform, uint32_t index)
 {
--- a/tests/common_users_platform.h
+++ b/tests/common_users_platform.h
@@ -58,6 +58,8 @@
 /* Starts an instance with its log written to a descriptor, without waiting. */
 bool users_start_with_output(
     struct users_platform *platform, uint32_t index, int output);
+/* Starts all instances and waits until they are ready and one leads. */
+bool users_start_all(struct users_platform *platform);
 struct process *users_instance(struct users_platform *platform, uint32_t index);
 
 /* Sets whether the store answers 503 to this instance. */
