Test shrinking workers with real processes

Real instances on the fake platform whose workers shrink while they are full: with the following of capacity switched off, 'nothing starts beyond what is left' fails; both pass on the code as it is.

--- a/tests/common_users_platform.c
+++ b/tests/common_users_platform.c
@@ -40,10 +40,11 @@
 	(void)snprintf(key, sizeof(key), "servers/%s", id);
 	buffer_printf(&text,
 	    "{\"Service\":\"s\",\"Address\":\"%s\",\"Zone\":\"z\",\"State\":"
-	    "\"%s\",\"Capacity\":{\"Cpu\":8000,\"MemMb\":8000,\"Gpus\":%d},"
+	    "\"%s\",\"Capacity\":{\"Cpu\":8000,\"MemMb\":8000,\"Gpus\":%" PRIu32
+	    "},"
 	    "\"Labels\":[\"a\",\"r%" PRIu32 "\"],\"born\":%" PRId64 "}",
 	    fake_server_address(worker->server),
-	    worker->draining ? "draining" : "ready", WORKER_ACCELERATORS,
+	    worker->draining ? "draining" : "ready", worker->accelerators,
 	    worker->index / 2, worker->incarnation);
 	put_text(platform, key, buffer_string(&text));
 }
@@ -149,6 +150,7 @@
 		worker->platform = platform;
 		worker->index = i;
 		worker->incarnation = 1;
+		worker->accelerators = WORKER_ACCELERATORS;
 		worker->server = fake_server_start(
 		    "127.0.0.1:0", users_worker_handler, worker);
 		users_put_worker(platform, worker);
@@ -158,6 +160,29 @@
 	return platform;
 }
 
+void
+users_shrink_workers(struct users_platform *platform, uint32_t accelerators)
+{
+	(void)pthread_mutex_lock(&platform->lock);
+	platform->reports_capacity = true;
+	for (uint32_t i = 0; i < USERS_WORKERS; i++) {
+		platform->workers[i].accelerators = accelerators;
+		users_put_worker(platform, &platform->workers[i]);
+	}
+	(void)pthread_mutex_unlock(&platform->lock);
+}
+
+uint32_t
+users_over_capacity_starts(struct users_platform *platform)
+{
+	uint32_t count;
+
+	(void)pthread_mutex_lock(&platform->lock);
+	count = platform->over_capacity_starts;
+	(void)pthread_mutex_unlock(&platform->lock);
+	return count;
+}
+
 void
 users_drain_workers(struct users_platform *platform)
 {
--- a/tests/common_users_platform.h
+++ b/tests/common_users_platform.h
@@ -152,6 +152,15 @@
  * seen no fencing token; their entries in the store change. */
 void users_restart_workers(struct users_platform *platform);
 
+/* Leaves all workers this many accelerators, as their reports and entries say
+ * from now on. What runs goes on. */
+void users_shrink_workers(
+    struct users_platform *platform, uint32_t accelerators);
+
+/* Returns how many starts have brought a worker over its accelerators, of which
+ * each task takes one. */
+uint32_t users_over_capacity_starts(struct users_platform *platform);
+
 /* Lets all workers say in the store that they leave. They go on. */
 void users_drain_workers(struct users_platform *platform);
 
--- a/tests/common_users_state.h
+++ b/tests/common_users_state.h
@@ -67,6 +67,7 @@
 	uint32_t crashes;    /* it has another id after each */
 	int64_t back_ms;     /* end of the time after a crash; 0: it is up */
 	bool draining;
+	uint32_t accelerators;
 	int64_t fencing_token; /* highest seen */
 	int64_t lease_expires_ms;
 	int64_t acked_end; /* ends up to this number are acknowledged */
@@ -121,6 +122,8 @@
 	uint32_t worker_crashes;
 	uint32_t started_runs;
 	uint32_t duplicate_starts;
+	uint32_t over_capacity_starts;
+	bool reports_capacity; /* do workers, besides their entries */
 	uint32_t lead_key_deletions;
 	char folder[64];
 };
--- a/tests/common_users_workers.c
+++ b/tests/common_users_workers.c
@@ -120,6 +120,16 @@
 	return expected == NULL || strcmp(expected, id) == 0;
 }
 
+static uint32_t
+count_runs(const struct users_worker *worker)
+{
+	uint32_t count = 0;
+
+	for (size_t i = 0; i < USERS_MAX_RUNS; i++)
+		count += worker->runs[i].used;
+	return count;
+}
+
 /* Returns NULL, or the reason for refusing the start. */
 static const char *
 start_run(struct users_worker *worker, const char *task, int64_t number)
@@ -138,6 +148,8 @@
 	}
 	platform->started_runs++;
 	platform->duplicate_starts += is_duplicate_start(platform, task);
+	platform->over_capacity_starts +=
+	    count_runs(worker) >= worker->accelerators;
 	for (size_t i = 0; i < USERS_MAX_RUNS; i++) {
 		if (worker->runs[i].used)
 			continue;
@@ -211,6 +223,11 @@
 			    end->number, end->task, end->run, end->outcome);
 	}
 	end_list(body);
+	if (worker->platform->reports_capacity)
+		buffer_printf(body,
+		    ",\"Capacity\":{\"Cpu\":8000,\"MemMb\":8000,\"Gpus\":"
+		    "%" PRIu32 "}",
+		    worker->accelerators);
 	buffer_puts(body, "}");
 }
 
