Make the new tests clean for the linter and leak check

The whole check on failed in lint (widening of products, names of parameters in tests/common_agent, a null report) and in test_agent_peers with sanitizers: the new test left a hello unanswered, whose context leaked. Widths, names and the guard are set right; the test answers the hello. Product code is as it was.

--- a/tests/common_agent.c
+++ b/tests/common_agent.c
@@ -70,28 +70,28 @@
 }
 
 void
-append_store_item(struct buffer *body, const char *key, const void *value,
+append_store_item(struct buffer *items, const char *key, const void *value,
     size_t length, uint64_t revision, uint64_t lease)
 {
 	char *text = ne_base64(value, length);
 
-	buffer_printf(body,
+	buffer_printf(items,
 	    "%s{\"Key\":\"%s\",\"Value\":\"%s\",\"Revision\":%llu,"
 	    "\"Created\":%llu,\"Lease\":%llu}",
-	    body->length == 0 ? "" : ",", key, text,
+	    items->length == 0 ? "" : ",", key, text,
 	    (unsigned long long)revision, (unsigned long long)revision,
 	    (unsigned long long)lease);
 	ne_free(text);
 }
 
 void
-append_store_message(struct buffer *body, const char *key,
+append_store_message(struct buffer *items, const char *key,
     const ProtobufCMessage *message, uint64_t revision)
 {
 	CLEANUP(buffer_free) struct buffer packed = {0};
 
 	proto_pack(message, &packed);
-	append_store_item(body, key, packed.data, packed.length, revision, 0);
+	append_store_item(items, key, packed.data, packed.length, revision, 0);
 }
 
 void
--- a/tests/fail_slow_caller.c
+++ b/tests/fail_slow_caller.c
@@ -106,7 +106,7 @@
 	stopped_ms = clock_now_ms();
 	(void)pthread_create(&slow, NULL, send_slowly, &connections[CALLERS]);
 	for (int i = 0; i < CALLERS; i++) {
-		sleep_until(stopped_ms + FIRST_AT_MS + i * ASK_MS);
+		sleep_until(stopped_ms + FIRST_AT_MS + (int64_t)i * ASK_MS);
 		if (process_has_ended(users_instance(platform, 0)))
 			break;
 		in_vain += ask_in_vain(connections[i]);
--- a/tests/test_agent_peers.c
+++ b/tests/test_agent_peers.c
@@ -83,6 +83,19 @@
 	return connection;
 }
 
+/* Waits for a hello and answers it. */
+static void
+answer_hello(struct fixture *fixture)
+{
+	int connection = wait_for_request(fixture, WAIT_MS);
+
+	CU_ASSERT_TRUE_FATAL(connection >= 0);
+	CU_ASSERT_TRUE(
+	    send(connection, OK_RESPONSE, strlen(OK_RESPONSE), 0) > 0);
+	CU_ASSERT_EQUAL(wait_for_request(fixture, QUIET_MS), -1);
+	(void)close(connection);
+}
+
 /* Guards against an instance that is refused by the store and knows no peer to
  * relay through: the only hello of a peer was lost. */
 static void
@@ -96,12 +109,7 @@
 	connection = wait_for_request(&fixture, WAIT_MS);
 	CU_ASSERT_TRUE_FATAL(connection >= 0);
 	(void)close(connection);
-	connection = wait_for_request(&fixture, WAIT_MS);
-	CU_ASSERT_TRUE_FATAL(connection >= 0);
-	CU_ASSERT_TRUE(
-	    send(connection, OK_RESPONSE, strlen(OK_RESPONSE), 0) > 0);
-	CU_ASSERT_EQUAL(wait_for_request(&fixture, QUIET_MS), -1);
-	(void)close(connection);
+	answer_hello(&fixture);
 }
 
 /* Guards against calls to entries of other writers that name no instance, and
@@ -127,6 +135,7 @@
 
 	open_fixture(&fixture);
 	list_peer(&fixture);
+	answer_hello(&fixture);
 	for (size_t i = 0; i < COUNT_OF(entries); i++) {
 		struct platform_store_item item = {
 		    .key = "ibis/instance/odd",
--- a/tests/test_agent_records.c
+++ b/tests/test_agent_records.c
@@ -126,8 +126,9 @@
 
 		lead_ended_jobs(&fixture, cancelled);
 		CU_ASSERT_EQUAL(fixture.agent.jobs.count, JOBS);
-		CU_ASSERT_EQUAL(remove_all(&fixture, ROUND_MS, 20 * ROUND_MS),
-		    JOBS * 2 + JOBS / 4 * cancelled);
+		CU_ASSERT_EQUAL(
+		    remove_all(&fixture, ROUND_MS, INT64_C(20) * ROUND_MS),
+		    (size_t)JOBS * 2 + JOBS / 4 * cancelled);
 		CU_ASSERT_EQUAL(fixture.agent.jobs.count, 0);
 		CU_ASSERT_EQUAL(fixture.agent.lead.state, AGENT_LEADING);
 	}
@@ -143,7 +144,7 @@
 
 	lead_ended_jobs(&fixture, 4);
 	(void)remove_all(
-	    &fixture, STEP_MS, JOBS * MS_PER_SECOND / JOBS_A_SECOND);
+	    &fixture, STEP_MS, (int64_t)JOBS * MS_PER_SECOND / JOBS_A_SECOND);
 	CU_ASSERT_EQUAL(fixture.agent.jobs.count, 0);
 }
 
@@ -161,12 +162,13 @@
 	};
 
 	lead_ended_jobs(&fixture, 4);
-	CU_ASSERT_EQUAL(
-	    remove_all(&fixture, STEP_MS, JOBS * STEP_MS), JOBS * 3);
+	CU_ASSERT_EQUAL(remove_all(&fixture, STEP_MS, (int64_t)JOBS * STEP_MS),
+	    (size_t)JOBS * 3);
 	agent_watch_apply(fixture.agent.records_watch, &cancel);
 	CU_ASSERT_EQUAL(fixture.agent.jobs.count, 1);
 	CU_ASSERT_EQUAL(remove_all(&fixture, STEP_MS, RETENTION_MS), 0);
-	CU_ASSERT_EQUAL(remove_all(&fixture, ROUND_MS, 4 * ROUND_MS), 1);
+	CU_ASSERT_EQUAL(
+	    remove_all(&fixture, ROUND_MS, INT64_C(4) * ROUND_MS), 1);
 	CU_ASSERT_EQUAL(fixture.agent.jobs.count, 0);
 }
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -413,6 +413,8 @@
 	    platform_report_parse(text, strlen(text), &status);
 
 	CU_ASSERT_PTR_NOT_NULL_FATAL(report);
+	if (report == NULL)
+		return;
 	CU_ASSERT_EQUAL_FATAL(report->runs_count, 1);
 	CU_ASSERT_EQUAL(report->runs[0].task.index, 5);
 	CU_ASSERT_EQUAL(report->runs[0].percent, 100);
