Check values from outside in one place

Found on reading the whole change again; no behaviour changes.

- The lead checked each record of progress again that the view had checked: the view alone does, also when the progress comes before its job, and the lead is as it was before.
The log event progress_unreadable goes; record_unreadable says it.
- What a stopping instance refuses was answered with constants of its own in two files: gateway_reply_refused sends both.
- agent_max_tasks is declared with the group that defines it.

test_agent_lead has a test more, 'odd progress before its job is not applied'.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -27,9 +27,6 @@
 /* The process exits at least this long before the grace period ends. */
 #define EXIT_MARGIN_MS 1200
 #define REFUSE_WAIT_MS 5
-/* Retry-After of what a stopping instance refuses: others serve. */
-#define STOPPING_RETRY_AFTER_MS 1000
-#define STATUS_UNAVAILABLE	503
 
 static atomic_bool stop_requested;
 static atomic_bool reload_requested;
@@ -339,8 +336,7 @@
 	while (gateway_posted_requests(agent->gateway) > 0) {
 		if (event_queue_take(agent->events, REFUSE_WAIT_MS, &event) &&
 		    event.kind == EVENT_GATEWAY)
-			gateway_reply(agent->gateway, event.gateway,
-			    STATUS_UNAVAILABLE, NULL, STOPPING_RETRY_AFTER_MS);
+			gateway_reply_refused(agent->gateway, event.gateway);
 	}
 }
 
--- a/src/agent/agent_lead.c
+++ b/src/agent/agent_lead.c
@@ -46,45 +46,21 @@
 	    now_ms + delay_ms + agent_random(agent, LEAD_JITTER_MS);
 }
 
-/* Reads a job's progress; NULL: it has none, or it is unreadable. */
-static Ibis__JobProgress *
-read_progress(struct view_job *job)
-{
-	struct ibis_status status = {0};
-	Ibis__JobProgress *progress;
-
-	if (job->progress.length == 0)
-		return NULL;
-	progress =
-	    (Ibis__JobProgress *)proto_unpack(&ibis__job_progress__descriptor,
-		job->progress.data, job->progress.length);
-	/* It may have come before the job. */
-	if (progress != NULL &&
-	    fleet_check_progress(job->spec, progress, &status) == IBIS_OK)
-		return progress;
-	log_event(LOG_ERROR, "progress_unreadable", "job", job->id, "message",
-	    status.message, NULL);
-	job->progress_unreadable = true;
-	if (progress != NULL)
-		proto_free(&progress->base);
-	return NULL;
-}
-
-/* Adds a job to the fleet, for the service that its route leads to now. Returns
- * NULL when its progress is unreadable: it isn't known what runs of it. */
+/* Adds a job to the fleet, for the service that its route leads to now. */
 static struct fleet_job *
-add_to_fleet(struct agent *agent, struct view_job *job, int64_t now_ms)
+add_to_fleet(struct agent *agent, const struct view_job *job, int64_t now_ms)
 {
 	const char *service = agent_config_service(agent, job->spec->route);
-	Ibis__JobProgress *progress = read_progress(job);
-	Ibis__StepJob *spec;
+	Ibis__StepJob *spec = (Ibis__StepJob *)proto_copy(&job->spec->base);
+	Ibis__JobProgress *progress = NULL;
 	struct fleet_job *added;
 
-	if (job->progress_unreadable)
-		return NULL;
-	spec = (Ibis__StepJob *)proto_copy(&job->spec->base);
 	if (service != NULL)
 		proto_set_string(&spec->service, service);
+	if (job->progress.length > 0)
+		progress = (Ibis__JobProgress *)proto_unpack(
+		    &ibis__job_progress__descriptor, job->progress.data,
+		    job->progress.length);
 	added = fleet_add_job(agent->fleet, job->id, spec, progress,
 	    job->progress_revision, now_ms);
 	if (progress != NULL)
@@ -97,6 +73,7 @@
 {
 	struct fleet_job *known;
 
+	/* Without its progress it isn't known what runs of the job. */
 	if (agent->fleet == NULL || job->spec == NULL ||
 	    job->progress_unreadable)
 		return;
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -221,10 +221,6 @@
 /* Makes the control thread run its next step at at_ms at the latest. */
 void agent_wake_at(struct agent *agent, int64_t at_ms);
 
-/* Returns how many tasks of a job may be open at once, so that the record of
- * its progress fits one value of the store. */
-uint32_t agent_max_tasks(const struct agent *agent);
-
 /* Returns a pseudo-random number less than below, which must not be 0. */
 uint32_t agent_random(struct agent *agent, uint32_t below);
 
@@ -458,6 +454,10 @@
  * leading. */
 void agent_records_step(struct agent *agent, int64_t now_ms);
 
+/* Returns how many tasks of a job may be open at once, so that the record of
+ * its progress fits one value of the store. */
+uint32_t agent_max_tasks(const struct agent *agent);
+
 /* Drops the batches that are being written. */
 void agent_records_drop(struct agent *agent);
 
--- a/src/agent/agent_view.c
+++ b/src/agent/agent_view.c
@@ -57,6 +57,45 @@
 	mem_free(job);
 }
 
+/* Reads a record of progress. Returns NULL with status filled when it can't be
+ * used for the job, whose record may be unknown yet. */
+static Ibis__JobProgress *
+parse_progress(const struct view_job *job, const void *bytes, size_t length,
+    struct ibis_status *status)
+{
+	Ibis__JobProgress *progress = (Ibis__JobProgress *)proto_unpack(
+	    &ibis__job_progress__descriptor, bytes, length);
+
+	if (progress == NULL) {
+		(void)ibis_status_set(status, IBIS_INVALID, "record", NULL,
+		    "the value is not a packed JobProgress");
+		return NULL;
+	}
+	if (fleet_check_progress(job->spec, progress, status) == IBIS_OK)
+		return progress;
+	proto_free(&progress->base);
+	return NULL;
+}
+
+/* Checks progress that has come before the job. */
+static void
+check_earlier_progress(
+    struct view_job *job, const struct platform_store_item *item)
+{
+	struct ibis_status status = {0};
+	Ibis__JobProgress *progress;
+
+	if (job->progress.length == 0)
+		return;
+	progress = parse_progress(
+	    job, job->progress.data, job->progress.length, &status);
+	job->progress_unreadable = progress == NULL;
+	if (progress == NULL)
+		agent_watch_log_unreadable(item, status.message);
+	else
+		proto_free(&progress->base);
+}
+
 static void
 apply_job_item(
     struct agent *agent, const char *id, const struct platform_store_item *item)
@@ -88,6 +127,7 @@
 		return;
 	}
 	job->spec = spec;
+	check_earlier_progress(job, item);
 	job->revision = item->revision;
 	agent_lead_update_job(agent, job, clock_now_ms());
 }
@@ -103,16 +143,11 @@
 
 	if (job == NULL || item->deleted)
 		return;
-	progress = (Ibis__JobProgress *)proto_unpack(
-	    &ibis__job_progress__descriptor, item->value, item->value_length);
-	if (progress == NULL ||
-	    fleet_check_progress(job->spec, progress, &status) != IBIS_OK) {
-		agent_watch_log_unreadable(item,
-		    progress == NULL ? "the value is not a packed JobProgress"
-				     : status.message);
+	progress =
+	    parse_progress(job, item->value, item->value_length, &status);
+	if (progress == NULL) {
+		agent_watch_log_unreadable(item, status.message);
 		job->progress_unreadable = true;
-		if (progress != NULL)
-			proto_free(&progress->base);
 		return;
 	}
 	job->progress_unreadable = false;
--- a/src/connection/gateway.c
+++ b/src/connection/gateway.c
@@ -393,6 +393,13 @@
 	    gateway, request, status, body, strlen(body), retry_after_ms);
 }
 
+void
+gateway_reply_refused(struct gateway *gateway, struct gateway_request *request)
+{
+	gateway_reply(gateway, request, MHD_HTTP_SERVICE_UNAVAILABLE, NULL,
+	    REFUSED_RETRY_AFTER_MS);
+}
+
 void
 gateway_reply_bytes(struct gateway *gateway, struct gateway_request *request,
     int32_t status, const void *bytes, size_t length)
--- a/src/connection/gateway.h
+++ b/src/connection/gateway.h
@@ -104,6 +104,10 @@
 void gateway_reply(struct gateway *gateway, struct gateway_request *request,
     int32_t status, const char *body, int64_t retry_after_ms);
 
+/* Sends what gateway_refuse sends. */
+void gateway_reply_refused(
+    struct gateway *gateway, struct gateway_request *request);
+
 /* Like gateway_reply, with a body of length bytes and no Retry-After. */
 void gateway_reply_bytes(struct gateway *gateway,
     struct gateway_request *request, int32_t status, const void *bytes,
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -180,6 +180,11 @@
  * Jobs group. Records are packed StepJob and JobProgress messages.
  */
 
+/* Return whether values from outside are within the limits above, so that they
+ * may be added up. */
+bool fleet_amounts_valid(const struct fleet_resources *resources);
+bool fleet_time_valid(int64_t value_ms);
+
 /*
  * Check records that may come from another writer. Return IBIS_OK, or
  * IBIS_INVALID with the field at fault in status. A record of progress is
--- a/src/fleet/fleet_checks.c
+++ b/src/fleet/fleet_checks.c
@@ -17,8 +17,16 @@
 	return value >= 0 && value <= FLEET_MAX_AMOUNT;
 }
 
-static bool
-is_time(int64_t value_ms)
+bool
+fleet_amounts_valid(const struct fleet_resources *resources)
+{
+	return is_amount(resources->cpu_milli) &&
+	    is_amount(resources->memory_mb) &&
+	    is_amount(resources->accelerators);
+}
+
+bool
+fleet_time_valid(int64_t value_ms)
 {
 	return value_ms >= 0 && value_ms <= FLEET_MAX_TIME_MS;
 }
@@ -26,14 +34,20 @@
 static enum ibis_code
 check_step(const Ibis__JobStep *step, size_t index, struct ibis_status *status)
 {
+	struct fleet_resources need = {
+	    .cpu_milli = step->cpu_milli,
+	    .memory_mb = step->memory_mb,
+	    .accelerators = step->accelerators,
+	};
+
 	if (step->tasks == 0 || step->tasks > FLEET_MAX_TASKS)
 		return set_invalid(
 		    status, "tasks of a step: expected 1 to 65536");
-	if (!is_amount(step->cpu_milli) || !is_amount(step->memory_mb) ||
-	    !is_amount(step->accelerators))
+	if (!fleet_amounts_valid(&need))
 		return set_invalid(
 		    status, "resources of a task: expected 0 to 2^32 each");
-	if (!is_time(step->estimate_ms) || !is_time(step->tail_target_ms))
+	if (!fleet_time_valid(step->estimate_ms) ||
+	    !fleet_time_valid(step->tail_target_ms))
 		return set_invalid(
 		    status, "estimate and tail target: expected 0 to 2^43 ms");
 	for (size_t i = 0; i < step->n_after; i++) {
@@ -75,8 +89,10 @@
 	if (spec->times > FLEET_MAX_OCCURRENCES)
 		return set_invalid(
 		    status, "occurrences: expected at most 100000");
-	if (!is_time(spec->first_wall_ms) || !is_time(spec->interval_ms) ||
-	    !is_time(spec->accepted_wall_ms) || !is_time(spec->target_ms))
+	if (!fleet_time_valid(spec->first_wall_ms) ||
+	    !fleet_time_valid(spec->interval_ms) ||
+	    !fleet_time_valid(spec->accepted_wall_ms) ||
+	    !fleet_time_valid(spec->target_ms))
 		return set_invalid(status,
 		    "first time, interval, time of acceptance and target: "
 		    "expected 0 to 2^43 ms");
@@ -92,7 +108,7 @@
 	if (strlen(task->worker) >= FLEET_NAME_BYTES)
 		return set_invalid(
 		    status, "worker of a task: expected at most 63 bytes");
-	if (!is_time(task->incarnation_wall_ms))
+	if (!fleet_time_valid(task->incarnation_wall_ms))
 		return set_invalid(
 		    status, "incarnation of a worker: expected 0 to 2^43 ms");
 	return IBIS_OK;
@@ -162,7 +178,7 @@
 	default:
 		return set_invalid(status, "phase: expected 0 to 4");
 	}
-	if (!is_time(progress->ended_wall_ms))
+	if (!fleet_time_valid(progress->ended_wall_ms))
 		return set_invalid(
 		    status, "time of the end: expected 0 to 2^43 ms");
 	if (progress->finished >= times)
--- a/tests/test_agent_lead.c
+++ b/tests/test_agent_lead.c
@@ -245,6 +245,32 @@
 	CU_ASSERT_PTR_NULL(fleet_find_job(agent->fleet, JOB_ID));
 }
 
+/* Guards against progress that doesn't fit its job and is read before it: it
+ * was applied to tasks that the job doesn't have. */
+static void
+test_odd_progress_before_its_job_is_not_applied(void)
+{
+	CLEANUP(close_agent_fixture) struct agent_fixture fixture;
+	CLEANUP(buffer_free) struct buffer packed = {0};
+	CLEANUP(buffer_free) struct buffer record = {0};
+	Ibis__JobProgress progress = IBIS__JOB_PROGRESS__INIT;
+	struct platform_store_item item = {
+	    .key = AGENT_PROGRESS_PREFIX NEW_JOB_ID, .revision = 60};
+	struct agent *agent = &fixture.agent;
+
+	open_agent_fixture(&fixture);
+	lead_completed_job(&fixture);
+	progress.finished = 5; /* occurrences of one */
+	proto_pack(&progress.base, &packed);
+	item.value = packed.data;
+	item.value_length = packed.length;
+	agent_watch_apply(agent->records_watch, &item);
+	pack_store_job(&record);
+	agent_view_add_job(agent, NEW_JOB_ID, 61, record.data, record.length);
+	CU_ASSERT_PTR_NULL(fleet_find_job(agent->fleet, NEW_JOB_ID));
+	CU_ASSERT_PTR_NOT_NULL(agent_view_job(agent, NEW_JOB_ID)->spec);
+}
+
 /* Reports the worker to the lead as listed at an address, or as deleted. */
 static void
 change_worker(
@@ -574,6 +600,8 @@
 		test_run_without_a_record_makes_the_lead_reload},
 	    {"job with unreadable progress is not run",
 		test_job_with_unreadable_progress_is_not_run},
+	    {"odd progress before its job is not applied",
+		test_odd_progress_before_its_job_is_not_applied},
 	    {"lead reloads after a conflict with an unread record",
 		test_lead_reloads_after_a_conflict_with_an_unread_record},
 	    {"answer without a lease is a failed try",
