--- a/src/agent/agent_config.c
+++ b/src/agent/agent_config.c
@@ -67,6 +67,25 @@
 	return agent_config_service(context, route);
 }
 
+static void
+pass_workspace_to_fleet(
+    struct agent *agent, const struct routes_workspace *workspace)
+{
+	struct fleet_quota quota = {
+	    .cap =
+		{
+		    .cpu_milli = workspace->cap_cpu_milli,
+		    .memory_mb = workspace->cap_memory_mb,
+		    .accelerators = workspace->cap_accelerators,
+		},
+	    .weight_milli = workspace->weight_milli,
+	};
+
+	fleet_set_guarantee(
+	    agent->fleet, workspace->name, workspace->guaranteed_accelerators);
+	fleet_set_quota(agent->fleet, workspace->name, &quota);
+}
+
 /* Replaces what the fleet has of an earlier version. */
 static void
 pass_config_to_fleet(struct agent *agent)
@@ -76,10 +95,9 @@
 	if (agent->fleet == NULL || routes == NULL)
 		return;
 	fleet_move_jobs(agent->fleet, find_service, agent);
-	fleet_clear_guarantees(agent->fleet);
+	fleet_clear_limits(agent->fleet);
 	for (size_t i = 0; i < routes->workspaces_count; i++)
-		fleet_set_guarantee(agent->fleet, routes->workspaces[i].name,
-		    routes->workspaces[i].guaranteed_accelerators);
+		pass_workspace_to_fleet(agent, &routes->workspaces[i]);
 }
 
 /* Logs a version that has come in force. It was stored after the last time at
--- a/src/agent/agent_status.c
+++ b/src/agent/agent_status.c
@@ -131,6 +131,43 @@
 	add_number(object, "accelerators_free", usage.free_accelerators);
 }
 
+static void
+add_resources(struct json_object *object, const char *name,
+    const struct fleet_resources *resources)
+{
+	struct json_object *row = json_object_new_object();
+
+	add_number(row, "cpu_milli", resources->cpu_milli);
+	add_number(row, "memory_mb", resources->memory_mb);
+	add_number(row, "accelerators", resources->accelerators);
+	json_object_object_add(object, name, row);
+}
+
+/* Adds what each workspace has running beside its cap; 0 of a resource is no
+ * cap. */
+static void
+add_workspaces(const struct agent *agent, struct json_object *object)
+{
+	struct json_object *rows;
+
+	if (agent->fleet == NULL)
+		return;
+	rows = json_object_new_array();
+	for (size_t i = 0; i < fleet_workspaces_count(agent->fleet); i++) {
+		struct json_object *row = json_object_new_object();
+		struct fleet_workspace_usage usage;
+
+		fleet_workspace_usage(agent->fleet, i, &usage);
+		add_text(row, "workspace", usage.name);
+		add_resources(row, "running", &usage.running);
+		add_resources(row, "cap", &usage.cap);
+		add_number(
+		    row, "tasks_waiting_quota", (int64_t)usage.waiting_tasks);
+		json_object_array_add(rows, row);
+	}
+	json_object_object_add(object, "workspaces", rows);
+}
+
 static void
 reply(struct agent *agent, struct gateway_request *request, int32_t status,
     struct json_object *object)
@@ -155,6 +192,7 @@
 	add_lead(agent, object);
 	add_dependencies(agent, object, now_ms);
 	add_fleet(agent, object, now_ms);
+	add_workspaces(agent, object);
 	reply(agent, request, STATUS_OK, object);
 }
 
--- a/src/agent/agent_workers.c
+++ b/src/agent/agent_workers.c
@@ -471,6 +471,8 @@
 	gauge_set(GAUGE_JOBS_QUEUED, (int64_t)usage.jobs_pending);
 	gauge_set(GAUGE_JOBS_RUNNING, (int64_t)usage.jobs_running);
 	gauge_set(GAUGE_WORKERS_SILENT, (int64_t)usage.silent_workers);
+	gauge_set(
+	    GAUGE_TASKS_WAITING_QUOTA, (int64_t)usage.quota_waiting_tasks);
 	gauge_set(GAUGE_ACCELERATORS, usage.accelerators);
 	gauge_set(GAUGE_ACCELERATORS_FREE, usage.free_accelerators);
 	gauge_set(GAUGE_PEERS_ALIVE, (int64_t)agent->peers.index.count);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -401,12 +401,25 @@
  * at first. */
 void fleet_set_zone(struct fleet *fleet, const char *zone, bool in_service);
 
-/* Sets how many accelerators a workspace's urgent jobs are guaranteed; none
- * after fleet_clear_guarantees. */
-void fleet_clear_guarantees(struct fleet *fleet);
+/* Removes the guarantees and quotas of all workspaces. */
+void fleet_clear_limits(struct fleet *fleet);
+
+/* Sets how many accelerators a workspace's urgent jobs are guaranteed. */
 void fleet_set_guarantee(
     struct fleet *fleet, const char *workspace, int64_t accelerators);
 
+/* What a workspace may have, beside its guarantee. */
+struct fleet_quota {
+	/* Most that it may have running over all workers; 0 of a resource: no
+	 * limit. */
+	struct fleet_resources cap;
+	uint32_t weight_milli; /* its share when all is full; 0: as others */
+};
+
+/* Sets a workspace's quota. Under a lower cap, what runs goes on. */
+void fleet_set_quota(struct fleet *fleet, const char *workspace,
+    const struct fleet_quota *quota);
+
 /* Holds back further placements, or allows them again. Held back while the
  * zones and routes given here may be out of date. */
 void fleet_hold_placements(struct fleet *fleet, bool hold);
@@ -599,6 +612,7 @@
 	FLEET_WAITS_WORKERS,   /* none of those with the label is usable now */
 	FLEET_WAITS_SIZE,      /* does not fit even on empty workers */
 	FLEET_WAITS_RESOURCES, /* too few are free */
+	FLEET_WAITS_QUOTA,     /* the workspace's cap leaves too little */
 	FLEET_WAITS_RACK,      /* enough are free, but outside the rack */
 	FLEET_WAITS_RECORD,    /* placed; the record is being written */
 	FLEET_WAITS_STOPS,     /* placed; earlier runs are being stopped */
@@ -632,6 +646,7 @@
 	uint64_t jobs_pending;
 	uint64_t jobs_running;
 	uint64_t waiting_tasks;
+	uint64_t quota_waiting_tasks; /* of them, for their workspace's cap */
 	uint64_t placed_tasks;	/* not started yet */
 	uint64_t running_tasks; /* including those being started or stopped */
 	uint64_t workers;	/* listed ones */
@@ -641,6 +656,18 @@
 	uint64_t searches; /* for workers with room, since fleet_new */
 };
 
+struct fleet_workspace_usage {
+	const char *name;	    /* the fleet's; valid until it is freed */
+	struct fleet_resources cap; /* 0 of a resource: no limit */
+	struct fleet_resources running;
+	uint64_t waiting_tasks; /* for the cap, in the last placement */
+};
+
+/* Workspaces that have jobs or limits; index is less than the count. */
+size_t fleet_workspaces_count(const struct fleet *fleet);
+void fleet_workspace_usage(const struct fleet *fleet, size_t index,
+    struct fleet_workspace_usage *usage);
+
 /* Fills usage with the current totals. Jobs that have ended are counted in jobs
  * only. */
 void fleet_usage(const struct fleet *fleet, struct fleet_usage *usage);
--- a/src/fleet/fleet_decide.c
+++ b/src/fleet/fleet_decide.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "fleet/fleet_model.h"
+#include "fleet/fleet_quota.h"
 #include "process/alloc.h"
 
 /* An orphan that has not ended this long after its stop was ordered is stopped
@@ -195,24 +195,57 @@
 		fleet->events[fleet->events_count - 1].tasks = (uint32_t)count;
 }
 
+/* Returns how many tasks of the unit may be placed within their workspace's
+ * cap; for a gang 0 or all. An urgent unit may have the workspace's other work
+ * stopped for it. */
+static size_t
+count_within_quota(
+    struct placement_round *round, const struct placement_unit *unit)
+{
+	const struct fleet_job *job = unit->occurrence->job;
+	const Ibis__JobStep *step = job->spec->steps[unit->step];
+	uint32_t count = (uint32_t)unit->count;
+	uint32_t fits = 0;
+
+	if (fleet_quota_may_pass(job))
+		fits = fleet_quota_fit(job, step, count);
+	if (fits < count && job->spec->priority == 0)
+		fits = fleet_quota_fit_by_preemption(
+		    round->fleet, job, step, count);
+	if (fits == count || (fits > 0 && !step->gang))
+		return fits;
+	fleet_quota_note_wait(
+	    round->fleet, unit->occurrence, step, count, round->now_ms);
+	return 0;
+}
+
 static void
 place_unit(struct placement_round *round, const struct placement_unit *unit)
 {
 	struct fleet_task *const *tasks = &round->waiting[unit->first];
+	const struct fleet_job *job = unit->occurrence->job;
 	const char *outcome = "free room";
+	size_t count;
 	size_t found;
 
 	if (fleet_waits_for_other_occurrence(tasks[0]))
 		return;
+	count = count_within_quota(round, unit);
+	if (count == 0)
+		return;
 	round->targets = mem_grow(round->targets, &round->targets_capacity,
-	    unit->count, sizeof(struct fleet_worker *));
+	    count, sizeof(struct fleet_worker *));
 	found = fleet_find_targets(
-	    round->fleet, tasks, unit->count, round->targets, round->now_ms);
-	if (found == 0 && unit->occurrence->job->spec->priority == 0) {
+	    round->fleet, tasks, count, round->targets, round->now_ms);
+	if (found == 0 && job->spec->priority == 0) {
 		outcome = "reclaimed room";
-		found = fleet_reclaim_targets(round->fleet, tasks, unit->count,
-		    round->targets, round->now_ms);
+		found = fleet_reclaim_targets(
+		    round->fleet, tasks, count, round->targets, round->now_ms);
 	}
+	if (found > 0)
+		fleet_quota_make_room(round->fleet, job,
+		    job->spec->steps[unit->step], (uint32_t)found,
+		    round->now_ms);
 	for (size_t i = 0; i < found; i++)
 		fleet_place_task(
 		    round->fleet, tasks[i], round->targets[i], round->now_ms);
@@ -232,6 +265,7 @@
 		if (!job->cancelled && !fleet_job_final(job))
 			collect_job(&round, job);
 	}
+	fleet_quota_begin_round(fleet);
 	if (round.units_count == 0)
 		return;
 	qsort(round.units, round.units_count, sizeof(*round.units),
@@ -281,8 +315,8 @@
 }
 
 /* Returns whether a task's placement is recorded, its resources are free on the
- * worker, none of its earlier runs may still be at work, and a suspect's
- * worker has nothing else that has just begun. */
+ * worker and within its workspace's cap, none of its earlier runs may still be
+ * at work, and a suspect's worker has nothing else that has just begun. */
 static bool
 may_start(const struct fleet *fleet, const struct fleet_task *task)
 {
@@ -295,6 +329,7 @@
 		return false;
 	left = fleet_worker_unoccupied(task->worker);
 	return fleet_resources_fit(&left, &need, 1) > 0 &&
+	    fleet_quota_allows_start(fleet, task) &&
 	    !fleet_task_has_orphan(fleet, task) &&
 	    fleet_isolation_allows_start(task);
 }
@@ -335,10 +370,11 @@
 }
 
 static void
-order_starts(struct fleet *fleet)
+order_starts(struct fleet *fleet, int64_t now_ms)
 {
 	struct fleet_job *job;
 
+	fleet_quota_begin_starts(fleet, now_ms);
 	cds_list_for_each_entry (job, &fleet->active, active) {
 		if (job->placed == 0 || job->cancelled || fleet_job_final(job))
 			continue;
@@ -447,7 +483,7 @@
 		place_all(fleet, now_ms);
 	}
 	order_stops(fleet, now_ms);
-	order_starts(fleet);
+	order_starts(fleet, now_ms);
 	*orders = fleet->orders;
 	return fleet->orders_count;
 }
@@ -471,6 +507,9 @@
 		for (size_t j = 0; j < job->occurrences_count; j++)
 			usage->waiting_tasks += job->occurrences[j]->waiting;
 	}
+	for (size_t i = 0; i < fleet->workspaces_count; i++)
+		usage->quota_waiting_tasks +=
+		    fleet->workspaces[i]->waiting_tasks;
 	for (size_t i = 0; i < fleet->workers.count; i++) {
 		const struct fleet_worker *worker =
 		    fleet->workers.items[i].item;
--- a/src/fleet/fleet_explain.c
+++ b/src/fleet/fleet_explain.c
@@ -1,7 +1,7 @@
 /* Explains what a job waits for. */
 #include <string.h>
 
-#include "fleet/fleet_model.h"
+#include "fleet/fleet_quota.h"
 
 static const char *const wait_names[] = {
     [FLEET_WAITS_DUE] = "its time has not come",
@@ -12,6 +12,7 @@
     [FLEET_WAITS_WORKERS] = "no worker may be used now",
     [FLEET_WAITS_SIZE] = "too large for the workers, even empty ones",
     [FLEET_WAITS_RESOURCES] = "no room",
+    [FLEET_WAITS_QUOTA] = "its workspace's cap leaves no room",
     [FLEET_WAITS_RACK] = "room only away from its rack or data",
     [FLEET_WAITS_RECORD] = "its placement is being recorded",
     [FLEET_WAITS_STOPS] = "what holds its room is being stopped",
@@ -139,6 +140,9 @@
 		return FLEET_WAITS_SIZE;
 	if (wait->usable == 0)
 		return FLEET_WAITS_WORKERS;
+	if (fleet_quota_fit(explanation->job, step, needed) < needed ||
+	    !fleet_quota_may_pass(explanation->job))
+		return FLEET_WAITS_QUOTA;
 	if (wait->fitting < needed)
 		return FLEET_WAITS_RESOURCES;
 	return FLEET_WAITS_RACK;
@@ -192,8 +196,11 @@
 {
 	if (task->placed_generation > explanation->job->recorded_generation)
 		return FLEET_WAITS_RECORD;
-	return fleet_isolation_allows_start(task) ? FLEET_WAITS_STOPS
-						  : FLEET_WAITS_ISOLATION;
+	if (!fleet_isolation_allows_start(task))
+		return FLEET_WAITS_ISOLATION;
+	return fleet_quota_allows_start(explanation->fleet, task)
+	    ? FLEET_WAITS_STOPS
+	    : FLEET_WAITS_QUOTA;
 }
 
 static void
--- a/src/fleet/fleet_jobs.c
+++ b/src/fleet/fleet_jobs.c
@@ -217,7 +217,7 @@
 		return NULL;
 	}
 	job->spec = spec;
-	job->workspace = fleet_workspace_index(fleet, spec->workspace);
+	job->workspace = fleet_workspace(fleet, spec->workspace);
 	job->orphans = fleet_count_orphans(fleet, job->id);
 	job->revision = progress_revision;
 	job->accepted_ms = now_ms;
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -112,7 +112,7 @@
 	uint32_t orphans;	  /* runs of its tasks that are orphans */
 	bool is_active;
 	bool was_charged; /* a task of it is or was a suspect */
-	size_t workspace; /* index in fleet->workspaces */
+	struct fleet_workspace *workspace;
 	Ibis__StepJobPhase phase;
 	bool cancelled;
 	bool over_guarantee; /* urgent, beyond its workspace's guarantee */
@@ -188,7 +188,10 @@
 	struct fleet_task_id task;
 	uint64_t run;
 	struct fleet_resources need;
-	bool need_known;	 /* false: the job is not known */
+	bool need_known; /* false: the job is not known */
+	/* Its job's, and what it counts there; if the need is known. */
+	struct fleet_workspace *workspace;
+	struct fleet_resources quota_need;
 	const char *stop_reason; /* static */
 	int64_t stop_due_ms;	 /* when its stop has to be sent, or repeated */
 	/* As for a task. */
@@ -196,13 +199,22 @@
 	uint64_t last_poll; /* 0: no poll has shown the run */
 };
 
-/* A workspace that has jobs or a guarantee. */
+/* A workspace that has jobs, a guarantee or a quota. */
 struct fleet_workspace {
 	char name[FLEET_NAME_BYTES];
 	int64_t guaranteed; /* accelerators for its urgent jobs */
-	/* Accelerators that the unfinished tasks of its urgent jobs need in
-	 * total, as of the current round of placement. */
+	struct fleet_quota quota;
+	/* See the quota group in fleet_quota.h. */
+	struct fleet_resources committed;
+	struct fleet_resources occupied;
+	/* As of the current round of placement: accelerators that the
+	 * unfinished tasks of its urgent jobs need in total, tasks that wait
+	 * for its cap, and whether a gang holds what is left of the cap against
+	 * work of its priority and lower ones. */
 	int64_t urgent_need;
+	uint64_t waiting_tasks;
+	uint32_t held_priority;
+	bool held_for_gang;
 };
 
 /* What a search for workers may use. */
@@ -247,7 +259,9 @@
 	char (*zones_out_of_service)[FLEET_NAME_BYTES];
 	size_t zones_out_of_service_count;
 	size_t zones_out_of_service_capacity;
-	struct fleet_workspace *workspaces;
+	struct fleet_workspace **workspaces; /* owned */
+	/* Most that runs of unknown jobs may use, in the current decision. */
+	struct fleet_resources hidden_bound;
 	size_t workspaces_count;
 	size_t workspaces_capacity;
 	bool urgent_needs_current; /* computed in this round of placement */
@@ -310,6 +324,9 @@
 /* Returns a static text for the log. */
 const char *fleet_state_name(enum fleet_task_state state);
 
+/* Returns whether a task in this state reduces its worker's free capacity. */
+bool fleet_task_is_committed(enum fleet_task_state state);
+
 /* Returns whether a task in this state may run on its worker. */
 bool fleet_task_holds_resources(enum fleet_task_state state);
 
@@ -667,8 +684,8 @@
  * Workspace group.
  */
 
-/* Returns the index of a workspace, which is added if needed. */
-size_t fleet_workspace_index(struct fleet *fleet, const char *name);
+/* Returns the workspace with this name, which is added if needed. */
+struct fleet_workspace *fleet_workspace(struct fleet *fleet, const char *name);
 
 /*
  * Placement group. tasks are count waiting tasks of one step; targets has
@@ -680,6 +697,10 @@
 size_t fleet_find_targets(struct fleet *fleet, struct fleet_task *const *tasks,
     size_t count, struct fleet_worker **targets, int64_t now_ms);
 
+/* Returns the cost of stopping a task: the work it would lose, as weight of its
+ * resources times run time. A gang loses the work of all its members. */
+int64_t fleet_preemption_cost(const struct fleet_task *task, int64_t now_ms);
+
 /* Where free capacity is not enough, stops tasks that the urgent job of
  * these tasks may preempt. */
 size_t fleet_reclaim_targets(struct fleet *fleet,
--- a/src/fleet/fleet_orphans.c
+++ b/src/fleet/fleet_orphans.c
@@ -2,7 +2,7 @@
  * to the worker under their run number. */
 #include <string.h>
 
-#include "fleet/fleet_model.h"
+#include "fleet/fleet_quota.h"
 #include "process/alloc.h"
 
 static struct fleet_orphan *
@@ -19,15 +19,22 @@
 	return NULL;
 }
 
-/* Returns NULL when the job or the step doesn't exist. */
-static const Ibis__JobStep *
-find_step(const struct fleet *fleet, const struct fleet_task_id *id)
+/* Fills in what the orphan's run needs; unknown when the job or the step
+ * doesn't exist. */
+static void
+set_need(const struct fleet *fleet, struct fleet_orphan *orphan)
 {
-	const struct fleet_job *job = fleet_find_job(fleet, id->job);
+	const struct fleet_job *job = fleet_find_job(fleet, orphan->task.job);
+	const Ibis__JobStep *step;
 
-	if (job == NULL || id->step >= job->spec->n_steps)
-		return NULL;
-	return job->spec->steps[id->step];
+	orphan->need_known =
+	    job != NULL && orphan->task.step < job->spec->n_steps;
+	if (!orphan->need_known)
+		return;
+	step = job->spec->steps[orphan->task.step];
+	orphan->need = fleet_step_need(step);
+	orphan->workspace = job->workspace;
+	orphan->quota_need = fleet_quota_need(step);
 }
 
 uint32_t
@@ -51,10 +58,12 @@
 	if (job != NULL)
 		job->orphans++;
 	worker->orphans++;
-	if (orphan->need_known)
-		fleet_resources_add(&worker->occupied, &orphan->need);
-	else
+	if (!orphan->need_known) {
 		worker->orphans_of_unknown_need++;
+		return;
+	}
+	fleet_resources_add(&worker->occupied, &orphan->need);
+	fleet_resources_add(&orphan->workspace->occupied, &orphan->quota_need);
 }
 
 static void
@@ -67,10 +76,13 @@
 	if (job != NULL)
 		job->orphans--;
 	worker->orphans--;
-	if (orphan->need_known)
+	if (orphan->need_known) {
 		fleet_resources_subtract(&worker->occupied, &orphan->need);
-	else
+		fleet_resources_subtract(
+		    &orphan->workspace->occupied, &orphan->quota_need);
+	} else {
 		worker->orphans_of_unknown_need--;
+	}
 	fleet->orphans[index] = fleet->orphans[--fleet->orphans_count];
 	fleet->changed = true;
 	fleet_wake_at(fleet, fleet->now_ms);
@@ -104,11 +116,8 @@
 		    .stop_due_ms = stop_due_ms,
 		    .visible_from_ms = sent_ms,
 		};
-		const Ibis__JobStep *step = find_step(fleet, &run->task);
 
-		new_orphan.need_known = step != NULL;
-		if (step != NULL)
-			new_orphan.need = fleet_step_need(step);
+		set_need(fleet, &new_orphan);
 		orphan = add_orphan(fleet, &new_orphan);
 	}
 	if (orphan->last_poll == 0 || orphan->visible_from_ms < sent_ms)
@@ -126,6 +135,8 @@
 	    .run = task->run,
 	    .need = fleet_task_need(task),
 	    .need_known = true,
+	    .workspace = task->occurrence->job->workspace,
+	    .quota_need = fleet_quota_need(fleet_step_of(task)),
 	    .stop_reason = stop_reason,
 	    .stop_due_ms = stop_due_ms,
 	    .visible_from_ms = task->visible_from_ms,
--- a/src/fleet/fleet_reclaim.c
+++ b/src/fleet/fleet_reclaim.c
@@ -29,12 +29,9 @@
 }
 
 static bool
-within_guarantee(const struct fleet *fleet, const struct fleet_job *job)
+within_guarantee(const struct fleet_job *job)
 {
-	const struct fleet_workspace *workspace =
-	    &fleet->workspaces[job->workspace];
-
-	return workspace->urgent_need <= workspace->guaranteed;
+	return job->workspace->urgent_need <= job->workspace->guaranteed;
 }
 
 /* Computes what the workspaces' urgent jobs need, and marks the jobs of those
@@ -49,15 +46,13 @@
 		return;
 	fleet->urgent_needs_current = true;
 	for (size_t i = 0; i < fleet->workspaces_count; i++)
-		fleet->workspaces[i].urgent_need = 0;
+		fleet->workspaces[i]->urgent_need = 0;
 	cds_list_for_each_entry (job, &fleet->active, active) {
 		if (is_urgent(job))
-			fleet->workspaces[job->workspace].urgent_need +=
-			    accelerators_needed(job);
+			job->workspace->urgent_need += accelerators_needed(job);
 	}
 	cds_list_for_each_entry (job, &fleet->active, active)
-		job->over_guarantee =
-		    is_urgent(job) && !within_guarantee(fleet, job);
+		job->over_guarantee = is_urgent(job) && !within_guarantee(job);
 }
 
 /* Returns whether a task may be stopped for the search's job. Jobs of lower
@@ -112,10 +107,8 @@
  * many times as much. */
 #define OVER_GUARANTEE_WEIGHT 20
 
-/* Returns the cost of stopping a task: the work it would lose, as weight of its
- * resources times run time. A gang loses the work of all its members. */
-static int64_t
-preemption_cost(const struct fleet_task *task, int64_t now_ms)
+int64_t
+fleet_preemption_cost(const struct fleet_task *task, int64_t now_ms)
 {
 	struct fleet_resources need = fleet_task_need(task);
 	int64_t ran_ms = now_ms - task->started_ms;
@@ -146,7 +139,7 @@
 		return 0;
 	cds_list_for_each_entry (task, &worker->tasks, on_worker) {
 		if (is_preemptible(search, task))
-			cost += preemption_cost(task, search->now_ms);
+			cost += fleet_preemption_cost(task, search->now_ms);
 	}
 	return cost;
 }
@@ -217,8 +210,8 @@
 		if (!is_preemptible(search, task))
 			continue;
 		if (best == NULL ||
-		    preemption_cost(task, search->now_ms) <
-			preemption_cost(best, search->now_ms))
+		    fleet_preemption_cost(task, search->now_ms) <
+			fleet_preemption_cost(best, search->now_ms))
 			best = task;
 	}
 	return best;
@@ -306,7 +299,7 @@
 	/* Another urgent job gives way only where nothing else does. */
 	found =
 	    reclaim(fleet, FLEET_SEARCH_RECLAIM, tasks, count, targets, now_ms);
-	if (found == 0 && within_guarantee(fleet, tasks[0]->occurrence->job))
+	if (found == 0 && within_guarantee(tasks[0]->occurrence->job))
 		found = reclaim(fleet, FLEET_SEARCH_RECLAIM_GUARANTEED, tasks,
 		    count, targets, now_ms);
 	return found;
--- a/src/fleet/fleet_tasks.c
+++ b/src/fleet/fleet_tasks.c
@@ -1,7 +1,7 @@
 /* Tasks: the resources they need, their states and the ends of their runs. */
 #include <string.h>
 
-#include "fleet/fleet_model.h"
+#include "fleet/fleet_quota.h"
 #include "process/alloc.h"
 
 struct fleet_resources
@@ -127,9 +127,8 @@
 	return NULL;
 }
 
-/* Returns whether a task in this state reduces its worker's free capacity. */
-static bool
-is_committed(enum fleet_task_state state)
+bool
+fleet_task_is_committed(enum fleet_task_state state)
 {
 	return state == TASK_PLACED || state == TASK_SENT ||
 	    state == TASK_RUNNING;
@@ -173,15 +172,16 @@
 	occurrence->job->placed -= task->state == TASK_PLACED;
 	occurrence->job->placed += state == TASK_PLACED;
 	if (task->worker != NULL) {
+		fleet_quota_note_state(task, task->state, state);
 		task->worker->stopping -= task->state == TASK_STOPPING;
 		task->worker->stopping += state == TASK_STOPPING;
-		if (is_committed(task->state))
+		if (fleet_task_is_committed(task->state))
 			fleet_resources_subtract(
 			    &task->worker->committed, &need);
 		if (fleet_task_holds_resources(task->state))
 			fleet_resources_subtract(
 			    &task->worker->occupied, &need);
-		if (is_committed(state))
+		if (fleet_task_is_committed(state))
 			fleet_resources_add(&task->worker->committed, &need);
 		if (fleet_task_holds_resources(state))
 			fleet_resources_add(&task->worker->occupied, &need);
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -44,6 +44,8 @@
 	name_index_free(&fleet->jobs);
 	name_index_free(&fleet->workers);
 	mem_free(fleet->zones_out_of_service);
+	for (size_t i = 0; i < fleet->workspaces_count; i++)
+		mem_free(fleet->workspaces[i]);
 	mem_free(fleet->workspaces);
 	mem_free(fleet->candidates);
 	mem_free(fleet->orphans);
@@ -565,43 +567,6 @@
 	fleet_wake_at(fleet, 0);
 }
 
-size_t
-fleet_workspace_index(struct fleet *fleet, const char *name)
-{
-	size_t index;
-
-	for (index = 0; index < fleet->workspaces_count; index++) {
-		if (strcmp(fleet->workspaces[index].name, name) == 0)
-			return index;
-	}
-	fleet->workspaces =
-	    mem_grow(fleet->workspaces, &fleet->workspaces_capacity,
-		fleet->workspaces_count + 1, sizeof(*fleet->workspaces));
-	fleet->workspaces[index] = (struct fleet_workspace){0};
-	STRING_COPY(fleet->workspaces[index].name, name);
-	fleet->workspaces_count++;
-	return index;
-}
-
-void
-fleet_clear_guarantees(struct fleet *fleet)
-{
-	for (size_t i = 0; i < fleet->workspaces_count; i++)
-		fleet->workspaces[i].guaranteed = 0;
-	fleet->changed = true;
-}
-
-void
-fleet_set_guarantee(
-    struct fleet *fleet, const char *workspace, int64_t accelerators)
-{
-	size_t index = fleet_workspace_index(fleet, workspace);
-
-	fleet->workspaces[index].guaranteed = accelerators;
-	fleet->changed = true;
-	fleet_wake_at(fleet, 0);
-}
-
 struct fleet_resources
 fleet_worker_free_capacity(const struct fleet_worker *worker)
 {
--- a/src/process/counters.c
+++ b/src/process/counters.c
@@ -175,6 +175,8 @@
 	"lead only."},
     [GAUGE_WORKERS_SILENT] = {"ibis_workers_silent", "",
 	"Workers that do not answer the lead; on the lead only."},
+    [GAUGE_TASKS_WAITING_QUOTA] = {"ibis_tasks_waiting_quota", "",
+	"Tasks that wait for their workspace's cap; on the lead only."},
     [GAUGE_EPOCH] = {"ibis_lead_epoch", "",
 	"Epoch of the lead that this instance has seen last."},
     [GAUGE_CONFIG_AGE_MS] = {"ibis_config_age_milliseconds", "",
--- a/src/version/routes.h
+++ b/src/version/routes.h
@@ -55,6 +55,11 @@
 struct routes_workspace {
 	char name[ROUTES_NAME_BYTES];
 	int64_t guaranteed_accelerators;
+	/* Most that its jobs may have running; 0: no limit. */
+	int64_t cap_cpu_milli;
+	int64_t cap_memory_mb;
+	int64_t cap_accelerators;
+	uint32_t weight_milli; /* its share when all is full; 0: as others */
 };
 
 /* The configuration; owns its arrays. */
--- a/tests/common_fleet_sim.c
+++ b/tests/common_fleet_sim.c
@@ -526,12 +526,30 @@
 	}
 }
 
+static void
+pass_cap(struct sim *sim)
+{
+	struct fleet_quota quota = {.cap = sim->cap};
+
+	fleet_set_quota(sim->fleet, "w", &quota);
+}
+
+void
+sim_set_cap(struct sim *sim, int64_t accelerators)
+{
+	sim->former_cap = sim->cap;
+	sim->former_cap_until_ms = sim->now_ms;
+	sim->cap.accelerators = accelerators;
+	pass_cap(sim);
+}
+
 void
 sim_take_over(struct sim *sim)
 {
 	fleet_free(sim->fleet);
 	memset(sim->held, 0, sizeof(sim->held));
 	new_fleet(sim);
+	pass_cap(sim);
 }
 
 /* Returns whether a worker would refuse a call, for its token or because the
--- a/tests/common_fleet_sim.h
+++ b/tests/common_fleet_sim.h
@@ -2,8 +2,8 @@
  * Simulated workers for tests of the fleet. They carry out orders as real
  * workers would, with the faults that a test switches on, and check that no
  * task runs twice, none starts after its end was reported or before the steps
- * that must precede it, and no worker gets more tasks than it has resources
- * for.
+ * that must precede it, no worker gets more tasks than it has resources for,
+ * and no workspace more than its cap.
  */
 #ifndef IBIS_COMMON_FLEET_SIM_H
 #define IBIS_COMMON_FLEET_SIM_H
@@ -175,6 +175,11 @@
 	uint64_t starts;	  /* of runs */
 	uint32_t stalled_workers; /* counter for the test's use */
 	uint64_t stops;		  /* orders */
+	/* Of workspace "w"; 0: none. The former one counts for calls sent
+	 * before this time. */
+	struct fleet_resources cap;
+	struct fleet_resources former_cap;
+	int64_t former_cap_until_ms;
 	char violation[SIM_MESSAGE_BYTES]; /* first one; empty: none */
 };
 
@@ -221,6 +226,9 @@
 void sim_resize_worker(
     struct sim *sim, size_t index, const struct fleet_resources *resources);
 
+/* Caps the accelerators of workspace "w". A lower cap counts at once. */
+void sim_set_cap(struct sim *sim, int64_t accelerators);
+
 /* Crashes a worker: its runs are lost, and it is back after back_ms. */
 void sim_crash_worker(struct sim *sim, size_t index);
 
--- a/tests/common_fleet_sim_workers.c
+++ b/tests/common_fleet_sim_workers.c
@@ -204,6 +204,18 @@
 	return need;
 }
 
+/* Returns whether the job of the task is one of workspace "w", and known. */
+static bool
+is_capped(struct sim *sim, const struct fleet_task_id *id)
+{
+	struct sim_job *job = sim_find_job(sim, id->job);
+	Ibis__StepJob *spec = sim_job_spec(job);
+	bool capped = strcmp(spec->workspace, "w") == 0 && !job->removed;
+
+	ibis__step_job__free_unpacked(spec, proto_allocator());
+	return capped;
+}
+
 static int64_t
 larger(int64_t a, int64_t b)
 {
@@ -255,8 +267,34 @@
 		    sim, "starts beyond the worker's capacity", id);
 }
 
-/* Checks that a start is allowed by the job's steps, the runs on all workers
- * and the worker's capacity. */
+/* Checks that a task of workspace "w" fits within its cap beside all that the
+ * workspace has running. Runs of removed jobs don't count: a new lead knows
+ * nothing of them. */
+static void
+check_cap(struct sim *sim, const struct fleet_task_id *id, int64_t sent_ms)
+{
+	int64_t cap = sim->cap.accelerators;
+	int64_t used = need_of(sim, id).accelerators;
+
+	if (sent_ms < sim->former_cap_until_ms)
+		cap = larger(cap, sim->former_cap.accelerators);
+	if (sim->cap.accelerators == 0 || !is_capped(sim, id))
+		return;
+	for (size_t i = 0; i < sim->workers_count; i++) {
+		for (size_t j = 0; j < SIM_RUNS; j++) {
+			const struct sim_run *run = &sim->workers[i].runs[j];
+
+			if (run->used && is_capped(sim, &run->task))
+				used += need_of(sim, &run->task).accelerators;
+		}
+	}
+	if (used > cap)
+		sim_report_violation(
+		    sim, "starts beyond its workspace's cap", id);
+}
+
+/* Checks that a start is allowed by the job's steps, the runs on all workers,
+ * the worker's capacity and the workspace's cap. */
 static void
 check_start(struct sim *sim, struct sim_worker *worker,
     const struct fleet_task_id *id, int64_t sent_ms)
@@ -288,6 +326,7 @@
 		}
 	}
 	check_capacity(sim, worker, id, sent_ms);
+	check_cap(sim, id, sent_ms);
 	if (is_done(sim, id))
 		sim_report_violation(sim, "starts after its end", id);
 	ibis__step_job__free_unpacked(spec, proto_allocator());
--- a/tests/prop_fleet.cc
+++ b/tests/prop_fleet.cc
@@ -30,7 +30,8 @@
 	storeUp,
 	submitCrashing, // a job whose first tasks crash the workers
 	crashWorker,
-	resizeWorker // while it runs
+	resizeWorker, // while it runs
+	setCap
 };
 
 struct Operation {
@@ -81,6 +82,20 @@
 			&Operation::b, rc::gen::inRange<uint32_t>(0, 64)))}});
 }
 
+// Operations that change the cap of workspace "w", beside the others.
+rc::Gen<Operation>
+genCappedOperation()
+{
+	return rc::gen::weightedOneOf<Operation>({{8, genOperation()},
+	    {1,
+		rc::gen::build<Operation>(
+		    rc::gen::set(&Operation::kind, rc::gen::just(Kind::setCap)),
+		    rc::gen::set(
+			&Operation::a, rc::gen::inRange<uint32_t>(0, 64)),
+		    rc::gen::set(
+			&Operation::b, rc::gen::inRange<uint32_t>(0, 64)))}});
+}
+
 void
 submit(struct sim &sim, const Operation &operation)
 {
@@ -257,6 +272,10 @@
 		resizeWorker(
 		    sim, operation.a % sim.workers_count, operation.b % 9);
 		break;
+	case Kind::setCap:
+		// The widest gang fits.
+		sim_set_cap(&sim, 16 + operation.a % 16);
+		break;
 	}
 }
 
@@ -321,5 +340,7 @@
 	passed &= rc::check("nor with tasks that crash their workers, and with "
 			    "workers that change their size",
 	    [] { checkNoViolation(genCrashingOperation()); });
+	passed &= rc::check("nor with a workspace whose cap changes",
+	    [] { checkNoViolation(genCappedOperation()); });
 	return passed ? 0 : 1;
 }
--- a/tests/test_agent_config.c
+++ b/tests/test_agent_config.c
@@ -215,7 +215,7 @@
 	size_t count = 0;
 
 	for (size_t i = 0; i < fleet->workspaces_count; i++)
-		count += fleet->workspaces[i].guaranteed != 0;
+		count += fleet->workspaces[i]->guaranteed != 0;
 	return count;
 }
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -136,7 +136,36 @@
 	"\"t\",\"Public\":true,\"Advice\":{\"DecisionMs\":5}},"             \
 	"{\"Name\":\"broken\",\"Host\":3}],"                                \
 	"\"Tenants\":[{\"Name\":\"w\",\"ApiKeys\":[\"k1\",8,\"k2\"],"       \
-	"\"Guaranteed\":{\"Gpus\":72}}]}"
+	"\"Guaranteed\":{\"Gpus\":72},\"Weight\":2.5,"                      \
+	"\"Cap\":{\"Cpu\":3000,\"MemMb\":4000,\"Gpus\":5}},"                \
+	"{\"Name\":\"x\",\"ApiKeys\":[\"k4\"],\"Weight\":-1,"               \
+	"\"Cap\":{\"Cpu\":-1,\"Gpus\":\"many\"}}]}"
+
+/* Guards against a cap that isn't read, and one that makes no sense and would
+ * hold everything. */
+static void
+test_config_quota(void)
+{
+	struct ibis_status status = {0};
+	struct routes *routes =
+	    platform_config_parse(CONFIG, strlen(CONFIG), &status);
+	const struct routes_workspace *workspace;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(routes);
+	if (routes == NULL)
+		return;
+	workspace = routes_find_workspace(routes, "k1");
+	CU_ASSERT_EQUAL(workspace->cap_cpu_milli, 3000);
+	CU_ASSERT_EQUAL(workspace->cap_memory_mb, 4000);
+	CU_ASSERT_EQUAL(workspace->cap_accelerators, 5);
+	CU_ASSERT_EQUAL(workspace->weight_milli, 2500);
+	workspace = routes_find_workspace(routes, "k4");
+	CU_ASSERT_EQUAL(workspace->cap_cpu_milli, 0);
+	CU_ASSERT_EQUAL(workspace->cap_memory_mb, 0);
+	CU_ASSERT_EQUAL(workspace->cap_accelerators, 0);
+	CU_ASSERT_EQUAL(workspace->weight_milli, 0);
+	routes_free(routes);
+}
 
 static void
 test_config(void)
@@ -667,6 +696,7 @@
 	    {"bad settings", test_bad_settings},
 	    {"settings detection", test_settings_detection},
 	    {"config", test_config},
+	    {"config quota", test_config_quota},
 	    {"bad config", test_bad_config},
 	    {"job", test_job},
 	    {"bad jobs", test_bad_jobs},
