Bound what callers hold at an instance

Callers that don't behave could take an instance down: up to 2,000 connections with bodies of 1 MiB each beside machines of 160 MB, bodies that take 200 times their length once parsed, and a connection to the store for each read of an unknown job. Nothing bounded them together.

An intake bounds connections and bytes of bodies by the settings' memory and descriptors; what has made no progress for the longest is closed, or the request is refused as not run, with a reserve for short bodies.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -27,6 +27,15 @@
 /* The process exits at least this long before the grace period ends. */
 #define EXIT_MARGIN_MS 1200
 #define REFUSE_WAIT_MS 5
+/* Callers may hold this many connections and bytes of requests. Where the
+ * settings say what the process may use: at most half of the descriptors, and
+ * for each of the two an eighth of the memory. */
+#define MAX_CALLER_CONNECTIONS 2000
+#define MAX_PROBE_CONNECTIONS  64
+#define MAX_BODIES_BYTES       (INT64_C(64) << 20)
+#define MEMORY_PART	       8
+#define CONNECTION_BYTES       (24 << 10) /* what one takes */
+#define BYTES_PER_MB	       (INT64_C(1) << 20)
 
 static atomic_bool stop_requested;
 static atomic_bool reload_requested;
@@ -134,20 +143,49 @@
 		reload_settings(agent);
 }
 
+static int64_t
+lower(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
+/* Shares the process's memory and descriptors out to callers. What is left is
+ * for jobs, other instances, workers and the store. */
+static void
+set_caller_limits(
+    const struct platform_settings *settings, struct gateway_config *gateway)
+{
+	int64_t connections = MAX_CALLER_CONNECTIONS;
+	int64_t bytes = MAX_BODIES_BYTES;
+
+	if (settings->max_open_files > 0)
+		connections = lower(connections, settings->max_open_files / 2);
+	if (settings->memory_mb > 0) {
+		int64_t part = settings->memory_mb * BYTES_PER_MB / MEMORY_PART;
+
+		connections = lower(connections, part / CONNECTION_BYTES);
+		bytes = lower(bytes, part);
+	}
+	gateway->max_connections = (uint32_t)connections;
+	gateway->max_probe_connections =
+	    (uint32_t)lower(connections, MAX_PROBE_CONNECTIONS);
+	gateway->max_bodies_bytes = (size_t)bytes;
+}
+
 static enum ibis_code
 open_listeners(struct agent *agent, struct ibis_status *status)
 {
 	if (gateway_listen(agent->gateway, agent->settings.caller_address,
-		false, status) != IBIS_OK ||
-	    gateway_listen(agent->gateway, agent->settings.ready_address, false,
-		status) != IBIS_OK)
+		GATEWAY_CALLERS, status) != IBIS_OK ||
+	    gateway_listen(agent->gateway, agent->settings.ready_address,
+		GATEWAY_PROBES, status) != IBIS_OK)
 		return status->code;
 	if (agent->settings.internal_port == 0)
 		return IBIS_OK;
 	(void)snprintf(agent->internal_address, sizeof(agent->internal_address),
 	    "%s:%d", agent->settings.ip, (int)agent->settings.internal_port);
 	return gateway_listen(
-	    agent->gateway, agent->internal_address, true, status);
+	    agent->gateway, agent->internal_address, GATEWAY_INTERNAL, status);
 }
 
 static enum ibis_code
@@ -161,7 +199,6 @@
 	    .max_body_bytes = 1 << 20,
 	    .default_deadline_ms = 3000,
 	    .idle_timeout_s = 30,
-	    .max_connections = 2000,
 	};
 
 	agent->settings_path = getenv(PLATFORM_SETTINGS_ENV);
@@ -203,6 +240,7 @@
 	gauge_set(GAUGE_LEAD_CAPACITY, agent_fitness_capacity(agent));
 	agent_config_start(agent);
 	agent_view_start(agent);
+	set_caller_limits(&agent->settings, &gateway);
 	agent->gateway = gateway_new(&gateway, agent->events);
 	return open_listeners(agent, status);
 }
--- a/src/agent/agent_pending.c
+++ b/src/agent/agent_pending.c
@@ -26,6 +26,13 @@
  * recover. */
 #define SUSPECT_WAIT_LIMIT_MS	  500
 #define SUSPECT_CHECK_INTERVAL_MS 20
+/* Callers' requests that may have a call to the store in flight, each of which
+ * takes a descriptor. Where the limit of descriptors is known: this part of
+ * them. Further ones wait. Half is for submissions and cancellations only, so
+ * that they don't wait behind reads of jobs that nobody knows. */
+#define MAX_CALLS_IN_FLIGHT    256
+#define DESCRIPTORS_PART       8
+#define CALL_RETRY_INTERVAL_MS 20
 
 enum http_status {
 	STATUS_OK = 200,
@@ -249,6 +256,7 @@
 	struct pending_request *pending = context;
 
 	pending->call_in_flight = false;
+	pending->agent->pending_calls--;
 	if (pending->request == NULL) {
 		mem_free(pending);
 		return;
@@ -303,7 +311,22 @@
 	    pending);
 }
 
-/* Makes the store call that a pending request needs next. */
+/* Returns whether one more call for a caller may be made now. */
+static bool
+may_call(const struct agent *agent, enum pending_kind kind)
+{
+	int64_t files = agent->settings.max_open_files;
+	int64_t limit = MAX_CALLS_IN_FLIGHT;
+
+	if (files > 0 && files / DESCRIPTORS_PART < limit)
+		limit = files / DESCRIPTORS_PART;
+	if (kind == PENDING_READ)
+		limit /= 2;
+	return agent->pending_calls < limit;
+}
+
+/* Makes the store call that a pending request needs next, or lets it wait until
+ * fewer are in flight. */
 static void
 call_store(struct pending_request *pending)
 {
@@ -314,6 +337,12 @@
 	    job_key, sizeof(job_key), "%s%s", AGENT_JOB_PREFIX, pending->id);
 	(void)snprintf(cancel_key, sizeof(cancel_key), "%s%s",
 	    AGENT_CANCEL_PREFIX, pending->id);
+	if (!may_call(pending->agent, pending->kind)) {
+		pending->retry_at_ms = clock_now_ms() + CALL_RETRY_INTERVAL_MS;
+		agent_wake_at(pending->agent, pending->retry_at_ms);
+		return;
+	}
+	pending->agent->pending_calls++;
 	pending->call_in_flight = true;
 	pending->sent = true;
 	switch (pending->kind) {
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -198,6 +198,7 @@
 	/* Callers' requests that wait for the store. */
 	struct cds_list_head pending_requests;
 	uint32_t pending_request_count;
+	uint32_t pending_calls; /* to the store, for callers */
 
 	struct agent_load load;
 	struct agent_lead lead;
--- a/src/connection/gateway.c
+++ b/src/connection/gateway.c
@@ -4,21 +4,34 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <microhttpd.h>
 
 #include "connection/address.h"
 #include "connection/gateway.h"
+#include "connection/intake.h"
 #include "process/alloc.h"
 #include "process/clock.h"
 #include "process/counters.h"
+#include "process/log.h"
 
 #define LISTEN_BACKLOG		1024
 #define CONNECTION_MEMORY_BYTES (20U << 10)
 #define MAX_LISTENERS		4
 #define STOP_TIMEOUT_MS		1000
 #define STOP_POLL_INTERVAL_MS	5
+/* Connections above the limit, which are accepted and closed again. */
+#define SURPLUS_CONNECTIONS 64
+/* A longer body is not read to its end. */
+#define MAX_DISCARDED_BYTES (8U << 20)
+/* Bodies of this length are taken from the reserve. */
+#define SHORT_BODY_BYTES (16U << 10)
+/* The part of the budget for bodies that is the reserve. */
+#define RESERVE_PART	4
+#define STALLED_MS	1000
+#define LOG_INTERVAL_MS 1000
 /* Retry-After of a request that a stopping instance refuses: others serve. */
 #define REFUSED_RETRY_AFTER_MS 1000
 #define MS_PER_S	       1000
@@ -29,7 +42,11 @@
 struct gateway_exchange {
 	struct MHD_Connection *connection;
 	struct gateway_request *request; /* NULL once posted */
+	struct gateway_connection *on;
+	size_t discarded_bytes;
 	bool too_large;
+	bool discards_body; /* a request without one is meant */
+	bool refused;	    /* the budget for bodies has no room for it */
 	/* The response, filled before the connection is resumed. */
 	int32_t status;
 	struct buffer body;
@@ -38,11 +55,21 @@
 	int64_t received_ms;
 };
 
-/* An address that the gateway listens on. */
+/* A connection, from its acceptance until it is closed. */
+struct gateway_connection {
+	struct intake_connection intake;
+	int fd;
+	struct gateway_exchange *exchange; /* NULL between requests */
+};
+
+/* An address that the gateway listens on. Its intake is used by its own thread
+ * only. */
 struct gateway_listener {
 	struct gateway *gateway;
 	struct MHD_Daemon *daemon;
-	bool internal;
+	enum gateway_door door;
+	struct intake intake;
+	int64_t next_log_ms;
 };
 
 struct gateway {
@@ -218,23 +245,34 @@
 	return false;
 }
 
+static enum MHD_Result
+send_refusal(const struct gateway *gateway, struct gateway_exchange *exchange)
+{
+	exchange->status = MHD_HTTP_SERVICE_UNAVAILABLE;
+	exchange->retry_after_ms = REFUSED_RETRY_AFTER_MS;
+	return send_response(gateway, exchange);
+}
+
 /* Responds to a completely received request or posts it. */
 static enum MHD_Result
-process_request(struct gateway *gateway, struct gateway_exchange *exchange)
+process_request(
+    struct gateway_listener *listener, struct gateway_exchange *exchange)
 {
+	struct gateway *gateway = listener->gateway;
 	struct event event = {.kind = EVENT_GATEWAY};
 
+	if (exchange->refused)
+		return send_refusal(gateway, exchange);
 	if (exchange->too_large) {
 		exchange->status = MHD_HTTP_CONTENT_TOO_LARGE;
 		return send_response(gateway, exchange);
 	}
 	if (answer_probe(gateway, exchange))
 		return send_response(gateway, exchange);
-	if (!may_post(gateway)) {
-		exchange->status = MHD_HTTP_SERVICE_UNAVAILABLE;
-		exchange->retry_after_ms = REFUSED_RETRY_AFTER_MS;
-		return send_response(gateway, exchange);
-	}
+	if (!may_post(gateway))
+		return send_refusal(gateway, exchange);
+	intake_set_busy(
+	    &listener->intake, &exchange->on->intake, true, clock_now_ms());
 	event.gateway = exchange->request;
 	event.gateway->exchange = exchange;
 	exchange->request = NULL;
@@ -243,6 +281,173 @@
 	return MHD_YES;
 }
 
+static struct gateway_connection *
+connection_of(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+	return info->socket_context;
+}
+
+/* Writes a line at a bounded rate. */
+static void
+log_limit(struct gateway_listener *listener, const char *reason)
+{
+	int64_t now_ms = clock_now_ms();
+
+	if (now_ms < listener->next_log_ms)
+		return;
+	listener->next_log_ms = now_ms + LOG_INTERVAL_MS;
+	log_event(LOG_WARN, "callers_limited", "reason", reason, "connections",
+	    log_number(listener->intake.connections), "body_bytes",
+	    log_number((int64_t)listener->intake.bytes), NULL);
+}
+
+/* Frees the body of a request that is not served. */
+static void
+drop_body(struct gateway_listener *listener, struct gateway_exchange *exchange)
+{
+	exchange->refused = true;
+	buffer_free(&exchange->request->body);
+	intake_release(&listener->intake, &exchange->on->intake);
+}
+
+/* Closes a connection that the intake has chosen. Its thread is this one, which
+ * then reads the end of the connection. */
+static void
+close_connection(struct gateway_listener *listener,
+    struct gateway_connection *connection, enum counter counter,
+    const char *reason)
+{
+	if (connection->exchange != NULL &&
+	    connection->exchange->request != NULL)
+		drop_body(listener, connection->exchange);
+	(void)shutdown(connection->fd, SHUT_RDWR);
+	counter_add(counter, 1);
+	log_limit(listener, reason);
+}
+
+/* Called by libmicrohttpd for a new connection and for one that is gone. */
+static void
+notify_connection(void *context, struct MHD_Connection *connection,
+    void **socket_context, enum MHD_ConnectionNotificationCode code)
+{
+	struct gateway_listener *listener = context;
+	struct gateway_connection *known = *socket_context;
+	struct intake_connection *victim;
+
+	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+		intake_close(&listener->intake, &known->intake);
+		mem_free(known);
+		return;
+	}
+	known = mem_calloc(1, sizeof(*known));
+	known->fd = MHD_get_connection_info(
+	    connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+			->connect_fd;
+	intake_open(&listener->intake, &known->intake, known, clock_now_ms());
+	*socket_context = known;
+	while ((victim = intake_over_limit(
+		    &listener->intake, &known->intake)) != NULL)
+		close_connection(listener, victim->owner,
+		    COUNTER_CONNECTIONS_CLOSED_LIMIT, "connections");
+}
+
+/* Returns whether the header says that the body is longer than allowed. */
+static bool
+announces_long_body(
+    const struct gateway *gateway, struct MHD_Connection *connection)
+{
+	const char *text =
+	    get_header(connection, MHD_HTTP_HEADER_CONTENT_LENGTH);
+
+	return strtoull(text, NULL, 10) >
+	    (unsigned long long)gateway->config.max_body_bytes;
+}
+
+/* Returns whether a request's body is not needed to answer it. */
+static bool
+discards_body(const struct gateway_listener *listener,
+    const struct gateway_request *request)
+{
+	return listener->door == GATEWAY_PROBES ||
+	    (listener->door == GATEWAY_CALLERS &&
+		(request->method != GATEWAY_POST ||
+		    strcmp(request->path,
+			listener->gateway->config.ready_path) == 0));
+}
+
+static struct gateway_exchange *
+begin_exchange(struct gateway_listener *listener,
+    struct MHD_Connection *connection, const char *path, const char *method)
+{
+	struct gateway *gateway = listener->gateway;
+	struct gateway_exchange *exchange = mem_calloc(1, sizeof(*exchange));
+
+	exchange->connection = connection;
+	exchange->on = connection_of(connection);
+	exchange->on->exchange = exchange;
+	exchange->request = new_request(gateway, connection, method, path);
+	exchange->request->internal = listener->door == GATEWAY_INTERNAL;
+	exchange->received_ms = exchange->request->received_ms;
+	exchange->too_large = announces_long_body(gateway, connection);
+	exchange->discards_body = discards_body(listener, exchange->request);
+	(void)atomic_fetch_add(&gateway->open_requests, 1);
+	intake_progress(
+	    &listener->intake, &exchange->on->intake, exchange->received_ms);
+	return exchange;
+}
+
+/* Returns whether the budget has room for more of a request's body. Closes
+ * stalled connections for it. */
+static bool
+make_room(struct gateway_listener *listener, struct gateway_exchange *exchange,
+    size_t length)
+{
+	struct intake_connection *on = &exchange->on->intake;
+	int64_t now_ms = clock_now_ms();
+
+	while (!intake_take(&listener->intake, on, length, now_ms)) {
+		struct intake_connection *victim =
+		    intake_next_stalled(&listener->intake, on, length, now_ms);
+
+		if (victim == NULL)
+			return false;
+		close_connection(listener, victim->owner,
+		    COUNTER_CONNECTIONS_CLOSED_BYTES, "bodies");
+	}
+	return true;
+}
+
+/* Stores a part of the body, or discards it: closing the connection early could
+ * reset it before the caller reads the response. */
+static enum MHD_Result
+receive_body(struct gateway_listener *listener,
+    struct gateway_exchange *exchange, const char *bytes, size_t length)
+{
+	struct gateway *gateway = listener->gateway;
+	struct buffer *body = &exchange->request->body;
+
+	if (body->length + length > (size_t)gateway->config.max_body_bytes) {
+		exchange->too_large = true;
+		drop_body(listener, exchange);
+	}
+	if (!exchange->too_large && !exchange->discards_body &&
+	    !exchange->refused) {
+		if (make_room(listener, exchange, length)) {
+			buffer_append(body, bytes, length);
+			return MHD_YES;
+		}
+		drop_body(listener, exchange);
+		counter_add(COUNTER_REQUESTS_REFUSED_BYTES, 1);
+		log_limit(listener, "bodies");
+	}
+	exchange->discarded_bytes += length;
+	return exchange->discarded_bytes > MAX_DISCARDED_BYTES ? MHD_NO
+							       : MHD_YES;
+}
+
 /*
  * Called by libmicrohttpd for a request's header, for each part of its body, at
  * its end, and again when its connection is resumed.
@@ -252,34 +457,27 @@
     const char *path, const char *method, const char *version,
     const char *bytes, size_t *length, void **request_context)
 {
-	const struct gateway_listener *listener = context;
-	struct gateway *gateway = listener->gateway;
+	struct gateway_listener *listener = context;
 	struct gateway_exchange *exchange = *request_context;
 
 	(void)version;
 	if (exchange == NULL) {
-		exchange = mem_calloc(1, sizeof(*exchange));
-		exchange->connection = connection;
-		exchange->request =
-		    new_request(gateway, connection, method, path);
-		exchange->request->internal = listener->internal;
-		exchange->received_ms = exchange->request->received_ms;
-		*request_context = exchange;
-		(void)atomic_fetch_add(&gateway->open_requests, 1);
+		*request_context =
+		    begin_exchange(listener, connection, path, method);
 		return MHD_YES;
 	}
 	if (*length > 0) {
-		if (exchange->request->body.length + *length >
-		    (size_t)gateway->config.max_body_bytes)
-			exchange->too_large = true;
-		else
-			buffer_append(&exchange->request->body, bytes, *length);
+		size_t part = *length;
+
 		*length = 0;
-		return MHD_YES;
+		return receive_body(listener, exchange, bytes, part);
 	}
-	if (exchange->request == NULL)
-		return send_response(gateway, exchange);
-	return process_request(gateway, exchange);
+	if (exchange->request != NULL)
+		return process_request(listener, exchange);
+	intake_release(&listener->intake, &exchange->on->intake);
+	intake_set_busy(
+	    &listener->intake, &exchange->on->intake, false, clock_now_ms());
+	return send_response(listener->gateway, exchange);
 }
 
 /* Called by libmicrohttpd when a response was sent or its connection failed. */
@@ -287,7 +485,7 @@
 request_completed(void *context, struct MHD_Connection *connection,
     void **request_context, enum MHD_RequestTerminationCode code)
 {
-	const struct gateway_listener *listener = context;
+	struct gateway_listener *listener = context;
 	struct gateway *gateway = listener->gateway;
 	struct gateway_exchange *exchange = *request_context;
 
@@ -296,6 +494,10 @@
 	if (exchange == NULL)
 		return;
 	*request_context = NULL;
+	exchange->on->exchange = NULL;
+	intake_release(&listener->intake, &exchange->on->intake);
+	intake_set_busy(
+	    &listener->intake, &exchange->on->intake, false, clock_now_ms());
 	duration_observe(
 	    HISTOGRAM_REQUEST, clock_now_ms() - exchange->received_ms);
 	free_request(exchange->request);
@@ -304,12 +506,35 @@
 	(void)atomic_fetch_sub(&gateway->open_requests, 1);
 }
 
+/* Returns the limits of a door. What other instances and operators send is not
+ * limited. */
+static struct intake_limits
+door_limits(const struct gateway_config *config, enum gateway_door door)
+{
+	if (door == GATEWAY_INTERNAL)
+		return (struct intake_limits){
+		    .max_connections = config->max_connections,
+		    .max_bytes = SIZE_MAX,
+		    .short_bytes = SIZE_MAX,
+		};
+	return (struct intake_limits){
+	    .max_connections = door == GATEWAY_PROBES
+		? config->max_probe_connections
+		: config->max_connections,
+	    .max_bytes = config->max_bodies_bytes,
+	    .short_bytes = SHORT_BODY_BYTES,
+	    .reserve_bytes = config->max_bodies_bytes / RESERVE_PART,
+	    .stalled_ms = STALLED_MS,
+	};
+}
+
 enum ibis_code
-gateway_listen(struct gateway *gateway, const char *address, bool internal,
-    struct ibis_status *status)
+gateway_listen(struct gateway *gateway, const char *address,
+    enum gateway_door door, struct ibis_status *status)
 {
 	struct gateway_listener *listener =
 	    &gateway->listeners[gateway->listeners_count];
+	struct intake_limits limits = door_limits(&gateway->config, door);
 	int listen_fd;
 
 	if (gateway->listeners_count == MAX_LISTENERS)
@@ -318,16 +543,18 @@
 	listen_fd = address_listen(address, LISTEN_BACKLOG, status);
 	if (listen_fd < 0)
 		return status->code;
-	*listener =
-	    (struct gateway_listener){.gateway = gateway, .internal = internal};
+	*listener = (struct gateway_listener){.gateway = gateway, .door = door};
+	intake_init(&listener->intake, &limits);
 	listener->daemon = MHD_start_daemon(
 	    MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL,
 	    NULL, handle_request, listener, MHD_OPTION_LISTEN_SOCKET, listen_fd,
-	    MHD_OPTION_CONNECTION_LIMIT, gateway->config.max_connections,
+	    MHD_OPTION_CONNECTION_LIMIT,
+	    limits.max_connections + SURPLUS_CONNECTIONS,
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
 	    MHD_OPTION_CONNECTION_TIMEOUT,
 	    (unsigned int)gateway->config.idle_timeout_s,
 	    MHD_OPTION_NOTIFY_COMPLETED, request_completed, listener,
+	    MHD_OPTION_NOTIFY_CONNECTION, notify_connection, listener,
 	    MHD_OPTION_END);
 	if (listener->daemon == NULL) {
 		(void)close(listen_fd);
--- a/src/connection/gateway.h
+++ b/src/connection/gateway.h
@@ -31,6 +31,13 @@
 	GATEWAY_KEY_BYTES = 128
 };
 
+/* Who calls at an address. */
+enum gateway_door {
+	GATEWAY_CALLERS,
+	GATEWAY_PROBES,	 /* readiness only; bodies are discarded */
+	GATEWAY_INTERNAL /* operators and other instances; not limited */
+};
+
 struct gateway_exchange;
 
 /*
@@ -58,7 +65,13 @@
 	int32_t max_body_bytes;	     /* a longer body gets a 413 */
 	int32_t default_deadline_ms; /* if the header is absent or invalid */
 	int32_t idle_timeout_s;
-	uint32_t max_connections; /* for each address */
+	/* For each address. Above it, the connections that have been without
+	 * progress for the longest are closed. */
+	uint32_t max_connections;
+	uint32_t max_probe_connections; /* the same for GATEWAY_PROBES */
+	/* Of all bodies of callers' requests together. A request that does not
+	 * fit gets 503, or callers that have stalled are disconnected. */
+	size_t max_bodies_bytes;
 };
 
 struct gateway;
@@ -72,13 +85,13 @@
 
 /*
  * Starts serving one more address, IP:PORT. Requests received there have
- * `internal` set as given. status must not be NULL; it is filled on failure:
- * IBIS_INVALID when the address is malformed, IBIS_UNAVAILABLE when it can't be
- * listened on, IBIS_INTERNAL when there are too many addresses or the HTTP
- * library fails.
+ * `internal` set for GATEWAY_INTERNAL. status must not be NULL; it is filled on
+ * failure: IBIS_INVALID when the address is malformed, IBIS_UNAVAILABLE when it
+ * can't be listened on, IBIS_INTERNAL when there are too many addresses or the
+ * HTTP library fails.
  */
 enum ibis_code gateway_listen(struct gateway *gateway, const char *address,
-    bool internal, struct ibis_status *status);
+    enum gateway_door door, struct ibis_status *status);
 
 /* Sets the result of readiness probes; may be called from any thread. */
 void gateway_set_ready(struct gateway *gateway, bool ready);
--- a/src/process/counters.c
+++ b/src/process/counters.c
@@ -137,6 +137,14 @@
     [COUNTER_CONFIG_UNCONFIRMED] = {"ibis_config_unconfirmed_total", "",
 	"Times that this instance no longer knew whether its configuration "
 	"is current."},
+    [COUNTER_CONNECTIONS_CLOSED_LIMIT] = {"ibis_callers_limited_total",
+	"reason=\"connections\"",
+	"Callers' connections closed as there were too many or as stalled "
+	"bodies held the budget, and requests refused as it had no room."},
+    [COUNTER_CONNECTIONS_CLOSED_BYTES] = {"ibis_callers_limited_total",
+	"reason=\"stalled\"", NULL},
+    [COUNTER_REQUESTS_REFUSED_BYTES] = {"ibis_callers_limited_total",
+	"reason=\"refused\"", NULL},
     [COUNTER_LOG_LINES_DROPPED] = {"ibis_log_lines_total",
 	"outcome=\"dropped\"",
 	"Log lines not written: the reader was behind, or the limit a second "
--- a/tests/common_users_platform.c
+++ b/tests/common_users_platform.c
@@ -253,6 +253,7 @@
 {
 	struct users_instance_state *instance = &platform->instances[index];
 	unsigned int number = (unsigned int)getpid();
+	char limits[64] = "";
 	FILE *file;
 
 	(void)snprintf(instance->ip, sizeof(instance->ip), "127.%u.%u.%u",
@@ -262,15 +263,19 @@
 	file = fopen(instance->settings_path, "we");
 	if (file == NULL)
 		return;
+	if (instance->memory_mb > 0)
+		(void)snprintf(limits, sizeof(limits),
+		    "\"Limits\":{\"MemoryMb\":%d,\"MaxOpenFiles\":%d},",
+		    (int)instance->memory_mb, (int)instance->descriptors);
 	(void)fprintf(file,
-	    "{\"NodeName\":\"i%u\",\"Zone\":\"z\",\"Ip\":\"%s\","
+	    "{%s\"NodeName\":\"i%u\",\"Zone\":\"z\",\"Ip\":\"%s\","
 	    "\"ListenAddresses\":{\"Frontend\":\"%s:%d\","
 	    "\"Readiness\":\"%s:%d\"},\"InternalPortRange\":[%d,%d],"
 	    "\"Bounds\":{\"GraceS\":6,\"ConfigApplyMs\":%d},"
 	    "\"platform\":{\"Address\":\"%s\"}}",
-	    (unsigned int)index, instance->ip, instance->ip, CALLER_PORT,
-	    instance->ip, READY_PORT, INTERNAL_PORT, INTERNAL_PORT + 1,
-	    (int)instance->config_apply_ms,
+	    limits, (unsigned int)index, instance->ip, instance->ip,
+	    CALLER_PORT, instance->ip, READY_PORT, INTERNAL_PORT,
+	    INTERNAL_PORT + 1, (int)instance->config_apply_ms,
 	    fake_server_address(platform->listeners[index].server));
 	(void)fclose(file);
 }
@@ -317,6 +322,16 @@
 	write_settings(platform, instance);
 }
 
+void
+users_set_limits(
+    struct users_platform *platform, int32_t memory_mb, int32_t descriptors)
+{
+	for (uint32_t i = 0; i < USERS_INSTANCES; i++) {
+		platform->instances[i].memory_mb = memory_mb;
+		platform->instances[i].descriptors = descriptors;
+	}
+}
+
 const char *
 users_log_path(const struct users_platform *platform, uint32_t instance)
 {
@@ -522,6 +537,14 @@
 	    platform->instances[instance].ip, CALLER_PORT);
 }
 
+void
+users_ready_address(const struct users_platform *platform, uint32_t instance,
+    char *address, size_t bytes)
+{
+	(void)snprintf(address, bytes, "%s:%d",
+	    platform->instances[instance].ip, READY_PORT);
+}
+
 void
 users_internal_address(const struct users_platform *platform, uint32_t instance,
     char *address, size_t bytes)
--- a/tests/common_users_platform.h
+++ b/tests/common_users_platform.h
@@ -103,6 +103,10 @@
 void users_change_settings(struct users_platform *platform, uint32_t instance,
     int32_t config_apply_ms);
 
+/* Limits what instances that start later may use. */
+void users_set_limits(
+    struct users_platform *platform, int32_t memory_mb, int32_t descriptors);
+
 /* Returns the path of an instance's log. */
 const char *users_log_path(
     const struct users_platform *platform, uint32_t instance);
@@ -116,6 +120,10 @@
 void users_caller_address(const struct users_platform *platform,
     uint32_t instance, char *address, size_t bytes);
 
+/* Formats the address that the balancer probes. */
+void users_ready_address(const struct users_platform *platform,
+    uint32_t instance, char *address, size_t bytes);
+
 /* Formats the address that operators and other instances call. */
 void users_internal_address(const struct users_platform *platform,
     uint32_t instance, char *address, size_t bytes);
--- a/tests/common_users_state.h
+++ b/tests/common_users_state.h
@@ -88,6 +88,8 @@
 
 struct users_instance_state {
 	int32_t config_apply_ms;
+	int32_t memory_mb; /* 0: not in its settings */
+	int32_t descriptors;
 	struct process process;
 	char ip[32];
 	char settings_path[80];
--- /dev/null
+++ b/tests/test_intake.c
@@ -0,0 +1,164 @@
+/* Tests of the limits on what callers hold at once. */
+#include "common_cunit.h"
+#include "connection/intake.h"
+#include "process/alloc.h"
+
+#define CONNECTIONS 4
+#define BYTES	    1000
+#define SHORT	    50
+#define RESERVE	    200
+#define STALLED_MS  500
+
+struct fixture {
+	struct intake intake;
+	struct intake_connection connections[CONNECTIONS + 2];
+	int64_t now_ms;
+};
+
+static void
+open_fixture(struct fixture *fixture, size_t count)
+{
+	const struct intake_limits limits = {
+	    .max_connections = CONNECTIONS,
+	    .max_bytes = BYTES,
+	    .short_bytes = SHORT,
+	    .reserve_bytes = RESERVE,
+	    .stalled_ms = STALLED_MS,
+	};
+
+	*fixture = (struct fixture){.now_ms = 1};
+	intake_init(&fixture->intake, &limits);
+	for (size_t i = 0; i < count; i++)
+		intake_open(&fixture->intake, &fixture->connections[i], NULL,
+		    fixture->now_ms++);
+}
+
+static bool
+take(struct fixture *fixture, size_t index, size_t bytes)
+{
+	return intake_take(&fixture->intake, &fixture->connections[index],
+	    bytes, fixture->now_ms++);
+}
+
+/* Load: a crowd that holds all connections. Guards against newcomers that wait
+ * for it: the one without progress for the longest goes first. */
+static void
+test_longest_idle_gives_way(void)
+{
+	struct fixture fixture;
+
+	open_fixture(&fixture, CONNECTIONS + 1);
+	intake_progress(
+	    &fixture.intake, &fixture.connections[0], fixture.now_ms++);
+	CU_ASSERT_PTR_EQUAL(intake_over_limit(&fixture.intake,
+				&fixture.connections[CONNECTIONS]),
+	    &fixture.connections[1]);
+	CU_ASSERT_PTR_NULL(intake_over_limit(
+	    &fixture.intake, &fixture.connections[CONNECTIONS]));
+}
+
+/* Guards against cutting off a request that is being served, or the newcomer
+ * where all others are served. */
+static void
+test_busy_connections_stay(void)
+{
+	struct fixture fixture;
+
+	open_fixture(&fixture, CONNECTIONS + 1);
+	for (size_t i = 0; i < CONNECTIONS; i++)
+		intake_set_busy(&fixture.intake, &fixture.connections[i], true,
+		    fixture.now_ms++);
+	CU_ASSERT_PTR_NULL(intake_over_limit(
+	    &fixture.intake, &fixture.connections[CONNECTIONS]));
+	intake_set_busy(
+	    &fixture.intake, &fixture.connections[2], false, fixture.now_ms++);
+	CU_ASSERT_PTR_EQUAL(intake_over_limit(&fixture.intake,
+				&fixture.connections[CONNECTIONS]),
+	    &fixture.connections[2]);
+}
+
+/* Load: long bodies that stop short of their end. Guards against a short
+ * request that is refused for them. */
+static void
+test_reserve_is_for_short_bodies(void)
+{
+	struct fixture fixture;
+
+	open_fixture(&fixture, 3);
+	CU_ASSERT_TRUE(take(&fixture, 0, BYTES - RESERVE));
+	CU_ASSERT_FALSE(take(&fixture, 1, SHORT + 1));
+	CU_ASSERT_TRUE(take(&fixture, 2, SHORT));
+	CU_ASSERT_EQUAL(fixture.intake.bytes, BYTES - RESERVE + SHORT);
+}
+
+/* Guards against stalled bodies that hold the budget for good, and against a
+ * caller that is cut off in the middle of its progress. */
+static void
+test_stalled_bodies_give_way(void)
+{
+	struct fixture fixture;
+	struct intake_connection *victim;
+
+	open_fixture(&fixture, 3);
+	CU_ASSERT_TRUE(take(&fixture, 0, BYTES - RESERVE));
+	CU_ASSERT_FALSE(take(&fixture, 1, SHORT + 1));
+	CU_ASSERT_PTR_NULL(intake_next_stalled(&fixture.intake,
+	    &fixture.connections[1], SHORT + 1, fixture.now_ms));
+	fixture.now_ms += STALLED_MS;
+	victim = intake_next_stalled(&fixture.intake, &fixture.connections[1],
+	    SHORT + 1, fixture.now_ms);
+	CU_ASSERT_PTR_EQUAL(victim, &fixture.connections[0]);
+	intake_release(&fixture.intake, victim);
+	CU_ASSERT_TRUE(take(&fixture, 1, SHORT + 1));
+}
+
+/* Load: very many short bodies that stop short of their end. Guards against a
+ * short request that has to wait until they have stalled. */
+static void
+test_short_body_makes_room_at_once(void)
+{
+	struct fixture fixture;
+
+	open_fixture(&fixture, 3);
+	CU_ASSERT_TRUE(take(&fixture, 0, BYTES - RESERVE));
+	for (size_t i = 0; i < RESERVE / SHORT; i++)
+		fixture.intake.bytes += SHORT;
+	CU_ASSERT_FALSE(take(&fixture, 1, SHORT));
+	CU_ASSERT_PTR_EQUAL(intake_next_stalled(&fixture.intake,
+				&fixture.connections[1], SHORT, fixture.now_ms),
+	    &fixture.connections[0]);
+}
+
+/* Guards against bytes and connections that are never given back. */
+static void
+test_closed_connection_holds_nothing(void)
+{
+	struct fixture fixture;
+
+	open_fixture(&fixture, 2);
+	CU_ASSERT_TRUE(take(&fixture, 0, SHORT));
+	CU_ASSERT_TRUE(take(&fixture, 1, SHORT));
+	intake_release(&fixture.intake, &fixture.connections[1]);
+	intake_close(&fixture.intake, &fixture.connections[0]);
+	intake_close(&fixture.intake, &fixture.connections[1]);
+	CU_ASSERT_EQUAL(fixture.intake.bytes, 0);
+	CU_ASSERT_EQUAL(fixture.intake.connections, 0);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"longest idle gives way", test_longest_idle_gives_way},
+	    {"busy connections stay", test_busy_connections_stay},
+	    {"reserve is for short bodies", test_reserve_is_for_short_bodies},
+	    {"stalled bodies give way", test_stalled_bodies_give_way},
+	    {"short body makes room at once",
+		test_short_body_makes_room_at_once},
+	    {"closed connection holds nothing",
+		test_closed_connection_holds_nothing},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("intake", tests);
+}
