Stop less for urgent work, and keep room for it where stops are slow

A plan now uses all the room that a stopped gang frees, counts earlier preemptions and takes faster workers first.

--- a/src/agent/agent_lead.c
+++ b/src/agent/agent_lead.c
@@ -93,6 +93,7 @@
 		: agent->settings.max_lease_ms,
 	    .max_lease_ms = agent->settings.max_lease_ms,
 	    .previous_lead_renew_ms = RUN_RENEWAL_LIMIT_MS,
+	    .stop_timeout_ms = agent->settings.stop_timeout_ms,
 	    .remote_factor = agent->settings.remote_factor,
 	    .max_open_tasks = agent_max_tasks(agent),
 	};
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -55,6 +55,7 @@
 	/* A previous lead may continue to renew leases for this time after a
 	 * new lead has taken over. */
 	int32_t previous_lead_renew_ms;
+	int32_t stop_timeout_ms; /* longest time that a stop takes */
 	/* Run time outside the rack of the data or the gang, relative to the
 	 * run time inside. */
 	double remote_factor;
@@ -647,7 +648,7 @@
 	uint64_t jobs_running;
 	uint64_t waiting_tasks;
 	uint64_t quota_waiting_tasks; /* of them, for their workspace's cap */
-	uint64_t placed_tasks;	/* not started yet */
+	uint64_t placed_tasks;	      /* not started yet */
 	uint64_t running_tasks; /* including those being started or stopped */
 	uint64_t workers;	/* listed ones */
 	uint64_t silent_workers;
--- a/src/fleet/fleet_decide.c
+++ b/src/fleet/fleet_decide.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fleet/fleet_headroom.h"
 #include "fleet/fleet_quota.h"
 #include "process/alloc.h"
 
@@ -266,6 +267,7 @@
 			collect_job(&round, job);
 	}
 	fleet_quota_begin_round(fleet);
+	fleet_headroom_update(fleet, now_ms);
 	if (round.units_count == 0)
 		return;
 	qsort(round.units, round.units_count, sizeof(*round.units),
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -78,6 +78,9 @@
 	double rate;		/* percent per millisecond; 0: unknown */
 	double best_rate;	/* of this run */
 	uint32_t moves;		/* away from slow or stalled workers */
+	uint64_t preempt_plan;	/* the last one that would stop it */
+	/* By this lead; a gang's are counted in its first task. */
+	uint32_t preemptions;
 	struct fleet_listing listing;
 	bool listed_twice;
 	bool start_unanswered; /* and what became of it is not known */
@@ -112,6 +115,7 @@
 	uint32_t orphans;	  /* runs of its tasks that are orphans */
 	bool is_active;
 	bool was_charged; /* a task of it is or was a suspect */
+	bool slack_counted;
 	struct fleet_workspace *workspace;
 	Ibis__StepJobPhase phase;
 	bool cancelled;
@@ -178,6 +182,9 @@
 	int64_t paused_until_ms;	 /* gets no tasks before this time */
 	int64_t job_paused_until_ms;	 /* nor any of failed_job */
 	bool zone_out_of_service;
+	bool plan_changed; /* in the current plan of preemptions */
+	bool kept;	   /* for urgent jobs */
+	bool was_kept;
 };
 
 /* A run that may hold a worker's capacity although no task is assigned to the
@@ -217,6 +224,24 @@
 	bool held_for_gang;
 };
 
+/* Which tasks to stop so that others fit. */
+struct fleet_preempt_plan {
+	uint64_t number; /* tasks with this number are to be stopped */
+	struct fleet_task **victims; /* owned; a gang counts with one */
+	size_t victims_count;
+	size_t victims_capacity;
+	int64_t cost; /* of the victims */
+};
+
+/* Need and slack of urgent jobs; see fleet_headroom.h. */
+struct fleet_headroom {
+	double peak_workers; /* that they needed at once */
+	int64_t peak_ms;
+	double slack_ms; /* moving average; 0: none known */
+	int64_t next_update_ms;
+	uint32_t kept; /* workers */
+};
+
 /* What a search for workers may use. */
 enum fleet_search_kind {
 	FLEET_SEARCH_FREE, /* free capacity */
@@ -267,6 +292,8 @@
 	bool urgent_needs_current; /* computed in this round of placement */
 	struct fleet_unmet unmet[16];
 	size_t unmet_count;
+	struct fleet_preempt_plan preempt_plan;
+	struct fleet_headroom headroom;
 	struct fleet_candidate *candidates; /* of the current search */
 	size_t candidates_capacity;
 	int64_t outage_until_ms; /* workers are lost for other causes */
@@ -303,6 +330,10 @@
 uint32_t fleet_resources_fit(const struct fleet_resources *left,
     const struct fleet_resources *need, uint32_t limit);
 
+/* Returns a weight for comparing resources: cores, where an accelerator counts
+ * as several. Memory is not weighed. */
+int64_t fleet_resources_weight(const struct fleet_resources *resources);
+
 /*
  * Task group.
  */
@@ -697,10 +728,6 @@
 size_t fleet_find_targets(struct fleet *fleet, struct fleet_task *const *tasks,
     size_t count, struct fleet_worker **targets, int64_t now_ms);
 
-/* Returns the cost of stopping a task: the work it would lose, as weight of its
- * resources times run time. A gang loses the work of all its members. */
-int64_t fleet_preemption_cost(const struct fleet_task *task, int64_t now_ms);
-
 /* Where free capacity is not enough, stops tasks that the urgent job of
  * these tasks may preempt. */
 size_t fleet_reclaim_targets(struct fleet *fleet,
--- a/src/fleet/fleet_place.c
+++ b/src/fleet/fleet_place.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fleet/fleet_headroom.h"
 #include "fleet/fleet_search.h"
 #include "process/alloc.h"
 
@@ -121,6 +122,7 @@
     const struct fleet_search *search, const struct fleet_worker *worker)
 {
 	return worker->isolated_tasks == 0 &&
+	    fleet_headroom_allows(worker, search->job, search->step) &&
 	    fleet_worker_usable(
 		worker, search->job, search->step, search->now_ms);
 }
--- a/src/fleet/fleet_quota.c
+++ b/src/fleet/fleet_quota.c
@@ -1,6 +1,7 @@
 /* Limits of workspaces on what their jobs may have running. */
 #include <string.h>
 
+#include "fleet/fleet_preempt.h"
 #include "fleet/fleet_quota.h"
 #include "process/alloc.h"
 
--- a/src/fleet/fleet_reclaim.c
+++ b/src/fleet/fleet_reclaim.c
@@ -1,7 +1,7 @@
 /* Reclaim: preempts tasks to free capacity for urgent ones. */
 #include <string.h>
 
-#include "fleet/fleet_search.h"
+#include "fleet/fleet_preempt.h"
 #include "process/alloc.h"
 
 /* Returns the number of accelerators that a job's unfinished tasks need. */
@@ -99,51 +99,6 @@
 	    &resources, &search->need, fleet_search_limit(search, worker));
 }
 
-/* Overhead of a stop in addition to the lost work, and the most work that a
- * task with checkpoints loses. */
-#define STOP_COST_MS	       200
-#define CHECKPOINT_MAX_LOSS_MS 1000
-/* Urgent jobs over their guarantee are preempted only if other work loses this
- * many times as much. */
-#define OVER_GUARANTEE_WEIGHT 20
-
-int64_t
-fleet_preemption_cost(const struct fleet_task *task, int64_t now_ms)
-{
-	struct fleet_resources need = fleet_task_need(task);
-	int64_t ran_ms = now_ms - task->started_ms;
-
-	if (task->state == TASK_PLACED || task->state == TASK_SENT)
-		ran_ms = 0;
-	if (fleet_step_of(task)->checkpoints && ran_ms > CHECKPOINT_MAX_LOSS_MS)
-		ran_ms = CHECKPOINT_MAX_LOSS_MS;
-	if (fleet_step_of(task)->gang)
-		ran_ms *= fleet_step_of(task)->tasks;
-	ran_ms += STOP_COST_MS;
-	if (task->occurrence->job->spec->priority == 0)
-		ran_ms *= OVER_GUARANTEE_WEIGHT;
-	return fleet_resources_weight(&need) * ran_ms;
-}
-
-/* Returns the cost of stopping all preemptible tasks on a worker; 0 when a task
- * fits without. */
-static int64_t
-cost_of_freeing(
-    const struct fleet_search *search, const struct fleet_worker *worker)
-{
-	struct fleet_resources left = fleet_worker_free_capacity(worker);
-	int64_t cost = 0;
-	struct fleet_task *task;
-
-	if (fleet_resources_fit(&left, &search->need, 1) > 0)
-		return 0;
-	cds_list_for_each_entry (task, &worker->tasks, on_worker) {
-		if (is_preemptible(search, task))
-			cost += fleet_preemption_cost(task, search->now_ms);
-	}
-	return cost;
-}
-
 static void
 collect_reclaim_candidates(struct fleet_search *search)
 {
@@ -160,101 +115,42 @@
 		fits = fits_after_preemption(search, worker);
 		if (fits == 0)
 			continue;
-		search->candidates[search->count++] =
-		    (struct fleet_candidate){.worker = worker,
-			.fits = fits,
-			.cost = cost_of_freeing(search, worker)};
+		search->candidates[search->count++] = (struct fleet_candidate){
+		    .worker = worker,
+		    .fits = fits,
+		    .limit = fits,
+		    .speed_rank = fleet_search_speed_rank(search, worker),
+		};
 	}
-	fleet_search_sort(search);
 }
 
-/* Returns the rack whose cheapest workers fit all wanted tasks at the lowest
- * total cost, or NULL when none fits them. */
+/* Plans room for the wanted tasks in the rack where that costs least. Returns
+ * NULL, and has planned nothing, when no rack has it. */
 static const char *
-cheapest_rack(const struct fleet_search *search)
+plan_cheapest_rack(struct fleet_search *search, struct fleet_worker **targets)
 {
+	const struct fleet_preempt_plan *plan = &search->fleet->preempt_plan;
 	const char *best = NULL;
 	int64_t best_cost = 0;
 
 	for (size_t i = 0; i < search->count; i++) {
 		const char *rack = search->candidates[i].worker->entry.rack;
-		uint32_t fits = 0;
-		int64_t cost = 0;
+		bool seen = false;
 
-		for (size_t j = 0; j < search->count && fits < search->wanted;
-		     j++) {
-			if (!fleet_search_in_rack(
-				search->candidates[j].worker, rack))
-				continue;
-			fits += search->candidates[j].fits;
-			cost += search->candidates[j].cost;
-		}
-		if (fits < search->wanted)
+		for (size_t j = 0; j < i && !seen; j++)
+			seen = fleet_search_in_rack(
+			    search->candidates[j].worker, rack);
+		if (seen ||
+		    !fleet_preempt_plan(search, rack, is_preemptible, targets))
 			continue;
-		if (best == NULL || cost < best_cost) {
+		if (best == NULL || plan->cost < best_cost) {
 			best = rack;
-			best_cost = cost;
+			best_cost = plan->cost;
 		}
 	}
 	return best;
 }
 
-static struct fleet_task *
-cheapest_victim(
-    const struct fleet_search *search, const struct fleet_worker *worker)
-{
-	struct fleet_task *best = NULL;
-	struct fleet_task *task;
-
-	cds_list_for_each_entry (task, &worker->tasks, on_worker) {
-		if (!is_preemptible(search, task))
-			continue;
-		if (best == NULL ||
-		    fleet_preemption_cost(task, search->now_ms) <
-			fleet_preemption_cost(best, search->now_ms))
-			best = task;
-	}
-	return best;
-}
-
-/* Stops a worker's preemptible tasks, cheapest first, until count tasks fit. */
-static void
-preempt_until_fit(const struct fleet_search *search,
-    struct fleet_worker *worker, uint32_t count)
-{
-	struct fleet_resources left = fleet_worker_free_capacity(worker);
-	struct fleet_task *victim;
-
-	while (fleet_resources_fit(&left, &search->need, count) < count &&
-	    (victim = cheapest_victim(search, worker)) != NULL) {
-		fleet_stop_gang_or_task(
-		    search->fleet, victim, "reclaimed", search->now_ms);
-		left = fleet_worker_free_capacity(worker);
-	}
-}
-
-static size_t
-reclaim_from_rack(const struct fleet_search *search, const char *rack,
-    struct fleet_worker **targets)
-{
-	size_t found = 0;
-
-	for (size_t i = 0; i < search->count && found < search->wanted; i++) {
-		const struct fleet_candidate *candidate =
-		    &search->candidates[i];
-		uint32_t taken = 0;
-
-		if (!fleet_search_in_rack(candidate->worker, rack))
-			continue;
-		while (taken < candidate->fits && found < search->wanted) {
-			targets[found++] = candidate->worker;
-			taken++;
-		}
-		preempt_until_fit(search, candidate->worker, taken);
-	}
-	return found;
-}
-
 /* Searches for workers with what the kind of search may use, and preempts the
  * tasks in the way. */
 static size_t
@@ -280,13 +176,16 @@
 		return 0;
 	}
 	if (search.step->same_rack) {
-		rack = cheapest_rack(&search);
+		rack = plan_cheapest_rack(&search, targets);
 		if (rack == NULL && fleet_search_fits_empty_rack(&search) &&
 		    fleet_search_may_wait(&search))
 			return 0;
 	}
+	if (!fleet_preempt_plan(&search, rack, is_preemptible, targets))
+		return 0;
 	fleet_unmet_clear(fleet, FLEET_SEARCH_FREE);
-	return reclaim_from_rack(&search, rack, targets);
+	fleet_preempt_execute(fleet, "reclaimed", now_ms);
+	return count;
 }
 
 size_t
--- a/src/fleet/fleet_search.h
+++ b/src/fleet/fleet_search.h
@@ -11,7 +11,12 @@
 /* A worker that could run tasks of the step. */
 struct fleet_candidate {
 	struct fleet_worker *worker;
-	uint32_t fits;	     /* tasks */
+	uint32_t fits; /* tasks */
+	/* Of a plan: tasks that may be there, those that are, and whether cost
+	 * has to be computed again. */
+	uint32_t limit;
+	uint32_t taken;
+	bool stale;
 	uint32_t speed_rank; /* see fleet_search_speed_rank */
 	/* Lowest first: for placement the weight of the worker's free capacity,
 	 * for reclaim the cost of the tasks to stop. */
@@ -75,10 +80,6 @@
  * then schedules a placement for the end of that time. */
 bool fleet_search_may_wait(const struct fleet_search *search);
 
-/* Returns a weight for comparing resources: cores, where an accelerator counts
- * as several. Memory is not weighed. */
-int64_t fleet_resources_weight(const struct fleet_resources *resources);
-
 #ifdef __cplusplus
 }
 #endif
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -47,6 +47,7 @@
 	for (size_t i = 0; i < fleet->workspaces_count; i++)
 		mem_free(fleet->workspaces[i]);
 	mem_free(fleet->workspaces);
+	mem_free(fleet->preempt_plan.victims);
 	mem_free(fleet->candidates);
 	mem_free(fleet->orphans);
 	mem_free(fleet->orders);
--- a/tests/common_fleet_sim.c
+++ b/tests/common_fleet_sim.c
@@ -373,6 +373,7 @@
 	    .previous_lead_renew_ms = PREVIOUS_LEAD_MS,
 	    .remote_factor = 3,
 	    .max_open_tasks = SIM_MAX_OPEN_TASKS,
+	    .stop_timeout_ms = sim->stop_timeout_ms,
 	};
 
 	sim->epoch = ++sim->revision;
--- a/tests/common_fleet_sim.h
+++ b/tests/common_fleet_sim.h
@@ -160,7 +160,8 @@
 	/* A restarted worker still refuses the delayed calls that its previous
 	 * incarnation would have refused. */
 	bool keeps_refusals;
-	int64_t stop_ms; /* time that a stop takes */
+	int64_t stop_ms;	 /* time that a stop takes */
+	int32_t stop_timeout_ms; /* of the fleet's configuration */
 	int64_t
 	    gang_end_ms; /* from one member's end to the lists of the others' */
 	size_t ends_per_report; /* further ones are not listed; 0: all */
