Order waiting work by what a delay costs its callers

Under too little room work was placed by priority and arrival alone: a job that could only be late went before one that could be in time, and one workspace's burst before all others. Waiting steps now join their priority's queue by what is left of the objective, by the work that they need and by their workspace's use over its share, each within a bound, so that everything gets its turn. docs/design/order.md; test_fleet_rank.

--- a/src/connection/api.c
+++ b/src/connection/api.c
@@ -9,6 +9,7 @@
 
 #include "connection/api.h"
 #include "process/alloc.h"
+#include "process/json_limits.h"
 #include "process/proto_memory.h"
 #include "request/job.h"
 
@@ -21,6 +22,12 @@
 #define MAX_QUOTED_BYTES	     40
 #define JSON_PARSE_FLAGS	     (JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8)
 
+/* A submission has far fewer. */
+static const struct json_limits body_limits = {
+    .max_containers = 1024,
+    .max_values = 65536,
+};
+
 /* A method and path of the API. "*" in the pattern matches one path segment. */
 struct operation {
 	const char *method;
@@ -368,26 +375,6 @@
 	json_tokener_free(*tokener);
 }
 
-/*
- * Finds a single quote outside strings, since json-c accepts it in place of a
- * double quote. Returns its position, or length when there is none.
- */
-static size_t
-find_single_quote(const char *text, size_t length)
-{
-	bool in_string = false;
-
-	for (size_t i = 0; i < length; i++) {
-		if (in_string && text[i] == '\\')
-			i++;
-		else if (text[i] == '"')
-			in_string = !in_string;
-		else if (!in_string && text[i] == '\'')
-			return i;
-	}
-	return length;
-}
-
 static enum ibis_code
 set_body_error(const char *problem, size_t position, size_t length,
     struct ibis_status *status)
@@ -409,10 +396,12 @@
 	struct json_object *object;
 	enum json_tokener_error error;
 	const char *problem;
-	size_t end = find_single_quote(text, length);
+	size_t end;
 
-	if (end < length) {
-		(void)set_body_error("a single quote", end, length, status);
+	if (!json_limits_allow(&body_limits, text, length)) {
+		(void)set_body_error("a single quote, a comment or too many "
+				     "values",
+		    length, length, status);
 		return NULL;
 	}
 	json_tokener_set_flags(tokener, JSON_PARSE_FLAGS);
--- a/src/connection/caller_http.c
+++ b/src/connection/caller_http.c
@@ -12,6 +12,7 @@
 #include "connection/address.h"
 #include "connection/api.h"
 #include "connection/caller_http.h"
+#include "connection/intake.h"
 #include "process/alloc.h"
 #include "process/clock.h"
 #include "process/counters.h"
@@ -26,11 +27,16 @@
 #define IDLE_TIMEOUT_S		300
 #define MAX_DISCARDED_BYTES	(64U << 20) /* more closes the connection */
 #define OVERLOAD_RETRY_MS	1000
-#define STOP_TIMEOUT_MS		5000
-#define STOP_POLL_INTERVAL_MS	2
-#define MS_PER_S		1000
-#define HEADER_BYTES		32
-#define HTTP_CONTENT_TOO_LARGE	413
+/* Bodies of this length are taken from the reserve, which is this part of the
+ * budget for bodies. */
+#define SHORT_BODY_BYTES       (16U << 10)
+#define RESERVE_PART	       4
+#define STALLED_MS	       1000
+#define STOP_TIMEOUT_MS	       5000
+#define STOP_POLL_INTERVAL_MS  2
+#define MS_PER_S	       1000
+#define HEADER_BYTES	       32
+#define HTTP_CONTENT_TOO_LARGE 413
 
 /* An HTTP request, from its first line until its response has been sent. */
 struct caller_exchange {
@@ -38,11 +44,21 @@
 	bool suspended; /* request posted; resumed when output is filled */
 	struct buffer body;
 	size_t body_bytes; /* received, including discarded bytes */
-	uint32_t slot;	   /* slots_count: none */
+	struct caller_connection *on;
+	bool refused;  /* the budget for bodies has no room for it */
+	uint32_t slot; /* slots_count: none */
 	int64_t received_ms;
 	struct api_output output;
 };
 
+/* A connection, from its acceptance until it is closed. */
+struct caller_connection {
+	struct intake_connection intake;
+	struct caller_exchange *exchange; /* NULL between requests */
+	int fd;
+	bool over_limit; /* accepted above the limit, to get a 503 */
+};
+
 /* Holds a request that waits for its reply. */
 struct slot {
 	_Atomic(struct caller_exchange *) exchange; /* NULL once claimed */
@@ -63,7 +79,7 @@
 	uint32_t slots_count;
 	/* Used by the I/O thread only. */
 	uint32_t first_free; /* slots_count: none */
-	uint32_t connections;
+	struct intake intake;
 	/* Shared between threads. */
 	atomic_uint open_requests;
 	atomic_bool draining;
@@ -149,6 +165,15 @@
 	return result;
 }
 
+static struct caller_connection *
+connection_of(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+	return info->socket_context;
+}
+
 static struct caller_exchange *
 exchange_new(struct caller_server *server, struct MHD_Connection *connection)
 {
@@ -157,6 +182,10 @@
 	exchange->connection = connection;
 	exchange->slot = server->slots_count;
 	exchange->received_ms = clock_now_ms();
+	exchange->on = connection_of(connection);
+	exchange->on->exchange = exchange;
+	intake_progress(
+	    &server->intake, &exchange->on->intake, exchange->received_ms);
 	(void)atomic_fetch_add(&server->open_requests, 1);
 	return exchange;
 }
@@ -180,22 +209,70 @@
 	server->first_free = exchange->slot;
 }
 
+static void
+drop_body(struct caller_server *server, struct caller_exchange *exchange)
+{
+	buffer_free(&exchange->body);
+	intake_release(&server->intake, &exchange->on->intake);
+}
+
+/* Closes a connection that the intake has chosen. This thread then reads its
+ * end. */
+static void
+close_connection(struct caller_server *server,
+    struct caller_connection *connection, enum counter counter)
+{
+	if (connection->exchange != NULL) {
+		connection->exchange->refused = true;
+		drop_body(server, connection->exchange);
+	}
+	(void)shutdown(connection->fd, SHUT_RDWR);
+	counter_add(counter, 1);
+}
+/* Returns whether the budget has room for more of a body. Closes the
+ * connections of stalled ones for it. */
+static bool
+make_room(struct caller_server *server, struct caller_exchange *exchange,
+    size_t length)
+{
+	struct intake_connection *on = &exchange->on->intake;
+	int64_t now_ms = clock_now_ms();
+
+	while (!intake_take(&server->intake, on, length, now_ms)) {
+		struct intake_connection *victim =
+		    intake_next_stalled(&server->intake, on, length, now_ms);
+
+		if (victim == NULL)
+			return false;
+		close_connection(
+		    server, victim->owner, COUNTER_CONNECTIONS_CLOSED_BYTES);
+	}
+	return true;
+}
+
 /*
  * Stores a part of the body. A body over its limit is still read, but
  * discarded: closing the connection early could reset it before the caller
  * reads the error response.
  */
 static enum MHD_Result
-receive_body(const struct caller_server *server,
-    struct caller_exchange *exchange, const char *bytes, size_t *length)
+receive_body(struct caller_server *server, struct caller_exchange *exchange,
+    const char *bytes, size_t *length)
 {
 	size_t limit = (size_t)server->config.max_body_bytes;
 
 	exchange->body_bytes += *length;
-	if (exchange->body_bytes > limit)
-		buffer_free(&exchange->body);
-	else
-		buffer_append(&exchange->body, bytes, *length);
+	if (exchange->body_bytes > limit) {
+		drop_body(server, exchange);
+	} else if (!exchange->refused) {
+		if (make_room(server, exchange, *length)) {
+			buffer_append(&exchange->body, bytes, *length);
+		} else {
+			exchange->refused = true;
+			drop_body(server, exchange);
+			counter_add(COUNTER_REQUESTS_REFUSED_BYTES, 1);
+		}
+	}
 	*length = 0;
 	return exchange->body_bytes > MAX_DISCARDED_BYTES ? MHD_NO : MHD_YES;
 }
@@ -257,7 +334,9 @@
 	event.caller->received_ms = exchange->received_ms;
 	event.caller->exchange = exchange;
 	exchange->suspended = true;
-	buffer_free(&exchange->body);
+	drop_body(server, exchange);
+	intake_set_busy(
+	    &server->intake, &exchange->on->intake, true, clock_now_ms());
 	MHD_suspend_connection(exchange->connection);
 	atomic_store(&server->slots[slot].exchange, exchange);
 	event_queue_post(server->events, &event);
@@ -275,16 +354,6 @@
 	    request->kind == IBIS__REQUEST_KIND__REQUEST_METRICS;
 }
 
-/* Returns whether count_connection marked a connection as over the limit. */
-static bool
-is_over_limit(struct MHD_Connection *connection)
-{
-	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-	    connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-
-	return info != NULL && info->socket_context != NULL;
-}
-
 static void
 set_overload_error(struct caller_exchange *exchange, const char *message)
 {
@@ -309,7 +378,7 @@
 process_request(struct caller_server *server, struct caller_exchange *exchange,
     const char *method, const char *path)
 {
-	bool over_limit = is_over_limit(exchange->connection);
+	bool over_limit = exchange->on->over_limit;
 	struct ibis_status status = {0};
 	Ibis__Request *request;
 
@@ -317,6 +386,10 @@
 		set_body_size_error(server, exchange);
 		return send_response(server, exchange, false);
 	}
+	if (exchange->refused) {
+		set_overload_error(exchange, "too many requests at once");
+		return send_response(server, exchange, false);
+	}
 	request = parse_request(server, exchange, method, path, &status);
 	if (request == NULL) {
 		api_render_error(&status,
@@ -379,26 +452,43 @@
 	*request_context = NULL;
 	return_slot(server, exchange);
 	buffer_free(&exchange->body);
+	exchange->on->exchange = NULL;
+	intake_release(&server->intake, &exchange->on->intake);
+	intake_set_busy(
+	    &server->intake, &exchange->on->intake, false, clock_now_ms());
 	buffer_free(&exchange->output.body);
 	mem_free(exchange);
 	(void)atomic_fetch_sub(&server->open_requests, 1);
 }
 
-/* Counts connections; gives those over the limit a socket context. */
+/* Called by libmicrohttpd for a new connection and for one that is gone. Above
+ * the limit, connections that have stalled are closed. */
 static void
-count_connection(void *context, struct MHD_Connection *connection,
+notify_connection(void *context, struct MHD_Connection *connection,
     void **socket_context, enum MHD_ConnectionNotificationCode code)
 {
 	struct caller_server *server = context;
+	struct caller_connection *known = *socket_context;
+	struct intake_connection *victim;
+	int64_t now_ms = clock_now_ms();
 
-	(void)connection;
 	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
-		server->connections--;
+		intake_close(&server->intake, &known->intake);
+		mem_free(known);
 		return;
 	}
-	server->connections++;
-	if (server->connections > (uint32_t)server->config.max_connections)
-		*socket_context = server;
+	known = mem_calloc(1, sizeof(*known));
+	known->fd = MHD_get_connection_info(
+	    connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+			->connect_fd;
+	*socket_context = known;
+	intake_open(&server->intake, &known->intake, known, now_ms);
+	while ((victim = intake_over_limit(
+		    &server->intake, &known->intake, now_ms)) != NULL)
+		close_connection(
+		    server, victim->owner, COUNTER_CONNECTIONS_CLOSED_LIMIT);
+	known->over_limit = server->intake.connections >
+	    (uint32_t)server->config.max_connections;
 }
 
 /* Raises the process's limit of open files, up to its hard limit. */
@@ -428,7 +518,16 @@
     const struct caller_server_config *config, struct event_queue *events)
 {
 	struct caller_server *server = mem_calloc(1, sizeof(*server));
+	const struct intake_limits limits = {
+	    .max_connections = (uint32_t)config->max_connections,
+	    .max_bytes = (size_t)config->max_bodies_bytes,
+	    .short_bytes = SHORT_BODY_BYTES,
+	    .reserve_bytes = (size_t)config->max_bodies_bytes / RESERVE_PART,
+	    .stalled_ms = STALLED_MS,
+	    .idle_ms = STALLED_MS,
+	};
 
+	intake_init(&server->intake, &limits);
 	server->events = events;
 	server->config = *config;
 	server->slots_count =
@@ -459,7 +558,7 @@
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
 	    MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_S,
 	    MHD_OPTION_NOTIFY_COMPLETED, request_completed, server,
-	    MHD_OPTION_NOTIFY_CONNECTION, count_connection, server,
+	    MHD_OPTION_NOTIFY_CONNECTION, notify_connection, server,
 	    MHD_OPTION_END);
 	if (server->daemon == NULL) {
 		(void)ibis_status_set(status, IBIS_INTERNAL, "listen",
--- a/src/connection/caller_http.h
+++ b/src/connection/caller_http.h
@@ -29,6 +29,9 @@
 struct caller_server_config {
 	const char *address;	/* IP:PORT; port 0: chosen by the system */
 	int32_t max_body_bytes; /* a longer body gets a 413 */
+	/* Of all bodies that are being received; one that does not fit gets
+	 * 503, or stalled ones are closed. */
+	int32_t max_bodies_bytes;
 	int32_t max_connections;
 	int32_t max_wait_ms; /* limit of a request's wait_ms */
 };
--- a/src/connection/gateway.c
+++ b/src/connection/gateway.c
@@ -348,8 +348,8 @@
 			->connect_fd;
 	intake_open(&listener->intake, &known->intake, known, clock_now_ms());
 	*socket_context = known;
-	while ((victim = intake_over_limit(
-		    &listener->intake, &known->intake)) != NULL)
+	while ((victim = intake_over_limit(&listener->intake, &known->intake,
+		    known->intake.progress_ms)) != NULL)
 		close_connection(listener, victim->owner,
 		    COUNTER_CONNECTIONS_CLOSED_LIMIT, "connections");
 }
--- a/src/connection/intake.c
+++ b/src/connection/intake.c
@@ -83,7 +83,8 @@
 }
 
 struct intake_connection *
-intake_over_limit(struct intake *intake, const struct intake_connection *newest)
+intake_over_limit(struct intake *intake, const struct intake_connection *newest,
+    int64_t now_ms)
 {
 	struct intake_connection *connection;
 
@@ -91,13 +92,15 @@
 		return NULL;
 	cds_list_for_each_entry (
 	    connection, &intake->by_progress, by_progress) {
-		if (connection != newest && !connection->busy &&
-		    !connection->closing)
-			return choose(intake, connection);
+		if (connection == newest || connection->busy ||
+		    connection->closing)
+			continue;
+		return now_ms - connection->progress_ms < intake->limits.idle_ms
+		    ? NULL
+		    : choose(intake, connection);
 	}
 	return NULL;
 }
-
 struct intake_connection *
 intake_next_stalled(struct intake *intake,
     const struct intake_connection *waiting, size_t bytes, int64_t now_ms)
--- a/src/connection/intake.h
+++ b/src/connection/intake.h
@@ -28,8 +28,9 @@
 	size_t short_bytes;   /* a body up to this long may use the reserve */
 	size_t reserve_bytes; /* of max_bytes, for short bodies only */
 	/* A connection without progress for this long gives way to bodies that
-	 * the budget has no room for. */
+	 * the budget has no room for; */
 	int64_t stalled_ms;
+	int64_t idle_ms; /* and for this long, to a new connection */
 };
 
 /* A connection. Its members are the intake's. */
@@ -77,9 +78,9 @@
     struct intake_connection *connection, bool busy, int64_t now_ms);
 
 /* Returns the next connection to close as there are too many, or NULL: then all
- * but the newest are busy. */
-struct intake_connection *intake_over_limit(
-    struct intake *intake, const struct intake_connection *newest);
+ * but the newest are busy or have just made progress. */
+struct intake_connection *intake_over_limit(struct intake *intake,
+    const struct intake_connection *newest, int64_t now_ms);
 
 /* Returns the next connection to close for some more bytes that the budget has
  * no room for: one that holds bytes and has stalled, or, for a short body, any
--- a/src/fleet/fleet_decide.c
+++ b/src/fleet/fleet_decide.c
@@ -4,6 +4,7 @@
 
 #include "fleet/fleet_headroom.h"
 #include "fleet/fleet_quota.h"
+#include "fleet/fleet_rank.h"
 #include "process/alloc.h"
 
 /* An orphan that has not ended this long after its stop was ordered is stopped
@@ -19,6 +20,7 @@
 	uint32_t step;
 	size_t first; /* index in waiting */
 	size_t count;
+	int64_t joins_ms; /* see fleet_rank.h */
 };
 
 /* State of one placement of all waiting tasks. */
@@ -87,6 +89,8 @@
 	    .step = step,
 	    .first = first,
 	    .count = round->waiting_count - first,
+	    .joins_ms = fleet_rank_joins_ms(
+		round->fleet, occurrence, step, round->now_ms),
 	};
 }
 
@@ -154,36 +158,38 @@
 	}
 }
 
-/* Orders occurrences by priority, then by the time they became ready; returns
- * less than 0 when a is served before b. */
+/* Orders units by priority, then by the time at which they join the queue;
+ * returns less than 0 when the left one is served first. */
 static int
-compare_occurrences(
-    const struct fleet_occurrence *a, const struct fleet_occurrence *b)
+compare_units(const void *left, const void *right)
 {
-	uint32_t priority_a = a->job->spec->priority;
-	uint32_t priority_b = b->job->spec->priority;
-
-	if (priority_a != priority_b)
-		return priority_a < priority_b ? -1 : 1;
-	if (a->ready_ms != b->ready_ms)
-		return a->ready_ms < b->ready_ms ? -1 : 1;
-	return strcmp(a->job->id, b->job->id);
+	const struct placement_unit *a = left;
+	const struct placement_unit *b = right;
+	const struct fleet_job *job_a = a->occurrence->job;
+	const struct fleet_job *job_b = b->occurrence->job;
+
+	if (job_a->spec->priority != job_b->spec->priority)
+		return job_a->spec->priority < job_b->spec->priority ? -1 : 1;
+	if (a->joins_ms != b->joins_ms)
+		return a->joins_ms < b->joins_ms ? -1 : 1;
+	return strcmp(job_a->id, job_b->id);
 }
 
 bool
-fleet_occurrence_precedes(
-    const struct fleet_occurrence *a, const struct fleet_occurrence *b)
-{
-	return compare_occurrences(a, b) < 0;
-}
-
-static int
-compare_units(const void *left, const void *right)
+fleet_occurrence_precedes(const struct fleet *fleet,
+    const struct fleet_occurrence *a, const struct fleet_occurrence *b,
+    int64_t now_ms)
 {
-	const struct placement_unit *a = left;
-	const struct placement_unit *b = right;
+	const struct placement_unit left = {
+	    .occurrence = (struct fleet_occurrence *)a,
+	    .joins_ms = fleet_rank_joins_ms(fleet, a, 0, now_ms),
+	};
+	const struct placement_unit right = {
+	    .occurrence = (struct fleet_occurrence *)b,
+	    .joins_ms = fleet_rank_joins_ms(fleet, b, 0, now_ms),
+	};
 
-	return compare_occurrences(a->occurrence, b->occurrence);
+	return compare_units(&left, &right) < 0;
 }
 
 static void
@@ -262,6 +268,7 @@
 	struct placement_round round = {.fleet = fleet, .now_ms = now_ms};
 	struct fleet_job *job;
 
+	fleet_rank_begin_round(fleet);
 	cds_list_for_each_entry (job, &fleet->active, active) {
 		if (!job->cancelled && !fleet_job_final(job))
 			collect_job(&round, job);
--- a/src/fleet/fleet_explain.c
+++ b/src/fleet/fleet_explain.c
@@ -115,8 +115,9 @@
 			explanation->job->spec->service) != 0)
 			continue;
 		for (size_t j = 0; j < job->occurrences_count; j++) {
-			if (fleet_occurrence_precedes(
-				job->occurrences[j], occurrence))
+			if (fleet_occurrence_precedes(fleet,
+				job->occurrences[j], occurrence,
+				explanation->now_ms))
 				count += job->occurrences[j]->waiting;
 		}
 	}
--- a/src/fleet/fleet_headroom.c
+++ b/src/fleet/fleet_headroom.c
@@ -2,7 +2,6 @@
 #include <string.h>
 
 #include "fleet/fleet_headroom.h"
-#include "fleet/fleet_objective.h"
 
 /* The highest need of urgent jobs counts for this long. */
 #define PEAK_WINDOW_MS 10000
@@ -112,7 +111,7 @@
 		if (job->slack_counted)
 			continue;
 		job->slack_counted = true;
-		slack_ms = (double)fleet_objective_slack_ms(job->spec);
+		slack_ms = (double)(job->objective_ms - job->longest_ms);
 		headroom->slack_ms = headroom->slack_ms == 0
 		    ? slack_ms
 		    : headroom->slack_ms * (1 - SLACK_WEIGHT) +
--- a/src/fleet/fleet_jobs.c
+++ b/src/fleet/fleet_jobs.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "fleet/fleet_model.h"
+#include "fleet/fleet_objective.h"
 #include "process/alloc.h"
 #include "process/buffer.h"
 #include "process/proto_memory.h"
@@ -227,6 +228,9 @@
 		job->first_task[i] = job->tasks_count;
 		job->tasks_count += spec->steps[i]->tasks;
 	}
+	job->chain_ms = mem_calloc(spec->n_steps + 1, sizeof(*job->chain_ms));
+	job->longest_ms = fleet_objective_chains(spec, job->chain_ms);
+	job->objective_ms = fleet_objective_ms(spec, job->longest_ms);
 	if (progress != NULL)
 		restore_progress(fleet, job, progress, now_ms);
 	job->is_active = true;
@@ -278,6 +282,7 @@
 		free_occurrence(job->occurrences[i]);
 	mem_free(job->occurrences);
 	mem_free(job->first_task);
+	mem_free(job->chain_ms);
 	ibis__step_job__free_unpacked(job->spec, proto_allocator());
 	mem_free(job);
 }
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -104,7 +104,12 @@
 	char id[FLEET_ID_BYTES];
 	Ibis__StepJob *spec;  /* owned */
 	uint32_t *first_task; /* number of each step's first task */
-	uint32_t tasks_count; /* of one occurrence */
+	/* Run time of the longest chain from each step on, by estimates; and
+	 * the job's objective. */
+	int64_t *chain_ms;
+	int64_t longest_ms; /* of the chains */
+	int64_t objective_ms;
+	uint32_t tasks_count;		       /* of one occurrence */
 	struct fleet_occurrence **occurrences; /* open ones; owned */
 	size_t occurrences_count;
 	size_t occurrences_capacity;
@@ -222,6 +227,8 @@
 	uint64_t waiting_tasks;
 	uint32_t held_priority;
 	bool held_for_gang;
+	bool has_jobs;	/* unfinished ones */
+	double overuse; /* what it uses, in shares, beyond its own one */
 };
 
 /* Which tasks to stop so that others fit. */
@@ -285,6 +292,8 @@
 	size_t zones_out_of_service_count;
 	size_t zones_out_of_service_capacity;
 	struct fleet_workspace **workspaces; /* owned */
+	struct fleet_resources capacity; /* of listed workers, as of the round
+					  */
 	/* Most that runs of unknown jobs may use, in the current decision. */
 	struct fleet_resources hidden_bound;
 	size_t workspaces_count;
@@ -674,8 +683,10 @@
  */
 
 /* Returns whether an occurrence's tasks are placed before another's. */
-bool fleet_occurrence_precedes(
-    const struct fleet_occurrence *a, const struct fleet_occurrence *b);
+bool fleet_occurrence_precedes(const struct fleet *fleet,
+    const struct fleet_occurrence *a, const struct fleet_occurrence *b,
+    int64_t now_ms);
+
 /* Requests a call of fleet_decide at this time or earlier. */
 void fleet_wake_at(struct fleet *fleet, int64_t at_ms);
 
--- a/src/fleet/fleet_objective.h
+++ b/src/fleet/fleet_objective.h
@@ -11,15 +11,12 @@
 extern "C" {
 #endif
 
-/* Returns the run time of the longest chain of steps from a step on, by the
- * estimates of its callers; from the first step on for 0. */
-int64_t fleet_objective_chain_ms(const Ibis__StepJob *spec, uint32_t step);
+/* Fills chain_ms with the run time of the longest chain of steps from each step
+ * on, by the estimates of its callers. Returns the longest one. */
+int64_t fleet_objective_chains(const Ibis__StepJob *spec, int64_t *chain_ms);
 
-/* Returns the time from a job's acceptance in which it has to end. */
-int64_t fleet_objective_ms(const Ibis__StepJob *spec);
-
-/* Returns how much of that time is left beside its run time. */
-int64_t fleet_objective_slack_ms(const Ibis__StepJob *spec);
+/* Returns the time in which a job has to end whose longest chain is this. */
+int64_t fleet_objective_ms(const Ibis__StepJob *spec, int64_t longest_ms);
 
 #ifdef __cplusplus
 }
--- a/src/process/daemon.c
+++ b/src/process/daemon.c
@@ -37,6 +37,7 @@
 	struct caller_server_config callers = {
 	    .address = settings->caller_address,
 	    .max_body_bytes = settings->max_body_bytes,
+	    .max_bodies_bytes = settings->max_bodies_bytes,
 	    .max_connections = settings->max_connections,
 	    .max_wait_ms = settings->max_wait_ms,
 	};
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -123,6 +123,8 @@
 	"Longest wait that a caller may ask for"),
     NUMBER_KEY(max_body_bytes, 1024, 1048576, "bytes", "262144",
 	"Largest body of a request"),
+    NUMBER_KEY(max_bodies_bytes, 2097152, 1073741824, "bytes", "67108864",
+	"All bodies that are being received; more are refused as not run"),
     NUMBER_KEY(max_answer_bytes, 1024, 1048576, "bytes", "524288",
 	"Largest answer of a job"),
     NUMBER_KEY(max_connections, 8, 100000, "connections", "4000",
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -54,6 +54,7 @@
 	int32_t tombstone_retention_ms; /* 86400000 */
 	int32_t max_wait_ms;		/* 120000 */
 	int32_t max_body_bytes;		/* 262144 */
+	int32_t max_bodies_bytes;	/* 67108864 */
 	int32_t max_answer_bytes;	/* 524288 */
 	int32_t max_connections;	/* 4000 */
 	int32_t max_queued_jobs;	/* 20000 */
--- a/tests/test_caller_http.c
+++ b/tests/test_caller_http.c
@@ -28,6 +28,7 @@
 	struct caller_server_config config = {
 	    .address = "127.0.0.1:0",
 	    .max_body_bytes = MAX_BODY_BYTES,
+	    .max_bodies_bytes = 4 << 20,
 	    .max_connections = max_connections,
 	    .max_wait_ms = 1000,
 	};
--- a/tools/check_layers.sh
+++ b/tools/check_layers.sh
@@ -5,7 +5,7 @@
 failed=0
 
 # What all layers may use: memory, text, time, log, counters.
-base='process/(alloc|buffer|clock|counters|event|histogram|jsonc|jsonc_scan|log|log_line|proto_memory|race_check|utf8)\.h'
+base='process/(alloc|buffer|clock|counters|event|histogram|json_limits|jsonc|jsonc_scan|log|log_line|proto_memory|race_check|utf8)\.h'
 public='ibistrestle(\.pb-c)?\.h'
 
 only() { # files allowed
