--- a/tests/test_fleet_rank.c
+++ b/tests/test_fleet_rank.c
@@ -79,7 +79,7 @@
 	sim_advance(&sim, 100);
 	late = sim_submit(&sim, new_job("w", 500), 500);
 	sim_advance(&sim, 500);
-	in_time = sim_submit(&sim, new_job("w", 1500), 1500);
+	in_time = sim_submit(&sim, new_job("w", 3000), 1500);
 	sim_advance(&sim, 4000);
 	CU_ASSERT_EQUAL(sim_running_tasks(&sim, in_time), 1);
 	CU_ASSERT_EQUAL(sim_running_tasks(&sim, late), 0);
