--- a/tests/test_fleet_rank.c
+++ b/tests/test_fleet_rank.c
@@ -71,6 +71,7 @@
 test_late_work_gives_way_once(void)
 {
 	CLEANUP(sim_close) struct sim sim;
+	Ibis__StepJob *patient = new_job("w", 500);
 	size_t late;
 	size_t in_time;
 
@@ -79,7 +80,8 @@
 	sim_advance(&sim, 100);
 	late = sim_submit(&sim, new_job("w", 500), 500);
 	sim_advance(&sim, 500);
-	in_time = sim_submit(&sim, new_job("w", 3000), 1500);
+	patient->stretch_milli = 20000;
+	in_time = sim_submit(&sim, patient, 1500);
 	sim_advance(&sim, 4000);
 	CU_ASSERT_EQUAL(sim_running_tasks(&sim, in_time), 1);
 	CU_ASSERT_EQUAL(sim_running_tasks(&sim, late), 0);
