Let two tests see the faults that they guard against

With the bound on runs without a record taken out, and with plans that don't use the room of gangs that they stop already, their tests passed: one job had ended before it was looked at, and batch work was placed again before it was counted.

--- a/tests/test_fleet_preempt.c
+++ b/tests/test_fleet_preempt.c
@@ -31,20 +31,16 @@
 test_urgent_gang_takes_the_workers_of_one_gang(void)
 {
 	CLEANUP(sim_close) struct sim sim;
-	size_t batch[4];
 	size_t urgent;
-	int untouched = 0;
 
 	sim_open(&sim, 8, 8);
 	for (int i = 0; i < 4; i++)
-		batch[i] = sim_submit(&sim, new_gang(1, 4, 4), 20000);
+		(void)sim_submit(&sim, new_gang(1, 4, 4), 20000);
 	sim_advance(&sim, 1000);
 	urgent = sim_submit(&sim, new_gang(0, 4, 4), 500);
 	sim_advance(&sim, 400);
 	CU_ASSERT_EQUAL(sim_running_tasks(&sim, urgent), 4);
-	for (int i = 0; i < 4; i++)
-		untouched += sim_running_tasks(&sim, batch[i]) == 4;
-	CU_ASSERT_EQUAL(untouched, 3);
+	CU_ASSERT_EQUAL(sim.stops, 4);
 	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
 }
 
--- a/tests/test_fleet_quota.c
+++ b/tests/test_fleet_quota.c
@@ -8,7 +8,7 @@
 #define COMPLETED IBIS__STEP_JOB_PHASE__PHASE_COMPLETED
 
 /* Longest time that the lease of a run on a silent worker may last. */
-#define LEASE_MS 9000
+#define LEASE_MS 13000
 
 static uint64_t
 waiting_for_cap(const struct sim *sim)
@@ -223,12 +223,12 @@
 	sim_open(&sim, 2, 2);
 	sim_set_cap(&sim, 8);
 	(void)sim_submit(&sim, sim_new_job(1, 1, 1, 8), 5000);
-	sim_advance(&sim, 10);
 	sim.jobs[0].removed = true;
 	sim.workers[1].unreachable = true;
 	sim_add_run(&sim, 1, &hidden, 1);
 	sim_take_over(&sim);
-	job = sim_submit(&sim, sim_new_job(1, 1, 1, 8), 500);
+	sim_set_cap(&sim, 8);
+	job = sim_submit(&sim, sim_new_job(1, 1, 1, 8), 5000);
 	sim_advance(&sim, 1000);
 	CU_ASSERT_EQUAL(sim_running_tasks(&sim, job), 0);
 	sim_advance(&sim, (int64_t)2 * LEASE_MS);
