Let work that may use kept racks look for room there

Work that lasts, or needs a label or the rack of its data, may use the racks that are kept for urgent work, but was not searched for once other work of its size had found no room: the memory of unmet needs covered it. It is not asked for such work while racks are kept. A test that lasting work gets such a worker failed before and passes.

The part of the fleet that a need takes was computed twice; it stands with the resources now.

--- a/src/fleet/fleet_headroom.c
+++ b/src/fleet/fleet_headroom.c
@@ -15,26 +15,6 @@
 #define MIN_USED_PART	   0.5
 #define UPDATE_INTERVAL_MS 500
 
-static double
-part(int64_t need, int64_t all)
-{
-	return need <= 0 ? 0 : (double)need / (double)(all > 0 ? all : need);
-}
-
-/* Returns the part of a worker that a task takes by the resource of which it
- * needs most. */
-static double
-dominant_part(
-    const struct fleet_resources *need, const struct fleet_resources *worker)
-{
-	double cpu = part(need->cpu_milli, worker->cpu_milli);
-	double memory = part(need->memory_mb, worker->memory_mb);
-	double accelerators = part(need->accelerators, worker->accelerators);
-	double largest = cpu > memory ? cpu : memory;
-
-	return accelerators > largest ? accelerators : largest;
-}
-
 static bool
 is_in_service(const struct fleet_worker *worker)
 {
@@ -86,7 +66,7 @@
 			    !fleet_step_ready(occurrence, task->step))
 				continue;
 			need = fleet_task_need(task);
-			needed += dominant_part(&need, worker);
+			needed += fleet_resources_part(&need, worker);
 		}
 	}
 	return needed;
@@ -141,7 +121,7 @@
 	if (headroom->slack_ms <= 0 || headroom->peak_workers <= 0 ||
 	    fleet->config.stop_timeout_ms <
 		headroom->slack_ms * STOP_PART_OF_SLACK ||
-	    dominant_part(&totals->used, &totals->all) < MIN_USED_PART)
+	    fleet_resources_part(&totals->used, &totals->all) < MIN_USED_PART)
 		return 0;
 	return wanted < most ? wanted : most;
 }
@@ -278,3 +258,10 @@
 	return step->lasting || *step->label != '\0' ||
 	    strcmp(step->data_rack, worker->entry.rack) == 0;
 }
+
+bool
+fleet_headroom_exempts(const struct fleet *fleet, const Ibis__JobStep *step)
+{
+	return fleet->headroom.kept > 0 &&
+	    (step->lasting || *step->label != '\0' || *step->data_rack != '\0');
+}
--- a/src/fleet/fleet_headroom.h
+++ b/src/fleet/fleet_headroom.h
@@ -26,6 +26,11 @@
 bool fleet_headroom_allows(const struct fleet_worker *worker,
     const struct fleet_job *job, const Ibis__JobStep *step);
 
+/* Returns whether some work may use kept workers that other work of its
+ * priority may not, so that what could not be placed says nothing of it. */
+bool fleet_headroom_exempts(
+    const struct fleet *fleet, const Ibis__JobStep *step);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -292,8 +292,8 @@
 	size_t zones_out_of_service_count;
 	size_t zones_out_of_service_capacity;
 	struct fleet_workspace **workspaces; /* owned */
-	struct fleet_resources capacity; /* of listed workers, as of the round
-					  */
+	/* Of listed workers, in the current round of placement. */
+	struct fleet_resources capacity;
 	/* Most that runs of unknown jobs may use, in the current decision. */
 	struct fleet_resources hidden_bound;
 	size_t workspaces_count;
@@ -343,6 +343,11 @@
  * as several. Memory is not weighed. */
 int64_t fleet_resources_weight(const struct fleet_resources *resources);
 
+/* Returns which part of all resources a need takes, by the one of which it
+ * takes most. */
+double fleet_resources_part(
+    const struct fleet_resources *need, const struct fleet_resources *all);
+
 /*
  * Task group.
  */
--- a/src/fleet/fleet_place.c
+++ b/src/fleet/fleet_place.c
@@ -390,7 +390,8 @@
 	size_t wanted = step->gang ? count : 1;
 	uint32_t fits;
 
-	if (fleet_unmet_covers(fleet, FLEET_SEARCH_FREE, job, step, wanted))
+	if (!fleet_headroom_exempts(fleet, step) &&
+	    fleet_unmet_covers(fleet, FLEET_SEARCH_FREE, job, step, wanted))
 		return 0;
 	search = fleet_search_begin(fleet, tasks, count, now_ms);
 	collect_candidates(&search);
--- a/src/fleet/fleet_rank.c
+++ b/src/fleet/fleet_rank.c
@@ -13,26 +13,6 @@
 #define MAX_OVERUSE_MS 3000
 #define DEFAULT_WEIGHT 1000
 
-static double
-part(int64_t used, int64_t all)
-{
-	return all <= 0 ? 0 : (double)used / (double)all;
-}
-
-/* Returns the part of the fleet that resources take, by the resource of which
- * they take most. */
-static double
-dominant_part(
-    const struct fleet_resources *used, const struct fleet_resources *all)
-{
-	double cpu = part(used->cpu_milli, all->cpu_milli);
-	double memory = part(used->memory_mb, all->memory_mb);
-	double accelerators = part(used->accelerators, all->accelerators);
-	double largest = cpu > memory ? cpu : memory;
-
-	return accelerators > largest ? accelerators : largest;
-}
-
 static uint32_t
 weight_of(const struct fleet_workspace *workspace)
 {
@@ -75,8 +55,8 @@
 	}
 	for (size_t i = 0; i < fleet->workspaces_count; i++) {
 		struct fleet_workspace *workspace = fleet->workspaces[i];
-		double used =
-		    dominant_part(&workspace->committed, &fleet->capacity);
+		double used = fleet_resources_part(
+		    &workspace->committed, &fleet->capacity);
 
 		workspace->overuse = weights == 0
 		    ? 0
@@ -90,8 +70,8 @@
 {
 	struct fleet_resources need = fleet_step_need(step);
 
-	return dominant_part(&need, &fleet->capacity) * (double)step->tasks *
-	    (double)step->estimate_ms;
+	return fleet_resources_part(&need, &fleet->capacity) *
+	    (double)step->tasks * (double)step->estimate_ms;
 }
 
 static int64_t
--- a/src/fleet/fleet_tasks.c
+++ b/src/fleet/fleet_tasks.c
@@ -75,6 +75,24 @@
 	return (uint32_t)fits;
 }
 
+static double
+part(int64_t need, int64_t all)
+{
+	return need <= 0 ? 0 : (double)need / (double)(all > 0 ? all : need);
+}
+
+double
+fleet_resources_part(
+    const struct fleet_resources *need, const struct fleet_resources *all)
+{
+	double cpu = part(need->cpu_milli, all->cpu_milli);
+	double memory = part(need->memory_mb, all->memory_mb);
+	double accelerators = part(need->accelerators, all->accelerators);
+	double largest = cpu > memory ? cpu : memory;
+
+	return accelerators > largest ? accelerators : largest;
+}
+
 const Ibis__JobStep *
 fleet_step_of(const struct fleet_task *task)
 {
--- a/tests/test_fleet_preempt.c
+++ b/tests/test_fleet_preempt.c
@@ -172,6 +172,30 @@
 	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
 }
 
+/* Load: batch work that finds no room beside the racks that are kept. Guards
+ * against work that may use them, and waits as the batch work does: here a task
+ * that lasts. */
+static void
+test_lasting_work_may_use_kept_room(void)
+{
+	CLEANUP(sim_close) struct sim sim;
+	Ibis__StepJob *lasting = sim_new_job(1, 1, 1, 8);
+	size_t index;
+
+	sim_open(&sim, 8, 2);
+	sim.stop_timeout_ms = STOP_TIMEOUT_MS;
+	sim_take_over(&sim);
+	play_urgent_beside_batch(&sim);
+	(void)sim_submit(&sim, sim_new_job(1, 1, 12, 8), 9000);
+	sim_advance(&sim, 2500);
+	CU_ASSERT_EQUAL(count_kept(&sim), 2);
+	lasting->steps[0]->lasting = true;
+	index = sim_submit(&sim, lasting, 60000);
+	sim_advance(&sim, 700);
+	CU_ASSERT_EQUAL(sim_running_tasks(&sim, index), 1);
+	CU_ASSERT_TRUE(sim_has_no_violation(&sim));
+}
+
 int
 main(void)
 {
@@ -187,6 +211,8 @@
 	    {"no room is kept where stops are fast",
 		test_no_room_is_kept_where_stops_are_fast},
 	    {"kept room is given back", test_kept_room_is_given_back},
+	    {"lasting work may use kept room",
+		test_lasting_work_may_use_kept_room},
 	    CU_TEST_INFO_NULL,
 	};
 
