Answer 413 to long bodies in chunks, and let slow readers give way

A body over the limit that did not announce its length got 503 with a time to come back, as dropping it marked the request as refused. The new test in fail_crowds failed (no 413) and passes. Both found on reading.

--- a/src/connection/caller_http.c
+++ b/src/connection/caller_http.c
@@ -432,8 +432,11 @@
 	}
 	if (*length > 0)
 		return receive_body(server, exchange, bytes, length);
-	if (exchange->suspended)
+	if (exchange->suspended) {
+		intake_set_busy(&server->intake, &exchange->on->intake, false,
+		    clock_now_ms());
 		return send_response(server, exchange, false);
+	}
 	return process_request(server, exchange, method, path);
 }
 
--- a/src/connection/gateway.c
+++ b/src/connection/gateway.c
@@ -261,12 +261,12 @@
 	struct gateway *gateway = listener->gateway;
 	struct event event = {.kind = EVENT_GATEWAY};
 
-	if (exchange->refused)
-		return send_refusal(gateway, exchange);
 	if (exchange->too_large) {
 		exchange->status = MHD_HTTP_CONTENT_TOO_LARGE;
 		return send_response(gateway, exchange);
 	}
+	if (exchange->refused)
+		return send_refusal(gateway, exchange);
 	if (answer_probe(gateway, exchange))
 		return send_response(gateway, exchange);
 	if (!may_post(gateway))
--- a/tests/fail_crowds.c
+++ b/tests/fail_crowds.c
@@ -6,9 +6,11 @@
  */
 #include <stdio.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include "common_crowd.h"
 #include "common_cunit.h"
+#include "common_http.h"
 #include "common_users_platform.h"
 #include "process/alloc.h"
 
@@ -24,6 +26,10 @@
 #define AHEAD_MEMBERS	   60
 #define CONNECTION_MEMBERS 500
 
+/* More than the largest body. */
+#define LONG_CHUNKS	 24
+#define LONG_CHUNK_BYTES 65536
+
 #define START_MS  8000
 #define FINISH_MS 30000
 #define MAX_KIB	  (INT64_C(1024) * MEMORY_MB)
@@ -217,6 +223,34 @@
 	users_platform_stop(platform);
 }
 
+/* Guards against a caller that is told to come back with a body that will
+ * always be too long, here one that doesn't announce its length. */
+static void
+test_chunked_body_over_the_limit(void)
+{
+	CLEANUP(buffer_free) struct buffer request = {0};
+	CLEANUP(buffer_free) struct buffer response = {0};
+	char address[64];
+	int connection;
+
+	open_instance();
+	users_caller_address(platform, 0, address, sizeof(address));
+	connection = http_connect(address);
+	buffer_puts(&request,
+	    "POST /q/00000000000000ff HTTP/1.1\r\nHost: h\r\n"
+	    "Authorization: Bearer k\r\nTransfer-Encoding: chunked\r\n\r\n");
+	for (int i = 0; i < LONG_CHUNKS; i++)
+		buffer_printf(&request, "%x\r\n%0*d\r\n", LONG_CHUNK_BYTES,
+		    LONG_CHUNK_BYTES, 0);
+	buffer_puts(&request, "0\r\n\r\n");
+	CU_ASSERT_TRUE(http_write(connection, buffer_string(&request)));
+	CU_ASSERT_EQUAL(
+	    http_read(connection, &response, FINISH_MS), HTTP_COMPLETE);
+	CU_ASSERT_EQUAL(http_status(&response), 413);
+	(void)close(connection);
+	users_platform_stop(platform);
+}
+
 int
 main(void)
 {
@@ -230,6 +264,7 @@
 	    {"half headers", test_half_headers},
 	    {"answers not read", test_answers_not_read},
 	    {"all kinds at once", test_all_kinds_at_once},
+	    {"chunked body over the limit", test_chunked_body_over_the_limit},
 	    CU_TEST_INFO_NULL,
 	};
 
