Let the intake make room itself, for both servers

The two HTTP servers repeated the loops that choose and close connections, and the constants of the reserve, each in its own way. The intake has them now and calls back to close one; a server says how it closes.

--- a/src/connection/caller_http.c
+++ b/src/connection/caller_http.c
@@ -27,11 +27,8 @@
 #define IDLE_TIMEOUT_S		300
 #define MAX_DISCARDED_BYTES	(64U << 20) /* more closes the connection */
 #define OVERLOAD_RETRY_MS	1000
-/* Bodies of this length are taken from the reserve, which is this part of the
- * budget for bodies. */
-#define SHORT_BODY_BYTES       (16U << 10)
-#define RESERVE_PART	       4
-#define STALLED_MS	       1000
+/* A connection without progress for this long gives way to a new one. */
+#define IDLE_MS		       1000
 #define STOP_TIMEOUT_MS	       5000
 #define STOP_POLL_INTERVAL_MS  2
 #define MS_PER_S	       1000
@@ -216,38 +213,23 @@
 	intake_release(&server->intake, &exchange->on->intake);
 }
 
-/* Closes a connection that the intake has chosen. This thread then reads its
- * end. */
+/* Closes a connection that the intake has chosen. Its thread is this one, which
+ * then reads the end of the connection. */
 static void
-close_connection(struct caller_server *server,
-    struct caller_connection *connection, enum counter counter)
+close_connection(
+    void *context, struct intake_connection *chosen, enum intake_reason reason)
 {
+	struct caller_connection *connection = chosen->owner;
+
+	(void)context;
 	if (connection->exchange != NULL) {
 		connection->exchange->refused = true;
-		drop_body(server, connection->exchange);
+		buffer_free(&connection->exchange->body);
 	}
 	(void)shutdown(connection->fd, SHUT_RDWR);
-	counter_add(counter, 1);
-}
-/* Returns whether the budget has room for more of a body. Closes the
- * connections of stalled ones for it. */
-static bool
-make_room(struct caller_server *server, struct caller_exchange *exchange,
-    size_t length)
-{
-	struct intake_connection *on = &exchange->on->intake;
-	int64_t now_ms = clock_now_ms();
-
-	while (!intake_take(&server->intake, on, length, now_ms)) {
-		struct intake_connection *victim =
-		    intake_next_stalled(&server->intake, on, length, now_ms);
-
-		if (victim == NULL)
-			return false;
-		close_connection(
-		    server, victim->owner, COUNTER_CONNECTIONS_CLOSED_BYTES);
-	}
-	return true;
+	counter_add(reason == INTAKE_STALLED ? COUNTER_CONNECTIONS_CLOSED_BYTES
+					     : COUNTER_CONNECTIONS_CLOSED_LIMIT,
+	    1);
 }
 
 /*
@@ -265,7 +247,8 @@
 	if (exchange->body_bytes > limit) {
 		drop_body(server, exchange);
 	} else if (!exchange->refused) {
-		if (make_room(server, exchange, *length)) {
+		if (intake_take(&server->intake, &exchange->on->intake, *length,
+			clock_now_ms())) {
 			buffer_append(&exchange->body, bytes, *length);
 		} else {
 			exchange->refused = true;
@@ -472,9 +455,6 @@
 {
 	struct caller_server *server = context;
 	struct caller_connection *known = *socket_context;
-	struct intake_connection *victim;
-	int64_t now_ms = clock_now_ms();
-
 	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
 		intake_close(&server->intake, &known->intake);
 		mem_free(known);
@@ -485,13 +465,8 @@
 	    connection, MHD_CONNECTION_INFO_CONNECTION_FD)
 			->connect_fd;
 	*socket_context = known;
-	intake_open(&server->intake, &known->intake, known, now_ms);
-	while ((victim = intake_over_limit(
-		    &server->intake, &known->intake, now_ms)) != NULL)
-		close_connection(
-		    server, victim->owner, COUNTER_CONNECTIONS_CLOSED_LIMIT);
-	known->over_limit = server->intake.connections >
-	    (uint32_t)server->config.max_connections;
+	intake_open(&server->intake, &known->intake, known, clock_now_ms());
+	known->over_limit = intake_is_over_limit(&server->intake);
 }
 
 /* Raises the process's limit of open files, up to its hard limit. */
@@ -524,13 +499,9 @@
 	const struct intake_limits limits = {
 	    .max_connections = (uint32_t)config->max_connections,
 	    .max_bytes = (size_t)config->max_bodies_bytes,
-	    .short_bytes = SHORT_BODY_BYTES,
-	    .reserve_bytes = (size_t)config->max_bodies_bytes / RESERVE_PART,
-	    .stalled_ms = STALLED_MS,
-	    .idle_ms = STALLED_MS,
+	    .idle_ms = IDLE_MS,
 	};
-
-	intake_init(&server->intake, &limits);
+	intake_init(&server->intake, &limits, close_connection, server);
 	server->events = events;
 	server->config = *config;
 	server->slots_count =
--- a/src/connection/gateway.c
+++ b/src/connection/gateway.c
@@ -26,12 +26,7 @@
 #define SURPLUS_CONNECTIONS 64
 /* A longer body is not read to its end. */
 #define MAX_DISCARDED_BYTES (8U << 20)
-/* Bodies of this length are taken from the reserve. */
-#define SHORT_BODY_BYTES (16U << 10)
-/* The part of the budget for bodies that is the reserve. */
-#define RESERVE_PART	4
-#define STALLED_MS	1000
-#define LOG_INTERVAL_MS 1000
+#define LOG_INTERVAL_MS	    1000
 /* Retry-After of a request that a stopping instance refuses: others serve. */
 #define REFUSED_RETRY_AFTER_MS 1000
 #define MS_PER_S	       1000
@@ -308,7 +303,6 @@
 static void
 drop_body(struct gateway_listener *listener, struct gateway_exchange *exchange)
 {
-	exchange->refused = true;
 	buffer_free(&exchange->request->body);
 	intake_release(&listener->intake, &exchange->on->intake);
 }
@@ -316,16 +310,23 @@
 /* Closes a connection that the intake has chosen. Its thread is this one, which
  * then reads the end of the connection. */
 static void
-close_connection(struct gateway_listener *listener,
-    struct gateway_connection *connection, enum counter counter,
-    const char *reason)
+close_connection(
+    void *context, struct intake_connection *chosen, enum intake_reason reason)
 {
-	if (connection->exchange != NULL &&
-	    connection->exchange->request != NULL)
-		drop_body(listener, connection->exchange);
+	struct gateway_listener *listener = context;
+	struct gateway_connection *connection = chosen->owner;
+	struct gateway_exchange *exchange = connection->exchange;
+
+	if (exchange != NULL && exchange->request != NULL) {
+		exchange->refused = true;
+		buffer_free(&exchange->request->body);
+	}
 	(void)shutdown(connection->fd, SHUT_RDWR);
-	counter_add(counter, 1);
-	log_limit(listener, reason);
+	counter_add(reason == INTAKE_STALLED ? COUNTER_CONNECTIONS_CLOSED_BYTES
+					     : COUNTER_CONNECTIONS_CLOSED_LIMIT,
+	    1);
+	log_limit(
+	    listener, reason == INTAKE_STALLED ? "bodies" : "connections");
 }
 
 /* Called by libmicrohttpd for a new connection and for one that is gone. */
@@ -335,8 +336,6 @@
 {
 	struct gateway_listener *listener = context;
 	struct gateway_connection *known = *socket_context;
-	struct intake_connection *victim;
-
 	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
 		intake_close(&listener->intake, &known->intake);
 		mem_free(known);
@@ -346,12 +345,8 @@
 	known->fd = MHD_get_connection_info(
 	    connection, MHD_CONNECTION_INFO_CONNECTION_FD)
 			->connect_fd;
-	intake_open(&listener->intake, &known->intake, known, clock_now_ms());
 	*socket_context = known;
-	while ((victim = intake_over_limit(&listener->intake, &known->intake,
-		    known->intake.progress_ms)) != NULL)
-		close_connection(listener, victim->owner,
-		    COUNTER_CONNECTIONS_CLOSED_LIMIT, "connections");
+	intake_open(&listener->intake, &known->intake, known, clock_now_ms());
 }
 
 /* Returns whether the header says that the body is longer than allowed. */
@@ -399,27 +394,6 @@
 	return exchange;
 }
 
-/* Returns whether the budget has room for more of a request's body. Closes
- * stalled connections for it. */
-static bool
-make_room(struct gateway_listener *listener, struct gateway_exchange *exchange,
-    size_t length)
-{
-	struct intake_connection *on = &exchange->on->intake;
-	int64_t now_ms = clock_now_ms();
-
-	while (!intake_take(&listener->intake, on, length, now_ms)) {
-		struct intake_connection *victim =
-		    intake_next_stalled(&listener->intake, on, length, now_ms);
-
-		if (victim == NULL)
-			return false;
-		close_connection(listener, victim->owner,
-		    COUNTER_CONNECTIONS_CLOSED_BYTES, "bodies");
-	}
-	return true;
-}
-
 /* Stores a part of the body, or discards it: closing the connection early could
  * reset it before the caller reads the response. */
 static enum MHD_Result
@@ -435,10 +409,12 @@
 	}
 	if (!exchange->too_large && !exchange->discards_body &&
 	    !exchange->refused) {
-		if (make_room(listener, exchange, length)) {
+		if (intake_take(&listener->intake, &exchange->on->intake,
+			length, clock_now_ms())) {
 			buffer_append(body, bytes, length);
 			return MHD_YES;
 		}
+		exchange->refused = true;
 		drop_body(listener, exchange);
 		counter_add(COUNTER_REQUESTS_REFUSED_BYTES, 1);
 		log_limit(listener, "bodies");
@@ -515,16 +491,12 @@
 		return (struct intake_limits){
 		    .max_connections = config->max_connections,
 		    .max_bytes = SIZE_MAX,
-		    .short_bytes = SIZE_MAX,
 		};
 	return (struct intake_limits){
 	    .max_connections = door == GATEWAY_PROBES
 		? config->max_probe_connections
 		: config->max_connections,
 	    .max_bytes = config->max_bodies_bytes,
-	    .short_bytes = SHORT_BODY_BYTES,
-	    .reserve_bytes = config->max_bodies_bytes / RESERVE_PART,
-	    .stalled_ms = STALLED_MS,
 	};
 }
 
@@ -544,7 +516,7 @@
 	if (listen_fd < 0)
 		return status->code;
 	*listener = (struct gateway_listener){.gateway = gateway, .door = door};
-	intake_init(&listener->intake, &limits);
+	intake_init(&listener->intake, &limits, close_connection, listener);
 	listener->daemon = MHD_start_daemon(
 	    MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL,
 	    NULL, handle_request, listener, MHD_OPTION_LISTEN_SOCKET, listen_fd,
--- a/src/connection/intake.h
+++ b/src/connection/intake.h
@@ -24,15 +24,17 @@
 
 struct intake_limits {
 	uint32_t max_connections;
-	size_t max_bytes;     /* of all bodies together */
-	size_t short_bytes;   /* a body up to this long may use the reserve */
-	size_t reserve_bytes; /* of max_bytes, for short bodies only */
-	/* A connection without progress for this long gives way to bodies that
-	 * the budget has no room for; */
-	int64_t stalled_ms;
-	int64_t idle_ms; /* and for this long, to a new connection */
+	size_t max_bytes; /* of all bodies together */
+	/* A connection without progress for this long gives way to a new one.
+	 */
+	int64_t idle_ms;
 };
 
+/* Why a connection is closed. */
+enum intake_reason {
+	INTAKE_TOO_MANY, /* connections */
+	INTAKE_STALLED	 /* its body holds room that another one needs */
+};
 /* A connection. Its members are the intake's. */
 struct intake_connection {
 	struct cds_list_head by_progress; /* longest without progress first */
@@ -43,16 +45,26 @@
 	void *owner;  /* for the user of the module */
 };
 
+/* Closes a connection that the intake has chosen, and frees its request's body,
+ * if it has one. */
+typedef void intake_closer(void *context, struct intake_connection *connection,
+    enum intake_reason reason);
+
 struct intake {
 	struct intake_limits limits;
+	intake_closer *closer;
+	void *context;
 	struct cds_list_head by_progress;
 	uint32_t connections; /* that aren't closing */
 	size_t bytes;
 };
 
-void intake_init(struct intake *intake, const struct intake_limits *limits);
+/* The limits are copied; the context is passed to the closer. */
+void intake_init(struct intake *intake, const struct intake_limits *limits,
+    intake_closer *closer, void *context);
 
-/* A connection has been accepted; it is not copied. */
+/* A connection has been accepted; it is not copied. If there are too many,
+ * others are closed, unless all are busy or have just made progress. */
 void intake_open(struct intake *intake, struct intake_connection *connection,
     void *owner, int64_t now_ms);
 
@@ -64,8 +76,12 @@
 void intake_progress(struct intake *intake,
     struct intake_connection *connection, int64_t now_ms);
 
-/* Takes some more bytes of a request's body. Returns false, and takes none,
- * when the budget has no room for them. */
+/*
+ * Takes some more bytes of a request's body. Where the budget has no room for
+ * them, closes connections that hold bytes and have stalled or, for a short
+ * body, any that holds bytes. Returns false, and takes none, when that is not
+ * enough.
+ */
 bool intake_take(struct intake *intake, struct intake_connection *connection,
     size_t bytes, int64_t now_ms);
 
@@ -77,16 +93,8 @@
 void intake_set_busy(struct intake *intake,
     struct intake_connection *connection, bool busy, int64_t now_ms);
 
-/* Returns the next connection to close as there are too many, or NULL: then all
- * but the newest are busy or have just made progress. */
-struct intake_connection *intake_over_limit(struct intake *intake,
-    const struct intake_connection *newest, int64_t now_ms);
-
-/* Returns the next connection to close for some more bytes that the budget has
- * no room for: one that holds bytes and has stalled, or, for a short body, any
- * that holds bytes. NULL: none. The caller frees its body and releases it. */
-struct intake_connection *intake_next_stalled(struct intake *intake,
-    const struct intake_connection *waiting, size_t bytes, int64_t now_ms);
+/* Returns whether there are more connections than the limit. */
+bool intake_is_over_limit(const struct intake *intake);
 
 #ifdef __cplusplus
 }
