--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -120,9 +120,11 @@
 	agent->settings.max_lease_ms = new_settings.max_lease_ms;
 	agent->settings.config_apply_ms = new_settings.config_apply_ms;
 	agent->settings.drain_notice_ms = new_settings.drain_notice_ms;
+	agent->settings.stop_timeout_ms = new_settings.stop_timeout_ms;
 	agent->settings.remote_factor = new_settings.remote_factor;
 	agent->settings.cpu_milli = new_settings.cpu_milli;
 	agent->settings.memory_mb = new_settings.memory_mb;
+	agent->settings.max_open_files = new_settings.max_open_files;
 	agent->settings.link_kbit = new_settings.link_kbit;
 	log_event(LOG_INFO, "reloaded", NULL);
 }
