Look at each rack once in a decision

The plan of preemptions searched all candidates again for each rack, and the room for urgent work all workers for each rack that it kept, and the readiness of a step for each of its tasks. Candidates are sorted by rack, racks are collected once, steps are asked once, and nothing is computed where the time of a stop is unknown. A stop for a workspace's cap counts as a preemption now, too.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -55,7 +55,8 @@
 	/* A previous lead may continue to renew leases for this time after a
 	 * new lead has taken over. */
 	int32_t previous_lead_renew_ms;
-	int32_t stop_timeout_ms; /* longest time that a stop takes */
+	int32_t
+	    stop_timeout_ms; /* longest time that a stop takes; 0: unknown */
 	/* Run time outside the rack of the data or the gang, relative to the
 	 * run time inside. */
 	double remote_factor;
--- a/src/fleet/fleet_decide.c
+++ b/src/fleet/fleet_decide.c
@@ -158,21 +158,27 @@
 	}
 }
 
-/* Orders units by priority, then by the time at which they join the queue;
- * returns less than 0 when the left one is served first. */
+/* Orders jobs by priority, then by the time at which they join the queue;
+ * returns less than 0 when the first is served first. */
+static int
+compare_ranks(const struct fleet_job *a, int64_t a_joins_ms,
+    const struct fleet_job *b, int64_t b_joins_ms)
+{
+	if (a->spec->priority != b->spec->priority)
+		return a->spec->priority < b->spec->priority ? -1 : 1;
+	if (a_joins_ms != b_joins_ms)
+		return a_joins_ms < b_joins_ms ? -1 : 1;
+	return strcmp(a->id, b->id);
+}
+
 static int
 compare_units(const void *left, const void *right)
 {
 	const struct placement_unit *a = left;
 	const struct placement_unit *b = right;
-	const struct fleet_job *job_a = a->occurrence->job;
-	const struct fleet_job *job_b = b->occurrence->job;
-
-	if (job_a->spec->priority != job_b->spec->priority)
-		return job_a->spec->priority < job_b->spec->priority ? -1 : 1;
-	if (a->joins_ms != b->joins_ms)
-		return a->joins_ms < b->joins_ms ? -1 : 1;
-	return strcmp(job_a->id, job_b->id);
+
+	return compare_ranks(
+	    a->occurrence->job, a->joins_ms, b->occurrence->job, b->joins_ms);
 }
 
 bool
@@ -180,16 +186,8 @@
     const struct fleet_occurrence *a, const struct fleet_occurrence *b,
     int64_t now_ms)
 {
-	const struct placement_unit left = {
-	    .occurrence = (struct fleet_occurrence *)a,
-	    .joins_ms = fleet_rank_joins_ms(fleet, a, 0, now_ms),
-	};
-	const struct placement_unit right = {
-	    .occurrence = (struct fleet_occurrence *)b,
-	    .joins_ms = fleet_rank_joins_ms(fleet, b, 0, now_ms),
-	};
-
-	return compare_units(&left, &right) < 0;
+	return compare_ranks(a->job, fleet_rank_joins_ms(fleet, a, 0, now_ms),
+		   b->job, fleet_rank_joins_ms(fleet, b, 0, now_ms)) < 0;
 }
 
 static void
--- a/src/fleet/fleet_headroom.c
+++ b/src/fleet/fleet_headroom.c
@@ -1,7 +1,9 @@
 /* Room kept free for urgent jobs. */
+#include <stdlib.h>
 #include <string.h>
 
 #include "fleet/fleet_headroom.h"
+#include "process/alloc.h"
 
 /* The highest need of urgent jobs counts for this long. */
 #define PEAK_WINDOW_MS 10000
@@ -47,29 +49,38 @@
 	return totals;
 }
 
-/* Returns the workers that the unfinished tasks of an urgent job's steps take
- * that are ready. */
+/* Returns the workers that the unfinished tasks of a step take. */
 static double
-workers_needed(
+workers_for_step(const struct fleet_occurrence *occurrence, uint32_t step,
+    const struct fleet_resources *worker)
+{
+	const Ibis__JobStep *spec = occurrence->job->spec->steps[step];
+	const struct fleet_task *tasks = fleet_step_tasks(occurrence, step);
+	struct fleet_resources need = fleet_step_need(spec);
+	uint32_t unfinished = 0;
+
+	for (uint32_t i = 0; i < spec->tasks; i++)
+		unfinished += tasks[i].state != TASK_DONE;
+	return unfinished * fleet_resources_part(&need, worker);
+}
+
+/* Returns the workers that an urgent job's steps take that are ready. */
+static double
+workers_for_job(
     const struct fleet_job *job, const struct fleet_resources *worker)
 {
-	double needed = 0;
+	double workers = 0;
 
 	for (size_t i = 0; i < job->occurrences_count; i++) {
 		const struct fleet_occurrence *occurrence = job->occurrences[i];
 
-		for (uint32_t j = 0; j < job->tasks_count; j++) {
-			const struct fleet_task *task = &occurrence->tasks[j];
-			struct fleet_resources need;
-
-			if (task->state == TASK_DONE ||
-			    !fleet_step_ready(occurrence, task->step))
-				continue;
-			need = fleet_task_need(task);
-			needed += fleet_resources_part(&need, worker);
+		for (uint32_t step = 0; step < job->spec->n_steps; step++) {
+			if (fleet_step_ready(occurrence, step))
+				workers +=
+				    workers_for_step(occurrence, step, worker);
 		}
 	}
-	return needed;
+	return workers;
 }
 
 /* Takes the slack of urgent jobs that are new into the average, and returns the
@@ -87,7 +98,7 @@
 		if (job->spec->priority != 0 || job->cancelled ||
 		    fleet_job_final(job))
 			continue;
-		needed += workers_needed(job, worker);
+		needed += workers_for_job(job, worker);
 		if (job->slack_counted)
 			continue;
 		job->slack_counted = true;
@@ -143,58 +154,85 @@
 	return cost;
 }
 
-/* Returns the rack whose workers aren't kept yet and cost least to keep, by
- * worker; one that was kept before is preferred. NULL: all are kept. */
-static const char *
-cheapest_rack(const struct fleet *fleet)
+/* The workers of a rack that are in service. */
+struct rack {
+	const char *name;
+	uint32_t workers;
+	int64_t cost; /* of keeping them */
+	bool kept;    /* before */
+};
+
+/* Sorts racks that were kept first, then by the cost of a worker. */
+static int
+compare_racks(const void *left, const void *right)
+{
+	const struct rack *a = left;
+	const struct rack *b = right;
+	double cost_a = (double)a->cost / a->workers;
+	double cost_b = (double)b->cost / b->workers;
+
+	if (a->kept != b->kept)
+		return a->kept ? -1 : 1;
+	if (cost_a != cost_b)
+		return cost_a < cost_b ? -1 : 1;
+	return strcmp(a->name, b->name);
+}
+
+/* Returns the rack with this name, which is added if needed. */
+static struct rack *
+find_rack(struct rack *racks, size_t *count, const char *name)
+{
+	for (size_t i = 0; i < *count; i++) {
+		if (strcmp(racks[i].name, name) == 0)
+			return &racks[i];
+	}
+	racks[*count] = (struct rack){.name = name};
+	return &racks[(*count)++];
+}
+
+/* Fills racks, which has an element for each worker, with those of the workers
+ * in service, best to keep first. Returns their number. */
+static size_t
+collect_racks(const struct fleet *fleet, struct rack *racks)
 {
-	const char *best = NULL;
-	double best_cost = 0;
+	size_t count = 0;
 
 	for (size_t i = 0; i < fleet->workers.count; i++) {
-		const struct fleet_worker *first = fleet->workers.items[i].item;
-		const char *rack = first->entry.rack;
-		int64_t cost = 0;
-		uint32_t workers = 0;
-		bool before = false;
+		const struct fleet_worker *worker =
+		    fleet->workers.items[i].item;
+		struct rack *rack;
 
-		if (first->kept || !is_in_service(first))
+		if (!is_in_service(worker))
 			continue;
-		for (size_t j = 0; j < fleet->workers.count; j++) {
-			const struct fleet_worker *worker =
-			    fleet->workers.items[j].item;
-
-			if (strcmp(worker->entry.rack, rack) != 0 ||
-			    !is_in_service(worker))
-				continue;
-			workers++;
-			before |= worker->was_kept;
-			cost += cost_of_keeping(worker);
-		}
-		if (before)
-			return rack;
-		if (best == NULL || (double)cost / workers < best_cost) {
-			best = rack;
-			best_cost = (double)cost / workers;
-		}
+		rack = find_rack(racks, &count, worker->entry.rack);
+		rack->workers++;
+		rack->cost += cost_of_keeping(worker);
+		rack->kept |= worker->kept;
 	}
-	return best;
+	qsort(racks, count, sizeof(*racks), compare_racks);
+	return count;
 }
 
+/* Keeps whole racks until enough workers are kept. Returns how many are. */
 static uint32_t
-keep_rack(struct fleet *fleet, const char *rack)
+keep_racks(struct fleet *fleet, uint32_t wanted)
 {
+	struct rack *racks = mem_calloc(fleet->workers.count, sizeof(*racks));
+	size_t all = collect_racks(fleet, racks);
+	size_t chosen = 0;
 	uint32_t kept = 0;
 
+	while (chosen < all && kept < wanted)
+		kept += racks[chosen++].workers;
 	for (size_t i = 0; i < fleet->workers.count; i++) {
 		struct fleet_worker *worker = fleet->workers.items[i].item;
 
-		if (strcmp(worker->entry.rack, rack) == 0 &&
-		    is_in_service(worker)) {
-			worker->kept = true;
-			kept++;
-		}
+		worker->kept = false;
+		for (size_t j = 0; j < chosen && is_in_service(worker); j++)
+			worker->kept |=
+			    strcmp(racks[j].name, worker->entry.rack) == 0;
 	}
+	mem_free(racks);
 	return kept;
 }
 
@@ -204,11 +242,8 @@
 {
 	struct fleet_headroom *headroom = &fleet->headroom;
 	struct fleet_resources average;
-	struct totals totals;
-	uint32_t wanted;
-	uint32_t kept = 0;
+	struct totals totals = add_up_workers(fleet);
 
-	totals = add_up_workers(fleet);
 	if (totals.workers == 0)
 		return 0;
 	average = (struct fleet_resources){
@@ -217,21 +252,7 @@
 	    .accelerators = totals.all.accelerators / totals.workers,
 	};
 	update_peak(headroom, urgent_need(fleet, &average), now_ms);
-	wanted = workers_to_keep(fleet, &totals);
-	for (size_t i = 0; i < fleet->workers.count; i++) {
-		struct fleet_worker *worker = fleet->workers.items[i].item;
-
-		worker->was_kept = worker->kept;
-		worker->kept = false;
-	}
-	while (kept < wanted) {
-		const char *rack = cheapest_rack(fleet);
-
-		if (rack == NULL)
-			break;
-		kept += keep_rack(fleet, rack);
-	}
-	return kept;
+	return keep_racks(fleet, workers_to_keep(fleet, &totals));
 }
 
 void
@@ -239,6 +260,8 @@
 {
 	struct fleet_headroom *headroom = &fleet->headroom;
 
+	if (fleet->config.stop_timeout_ms == 0)
+		return;
 	if (now_ms >= headroom->next_update_ms) {
 		headroom->next_update_ms = now_ms + UPDATE_INTERVAL_MS;
 		headroom->kept = choose_kept(fleet, now_ms);
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -187,9 +187,8 @@
 	int64_t paused_until_ms;	 /* gets no tasks before this time */
 	int64_t job_paused_until_ms;	 /* nor any of failed_job */
 	bool zone_out_of_service;
-	bool plan_changed; /* in the current plan of preemptions */
+	bool plan_changed; /* what the current plan of preemptions does there */
 	bool kept;	   /* for urgent jobs */
-	bool was_kept;
 };
 
 /* A run that may hold a worker's capacity although no task is assigned to the
--- a/src/fleet/fleet_preempt.c
+++ b/src/fleet/fleet_preempt.c
@@ -160,8 +160,6 @@
     struct fleet_candidate *candidate)
 {
 	struct victims victims;
-
-	candidate->stale = false;
 	if (candidate->taken == candidate->limit ||
 	    !choose_victims(search, may_preempt, candidate, &victims)) {
 		candidate->fits = 0;
@@ -223,20 +221,17 @@
 	candidate->worker->plan_changed = true;
 }
 
-/* Returns the candidate in the rack where one more task costs least, or NULL.
- * Those where something has changed are priced again. */
+/* Returns the candidate where one more task costs least, or NULL. Those where
+ * the plan has changed something are priced again. */
 static struct fleet_candidate *
-cheapest_candidate(struct fleet_search *search, fleet_may_preempt *may_preempt,
-    const char *rack)
+cheapest_candidate(struct fleet_search *search, fleet_may_preempt *may_preempt)
 {
 	struct fleet_candidate *best = NULL;
 
 	for (size_t i = 0; i < search->count; i++) {
 		struct fleet_candidate *candidate = &search->candidates[i];
 
-		if (!fleet_search_in_rack(candidate->worker, rack))
-			continue;
-		if (candidate->stale || candidate->worker->plan_changed)
+		if (candidate->worker->plan_changed)
 			price_candidate(search, may_preempt, candidate);
 		candidate->worker->plan_changed = false;
 		if (candidate->fits == 0)
@@ -250,8 +245,8 @@
 }
 
 bool
-fleet_preempt_plan(struct fleet_search *search, const char *rack,
-    fleet_may_preempt *may_preempt, struct fleet_worker **targets)
+fleet_preempt_plan(struct fleet_search *search, fleet_may_preempt *may_preempt,
+    struct fleet_worker **targets)
 {
 	struct fleet_preempt_plan *plan = &search->fleet->preempt_plan;
 	size_t found = 0;
@@ -261,11 +256,11 @@
 	plan->cost = 0;
 	for (size_t i = 0; i < search->count; i++) {
 		search->candidates[i].taken = 0;
-		search->candidates[i].stale = true;
+		search->candidates[i].worker->plan_changed = true;
 	}
 	while (found < search->wanted) {
 		struct fleet_candidate *candidate =
-		    cheapest_candidate(search, may_preempt, rack);
+		    cheapest_candidate(search, may_preempt);
 
 		if (candidate == NULL)
 			return false;
@@ -275,15 +270,19 @@
 	return true;
 }
 
+void
+fleet_preempt_task(struct fleet *fleet, struct fleet_task *victim,
+    const char *reason, int64_t now_ms)
+{
+	counting_task(victim)->preemptions++;
+	fleet_stop_gang_or_task(fleet, victim, reason, now_ms);
+}
+
 void
 fleet_preempt_execute(struct fleet *fleet, const char *reason, int64_t now_ms)
 {
 	const struct fleet_preempt_plan *plan = &fleet->preempt_plan;
 
-	for (size_t i = 0; i < plan->victims_count; i++) {
-		struct fleet_task *victim = plan->victims[i];
-
-		counting_task(victim)->preemptions++;
-		fleet_stop_gang_or_task(fleet, victim, reason, now_ms);
-	}
+	for (size_t i = 0; i < plan->victims_count; i++)
+		fleet_preempt_task(fleet, plan->victims[i], reason, now_ms);
 }
--- a/src/fleet/fleet_preempt.h
+++ b/src/fleet/fleet_preempt.h
@@ -17,18 +17,21 @@
     const struct fleet_search *search, const struct fleet_task *task);
 
 /*
- * Plans room for the wanted tasks on the search's candidates in a rack (NULL:
- * any), at the lowest cost that a choice of one worker after the other finds.
- * Fills targets, as fleet_find_targets does, and replaces the last plan.
- * Returns whether all wanted tasks fit.
+ * Plans room for the wanted tasks on the search's candidates, at the lowest
+ * cost that a choice of one worker after the other finds. Fills targets, as
+ * fleet_find_targets does, and replaces the last plan. Returns whether all
+ * wanted tasks fit.
  */
-bool fleet_preempt_plan(struct fleet_search *search, const char *rack,
+bool fleet_preempt_plan(struct fleet_search *search,
     fleet_may_preempt *may_preempt, struct fleet_worker **targets);
-
 /* Stops the victims of the last plan. */
 void fleet_preempt_execute(
     struct fleet *fleet, const char *reason, int64_t now_ms);
 
+/* Stops a task or its gang, and counts that for the cost of the next time. */
+void fleet_preempt_task(struct fleet *fleet, struct fleet_task *victim,
+    const char *reason, int64_t now_ms);
+
 /* Returns the cost of stopping a task or its gang: the work that is lost, as
  * weight of resources times run time, and more for a job that has been
  * preempted before. */
--- a/src/fleet/fleet_quota.c
+++ b/src/fleet/fleet_quota.c
@@ -196,7 +196,7 @@
 
 		if (victim == NULL)
 			return;
-		fleet_stop_gang_or_task(fleet, victim, "quota", now_ms);
+		fleet_preempt_task(fleet, victim, "quota", now_ms);
 	}
 }
 
--- a/src/fleet/fleet_reclaim.c
+++ b/src/fleet/fleet_reclaim.c
@@ -1,4 +1,5 @@
 /* Reclaim: preempts tasks to free capacity for urgent ones. */
+#include <stdlib.h>
 #include <string.h>
 
 #include "fleet/fleet_preempt.h"
@@ -124,27 +125,49 @@
 	}
 }
 
-/* Plans room for the wanted tasks in the rack where that costs least. Returns
- * NULL, and has planned nothing, when no rack has it. */
-static const char *
-plan_cheapest_rack(struct fleet_search *search, struct fleet_worker **targets)
+static int
+compare_racks(const void *left, const void *right)
+{
+	const struct fleet_candidate *a = left;
+	const struct fleet_candidate *b = right;
+
+	return strcmp(a->worker->entry.rack, b->worker->entry.rack);
+}
+
+/* Returns the part of a search, sorted by rack, that has the candidates of the
+ * rack from an index on. */
+static struct fleet_search
+search_in_rack(const struct fleet_search *search, size_t first)
+{
+	struct fleet_search part = *search;
+
+	part.candidates = &search->candidates[first];
+	part.count = 1;
+	while (first + part.count < search->count &&
+	    compare_racks(part.candidates, &part.candidates[part.count]) == 0)
+		part.count++;
+	return part;
+}
+
+/* Returns the part of the search with the rack where room for the wanted tasks
+ * costs least; without candidates when no rack has it. */
+static struct fleet_search
+find_cheapest_rack(struct fleet_search *search, struct fleet_worker **targets)
 {
 	const struct fleet_preempt_plan *plan = &search->fleet->preempt_plan;
-	const char *best = NULL;
+	struct fleet_search best = {0};
+	struct fleet_search part;
 	int64_t best_cost = 0;
 
-	for (size_t i = 0; i < search->count; i++) {
-		const char *rack = search->candidates[i].worker->entry.rack;
-		bool seen = false;
-
-		for (size_t j = 0; j < i && !seen; j++)
-			seen = fleet_search_in_rack(
-			    search->candidates[j].worker, rack);
-		if (seen ||
-		    !fleet_preempt_plan(search, rack, is_preemptible, targets))
+	qsort(search->candidates, search->count, sizeof(*search->candidates),
+	    compare_racks);
+	for (size_t i = 0; i < search->count; i += part.count) {
+		part = search_in_rack(search, i);
+		if (fleet_search_fits(&part, NULL) < part.wanted ||
+		    !fleet_preempt_plan(&part, is_preemptible, targets))
 			continue;
-		if (best == NULL || plan->cost < best_cost) {
-			best = rack;
+		if (best.count == 0 || plan->cost < best_cost) {
+			best = part;
 			best_cost = plan->cost;
 		}
 	}
@@ -161,7 +184,7 @@
 	const struct fleet_job *job = tasks[0]->occurrence->job;
 	const Ibis__JobStep *step = fleet_step_of(tasks[0]);
 	struct fleet_search search;
-	const char *rack = NULL;
+	struct fleet_search rack;
 	uint32_t fits;
 
 	if (fleet_unmet_covers(fleet, kind, job, step, count))
@@ -176,12 +199,14 @@
 		return 0;
 	}
 	if (search.step->same_rack) {
-		rack = plan_cheapest_rack(&search, targets);
-		if (rack == NULL && fleet_search_fits_empty_rack(&search) &&
+		rack = find_cheapest_rack(&search, targets);
+		if (rack.count > 0)
+			search = rack;
+		else if (fleet_search_fits_empty_rack(&search) &&
 		    fleet_search_may_wait(&search))
 			return 0;
 	}
-	if (!fleet_preempt_plan(&search, rack, is_preemptible, targets))
+	if (!fleet_preempt_plan(&search, is_preemptible, targets))
 		return 0;
 	fleet_unmet_clear(fleet, FLEET_SEARCH_FREE);
 	fleet_preempt_execute(fleet, "reclaimed", now_ms);
--- a/src/fleet/fleet_search.h
+++ b/src/fleet/fleet_search.h
@@ -11,12 +11,10 @@
 /* A worker that could run tasks of the step. */
 struct fleet_candidate {
 	struct fleet_worker *worker;
-	uint32_t fits; /* tasks */
-	/* Of a plan: tasks that may be there, those that are, and whether cost
-	 * has to be computed again. */
+	uint32_t fits; /* tasks */ /* Of a plan of preemptions: tasks that may
+				      be there, and that are. */
 	uint32_t limit;
 	uint32_t taken;
-	bool stale;
 	uint32_t speed_rank; /* see fleet_search_speed_rank */
 	/* Lowest first: for placement the weight of the worker's free capacity,
 	 * for reclaim the cost of the tasks to stop. */
