--- a/tests/common_crowd.c
+++ b/tests/common_crowd.c
@@ -9,8 +9,8 @@
 #include <unistd.h>
 
 #include "common_crowd.h"
+#include "common_cunit.h"
 #include "common_http.h"
-#include "common_process.h"
 #include "process/alloc.h"
 #include "process/buffer.h"
 
@@ -24,6 +24,7 @@
 /* Pauses in which the server may read, when it takes nothing more. */
 #define PAUSE_MS   20
 #define MAX_PAUSES 100
+#define KIB_PER_MB 1024
 
 static const char *const kind_names[CROWD_KINDS] = {
     [CROWD_BODIES_WHOLE] = "bodies that stop short, whole",
@@ -36,12 +37,6 @@
     [CROWD_SLOW_READERS] = "answers not read",
 };
 
-const char *
-crowd_kind_name(enum crowd_kind kind)
-{
-	return kind_names[kind];
-}
-
 static void
 add_head(struct buffer *text, const char *method, const char *path)
 {
@@ -217,8 +212,9 @@
 	*crowd = (struct crowd){0};
 }
 
-int64_t
-process_peak_kib(pid_t pid)
+/* Returns a process's highest resident memory so far; 0 when it has ended. */
+static int64_t
+peak_kib_of(pid_t pid)
 {
 	char path[64];
 	char line[256];
@@ -237,8 +233,8 @@
 	return kib;
 }
 
-size_t
-process_descriptors(pid_t pid)
+static size_t
+count_descriptors(pid_t pid)
 {
 	char path[64];
 	const struct dirent *entry;
@@ -254,3 +250,20 @@
 	(void)closedir(folder);
 	return count;
 }
+
+void
+crowd_expect_within(const struct process *process,
+    const struct crowd_limits *limits, enum crowd_kind kind, const char *path)
+{
+	int64_t peak_kib = peak_kib_of(process->pid);
+	size_t descriptors = count_descriptors(process->pid);
+	bool within = peak_kib <= (int64_t)limits->memory_mb * KIB_PER_MB &&
+	    descriptors <= limits->descriptors;
+
+	if (!within)
+		(void)fprintf(stderr,
+		    "%s at %s: %lld KiB at the peak, %zu descriptors\n",
+		    kind_names[kind], path, (long long)peak_kib, descriptors);
+	CU_ASSERT_FALSE(process_has_ended(process));
+	CU_ASSERT_TRUE(within);
+}
--- a/tests/common_crowd.h
+++ b/tests/common_crowd.h
@@ -8,7 +8,8 @@
 
 #include <stddef.h>
 #include <stdint.h>
-#include <sys/types.h>
+
+#include "common_process.h"
 
 enum crowd_kind {
 	CROWD_BODIES_WHOLE,  /* all but the last byte of a body, in one piece */
@@ -33,12 +34,15 @@
     const char *address, const char *path);
 void crowd_close(struct crowd *crowd);
 
-/* Returns a static text. */
-const char *crowd_kind_name(enum crowd_kind kind);
+/* What a process may have. */
+struct crowd_limits {
+	int32_t memory_mb; /* at its peak so far, resident */
+	uint32_t descriptors;
+};
 
-/* Return what the kernel says of a process: its highest resident memory so far
- * and its open descriptors; 0 when it has ended. */
-int64_t process_peak_kib(pid_t pid);
-size_t process_descriptors(pid_t pid);
+/* Asserts that a process lives and is within the limits, by what the kernel
+ * says of it. Prints what it has beside the kind and the path if it isn't. */
+void crowd_expect_within(const struct process *process,
+    const struct crowd_limits *limits, enum crowd_kind kind, const char *path);
 
 #endif
--- a/tests/fail_crowds.c
+++ b/tests/fail_crowds.c
@@ -14,10 +14,6 @@
 #include "common_users_platform.h"
 #include "process/alloc.h"
 
-/* In the settings of the instances. */
-#define MEMORY_MB   32
-#define DESCRIPTORS 400
-
 /* Members of a crowd whose bodies are kept, of those whose parsed bodies are
  * large, and of those that only hold a connection. */
 #define BODY_MEMBERS	   300
@@ -32,10 +28,12 @@
 
 #define START_MS  8000
 #define FINISH_MS 30000
-#define MAX_KIB	  (INT64_C(1024) * MEMORY_MB)
 /* Of the test's own process. */
 #define TEST_DESCRIPTORS 4096
 
+/* In the settings of the instances. */
+static const struct crowd_limits limits = {.memory_mb = 32, .descriptors = 400};
+
 static struct users_platform *platform;
 static uint32_t jobs;
 
@@ -87,7 +85,7 @@
 	jobs = 0;
 	platform = users_platform_start();
 	CU_ASSERT_PTR_NOT_NULL_FATAL(platform);
-	users_set_limits(platform, MEMORY_MB, DESCRIPTORS);
+	users_set_limits(platform, limits.memory_mb, limits.descriptors);
 	CU_ASSERT_TRUE(users_start_instance(platform, 0));
 	CU_ASSERT_TRUE(users_wait_ready(platform, START_MS));
 	CU_ASSERT_TRUE(users_wait_lead(platform, -1, START_MS));
@@ -108,18 +106,7 @@
 static void
 expect_within_limits(enum crowd_kind kind, const char *path)
 {
-	pid_t pid = users_instance(platform, 0)->pid;
-	int64_t peak_kib = process_peak_kib(pid);
-	size_t descriptors = process_descriptors(pid);
-
-	if (peak_kib > MAX_KIB || descriptors > DESCRIPTORS)
-		(void)fprintf(stderr,
-		    "%s at %s: %lld KiB at the peak, %zu descriptors\n",
-		    crowd_kind_name(kind), path, (long long)peak_kib,
-		    descriptors);
-	CU_ASSERT_FALSE(process_has_ended(users_instance(platform, 0)));
-	CU_ASSERT_TRUE(peak_kib <= MAX_KIB);
-	CU_ASSERT_TRUE(descriptors <= DESCRIPTORS);
+	crowd_expect_within(users_instance(platform, 0), &limits, kind, path);
 }
 
 static void
--- a/tests/fail_crowds_own.c
+++ b/tests/fail_crowds_own.c
@@ -11,20 +11,19 @@
 #include "common_jobs.h"
 #include "process/alloc.h"
 
-#define SEED	   20261203
-#define TIME_SCALE 4
-#define RUN_MS	   200
-/* Largest memory of an instance under the settings of the test. */
-#define MEMORY_MB      32
-#define DESCRIPTORS    400
+#define SEED	       20261203
+#define TIME_SCALE     4
+#define RUN_MS	       200
 #define PAUSE_MS       250
 #define MAX_TRIES      80
 #define MEMBERS	       300
 #define LONG_MEMBERS   80
 #define FIELDS_MEMBERS 8
-#define MAX_KIB	       (INT64_C(1024) * MEMORY_MB)
 #define JOB_TIMEOUT_MS 30000
 
+/* Under the settings of the test. */
+static const struct crowd_limits limits = {.memory_mb = 32, .descriptors = 400};
+
 static struct deployment deployment;
 static uint32_t jobs;
 
@@ -48,18 +47,8 @@
 static void
 expect_within_limits(enum crowd_kind kind, const char *path)
 {
-	const struct process *process = &deployment.instances[0].process;
-	int64_t peak_kib = process_peak_kib(process->pid);
-	size_t descriptors = process_descriptors(process->pid);
-
-	if (peak_kib > MAX_KIB || descriptors > DESCRIPTORS)
-		(void)fprintf(stderr,
-		    "%s at %s: %lld KiB at the peak, %zu descriptors\n",
-		    crowd_kind_name(kind), path, (long long)peak_kib,
-		    descriptors);
-	CU_ASSERT_FALSE(process_has_ended(process));
-	CU_ASSERT_TRUE(peak_kib <= MAX_KIB);
-	CU_ASSERT_TRUE(descriptors <= DESCRIPTORS);
+	crowd_expect_within(
+	    &deployment.instances[0].process, &limits, kind, path);
 }
 
 static void
