--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -4,7 +4,7 @@
 #include "process/alloc.h"
 
 #define CONNECTIONS 4
-#define KIB	    1024
+#define KIB	    ((size_t)1024)
 #define SHORT	    (16 * KIB) /* longest body that may use the reserve */
 #define LONG	    (60 * KIB)
 #define BYTES	    (80 * KIB) /* of which a quarter is the reserve */
