--- a/review/common-2/site.c
+++ b/review/common-2/site.c
@@ -179,14 +179,14 @@
 }
 
 struct worker *
-site_add_worker(struct site *site, const char *id, const char *kind,
-    const char *rack, int accelerators)
+site_add_worker_of(struct site *site, const char *id, const char *service,
+    const char *kind, const char *rack, int accelerators)
 {
 	struct worker_config config = {
 	    .id = id,
 	    .ip = site->ip,
 	    .zone = "z",
-	    .service = "s",
+	    .service = service,
 	    .kind = kind,
 	    .rack = rack,
 	    .accelerators = accelerators,
@@ -201,6 +201,13 @@
 	return worker;
 }
 
+struct worker *
+site_add_worker(struct site *site, const char *id, const char *kind,
+    const char *rack, int accelerators)
+{
+	return site_add_worker_of(site, id, "s", kind, rack, accelerators);
+}
+
 /* Writes an instance's settings, with the figures of a small site. */
 static bool
 write_settings(struct site *site, int index)
--- a/review/common-2/site.h
+++ b/review/common-2/site.h
@@ -38,6 +38,10 @@
 struct worker *site_add_worker(struct site *site, const char *id,
     const char *kind, const char *rack, int accelerators);
 
+/* Adds a worker of another service. */
+struct worker *site_add_worker_of(struct site *site, const char *id,
+    const char *service, const char *kind, const char *rack, int accelerators);
+
 /* Starts the instances. Returns whether all become ready and one leads. */
 bool site_start_instances(struct site *site);
 
