--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,8 +4,8 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/6/case.c review/7/case.c review/8/case.c \
-	review/9/case.c review/10/case.c; do
+for source in review/6/scenario.c review/7/scenario.c review/8/scenario.c \
+	review/9/scenario.c review/10/scenario.c; do
 	[ -f "$source" ] || continue
 	number=$(basename "$(dirname "$source")")
 	${CC:-cc} -std=gnu11 -D_GNU_SOURCE -O1 -g -Wall -Wextra \
--- a/review/common-2/store.c
+++ b/review/common-2/store.c
@@ -45,6 +45,7 @@
 	struct lease leases[MAX_LEASES];
 	uint64_t last_lease;
 	uint64_t revision;
+	_Atomic int64_t delay_ms;
 };
 
 static char *
@@ -551,6 +552,7 @@
 	const char *call = rest_of(request->path, "/ibistrestle/kv-");
 	const char *rest;
 
+	sleep_ms(store->delay_ms);
 	(void)pthread_mutex_lock(&store->lock);
 	expire_leases(store);
 	reply->status = 404;
@@ -611,6 +613,12 @@
 	return http_server_port(store->server);
 }
 
+void
+store_set_delay(struct store *store, int64_t delay_ms)
+{
+	store->delay_ms = delay_ms;
+}
+
 void
 store_put(struct store *store, const char *key, const char *text)
 {
--- a/review/common-2/store.h
+++ b/review/common-2/store.h
@@ -16,6 +16,9 @@
 void store_stop(struct store *store);
 uint16_t store_port(const struct store *store);
 
+/* Delays all answers. */
+void store_set_delay(struct store *store, int64_t delay_ms);
+
 /* Writes or removes a key as the operator and the workers do. */
 void store_put(struct store *store, const char *key, const char *text);
 void store_remove(struct store *store, const char *key);
--- a/review/common-2/worker.c
+++ b/review/common-2/worker.c
@@ -41,7 +41,9 @@
 	char task[WORKER_TEXT_BYTES];
 	int64_t run;
 	const char *how;
-	bool lost; /* with an earlier life; not listed */
+	bool lost;	  /* with an earlier life; not listed */
+	bool noted;	  /* AckSeq has reached it */
+	int64_t begun_ms; /* 0: a stop of what wasn't there */
 	int64_t at_ms;
 };
 
@@ -61,6 +63,7 @@
 	int64_t acked_end;
 	int64_t sequence;
 	int64_t pinged_ms;
+	int64_t listed_ends_ms;
 	bool listed;
 	bool unhealthy;
 	struct run runs[MAX_RUNS];
@@ -108,8 +111,8 @@
 }
 
 static void
-add_end(struct worker *worker, const char *task, int64_t run, const char *how,
-    bool lost)
+add_end(struct worker *worker, const char *task, int64_t run, int64_t begun_ms,
+    const char *how, bool lost)
 {
 	struct end *end;
 
@@ -120,7 +123,9 @@
 	    .run = run,
 	    .how = how,
 	    .lost = lost,
+	    .begun_ms = begun_ms,
 	    .at_ms = now_ms()};
+	end->noted = !lost && end->number <= worker->acked_end;
 	(void)snprintf(end->task, sizeof(end->task), "%s", task);
 	record("worker %s: %s run %" PRId64 " ends %s", worker->id, task, run,
 	    how);
@@ -130,7 +135,7 @@
 end_run(struct worker *worker, struct run *run, const char *how)
 {
 	run->used = false;
-	add_end(worker, run->task, run->number, how, false);
+	add_end(worker, run->task, run->number, run->started_ms, how, false);
 }
 
 /* Ends the runs whose time has come. */
@@ -268,7 +273,7 @@
 	if (run != NULL)
 		end_run(worker, run, "stopped");
 	else if (!is_old(worker, task, number))
-		add_end(worker, task, number, "stopped", false);
+		add_end(worker, task, number, 0, "stopped", false);
 }
 
 static int
@@ -328,6 +333,21 @@
 	return text;
 }
 
+/* AckSeq has risen: ends up to it are noted and forgotten, for good in this
+ * life. */
+static void
+note_ends(struct worker *worker, int64_t acked_end)
+{
+	record("worker %s: AckSeq %" PRId64 ", of %" PRId64 " ends", worker->id,
+	    acked_end, worker->last_end);
+	worker->acked_end = acked_end;
+	for (size_t i = worker->life_begins; i < worker->ends_count; i++) {
+		struct end *end = &worker->ends[i];
+
+		end->noted |= !end->lost && end->number <= acked_end;
+	}
+}
+
 /* Called with the lock, which is released while it waits for an end. */
 static void
 answer_hold(struct worker *worker, struct json_object *body,
@@ -338,7 +358,7 @@
 	int life = worker->lives;
 
 	if (acked_end > worker->acked_end)
-		worker->acked_end = acked_end;
+		note_ends(worker, acked_end);
 	extend_hold(worker, body);
 	while (worker->last_end <= worker->acked_end && now_ms() < until_ms &&
 	    !atomic_load(request->stopping)) {
@@ -348,8 +368,11 @@
 		advance_runs(worker);
 	}
 	reply->cut = atomic_load(request->stopping) || worker->lives != life;
-	if (!reply->cut)
-		reply->body = render_lists(worker);
+	if (reply->cut)
+		return;
+	reply->body = render_lists(worker);
+	if (worker->last_end > worker->acked_end)
+		worker->listed_ends_ms = now_ms();
 }
 
 static void
@@ -494,8 +517,8 @@
 		if (!run->used)
 			continue;
 		run->used = false;
-		add_end(worker, run->task, run->number, "lost with the worker",
-		    true);
+		add_end(worker, run->task, run->number, run->started_ms,
+		    "lost with the worker", true);
 	}
 	(void)pthread_mutex_unlock(&worker->lock);
 	http_server_stop(server);
@@ -562,6 +585,45 @@
 	(void)pthread_mutex_unlock(&worker->lock);
 }
 
+size_t
+worker_list_runs(struct worker *worker, struct worker_run *runs, size_t most)
+{
+	size_t count = 0;
+
+	(void)pthread_mutex_lock(&worker->lock);
+	for (size_t i = 0; i < worker->ends_count && count < most; i++) {
+		const struct end *end = &worker->ends[i];
+
+		if (end->begun_ms == 0)
+			continue;
+		runs[count] = (struct worker_run){.begun_ms = end->begun_ms,
+		    .done = strcmp(end->how, "done") == 0,
+		    .noted = end->noted};
+		memcpy(runs[count++].task, end->task, sizeof(end->task));
+	}
+	for (size_t i = 0; i < MAX_RUNS && count < most; i++) {
+		const struct run *run = &worker->runs[i];
+
+		if (!run->used)
+			continue;
+		runs[count] = (struct worker_run){.begun_ms = run->started_ms};
+		memcpy(runs[count++].task, run->task, sizeof(run->task));
+	}
+	(void)pthread_mutex_unlock(&worker->lock);
+	return count;
+}
+
+int64_t
+worker_listed_ends_ms(struct worker *worker)
+{
+	int64_t listed_ms;
+
+	(void)pthread_mutex_lock(&worker->lock);
+	listed_ms = worker->listed_ends_ms;
+	(void)pthread_mutex_unlock(&worker->lock);
+	return listed_ms;
+}
+
 static bool
 is_of_job(const char *task, const char *job)
 {
--- a/review/common-2/worker.h
+++ b/review/common-2/worker.h
@@ -58,6 +58,23 @@
 	int64_t last_running_ms; /* when one ran last; 0: never */
 };
 
+/* A run that a worker has had. */
+struct worker_run {
+	char task[WORKER_TEXT_BYTES];
+	int64_t begun_ms;
+	bool done;  /* it has ended so */
+	bool noted; /* and AckSeq has reached that end */
+};
+
+/* Copies the runs of all the worker's lives, at most a number of them, and
+ * returns how many. */
+size_t worker_list_runs(
+    struct worker *worker, struct worker_run *runs, size_t most);
+
+/* Returns when the worker last answered with ends that AckSeq had not reached;
+ * 0: never. */
+int64_t worker_listed_ends_ms(struct worker *worker);
+
 /* Adds up what the worker has seen of a job. */
 void worker_add_job(
     struct worker *worker, const char *job, struct worker_job *sum);
