--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$folder/../.." || exit 2
+case_program=target/review-2/case-$(basename "$folder")
+[ -x "$case_program" ] && [ -x target/ibistrestled ] || exit 2
+exec timeout -k 5 115 "$case_program" "$folder/record.txt"
