Compare API keys whole, and cut no text of a request

Keys were cut to 127 bytes, in the configuration and in requests, and compared so: two tokens of one issuer were the same key. Paths, hosts and keys of requests now stay where the HTTP server has them, for as long as the request, and a key of the configuration has any length. By the same class a path was cut at an escaped NUL, on both interfaces (DELETE of ID%00x cancelled ID), and a string of the configuration at a NUL.

--- a/src/connection/caller_http.c
+++ b/src/connection/caller_http.c
@@ -12,6 +12,7 @@
 #include "connection/address.h"
 #include "connection/api.h"
 #include "connection/caller_http.h"
+#include "connection/http_unescape.h"
 #include "connection/intake.h"
 #include "process/alloc.h"
 #include "process/clock.h"
@@ -531,6 +532,7 @@
 	    MHD_OPTION_CONNECTION_LIMIT, server->slots_count,
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
 	    MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_S,
+	    MHD_OPTION_UNESCAPE_CALLBACK, http_unescape, NULL,
 	    MHD_OPTION_NOTIFY_COMPLETED, request_completed, server,
 	    MHD_OPTION_NOTIFY_CONNECTION, notify_connection, server,
 	    MHD_OPTION_END);
--- a/src/connection/gateway.c
+++ b/src/connection/gateway.c
@@ -11,6 +11,7 @@
 
 #include "connection/address.h"
 #include "connection/gateway.h"
+#include "connection/http_unescape.h"
 #include "connection/intake.h"
 #include "process/alloc.h"
 #include "process/clock.h"
@@ -122,6 +123,8 @@
 	return wait_ms;
 }
 
+/* The request's texts are libmicrohttpd's, which keeps them until the response
+ * has been sent. */
 static struct gateway_request *
 new_request(const struct gateway *gateway, struct MHD_Connection *connection,
     const char *method, const char *path)
@@ -134,11 +137,11 @@
 	request->deadline_ms = request->received_ms +
 	    parse_wait_ms(gateway,
 		get_header(connection, gateway->config.deadline_header));
-	STRING_COPY(
-	    request->host, get_header(connection, MHD_HTTP_HEADER_HOST));
-	STRING_COPY(request->path, path);
-	if (strncmp(key, BEARER_PREFIX, strlen(BEARER_PREFIX)) == 0)
-		STRING_COPY(request->key, key + strlen(BEARER_PREFIX));
+	request->host = get_header(connection, MHD_HTTP_HEADER_HOST);
+	request->path = path;
+	request->key = strncmp(key, BEARER_PREFIX, strlen(BEARER_PREFIX)) == 0
+	    ? key + strlen(BEARER_PREFIX)
+	    : "";
 	return request;
 }
 
@@ -525,6 +528,7 @@
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
 	    MHD_OPTION_CONNECTION_TIMEOUT,
 	    (unsigned int)gateway->config.idle_timeout_s,
+	    MHD_OPTION_UNESCAPE_CALLBACK, http_unescape, NULL,
 	    MHD_OPTION_NOTIFY_COMPLETED, request_completed, listener,
 	    MHD_OPTION_NOTIFY_CONNECTION, notify_connection, listener,
 	    MHD_OPTION_END);
--- a/src/connection/gateway.h
+++ b/src/connection/gateway.h
@@ -25,12 +25,6 @@
 	GATEWAY_OTHER
 };
 
-enum {
-	GATEWAY_HOST_BYTES = 128,
-	GATEWAY_PATH_BYTES = 512,
-	GATEWAY_KEY_BYTES = 128
-};
-
 /* Who calls at an address. */
 enum gateway_door {
 	GATEWAY_CALLERS,
@@ -42,15 +36,15 @@
 
 /*
  * A request that waits for its reply. The receiver of the event owns it and
- * passes it to gateway_reply or gateway_reply_bytes. Longer texts are
- * truncated.
+ * passes it to gateway_reply or gateway_reply_bytes. Its texts are whole, of
+ * any length that the connection's buffer holds, and valid as long as it.
  */
 struct gateway_request {
 	enum gateway_method method;
-	bool internal; /* received at an internal address */
-	char host[GATEWAY_HOST_BYTES];
-	char path[GATEWAY_PATH_BYTES];
-	char key[GATEWAY_KEY_BYTES]; /* bearer token; empty: none */
+	bool internal;	  /* received at an internal address */
+	const char *host; /* empty: none */
+	const char *path;
+	const char *key;     /* bearer token; empty: none */
 	int64_t deadline_ms; /* clock_now_ms() when the caller stops waiting */
 	int64_t received_ms; /* clock_now_ms() */
 	struct buffer body;
--- a/src/version/routes.c
+++ b/src/version/routes.c
@@ -25,6 +25,8 @@
 		return;
 	mem_free(routes->routes);
 	mem_free(routes->workspaces);
+	for (size_t i = 0; i < routes->keys_count; i++)
+		mem_free(routes->keys[i].key);
 	mem_free(routes->keys);
 	mem_free(routes->by_name);
 	mem_free(routes);
--- a/src/version/routes.h
+++ b/src/version/routes.h
@@ -17,8 +17,7 @@
 enum {
 	ROUTES_NAME_BYTES = 64,
 	ROUTES_HOST_BYTES = 128,
-	ROUTES_PREFIX_BYTES = 256,
-	ROUTES_KEY_BYTES = 128
+	ROUTES_PREFIX_BYTES = 256
 };
 
 /* A route's use of the advice service. Only needed is used so far; the times
@@ -47,7 +46,7 @@
 
 /* An API key and the workspace it identifies. */
 struct routes_key {
-	char key[ROUTES_KEY_BYTES];
+	char *key;	  /* owned; of any length */
 	size_t workspace; /* index into workspaces */
 };
 
@@ -62,7 +61,7 @@
 	uint32_t weight_milli; /* its share when all is full; 0: as others */
 };
 
-/* The configuration; owns its arrays. */
+/* The configuration; owns its arrays and what their elements own. */
 struct routes {
 	uint64_t version; /* of the configuration */
 	struct route *routes;
--- a/tests/common_users_platform.c
+++ b/tests/common_users_platform.c
@@ -492,11 +492,13 @@
 	return true;
 }
 
+static const struct users_caller usual_caller = {.host = "h", .key = "k"};
+
 /* Sends a request to an instance's port; the status, 0 without an answer. */
 static int
 call_port(const struct users_instance_state *instance, int port,
-    const char *method, const char *path, const char *body,
-    struct buffer *answer)
+    const struct users_caller *caller, const char *method, const char *path,
+    const char *body, struct buffer *answer)
 {
 	CLEANUP(buffer_free) struct buffer request = {0};
 	char address[64];
@@ -508,10 +510,10 @@
 	if (fd < 0)
 		return 0;
 	buffer_printf(&request,
-	    "%s %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k\r\n"
+	    "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n"
 	    "Deadline-Ms: 3000\r\nContent-Length: %zu\r\n"
 	    "Connection: close\r\n\r\n%s",
-	    method, path, strlen(body), body);
+	    method, path, caller->host, caller->key, strlen(body), body);
 	buffer_clear(answer);
 	if (http_write(fd, buffer_string(&request)) &&
 	    http_read(fd, answer, CALL_MS) == HTTP_COMPLETE)
@@ -525,8 +527,17 @@
     const char *method, const char *path, const char *body,
     struct buffer *answer)
 {
-	return call_port(&platform->instances[instance], CALLER_PORT, method,
-	    path, body, answer);
+	return users_call_as(
+	    platform, instance, &usual_caller, method, path, body, answer);
+}
+
+int
+users_call_as(struct users_platform *platform, uint32_t instance,
+    const struct users_caller *caller, const char *method, const char *path,
+    const char *body, struct buffer *answer)
+{
+	return call_port(&platform->instances[instance], CALLER_PORT, caller,
+	    method, path, body, answer);
 }
 
 void
@@ -557,16 +568,16 @@
 users_get_internal(struct users_platform *platform, uint32_t instance,
     const char *path, struct buffer *answer)
 {
-	return call_port(&platform->instances[instance], INTERNAL_PORT, "GET",
-	    path, "", answer);
+	return call_port(&platform->instances[instance], INTERNAL_PORT,
+	    &usual_caller, "GET", path, "", answer);
 }
 
 int
 users_post_internal(struct users_platform *platform, uint32_t instance,
     const char *path, const char *body, struct buffer *answer)
 {
-	return call_port(&platform->instances[instance], INTERNAL_PORT, "POST",
-	    path, body, answer);
+	return call_port(&platform->instances[instance], INTERNAL_PORT,
+	    &usual_caller, "POST", path, body, answer);
 }
 
 int
--- a/tests/common_users_platform.h
+++ b/tests/common_users_platform.h
@@ -116,6 +116,17 @@
     const char *method, const char *path, const char *body,
     struct buffer *answer);
 
+/* What a caller's requests carry. */
+struct users_caller {
+	const char *host;
+	const char *key;
+};
+
+/* As users_call, of another caller than the usual one. */
+int users_call_as(struct users_platform *platform, uint32_t instance,
+    const struct users_caller *caller, const char *method, const char *path,
+    const char *body, struct buffer *answer);
+
 /* Formats the address that callers connect to. */
 void users_caller_address(const struct users_platform *platform,
     uint32_t instance, char *address, size_t bytes);
--- a/tests/test_caller_http.c
+++ b/tests/test_caller_http.c
@@ -225,6 +225,20 @@
 	stop_fixture(&fixture);
 }
 
+/* Guards against a path that is cut at an escaped NUL: a request for something
+ * else was carried out on the job. */
+static void
+test_escaped_nul(void)
+{
+	struct fixture fixture = start_fixture(MAX_CONNECTIONS);
+	int fd = send_request(
+	    &fixture, "DELETE /v1/jobs/0123456789abcdef0123456789abcdef%00x");
+
+	check_response(fd, "400 Bad Request", "%00x");
+	(void)close(fd);
+	stop_fixture(&fixture);
+}
+
 static void
 test_drain_and_stop(void)
 {
@@ -260,6 +274,7 @@
 	    {"two thousand requests wait", test_two_thousand_requests_wait},
 	    {"caller disconnects", test_caller_disconnects},
 	    {"over the connection limit", test_over_connection_limit},
+	    {"escaped NUL", test_escaped_nul},
 	    {"drain and stop", test_drain_and_stop},
 	    CU_TEST_INFO_NULL,
 	};
--- /dev/null
+++ b/tests/test_routes.c
@@ -0,0 +1,100 @@
+/* Tests of the configuration's routes and API keys: their texts have any length
+ * and are compared whole. */
+#include <string.h>
+
+#include "common_cunit.h"
+#include "platform.h"
+#include "process/alloc.h"
+#include "process/buffer.h"
+
+/* Lengths of what two texts have in common. */
+static const size_t lengths[] = {
+    0, 1, 62, 63, 64, 126, 127, 128, 254, 255, 256, 510, 511, 512, 16000};
+
+/* Returns filling of this length and an end; the caller frees it. */
+static char *
+make_text(size_t length, const char *end)
+{
+	struct buffer text = {0};
+
+	for (size_t i = 0; i < length; i++)
+		buffer_puts(&text, "x");
+	buffer_puts(&text, end);
+	return buffer_detach(&text);
+}
+
+static struct routes *
+parse(const struct buffer *text)
+{
+	struct ibis_status status = {0};
+	struct routes *routes =
+	    platform_config_parse(text->data, text->length, &status);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(routes);
+	return routes;
+}
+
+/* Returns the name of the workspace that a key identifies; empty: none. */
+static const char *
+workspace_of(const struct routes *routes, const char *key)
+{
+	const struct routes_workspace *workspace =
+	    routes_find_workspace(routes, key);
+
+	return workspace == NULL ? "" : workspace->name;
+}
+
+/* Guards against a key that is accepted for another one which begins alike. */
+static void
+test_long_keys(void)
+{
+	for (size_t i = 0; i < COUNT_OF(lengths); i++) {
+		CLEANUP(buffer_free) struct buffer text = {0};
+		CLEANUP(mem_free_string)
+		char *first = make_text(lengths[i], "first");
+		CLEANUP(mem_free_string)
+		char *second = make_text(lengths[i], "second");
+		CLEANUP(mem_free_string)
+		char *none = make_text(lengths[i], "none");
+		struct routes *routes;
+
+		buffer_printf(&text,
+		    "{\"Version\":1,\"Routes\":[],\"Tenants\":[{\"Name\":\"a\","
+		    "\"ApiKeys\":[\"%s\"]},{\"Name\":\"b\",\"ApiKeys\":[\"%s\"]"
+		    "}]}",
+		    first, second);
+		routes = parse(&text);
+		CU_ASSERT_STRING_EQUAL(workspace_of(routes, first), "a");
+		CU_ASSERT_STRING_EQUAL(workspace_of(routes, second), "b");
+		CU_ASSERT_STRING_EQUAL(workspace_of(routes, none), "");
+		routes_free(routes);
+	}
+}
+
+/* Guards against a key that is cut at a NUL, which no request can carry. */
+static void
+test_key_with_nul(void)
+{
+	CLEANUP(buffer_free) struct buffer text = {0};
+	struct routes *routes;
+
+	buffer_puts(&text,
+	    "{\"Version\":1,\"Routes\":[],\"Tenants\":[{\"Name\":\"a\","
+	    "\"ApiKeys\":[\"cut\\u0000here\",\"whole\"]}]}");
+	routes = parse(&text);
+	CU_ASSERT_STRING_EQUAL(workspace_of(routes, "cut"), "");
+	CU_ASSERT_STRING_EQUAL(workspace_of(routes, "whole"), "a");
+	routes_free(routes);
+}
+
+int
+main(void)
+{
+	CU_TestInfo tests[] = {
+	    {"long keys", test_long_keys},
+	    {"key with a NUL", test_key_with_nul},
+	    CU_TEST_INFO_NULL,
+	};
+
+	return run_suite("routes", tests);
+}
