--- a/tests/fail_long_texts.c
+++ b/tests/fail_long_texts.c
@@ -17,6 +17,8 @@
 #define POLL_MS		20
 /* A key that the configuration's limit of 16,384 bytes for headers allows. */
 #define LONG_KEY_BYTES 15000
+/* More than a connection's buffer holds. */
+#define BEYOND_BUFFER_BYTES 30000
 
 static struct users_platform *platform;
 
@@ -146,12 +148,38 @@
 	users_platform_stop(platform);
 }
 
+/* Guards against a request that is answered by what was left of it: what the
+ * connection's buffer can't hold is refused. */
+static void
+test_text_beyond_buffer(void)
+{
+	CLEANUP(buffer_free) struct buffer answer = {0};
+	CLEANUP(buffer_free) struct buffer path = {0};
+	CLEANUP(buffer_free) struct buffer key = {0};
+	struct users_caller caller = {.host = "h"};
+
+	buffer_puts(&path, "/q/");
+	append_long(&path, BEYOND_BUFFER_BYTES, "");
+	append_long(&key, BEYOND_BUFFER_BYTES, "");
+	caller.key = buffer_string(&key);
+	start_instances();
+	CU_ASSERT_EQUAL(users_call(platform, 0, "GET", buffer_string(&path), "",
+			    &answer),
+	    414);
+	CU_ASSERT_EQUAL(
+	    users_call_as(platform, 0, &caller, "GET", "/q/", "", &answer),
+	    431);
+	CU_ASSERT_EQUAL(users_submit(platform, 0, 1, 1), 200);
+	users_platform_stop(platform);
+}
+
 int
 main(void)
 {
 	CU_TestInfo tests[] = {
 	    {"withdrawn long key", test_withdrawn_long_key},
 	    {"escaped NUL in a path", test_escaped_nul_in_path},
+	    {"text beyond the buffer", test_text_beyond_buffer},
 	    CU_TEST_INFO_NULL,
 	};
 
