--- a/bench/bench_fleet.c
+++ b/bench/bench_fleet.c
@@ -1,8 +1,10 @@
 /*
  * Measures what the fleet module costs a lead for each report of a worker, at
  * several fleet sizes: with the offered load that the fleet can bear, and with
- * a burst that leaves a backlog of waiting jobs. Prints one line per metric.
- * The arguments are numbers of workers.
+ * a burst that leaves a backlog of waiting jobs. And what a decision costs
+ * beside a schedule with occurrences that are overdue. Prints one line per
+ * metric. The arguments are numbers of workers, or of overdue occurrences after
+ * the word "overdue".
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -33,6 +35,11 @@
 #define BURST_FACTOR	      6
 /* Offered accelerator seconds, relative to those that the fleet has. */
 #define BEARABLE_LOAD 0.6
+/* Beside overdue occurrences. */
+#define OVERDUE_WORKERS	    48
+#define OVERDUE_INTERVAL_MS 60000
+#define OVERDUE_MEASURED_MS 2000
+#define MAX_OPEN_TASKS	    16384
 
 struct run {
 	struct fleet_task_id task;
@@ -351,14 +358,108 @@
 	mem_free(site.workers);
 }
 
+/* Submits a schedule of one task whose occurrences were due until now, one each
+ * minute. */
+static void
+submit_overdue(struct site *site, uint32_t occurrences)
+{
+	Ibis__StepJob *spec = mem_calloc(1, sizeof(*spec));
+	Ibis__JobStep *step = mem_calloc(1, sizeof(*step));
+
+	ibis__step_job__init(spec);
+	ibis__job_step__init(step);
+	spec->steps = mem_calloc(1, sizeof(struct Ibis__JobStep *));
+	spec->steps[0] = step;
+	spec->n_steps = 1;
+	spec->attempts = 3;
+	spec->priority = 1;
+	spec->times = occurrences;
+	spec->interval_ms = OVERDUE_INTERVAL_MS;
+	spec->first_wall_ms =
+	    site->now_ms - (int64_t)occurrences * OVERDUE_INTERVAL_MS;
+	proto_set_string(&spec->service, "planner");
+	proto_set_string(&spec->workspace, "t0");
+	step->tasks = 1;
+	step->accelerators = 1;
+	step->cpu_milli = 1000;
+	step->estimate_ms = 200;
+	(void)fleet_add_job(
+	    site->fleet, "00000000000000aa", spec, NULL, 0, site->now_ms);
+}
+
+/* Calls decide, and returns what it took. */
+static double
+timed_decision(struct site *site)
+{
+	double begun_us = cpu_time_us();
+
+	decide(site);
+	return cpu_time_us() - begun_us;
+}
+
+static void
+measure_overdue(uint32_t occurrences)
+{
+	struct fleet_config config = {
+	    .lease_ms = LEASE_MS,
+	    .max_lease_ms = LEASE_MS,
+	    .previous_lead_renew_ms = LEASE_MS,
+	    .remote_factor = 3,
+	    .max_open_tasks = MAX_OPEN_TASKS,
+	};
+	struct site site = {
+	    .fleet = fleet_new(&config, INT64_C(2000000000000)),
+	    .workers = mem_calloc(OVERDUE_WORKERS, sizeof(struct worker)),
+	    .workers_count = OVERDUE_WORKERS,
+	    .random = SEED,
+	    .now_ms = INT64_C(2000000000000),
+	};
+	double first_us;
+
+	add_workers(&site);
+	run_site(&site, 0, REPORT_INTERVAL_MS);
+	submit_overdue(&site, occurrences);
+	first_us = timed_decision(&site);
+	site.spent_us = site.most_us = 0;
+	site.reports = 0;
+	run_site(&site, 0, OVERDUE_MEASURED_MS);
+	printf("metric=fleet_overdue_%" PRIu32
+	       "_first_decision value=%.4g unit=us seed=%" PRIu64 " runs=1\n",
+	    occurrences, first_us, SEED);
+	printf("metric=fleet_overdue_%" PRIu32
+	       "_decision_mean value=%.4g unit=us seed=%" PRIu64 " runs=1\n",
+	    occurrences, site.spent_us / (double)site.reports, SEED);
+	printf("metric=fleet_overdue_%" PRIu32
+	       "_decision_max value=%.4g unit=us seed=%" PRIu64 " runs=1\n",
+	    occurrences, site.most_us, SEED);
+	(void)fflush(stdout);
+	fleet_free(site.fleet);
+	mem_free(site.workers);
+}
+
 int
 main(int argc, char **argv)
 {
+	bool overdue = argc > 1 && strcmp(argv[1], "overdue") == 0;
+
 	if (argc == 1) {
 		measure(48);
 		measure(540);
 	}
-	for (int i = 1; i < argc; i++)
-		measure(strtoul(argv[i], NULL, 10));
+	if (argc == 1 || (overdue && argc == 2)) {
+		measure_overdue(1000);
+		measure_overdue(2000);
+		measure_overdue(4000);
+		measure_overdue(8000);
+		measure_overdue(16000);
+	}
+	for (int i = overdue ? 2 : 1; i < argc; i++) {
+		unsigned long number = strtoul(argv[i], NULL, 10);
+
+		if (overdue)
+			measure_overdue((uint32_t)number);
+		else
+			measure(number);
+	}
 	return 0;
 }
--- a/src/fleet/fleet_crashes.c
+++ b/src/fleet/fleet_crashes.c
@@ -9,6 +9,7 @@
  * whole.
  */
 #include "fleet/fleet_model.h"
+#include "process/alloc.h"
 
 /* A run that is at work for this long after its start has settled: it is not
  * the cause of a later crash. */
@@ -49,14 +50,33 @@
 	    unit_of(b, b->occurrence).tasks;
 }
 
-static bool
-has_early_losses(const struct unit *unit)
+/* Returns the number of a task, or of its gang's first one. The occurrences of
+ * a periodic job run the same tasks. */
+static uint32_t
+unit_number(const struct fleet_task *task)
 {
-	for (uint32_t i = 0; i < unit->count; i++) {
-		if (unit->tasks[i].early_losses > 0)
-			return true;
-	}
-	return false;
+	return fleet_step_of(task)->gang
+	    ? task->occurrence->job->first_task[task->step]
+	    : task->number;
+}
+
+void
+fleet_set_losses(struct fleet_task *task, const struct fleet_losses *losses)
+{
+	struct fleet_job *job = task->occurrence->job;
+	bool had_some = task->early_losses > 0;
+	bool has_some = losses->early_losses > 0;
+
+	if (has_some && job->early_losses == NULL)
+		job->early_losses =
+		    mem_calloc(job->tasks_count, sizeof(*job->early_losses));
+	if (has_some && !had_some)
+		job->early_losses[unit_number(task)]++;
+	if (had_some && !has_some)
+		job->early_losses[unit_number(task)]--;
+	task->early_losses = losses->early_losses;
+	task->crashes = losses->crashes;
+	task->sole_crashes = losses->sole_crashes;
 }
 
 bool
@@ -64,16 +84,8 @@
 {
 	const struct fleet_job *job = task->occurrence->job;
 
-	if (!job->was_charged)
-		return false;
-	/* The other occurrences of a periodic job run the same task. */
-	for (size_t i = 0; i < job->occurrences_count; i++) {
-		struct unit unit = unit_of(task, job->occurrences[i]);
-
-		if (has_early_losses(&unit))
-			return true;
-	}
-	return false;
+	return job->early_losses != NULL &&
+	    job->early_losses[unit_number(task)] > 0;
 }
 
 void
@@ -133,24 +145,55 @@
 	    (task->isolated || !fleet_worker_answers(task->worker));
 }
 
-bool
-fleet_waits_for_other_occurrence(const struct fleet_task *task)
+void
+fleet_note_undecided(struct fleet *fleet, const struct fleet_task *task)
 {
-	const struct fleet_job *job = task->occurrence->job;
+	const struct fleet_occurrence *occurrence = task->occurrence;
+	struct fleet_job *job = occurrence->job;
+	struct fleet_undecided *undecided;
 
-	if (job->occurrences_count < 2)
-		return false;
-	for (size_t i = 0; i < job->occurrences_count; i++) {
-		struct unit unit = unit_of(task, job->occurrences[i]);
+	if (job->occurrences_count < 2 || !is_undecided(task))
+		return;
+	if (job->undecided == NULL)
+		job->undecided =
+		    mem_calloc(job->tasks_count, sizeof(*job->undecided));
+	undecided = &job->undecided[unit_number(task)];
+	if (undecided->round != fleet->rounds)
+		*undecided = (struct fleet_undecided){
+		    .round = fleet->rounds, .occurrence = occurrence->number};
+	else if (undecided->occurrence != occurrence->number)
+		undecided->several = true;
+}
+
+void
+fleet_find_undecided(struct fleet *fleet)
+{
+	fleet->rounds++;
+	for (size_t i = 0; i < fleet->workers.count; i++) {
+		const struct fleet_worker *worker =
+		    fleet->workers.items[i].item;
+		const struct fleet_task *task;
 
-		if (job->occurrences[i] == task->occurrence)
+		if (worker->isolated_tasks == 0 && fleet_worker_answers(worker))
 			continue;
-		for (uint32_t j = 0; j < unit.count; j++) {
-			if (is_undecided(&unit.tasks[j]))
-				return true;
-		}
+		cds_list_for_each_entry (task, &worker->tasks, on_worker)
+			fleet_note_undecided(fleet, task);
 	}
-	return false;
+}
+
+bool
+fleet_waits_for_other_occurrence(
+    const struct fleet *fleet, const struct fleet_task *task)
+{
+	const struct fleet_job *job = task->occurrence->job;
+	const struct fleet_undecided *undecided;
+
+	if (job->undecided == NULL)
+		return false;
+	undecided = &job->undecided[unit_number(task)];
+	return undecided->round == fleet->rounds &&
+	    (undecided->several ||
+		undecided->occurrence != task->occurrence->number);
 }
 
 static bool
@@ -168,9 +211,7 @@
 {
 	if (task->early_losses == 0)
 		return;
-	task->early_losses = 0;
-	task->crashes = 0;
-	task->sole_crashes = 0;
+	fleet_set_losses(task, &(struct fleet_losses){0});
 	fleet_mark_dirty(fleet, task->occurrence->job);
 }
 
@@ -304,12 +345,17 @@
 {
 	struct fleet_job *job = task->occurrence->job;
 	bool certain = is_certain(task, loss);
+	struct fleet_losses losses;
 
 	if (is_charged(task, loss))
 		return;
-	task->early_losses += task->charged_run != task->run;
-	task->crashes += certain;
-	task->sole_crashes += certain && sole;
+	losses = (struct fleet_losses){
+	    .early_losses =
+		task->early_losses + (task->charged_run != task->run),
+	    .crashes = task->crashes + certain,
+	    .sole_crashes = task->sole_crashes + (certain && sole),
+	};
+	fleet_set_losses(task, &losses);
 	task->charged_run = task->run;
 	task->charged_crash = certain;
 	job->was_charged = true;
--- a/src/fleet/fleet_decide.c
+++ b/src/fleet/fleet_decide.c
@@ -12,6 +12,10 @@
 #define ORPHAN_STOP_RETRY_MS 500
 /* Longest time between two decisions. */
 #define MAX_SLEEP_MS 1000
+/* The lead renews its lease between two decisions, so that each one has to end
+ * well within it: visits of searches to workers and their tasks, and orders. */
+#define ROUND_VISITS	500000
+#define DECISION_ORDERS 512
 
 /* Waiting tasks of one step that are placed together: all members of a gang, or
  * any number of single tasks. */
@@ -35,6 +39,7 @@
 	size_t waiting_capacity;
 	struct fleet_worker **targets; /* owned */
 	size_t targets_capacity;
+	uint64_t visits_before; /* fleet->visits when it began */
 };
 
 static void
@@ -89,8 +94,7 @@
 	    .step = step,
 	    .first = first,
 	    .count = round->waiting_count - first,
-	    .joins_ms = fleet_rank_joins_ms(
-		round->fleet, occurrence, step, round->now_ms),
+	    .joins_ms = fleet_rank_joins_ms(occurrence, step, round->now_ms),
 	};
 }
 
@@ -124,7 +128,7 @@
 	for (uint32_t i = 0; i < count; i++) {
 		if (tasks[i].state == TASK_WAITING &&
 		    !fleet_is_suspect(&tasks[i]) &&
-		    !fleet_waits_for_other_occurrence(&tasks[i]))
+		    !fleet_waits_for_other_occurrence(round->fleet, &tasks[i]))
 			add_waiting(round, &tasks[i]);
 	}
 	add_unit(round, occurrence, step, first);
@@ -182,12 +186,11 @@
 }
 
 bool
-fleet_occurrence_precedes(const struct fleet *fleet,
-    const struct fleet_occurrence *a, const struct fleet_occurrence *b,
-    int64_t now_ms)
+fleet_occurrence_precedes(const struct fleet_occurrence *a,
+    const struct fleet_occurrence *b, int64_t now_ms)
 {
-	return compare_ranks(a->job, fleet_rank_joins_ms(fleet, a, 0, now_ms),
-		   b->job, fleet_rank_joins_ms(fleet, b, 0, now_ms)) < 0;
+	return compare_ranks(a->job, fleet_rank_joins_ms(a, 0, now_ms), b->job,
+		   fleet_rank_joins_ms(b, 0, now_ms)) < 0;
 }
 
 static void
@@ -233,7 +236,7 @@
 	size_t count;
 	size_t found;
 
-	if (fleet_waits_for_other_occurrence(tasks[0]))
+	if (fleet_waits_for_other_occurrence(round->fleet, tasks[0]))
 		return;
 	count = count_within_quota(round, unit);
 	if (count == 0)
@@ -251,22 +254,64 @@
 		fleet_quota_make_room(round->fleet, job,
 		    job->spec->steps[unit->step], (uint32_t)found,
 		    round->now_ms);
-	for (size_t i = 0; i < found; i++)
+	for (size_t i = 0; i < found; i++) {
 		fleet_place_task(
 		    round->fleet, tasks[i], round->targets[i], round->now_ms);
+		fleet_note_undecided(round->fleet, tasks[i]);
+	}
 	if (found > 0)
 		add_placed_event(
 		    round->fleet, tasks[0], found, outcome, round->now_ms);
 }
 
+/* Places units from an index on, until the searches have made this many visits
+ * in the round. Returns the index of the first unit that was left. */
+static size_t
+place_units(
+    struct placement_round *round, size_t from, uint64_t visits_of_round)
+{
+	uint64_t visits_before = round->visits_before;
+
+	for (; from < round->units_count; from++) {
+		if (round->fleet->visits - visits_before >= visits_of_round)
+			break;
+		place_unit(round, &round->units[from]);
+	}
+	return from;
+}
+
+/* Places the units by their rank. A round that takes too long is cut: half of
+ * it is for the units that come first, the other half goes on where the last
+ * round was cut, and the next round follows at once. */
+static void
+place_ranked(struct placement_round *round)
+{
+	struct fleet *fleet = round->fleet;
+	size_t next = place_units(round, 0, ROUND_VISITS / 2);
+
+	if (next < round->units_count && next < fleet->next_unit)
+		next = fleet->next_unit;
+	next = place_units(round, next, ROUND_VISITS);
+	fleet->next_unit = 0;
+	if (next >= round->units_count)
+		return;
+	fleet->next_unit = next;
+	fleet_schedule_placement(fleet, round->now_ms);
+}
+
 static void
 place_all(struct fleet *fleet, int64_t now_ms)
 {
 	CLEANUP(free_round)
-	struct placement_round round = {.fleet = fleet, .now_ms = now_ms};
+	struct placement_round round = {
+	    .fleet = fleet,
+	    .now_ms = now_ms,
+	    .visits_before = fleet->visits,
+	};
 	struct fleet_job *job;
 
 	fleet_rank_begin_round(fleet);
+	fleet_find_undecided(fleet);
 	cds_list_for_each_entry (job, &fleet->active, active) {
 		if (!job->cancelled && !fleet_job_final(job))
 			collect_job(&round, job);
@@ -277,8 +322,7 @@
 		return;
 	qsort(round.units, round.units_count, sizeof(*round.units),
 	    compare_units);
-	for (size_t i = 0; i < round.units_count; i++)
-		place_unit(&round, &round.units[i]);
+	place_ranked(&round);
 }
 
 static void
@@ -289,6 +333,14 @@
 	fleet->orders[fleet->orders_count++] = *order;
 }
 
+/* Returns whether no more orders may be added to this decision, apart from
+ * those of a gang. The others follow with the next one. */
+static bool
+has_most_orders(const struct fleet *fleet)
+{
+	return fleet->orders_count >= DECISION_ORDERS;
+}
+
 static void
 order_stop(struct fleet *fleet, struct fleet_task *task, int64_t now_ms)
 {
@@ -371,8 +423,24 @@
 	if (step->gang && !gang_may_start(fleet, tasks, step->tasks))
 		return;
 	for (uint32_t i = 0; i < step->tasks; i++) {
-		if (step->gang || may_start(fleet, &tasks[i]))
+		if (step->gang)
 			order_start(fleet, &tasks[i]);
+		else if (has_most_orders(fleet))
+			return;
+		else if (may_start(fleet, &tasks[i]))
+			order_start(fleet, &tasks[i]);
+	}
+}
+
+static void
+start_occurrence(struct fleet *fleet, struct fleet_occurrence *occurrence)
+{
+	if (occurrence->placed == 0)
+		return;
+	for (uint32_t i = 0; i < occurrence->job->spec->n_steps; i++) {
+		if (has_most_orders(fleet))
+			return;
+		start_step(fleet, occurrence, i);
 	}
 }
 
@@ -385,10 +453,8 @@
 	cds_list_for_each_entry (job, &fleet->active, active) {
 		if (job->placed == 0 || job->cancelled || fleet_job_final(job))
 			continue;
-		for (size_t j = 0; j < job->occurrences_count; j++) {
-			for (uint32_t k = 0; k < job->spec->n_steps; k++)
-				start_step(fleet, job->occurrences[j], k);
-		}
+		for (size_t i = 0; i < job->occurrences_count; i++)
+			start_occurrence(fleet, job->occurrences[i]);
 	}
 }
 
@@ -410,7 +476,7 @@
 			continue;
 		cds_list_for_each_entry (task, &worker->tasks, on_worker) {
 			if (task->state == TASK_STOPPING &&
-			    task->stop_sent_ms == 0)
+			    task->stop_sent_ms == 0 && !has_most_orders(fleet))
 				order_stop(fleet, task, now_ms);
 		}
 	}
@@ -431,7 +497,7 @@
 
 		if (!accepts_stops(orphan->worker))
 			continue;
-		if (orphan->stop_due_ms <= now_ms) {
+		if (orphan->stop_due_ms <= now_ms && !has_most_orders(fleet)) {
 			add_order(fleet, &order);
 			orphan->stop_due_ms = now_ms + ORPHAN_STOP_RETRY_MS;
 		}
@@ -491,6 +557,9 @@
 	}
 	order_stops(fleet, now_ms);
 	order_starts(fleet, now_ms);
+	if (has_most_orders(fleet))
+		fleet_wake_at(fleet, now_ms);
+	fleet_wake_for_due_occurrences(fleet, now_ms, wall_ms);
 	*orders = fleet->orders;
 	return fleet->orders_count;
 }
--- a/src/fleet/fleet_explain.c
+++ b/src/fleet/fleet_explain.c
@@ -115,9 +115,8 @@
 			explanation->job->spec->service) != 0)
 			continue;
 		for (size_t j = 0; j < job->occurrences_count; j++) {
-			if (fleet_occurrence_precedes(fleet,
-				job->occurrences[j], occurrence,
-				explanation->now_ms))
+			if (fleet_occurrence_precedes(job->occurrences[j],
+				occurrence, explanation->now_ms))
 				count += job->occurrences[j]->waiting;
 		}
 	}
@@ -260,7 +259,9 @@
 
 	if (job->cancelled || fleet_job_final(job))
 		return 0;
-	for (size_t i = 0; i < job->occurrences_count; i++) {
+	/* Each row takes a walk over all jobs. */
+	for (size_t i = 0;
+	     i < job->occurrences_count && explanation.count < capacity; i++) {
 		for (uint32_t step = 0; step < job->spec->n_steps; step++)
 			explain_step(&explanation, job->occurrences[i], step);
 	}
--- a/src/fleet/fleet_jobs.c
+++ b/src/fleet/fleet_jobs.c
@@ -7,6 +7,11 @@
 #include "process/buffer.h"
 #include "process/proto_memory.h"
 
+/* Occurrences that have not begun all need the same, so that a few of them show
+ * whether there is room; each further one only lengthens the walks of a
+ * decision. So no more are open than have this many tasks together, or one. */
+#define UNBEGUN_TASKS 256
+
 bool
 fleet_job_final(const struct fleet_job *job)
 {
@@ -66,9 +71,12 @@
 	occurrence->ready_ms = now_ms;
 	occurrence->tasks_count = job->tasks_count;
 	occurrence->waiting = job->tasks_count;
+	occurrence->unfinished =
+	    mem_calloc(job->spec->n_steps, sizeof(*occurrence->unfinished));
 	occurrence->tasks =
 	    mem_calloc(job->tasks_count, sizeof(*occurrence->tasks));
 	for (uint32_t step = 0; step < job->spec->n_steps; step++) {
+		occurrence->unfinished[step] = job->spec->steps[step]->tasks;
 		for (uint32_t i = 0; i < job->spec->steps[step]->tasks; i++) {
 			occurrence->tasks[next] = (struct fleet_task){
 			    .occurrence = occurrence,
@@ -84,6 +92,7 @@
 	    mem_grow(job->occurrences, &job->occurrences_capacity,
 		job->occurrences_count + 1, sizeof(struct fleet_occurrence *));
 	job->occurrences[job->occurrences_count++] = occurrence;
+	job->unbegun++;
 	if (job->next_occurrence <= number)
 		job->next_occurrence = number + 1;
 	return occurrence;
@@ -94,23 +103,42 @@
 {
 	for (uint32_t i = 0; i < occurrence->tasks_count; i++) {
 		fleet_detach_task(&occurrence->tasks[i], TASK_DONE);
+		fleet_set_losses(
+		    &occurrence->tasks[i], &(struct fleet_losses){0});
 		mem_free(occurrence->tasks[i].checkpoint);
 	}
 	mem_free(occurrence->tasks);
+	mem_free(occurrence->unfinished);
 	mem_free(occurrence);
 }
 
-/* Returns whether the record of a job's progress has room for another
- * occurrence. */
+/* Returns whether a job has another occurrence, the record of its progress has
+ * room for that, and few others wait to begin. */
 static bool
 may_open_occurrence(const struct fleet *fleet, const struct fleet_job *job)
 {
+	uint64_t tasks = job->tasks_count;
 	uint64_t limit = fleet->config.max_open_tasks == 0
 	    ? FLEET_MAX_TASKS
 	    : fleet->config.max_open_tasks;
 
+	if (job->cancelled || fleet_job_final(job) ||
+	    job->next_occurrence >= total_occurrences(job->spec))
+		return false;
+	if (job->unbegun > 0 && tasks * (job->unbegun + 1) > UNBEGUN_TASKS)
+		return false;
 	return job->occurrences_count == 0 ||
-	    (uint64_t)job->tasks_count * (job->occurrences_count + 1) <= limit;
+	    tasks * (job->occurrences_count + 1) <= limit;
+}
+
+/* Returns when a job's next occurrence is due. */
+static int64_t
+next_due_wall_ms(const struct fleet_job *job)
+{
+	if (job->spec->times == 0)
+		return 0;
+	return job->spec->first_wall_ms +
+	    (int64_t)job->next_occurrence * job->spec->interval_ms;
 }
 
 void
@@ -119,16 +147,9 @@
 	struct fleet_job *job;
 
 	cds_list_for_each_entry (job, &fleet->active, active) {
-		if (job->cancelled || fleet_job_final(job))
-			continue;
-		while (job->next_occurrence < total_occurrences(job->spec) &&
-		    may_open_occurrence(fleet, job)) {
-			int64_t due_ms = 0;
-
-			if (job->spec->times > 0)
-				due_ms = job->spec->first_wall_ms +
-				    (int64_t)job->next_occurrence *
-					job->spec->interval_ms;
+		while (may_open_occurrence(fleet, job)) {
+			int64_t due_ms = next_due_wall_ms(job);
+
 			if (due_ms > wall_ms) {
 				fleet_wake_at(fleet, now_ms + due_ms - wall_ms);
 				break;
@@ -140,21 +161,38 @@
 	}
 }
 
+void
+fleet_wake_for_due_occurrences(
+    struct fleet *fleet, int64_t now_ms, int64_t wall_ms)
+{
+	const struct fleet_job *job;
+
+	cds_list_for_each_entry (job, &fleet->active, active) {
+		if (may_open_occurrence(fleet, job) &&
+		    next_due_wall_ms(job) <= wall_ms)
+			fleet_wake_at(fleet, now_ms);
+	}
+}
+
 /* Restores a task from its record. A run that was placed is treated as running
  * until its worker answers or the lease expires. */
 static void
 restore_task(struct fleet *fleet, struct fleet_task *task,
     const Ibis__TaskProgress *progress, int64_t now_ms)
 {
+	struct fleet_losses losses;
 	struct fleet_worker *worker;
 
 	task->run = progress->run;
 	task->failures = progress->failures;
 	task->failed_run = progress->failed_run;
-	task->early_losses = progress->early_losses;
+	losses = (struct fleet_losses){
+	    .early_losses = progress->early_losses,
+	    .crashes = progress->crashes,
+	    .sole_crashes = progress->sole_crashes,
+	};
+	fleet_set_losses(task, &losses);
 	task->occurrence->job->was_charged |= task->early_losses > 0;
-	task->crashes = progress->crashes;
-	task->sole_crashes = progress->sole_crashes;
 	task->placed_incarnation_wall_ms = progress->incarnation_wall_ms;
 	fleet_set_checkpoint(task, progress->checkpoint);
 	if (progress->done) {
@@ -283,6 +321,8 @@
 	mem_free(job->occurrences);
 	mem_free(job->first_task);
 	mem_free(job->chain_ms);
+	mem_free(job->early_losses);
+	mem_free(job->undecided);
 	ibis__step_job__free_unpacked(job->spec, proto_allocator());
 	mem_free(job);
 }
@@ -321,18 +361,11 @@
 bool
 fleet_step_ready(const struct fleet_occurrence *occurrence, uint32_t step)
 {
-	const Ibis__StepJob *spec = occurrence->job->spec;
-	const Ibis__JobStep *wanted = spec->steps[step];
+	const Ibis__JobStep *wanted = occurrence->job->spec->steps[step];
 
 	for (size_t i = 0; i < wanted->n_after; i++) {
-		const struct fleet_task *tasks =
-		    fleet_step_tasks(occurrence, wanted->after[i]);
-
-		for (uint32_t j = 0; j < spec->steps[wanted->after[i]]->tasks;
-		     j++) {
-			if (tasks[j].state != TASK_DONE)
-				return false;
-		}
+		if (occurrence->unfinished[wanted->after[i]] > 0)
+			return false;
 	}
 	return true;
 }
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -94,8 +94,18 @@
 	int64_t ready_ms; /* when it was opened */
 	struct fleet_task *tasks;
 	uint32_t tasks_count;
-	uint32_t done;	  /* tasks */
-	uint32_t waiting; /* tasks */
+	uint32_t done;	      /* tasks */
+	uint32_t waiting;     /* tasks */
+	uint32_t placed;      /* tasks in TASK_PLACED */
+	uint32_t *unfinished; /* tasks of each step that are not done; owned */
+};
+
+/* In a round of placement, the occurrences in which a task or gang is
+ * undecided; see fleet_waits_for_other_occurrence. */
+struct fleet_undecided {
+	uint64_t round; /* another one than the current: there are none */
+	uint32_t occurrence;
+	bool several;
 };
 
 struct fleet_job {
@@ -114,12 +124,18 @@
 	size_t occurrences_count;
 	size_t occurrences_capacity;
 	uint32_t next_occurrence; /* number of the next one to open */
+	uint32_t unbegun;	  /* open ones whose tasks all wait */
 	uint32_t finished;	  /* occurrences below this number are done */
 	uint32_t placed;	  /* tasks in TASK_PLACED */
 	uint32_t assigned;	  /* tasks with a worker */
 	uint32_t orphans;	  /* runs of its tasks that are orphans */
 	bool is_active;
 	bool was_charged; /* a task of it is or was a suspect */
+	/* By the number of a task, or of a gang's first one; owned, NULL until
+	 * needed. Tasks with early losses over all open occurrences. */
+	uint32_t *early_losses;
+	struct fleet_undecided *undecided;
+	int64_t pass_ms; /* in the current round; see fleet_rank.h */
 	bool slack_counted;
 	struct fleet_workspace *workspace;
 	Ibis__StepJobPhase phase;
@@ -189,6 +205,7 @@
 	bool zone_out_of_service;
 	bool plan_changed; /* what the current plan of preemptions does there */
 	bool kept;	   /* for urgent jobs */
+	bool gone;	   /* is being removed */
 };
 
 /* A run that may hold a worker's capacity although no task is assigned to the
@@ -305,7 +322,14 @@
 	struct fleet_candidate *candidates; /* of the current search */
 	size_t candidates_capacity;
 	int64_t outage_until_ms; /* workers are lost for other causes */
-	uint64_t searches;	 /* since the fleet was created */
+	/* Since the fleet was created: searches for workers, the workers and
+	 * tasks that they looked at, and rounds of placement. */
+	uint64_t searches;
+	uint64_t visits;
+	uint64_t rounds;
+	/* Of a round that was cut: the first unit, by its rank, that no round
+	 * has looked at since; 0: none. */
+	size_t next_unit;
 	struct fleet_orphan *orphans;
 	size_t orphans_count;
 	size_t orphans_capacity;
@@ -331,6 +355,10 @@
 struct fleet_resources fleet_resources_remaining(
     const struct fleet_resources *all, const struct fleet_resources *used);
 
+/* Returns what count tasks with this need take together. */
+struct fleet_resources fleet_resources_times(
+    const struct fleet_resources *need, uint32_t count);
+
 /* Returns whether more is in use than there is of some resource. */
 bool fleet_resources_exceeded(const struct fleet_resources *left);
 
@@ -467,10 +495,27 @@
  * suspect. */
 bool fleet_is_suspect(const struct fleet_task *task);
 
-/* Returns whether the same task of another occurrence is isolated, or has just
- * begun on a worker that does not answer. The task then waits for what becomes
- * of it. */
-bool fleet_waits_for_other_occurrence(const struct fleet_task *task);
+/* Begins a round of placement: finds the tasks that are undecided, that is,
+ * isolated or just begun on a worker that does not answer. */
+void fleet_find_undecided(struct fleet *fleet);
+
+/* A task has been placed during the round, and may be undecided now. */
+void fleet_note_undecided(struct fleet *fleet, const struct fleet_task *task);
+
+/* Returns whether the same task of another occurrence is undecided in the
+ * current round. The task then waits for what becomes of it. */
+bool fleet_waits_for_other_occurrence(
+    const struct fleet *fleet, const struct fleet_task *task);
+
+/* The losses of a task as recorded. */
+struct fleet_losses {
+	uint32_t early_losses;
+	uint32_t crashes;
+	uint32_t sole_crashes;
+};
+
+void fleet_set_losses(
+    struct fleet_task *task, const struct fleet_losses *losses);
 
 /* A task has been assigned to its worker under a new run number. A suspect is
  * isolated there until it has settled or left: nothing else is placed on the
@@ -533,10 +578,15 @@
  * their workers. */
 void fleet_drop_inactive_jobs(struct fleet *fleet);
 
-/* Opens the occurrences whose time has come. */
+/* Opens the occurrences whose time has come, a bounded number of them that have
+ * not begun at a time. */
 void fleet_open_due_occurrences(
     struct fleet *fleet, int64_t now_ms, int64_t wall_ms);
 
+/* Requests another decision at once if one would open further occurrences. */
+void fleet_wake_for_due_occurrences(
+    struct fleet *fleet, int64_t now_ms, int64_t wall_ms);
+
 /* A run has done its work; all members of a gang count as done with it. A
  * long-running task waits again instead. */
 void fleet_complete_task(
@@ -687,9 +737,8 @@
  */
 
 /* Returns whether an occurrence's tasks are placed before another's. */
-bool fleet_occurrence_precedes(const struct fleet *fleet,
-    const struct fleet_occurrence *a, const struct fleet_occurrence *b,
-    int64_t now_ms);
+bool fleet_occurrence_precedes(const struct fleet_occurrence *a,
+    const struct fleet_occurrence *b, int64_t now_ms);
 
 /* Requests a call of fleet_decide at this time or earlier. */
 void fleet_wake_at(struct fleet *fleet, int64_t at_ms);
--- a/src/fleet/fleet_place.c
+++ b/src/fleet/fleet_place.c
@@ -23,6 +23,7 @@
 	const Ibis__JobStep *step = fleet_step_of(tasks[0]);
 
 	fleet->searches++;
+	fleet->visits += fleet->workers.count;
 	fleet->candidates =
 	    mem_grow(fleet->candidates, &fleet->candidates_capacity,
 		fleet->workers.count + 1, sizeof(struct fleet_candidate));
@@ -49,6 +50,7 @@
 	struct fleet_task *task;
 
 	cds_list_for_each_entry (task, &worker->tasks, on_worker) {
+		search->fleet->visits++;
 		if (task->occurrence == occurrence &&
 		    task->step == search->tasks[0]->step)
 			count++;
@@ -229,26 +231,72 @@
 	return found;
 }
 
+/* What fits in a rack. */
+struct rack_room {
+	const char *rack;
+	size_t first; /* index of the first worker that counts */
+	uint64_t fits;
+};
+
+static int
+compare_rooms(const void *left, const void *right)
+{
+	const struct rack_room *a = left;
+	const struct rack_room *b = right;
+	int order = strcmp(a->rack, b->rack);
+
+	if (order != 0)
+		return order;
+	return a->first < b->first ? -1 : a->first > b->first;
+}
+
+/* Sorts what fits on single workers by rack, and adds up each rack's. Returns
+ * the number of racks. */
+static size_t
+add_up_racks(struct rack_room *rooms, size_t count)
+{
+	size_t racks = 0;
+
+	if (count == 0)
+		return 0;
+	qsort(rooms, count, sizeof(*rooms), compare_rooms);
+	for (size_t i = 1; i < count; i++) {
+		if (strcmp(rooms[i].rack, rooms[racks].rack) == 0)
+			rooms[racks].fits += rooms[i].fits;
+		else
+			rooms[++racks] = rooms[i];
+	}
+	return racks + 1;
+}
+
 /* Returns the rack that fits all wanted tasks and has the least capacity beyond
  * them, or NULL. */
 static const char *
 best_fit_rack(const struct fleet_search *search)
 {
-	const char *best = NULL;
-	uint32_t best_fits = 0;
-
-	for (size_t i = 0; i < search->count; i++) {
-		const char *rack = search->candidates[i].worker->entry.rack;
-		uint32_t fits = fleet_search_fits(search, rack);
-
-		if (fits < search->wanted)
+	struct rack_room *rooms = mem_calloc(search->count, sizeof(*rooms));
+	const struct rack_room *best = NULL;
+	const char *rack;
+	size_t racks;
+
+	for (size_t i = 0; i < search->count; i++)
+		rooms[i] = (struct rack_room){
+		    .rack = search->candidates[i].worker->entry.rack,
+		    .first = i,
+		    .fits = search->candidates[i].fits,
+		};
+	racks = add_up_racks(rooms, search->count);
+	for (size_t i = 0; i < racks; i++) {
+		if (rooms[i].fits < search->wanted)
 			continue;
-		if (best == NULL || fits < best_fits) {
-			best = rack;
-			best_fits = fits;
-		}
+		if (best == NULL || rooms[i].fits < best->fits ||
+		    (rooms[i].fits == best->fits &&
+			rooms[i].first < best->first))
+			best = &rooms[i];
 	}
-	return best;
+	rack = best == NULL ? NULL : best->rack;
+	mem_free(rooms);
+	return rack;
 }
 
 /* Returns whether count tasks of the step would fit in an empty rack. */
@@ -259,6 +307,7 @@
 	struct fleet *fleet = search->fleet;
 	uint64_t fits = 0;
 
+	fleet->visits += fleet->workers.count;
 	for (size_t i = 0; i < fleet->workers.count; i++) {
 		struct fleet_worker *worker = fleet->workers.items[i].item;
 
@@ -275,15 +324,30 @@
 fleet_search_fits_empty_rack(const struct fleet_search *search)
 {
 	struct fleet *fleet = search->fleet;
+	struct rack_room *rooms =
+	    mem_calloc(fleet->workers.count, sizeof(*rooms));
+	size_t count = 0;
+	size_t racks;
+	bool fits = false;
 
+	fleet->visits += fleet->workers.count;
 	for (size_t i = 0; i < fleet->workers.count; i++) {
 		struct fleet_worker *worker = fleet->workers.items[i].item;
 
-		if (empty_rack_fits(
-			search, worker->entry.rack, (uint32_t)search->wanted))
-			return true;
+		if (fleet_worker_usable(
+			worker, search->job, search->step, search->now_ms))
+			rooms[count++] = (struct rack_room){
+			    .rack = worker->entry.rack,
+			    .first = i,
+			    .fits = fleet_resources_fit(&worker->resources,
+				&search->need, (uint32_t)search->wanted),
+			};
 	}
-	return false;
+	racks = add_up_racks(rooms, count);
+	for (size_t i = 0; i < racks; i++)
+		fits |= rooms[i].fits >= search->wanted;
+	mem_free(rooms);
+	return fits;
 }
 
 /* Returns whether most of the usable workers' capacity is free. */
--- a/src/fleet/fleet_preempt.c
+++ b/src/fleet/fleet_preempt.c
@@ -65,16 +65,18 @@
 {
 	struct fleet_resources left =
 	    fleet_worker_free_capacity(candidate->worker);
+	struct fleet_resources taken;
 	struct fleet_task *task;
 
 	cds_list_for_each_entry (task, &candidate->worker->tasks, on_worker) {
 		struct fleet_resources need = fleet_task_need(task);
 
+		search->fleet->visits++;
 		if (is_planned(search->fleet, task))
 			fleet_resources_add(&left, &need);
 	}
-	for (uint32_t i = 0; i < candidate->taken; i++)
-		fleet_resources_subtract(&left, &search->need);
+	taken = fleet_resources_times(&search->need, candidate->taken);
+	fleet_resources_subtract(&left, &taken);
 	return left;
 }
 
@@ -92,6 +94,7 @@
 		int64_t task_cost;
 		bool known = false;
 
+		search->fleet->visits++;
 		for (size_t i = 0; i < chosen->count; i++)
 			known |= chosen->tasks[i] == task;
 		if (known || is_planned(search->fleet, task) ||
@@ -228,6 +231,7 @@
 {
 	struct fleet_candidate *best = NULL;
 
+	search->fleet->visits += search->count;
 	for (size_t i = 0; i < search->count; i++) {
 		struct fleet_candidate *candidate = &search->candidates[i];
 
--- a/src/fleet/fleet_rank.c
+++ b/src/fleet/fleet_rank.c
@@ -39,10 +39,32 @@
 	return weights;
 }
 
+/* Returns the time that the whole fleet would work on a step. */
+static double
+fleet_time_ms(const struct fleet *fleet, const Ibis__JobStep *step)
+{
+	struct fleet_resources need = fleet_step_need(step);
+
+	return fleet_resources_part(&need, &fleet->capacity) *
+	    (double)step->tasks * (double)step->estimate_ms;
+}
+
+static int64_t
+pass_ms(const struct fleet *fleet, const Ibis__StepJob *spec)
+{
+	double work_ms = 0;
+
+	for (size_t i = 0; i < spec->n_steps; i++)
+		work_ms += fleet_time_ms(fleet, spec->steps[i]);
+	work_ms *= PASS_FACTOR;
+	return work_ms < MAX_PASS_MS ? (int64_t)work_ms : MAX_PASS_MS;
+}
+
 void
 fleet_rank_begin_round(struct fleet *fleet)
 {
 	uint64_t weights = add_up_weights(fleet);
+	struct fleet_job *job;
 
 	fleet->capacity = (struct fleet_resources){0};
 	for (size_t i = 0; i < fleet->workers.count; i++) {
@@ -62,27 +84,8 @@
 		    ? 0
 		    : used * (double)weights / weight_of(workspace) - 1;
 	}
-}
-
-/* Returns the time that the whole fleet would work on a step. */
-static double
-fleet_time_ms(const struct fleet *fleet, const Ibis__JobStep *step)
-{
-	struct fleet_resources need = fleet_step_need(step);
-
-	return fleet_resources_part(&need, &fleet->capacity) *
-	    (double)step->tasks * (double)step->estimate_ms;
-}
-
-static int64_t
-pass_ms(const struct fleet *fleet, const Ibis__StepJob *spec)
-{
-	double work_ms = 0;
-
-	for (size_t i = 0; i < spec->n_steps; i++)
-		work_ms += fleet_time_ms(fleet, spec->steps[i]);
-	work_ms *= PASS_FACTOR;
-	return work_ms < MAX_PASS_MS ? (int64_t)work_ms : MAX_PASS_MS;
+	cds_list_for_each_entry (job, &fleet->active, active)
+		job->pass_ms = pass_ms(fleet, job->spec);
 }
 
 static int64_t
@@ -112,10 +115,9 @@
 }
 
 int64_t
-fleet_rank_joins_ms(const struct fleet *fleet,
+fleet_rank_joins_ms(
     const struct fleet_occurrence *occurrence, uint32_t step, int64_t now_ms)
 {
 	return objective_joins_ms(occurrence, step, now_ms) +
-	    pass_ms(fleet, occurrence->job->spec) +
-	    overuse_ms(occurrence->job->workspace);
+	    occurrence->job->pass_ms + overuse_ms(occurrence->job->workspace);
 }
--- a/src/fleet/fleet_rank.h
+++ b/src/fleet/fleet_rank.h
@@ -27,8 +27,9 @@
 void fleet_rank_begin_round(struct fleet *fleet);
 
 /* Returns the time at which a step of an occurrence joins the queue of its
- * priority; INT64_MIN and up, of the fleet's clock in ms. */
-int64_t fleet_rank_joins_ms(const struct fleet *fleet,
+ * priority, as of the last round of placement; INT64_MIN and up, of the
+ * fleet's clock in ms. */
+int64_t fleet_rank_joins_ms(
     const struct fleet_occurrence *occurrence, uint32_t step, int64_t now_ms);
 
 #ifdef __cplusplus
--- a/src/fleet/fleet_reclaim.c
+++ b/src/fleet/fleet_reclaim.c
@@ -83,6 +83,7 @@
 	cds_list_for_each_entry (task, &worker->tasks, on_worker) {
 		struct fleet_resources need = fleet_task_need(task);
 
+		search->fleet->visits++;
 		if (is_preemptible(search, task))
 			fleet_resources_add(&resources, &need);
 	}
--- a/src/fleet/fleet_tasks.c
+++ b/src/fleet/fleet_tasks.c
@@ -43,6 +43,16 @@
 	return left;
 }
 
+struct fleet_resources
+fleet_resources_times(const struct fleet_resources *need, uint32_t count)
+{
+	return (struct fleet_resources){
+	    .cpu_milli = need->cpu_milli * count,
+	    .memory_mb = need->memory_mb * count,
+	    .accelerators = need->accelerators * count,
+	};
+}
+
 static int64_t
 fits_by(int64_t left, int64_t need, int64_t limit)
 {
@@ -129,20 +139,40 @@
 	STRING_COPY(id->job, task->occurrence->job->id);
 }
 
+/* Returns an open occurrence, or NULL. They are sorted by number. */
+static struct fleet_occurrence *
+find_occurrence(const struct fleet_job *job, uint32_t number)
+{
+	size_t low = 0;
+	size_t high = job->occurrences_count;
+
+	while (low < high) {
+		size_t middle = low + (high - low) / 2;
+
+		if (job->occurrences[middle]->number < number)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	if (low == job->occurrences_count ||
+	    job->occurrences[low]->number != number)
+		return NULL;
+	return job->occurrences[low];
+}
+
 struct fleet_task *
 fleet_find_task(const struct fleet *fleet, const struct fleet_task_id *id)
 {
 	struct fleet_job *job = name_index_get(&fleet->jobs, id->job);
+	struct fleet_occurrence *occurrence;
 
 	if (job == NULL || id->step >= job->spec->n_steps ||
 	    id->index >= job->spec->steps[id->step]->tasks)
 		return NULL;
-	for (size_t i = 0; i < job->occurrences_count; i++) {
-		if (job->occurrences[i]->number == id->occurrence)
-			return &fleet_step_tasks(
-			    job->occurrences[i], id->step)[id->index];
-	}
-	return NULL;
+	occurrence = find_occurrence(job, id->occurrence);
+	return occurrence == NULL
+	    ? NULL
+	    : &fleet_step_tasks(occurrence, id->step)[id->index];
 }
 
 bool
@@ -179,16 +209,37 @@
 	    state == TASK_STOPPING;
 }
 
-void
-fleet_set_state(struct fleet_task *task, enum fleet_task_state state)
+static bool
+has_begun(const struct fleet_occurrence *occurrence)
+{
+	return occurrence->waiting < occurrence->tasks_count;
+}
+
+/* Updates the counts of an occurrence and its job for a task's new state. */
+static void
+count_states(const struct fleet_task *task, enum fleet_task_state state)
 {
-	struct fleet_resources need = fleet_task_need(task);
 	struct fleet_occurrence *occurrence = task->occurrence;
+	struct fleet_job *job = occurrence->job;
 
+	job->unbegun -= !has_begun(occurrence);
 	occurrence->waiting -= task->state == TASK_WAITING;
 	occurrence->waiting += state == TASK_WAITING;
-	occurrence->job->placed -= task->state == TASK_PLACED;
-	occurrence->job->placed += state == TASK_PLACED;
+	job->unbegun += !has_begun(occurrence);
+	occurrence->placed -= task->state == TASK_PLACED;
+	occurrence->placed += state == TASK_PLACED;
+	job->placed -= task->state == TASK_PLACED;
+	job->placed += state == TASK_PLACED;
+	occurrence->unfinished[task->step] += task->state == TASK_DONE;
+	occurrence->unfinished[task->step] -= state == TASK_DONE;
+}
+
+void
+fleet_set_state(struct fleet_task *task, enum fleet_task_state state)
+{
+	struct fleet_resources need = fleet_task_need(task);
+
+	count_states(task, state);
 	if (task->worker != NULL) {
 		fleet_quota_note_state(task, task->state, state);
 		task->worker->stopping -= task->state == TASK_STOPPING;
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -301,29 +301,48 @@
 	return worker;
 }
 
-/* Neither tasks nor orphans are on the worker. */
+/* Removes workers that are gone from the listings of tasks. */
 static void
-remove_worker(struct fleet *fleet, struct fleet_worker *worker)
+forget_listings(struct fleet *fleet)
 {
 	for (size_t i = 0; i < fleet->jobs.count; i++) {
 		struct fleet_job *job = fleet->jobs.items[i].item;
 
 		for (size_t j = 0; j < job->occurrences_count; j++) {
 			for (uint32_t k = 0; k < job->tasks_count; k++) {
-				struct fleet_task *task =
-				    &job->occurrences[j]->tasks[k];
+				struct fleet_listing *listing =
+				    &job->occurrences[j]->tasks[k].listing;
 
-				if (task->listing.worker == worker)
-					task->listing.worker = NULL;
+				if (listing->worker != NULL &&
+				    listing->worker->gone)
+					listing->worker = NULL;
 			}
 		}
 	}
+}
+
+static void
+remove_worker(struct fleet *fleet, struct fleet_worker *worker)
+{
 	if (worker->fence >= fleet->first_fence)
 		fleet->first_fence = worker->fence + 1;
 	(void)name_index_remove(&fleet->workers, worker->entry.id);
 	mem_free(worker);
 }
 
+/* Removes the workers that are gone: neither tasks nor orphans are on them. */
+static void
+remove_gone_workers(struct fleet *fleet)
+{
+	forget_listings(fleet);
+	for (size_t i = fleet->workers.count; i-- > 0;) {
+		struct fleet_worker *worker = fleet->workers.items[i].item;
+
+		if (worker->gone)
+			remove_worker(fleet, worker);
+	}
+}
+
 void
 fleet_unlist_worker(struct fleet *fleet, const char *id, int64_t now_ms)
 {
@@ -516,6 +535,8 @@
 void
 fleet_expire_leases(struct fleet *fleet, int64_t now_ms)
 {
+	bool some_gone = false;
+
 	for (size_t i = fleet->workers.count; i-- > 0;) {
 		struct fleet_worker *worker = fleet->workers.items[i].item;
 
@@ -532,10 +553,12 @@
 			fleet_release_lost_orphans(fleet, worker,
 			    now_ms >= longest_lease_end_ms(fleet, worker));
 		}
-		if (!worker->listed && !fleet_worker_busy(worker) &&
-		    worker->orphans == 0)
-			remove_worker(fleet, worker);
+		worker->gone = !worker->listed && !fleet_worker_busy(worker) &&
+		    worker->orphans == 0;
+		some_gone |= worker->gone;
 	}
+	if (some_gone)
+		remove_gone_workers(fleet);
 }
 
 void
--- a/tests/fail_long_texts.c
+++ b/tests/fail_long_texts.c
@@ -163,8 +163,8 @@
 	append_long(&key, BEYOND_BUFFER_BYTES, "");
 	caller.key = buffer_string(&key);
 	start_instances();
-	CU_ASSERT_EQUAL(users_call(platform, 0, "GET", buffer_string(&path), "",
-			    &answer),
+	CU_ASSERT_EQUAL(
+	    users_call(platform, 0, "GET", buffer_string(&path), "", &answer),
 	    414);
 	CU_ASSERT_EQUAL(
 	    users_call_as(platform, 0, &caller, "GET", "/q/", "", &answer),
--- a/tests/test_fleet_load.c
+++ b/tests/test_fleet_load.c
@@ -17,6 +17,13 @@
 #define INCARNATION  1
 #define ROUND_MS     100
 #define WORK_MS	     3000
+/* A lead's lease is 1 s, on a quarter of a core: a decision has to be a small
+ * part of that, whatever waits. Visits take some 50 ns, orders 20 us each. */
+#define VISITS_MOST    500000
+#define ORDERS_MOST    512
+#define OVERDUE_MOST   256
+#define OVERDUE_TIMES  25000
+#define DISTINCT_NEEDS 20000
 /* One for free capacity, and one for what may be preempted. */
 #define SEARCHES_MOST 2
 
@@ -268,6 +275,137 @@
 	CU_ASSERT_EQUAL(usage(&fixture).placed_tasks, 1);
 }
 
+/* Adds a schedule of one task that has been due for OVERDUE_TIMES ms. */
+static void
+submit_overdue(struct fixture *fixture)
+{
+	Ibis__StepJob *spec = mem_calloc(1, sizeof(*spec));
+	Ibis__JobStep *step = mem_calloc(1, sizeof(*step));
+
+	ibis__step_job__init(spec);
+	ibis__job_step__init(step);
+	spec->steps = mem_calloc(1, sizeof(struct Ibis__JobStep *));
+	spec->steps[0] = step;
+	spec->n_steps = 1;
+	spec->attempts = 1;
+	spec->priority = 1;
+	spec->times = OVERDUE_TIMES;
+	spec->interval_ms = 1;
+	spec->first_wall_ms = fixture->now_ms - OVERDUE_TIMES;
+	proto_set_string(&spec->service, "s");
+	proto_set_string(&spec->workspace, "overdue");
+	step->tasks = 1;
+	step->accelerators = 1;
+	(void)fleet_add_job(
+	    fixture->fleet, "00000000000000ff", spec, NULL, 0, fixture->now_ms);
+}
+
+/* Guards against a lead that loses its lease in one decision: all overdue
+ * occurrences of a schedule waited at once, and each was compared with each. */
+static void
+test_overdue_occurrences_wait_in_part(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+	size_t ordered = 0;
+
+	open_fixture(&fixture);
+	submit_overdue(&fixture);
+	(void)submit(&fixture, 1, 1, ACCELERATORS);
+	(void)decide(&fixture);
+	CU_ASSERT_TRUE(usage(&fixture).placed_tasks > OVERDUE_MOST);
+	/* As soon as some have begun, others follow while there is room. */
+	for (int i = 0; i < 10; i++) {
+		CU_ASSERT_TRUE(usage(&fixture).waiting_tasks <= OVERDUE_MOST);
+		ordered += decide(&fixture);
+	}
+	CU_ASSERT_EQUAL(ordered, 1 + (WORKERS - 1) * ACCELERATORS);
+}
+
+/* Guards against a decision that takes longer than the lead's lease, and
+ * against work that no decision comes to: each job is searched for, and only
+ * the last one has workers. */
+static void
+test_searches_of_a_round_are_bounded(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+	uint64_t most = VISITS_MOST / WORKERS + 1;
+	int decisions = 0;
+
+	open_fixture(&fixture);
+	for (int i = 0; i < DISTINCT_NEEDS; i++) {
+		Ibis__JobStep *step = submit(&fixture, 1, 1, 1);
+
+		proto_set_string(&step->label, "none has it");
+		step->max_per_worker = 1;
+	}
+	fixture.now_ms++;
+	(void)submit(&fixture, 1, 1, 1);
+	while (usage(&fixture).placed_tasks == 0 && decisions < 10) {
+		uint64_t searches = usage(&fixture).searches;
+
+		(void)decide(&fixture);
+		decisions++;
+		CU_ASSERT_TRUE(usage(&fixture).searches - searches <= most);
+	}
+	CU_ASSERT_EQUAL(usage(&fixture).placed_tasks, 1);
+	/* What is urgent doesn't wait for the rest of a round. */
+	(void)submit(&fixture, 0, 1, 1);
+	(void)decide(&fixture);
+	CU_ASSERT_EQUAL(
+	    usage(&fixture).placed_tasks + usage(&fixture).running_tasks, 2);
+}
+
+/* Guards against a lead that decides for ever: where nothing can be placed, a
+ * round that was cut is gone through once. */
+static void
+test_cut_round_comes_to_its_end(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+	int decisions = 0;
+
+	open_fixture(&fixture);
+	for (int i = 0; i < DISTINCT_NEEDS; i++) {
+		Ibis__JobStep *step = submit(&fixture, 1, 1, 1);
+
+		proto_set_string(&step->label, "none has it");
+		step->max_per_worker = 1;
+	}
+	do {
+		(void)decide(&fixture);
+		decisions++;
+	} while (fleet_next_wakeup_ms(fixture.fleet) <= fixture.now_ms &&
+	    decisions < 20);
+	CU_ASSERT_TRUE(decisions > 1);
+	CU_ASSERT_TRUE(decisions < 20);
+}
+
+/* Guards against a lead that is busy with orders for longer than its lease: a
+ * job of many small tasks is started in parts, a gang as a whole. */
+static void
+test_orders_of_a_decision_are_bounded(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+	Ibis__JobStep *step;
+	size_t ordered = 0;
+
+	open_fixture(&fixture);
+	step = submit(&fixture, 1, 5000, 0);
+	step->cpu_milli = 1;
+	(void)decide(&fixture);
+	for (int i = 0; i < 12; i++) {
+		size_t orders = decide(&fixture);
+
+		CU_ASSERT_TRUE(orders <= ORDERS_MOST);
+		ordered += orders;
+	}
+	CU_ASSERT_EQUAL(ordered, 5000);
+	step = submit(&fixture, 1, 2 * ORDERS_MOST, 0);
+	step->cpu_milli = 1;
+	step->gang = true;
+	(void)decide(&fixture);
+	CU_ASSERT_EQUAL(decide(&fixture), 2 * ORDERS_MOST);
+}
+
 static const char *
 find_service(void *context, const char *route)
 {
@@ -317,6 +455,13 @@
 		test_urgent_job_keeps_reclaimed_room},
 	    {"a guaranteed job preempts an urgent one over guarantee",
 		test_guaranteed_job_preempts_urgent_one_over_guarantee},
+	    {"overdue occurrences wait in part",
+		test_overdue_occurrences_wait_in_part},
+	    {"searches of a round are bounded",
+		test_searches_of_a_round_are_bounded},
+	    {"a cut round comes to its end", test_cut_round_comes_to_its_end},
+	    {"orders of a decision are bounded",
+		test_orders_of_a_decision_are_bounded},
 	    {"what allows placements wakes the lead",
 		test_what_allows_placements_wakes_the_lead},
 	    CU_TEST_INFO_NULL,
--- a/tests/test_fleet_rank.c
+++ b/tests/test_fleet_rank.c
@@ -110,13 +110,11 @@
 	hot = fleet_find_job(sim.fleet, sim.jobs[5].id)->occurrences[0];
 	other = fleet_find_job(sim.fleet, sim.jobs[6].id)->occurrences[0];
 	fleet_rank_begin_round(sim.fleet);
-	before_ms = fleet_rank_joins_ms(sim.fleet, hot, 0, sim.now_ms);
-	CU_ASSERT_TRUE(
-	    before_ms > fleet_rank_joins_ms(sim.fleet, other, 0, sim.now_ms));
+	before_ms = fleet_rank_joins_ms(hot, 0, sim.now_ms);
+	CU_ASSERT_TRUE(before_ms > fleet_rank_joins_ms(other, 0, sim.now_ms));
 	fleet_set_quota(sim.fleet, "hot", &heavy);
 	fleet_rank_begin_round(sim.fleet);
-	CU_ASSERT_TRUE(
-	    fleet_rank_joins_ms(sim.fleet, hot, 0, sim.now_ms) < before_ms);
+	CU_ASSERT_TRUE(fleet_rank_joins_ms(hot, 0, sim.now_ms) < before_ms);
 }
 
 /* Guards against an order by anything else before the priority. */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -248,6 +248,23 @@
 	ibis__step_job__free_unpacked(job, proto_allocator());
 }
 
+/* Guards against a step that takes a decision long to look at, as it waits for
+ * one step thousands of times. */
+static void
+test_repeated_dependencies(void)
+{
+	static const char text[] = "{\"Steps\":[{\"Count\":1},{\"Count\":1},"
+				   "{\"Count\":1,\"After\":[1,0,1,1,0]}]}";
+	struct ibis_status status = {0};
+	Ibis__StepJob *job = platform_job_parse(text, strlen(text), &status);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(job);
+	CU_ASSERT_EQUAL(job->steps[2]->n_after, 2);
+	CU_ASSERT_EQUAL(job->steps[2]->after[0], 1);
+	CU_ASSERT_EQUAL(job->steps[2]->after[1], 0);
+	ibis__step_job__free_unpacked(job, proto_allocator());
+}
+
 static void
 test_bad_jobs(void)
 {
@@ -699,6 +716,7 @@
 	    {"config quota", test_config_quota},
 	    {"bad config", test_bad_config},
 	    {"job", test_job},
+	    {"repeated dependencies", test_repeated_dependencies},
 	    {"bad jobs", test_bad_jobs},
 	    {"worker entry", test_worker_entry},
 	    {"remaining time of a worker", test_remaining_time_of_a_worker},
