Let a failing job keep others from no more than half of the workers

The pauses of a worker grew with each failed run of any job and only ended with a done one, which long-running tasks never have. A pause now reaches as far as the failures do: one job, one workspace, and all jobs only where those of several workspaces have failed; all jobs keep half of a service's workers. It has a ceiling of 20 s, failures are forgotten after 30 s without one, and a job that fails wherever it runs pauses no worker and is tried again after 2 s. By the same class, a start that is refused with 400 pauses its worker for that job only, and no pause ends a longer one. test_platform checks this answer as the outcome of its own that it now is; it is still one that won't be carried out later.

--- a/src/agent/agent_workers.c
+++ b/src/agent/agent_workers.c
@@ -129,6 +129,7 @@
 is_absent(enum platform_order_outcome outcome)
 {
 	return outcome == PLATFORM_ORDER_REFUSED ||
+	    outcome == PLATFORM_ORDER_INVALID ||
 	    outcome == PLATFORM_ORDER_REPLACED;
 }
 
@@ -320,6 +321,8 @@
 		return FLEET_START_ALREADY_ENDED;
 	case PLATFORM_ORDER_UNKNOWN:
 		return FLEET_START_UNKNOWN;
+	case PLATFORM_ORDER_INVALID:
+		return FLEET_START_INVALID;
 	case PLATFORM_ORDER_REFUSED:
 	case PLATFORM_ORDER_REPLACED:
 	case PLATFORM_ORDER_FENCED:
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -147,6 +147,7 @@
 enum fleet_start_answer {
 	FLEET_STARTED,
 	FLEET_START_REFUSED, /* not started, and will not be */
+	FLEET_START_INVALID, /* the same, for what was to be started */
 	/* Refused: the run, or a later one of the task, has ended there. A
 	 * report contains the end. */
 	FLEET_START_ALREADY_ENDED,
@@ -616,6 +617,7 @@
 	FLEET_WAITS_RESOURCES, /* too few are free */
 	FLEET_WAITS_QUOTA,     /* the workspace's cap leaves too little */
 	FLEET_WAITS_RACK,      /* enough are free, but outside the rack */
+	FLEET_WAITS_RETRY,     /* the job's runs fail; it is tried again soon */
 	FLEET_WAITS_RECORD,    /* placed; the record is being written */
 	FLEET_WAITS_STOPS,     /* placed; earlier runs are being stopped */
 	FLEET_WAITS_ISOLATION  /* placed; a suspect, begins alone */
--- a/src/fleet/fleet_decide.c
+++ b/src/fleet/fleet_decide.c
@@ -98,6 +98,19 @@
 	};
 }
 
+/* Returns whether a task is not to be tried again yet, and then schedules a
+ * placement for the end of that time. */
+static bool
+waits_for_retry(struct placement_round *round, const struct fleet_task *task)
+{
+	int64_t retry_ms = fleet_retry_ms(round->fleet, task);
+
+	if (retry_ms <= round->now_ms)
+		return false;
+	fleet_schedule_placement(round->fleet, retry_ms);
+	return true;
+}
+
 static void
 add_gang(struct placement_round *round, struct fleet_occurrence *occurrence,
     uint32_t step)
@@ -107,7 +120,8 @@
 	size_t first = round->waiting_count;
 
 	for (uint32_t i = 0; i < count; i++) {
-		if (tasks[i].state != TASK_WAITING) {
+		if (tasks[i].state != TASK_WAITING ||
+		    waits_for_retry(round, &tasks[i])) {
 			round->waiting_count = first;
 			return;
 		}
@@ -128,6 +142,7 @@
 	for (uint32_t i = 0; i < count; i++) {
 		if (tasks[i].state == TASK_WAITING &&
 		    !fleet_is_suspect(&tasks[i]) &&
+		    !waits_for_retry(round, &tasks[i]) &&
 		    !fleet_waits_for_other_occurrence(round->fleet, &tasks[i]))
 			add_waiting(round, &tasks[i]);
 	}
@@ -137,7 +152,8 @@
 	for (uint32_t i = 0; i < count; i++) {
 		first = round->waiting_count;
 		if (tasks[i].state == TASK_WAITING &&
-		    fleet_is_suspect(&tasks[i]))
+		    fleet_is_suspect(&tasks[i]) &&
+		    !waits_for_retry(round, &tasks[i]))
 			add_waiting(round, &tasks[i]);
 		add_unit(round, occurrence, step, first);
 	}
--- a/src/fleet/fleet_events.c
+++ b/src/fleet/fleet_events.c
@@ -106,17 +106,32 @@
 	event->after_ms = now_ms - job->accepted_ms;
 }
 
+static const char *
+scope_name(enum fleet_failed_scope scope)
+{
+	switch (scope) {
+	case FLEET_FAILED_JOB:
+		return "for the job";
+	case FLEET_FAILED_WORKSPACE:
+		return "for its workspace";
+	case FLEET_FAILED_WORKSPACES:
+		return "for all jobs";
+	}
+	return "";
+}
+
 void
-fleet_add_pause_event(
-    struct fleet *fleet, const struct fleet_worker *worker, int64_t pause_ms)
+fleet_add_pause_event(struct fleet *fleet, const struct fleet_worker *worker,
+    const struct fleet_job *job, enum fleet_failed_scope scope,
+    int64_t pause_ms)
 {
 	struct fleet_event *event = add_event(fleet, FLEET_EVENT_WORKER_PAUSED);
 
 	if (event == NULL)
 		return;
 	STRING_COPY(event->worker, worker->entry.id);
-	if (!worker->several_jobs_failed)
-		STRING_COPY(event->task.job, worker->failed_job);
+	event->outcome = scope_name(scope);
+	STRING_COPY(event->task.job, job->id);
 	event->after_ms = pause_ms;
 }
 
--- a/src/fleet/fleet_explain.c
+++ b/src/fleet/fleet_explain.c
@@ -14,6 +14,7 @@
     [FLEET_WAITS_RESOURCES] = "no room",
     [FLEET_WAITS_QUOTA] = "its workspace's cap leaves no room",
     [FLEET_WAITS_RACK] = "room only away from its rack or data",
+    [FLEET_WAITS_RETRY] = "its runs fail on all workers, next try soon",
     [FLEET_WAITS_RECORD] = "its placement is being recorded",
     [FLEET_WAITS_STOPS] = "what holds its room is being stopped",
     [FLEET_WAITS_ISOLATION] = "begins alone, as workers crashed when it began",
@@ -145,7 +146,9 @@
 		return FLEET_WAITS_QUOTA;
 	if (wait->fitting < needed)
 		return FLEET_WAITS_RESOURCES;
-	return FLEET_WAITS_RACK;
+	return fleet_job_fails_everywhere(explanation->fleet, explanation->job)
+	    ? FLEET_WAITS_RETRY
+	    : FLEET_WAITS_RACK;
 }
 
 static void
--- a/src/fleet/fleet_place.c
+++ b/src/fleet/fleet_place.c
@@ -153,7 +153,8 @@
 
 	if (until_ms <= search->now_ms)
 		return;
-	search->paused_for_job |= until_ms != worker->paused_until_ms;
+	search->paused_for_job |=
+	    !fleet_worker_paused_for_all(worker, search->now_ms);
 	fleet_schedule_placement(search->fleet, until_ms);
 }
 
--- a/src/fleet/fleet_reports.c
+++ b/src/fleet/fleet_reports.c
@@ -4,42 +4,12 @@
 #include "fleet/fleet_model.h"
 #include "process/alloc.h"
 
-/* A worker with at least this many failed runs in a row is paused, for
- * FAILURE_PAUSE_MS times their number. */
-#define FAILURES_BEFORE_PAUSE 2
-#define FAILURE_PAUSE_MS      2500
 /* Pause after a refused start. */
 #define REFUSED_PAUSE_MS 500
 /* Pause after a start that had no answer and that the next report does not
  * show. */
 #define UNANSWERED_PAUSE_MS 1500
 
-/* Counts a failed run, and pauses a worker that fails repeatedly. Failures of
- * one job may be the job's fault, so they pause the worker for this job only.
- */
-static void
-count_failure(struct fleet *fleet, struct fleet_worker *worker,
-    const struct fleet_job *job, int64_t now_ms)
-{
-	int64_t pause_ms;
-
-	if (worker->failures == 0) {
-		STRING_COPY(worker->failed_job, job->id);
-		worker->several_jobs_failed = false;
-	} else if (strcmp(worker->failed_job, job->id) != 0) {
-		worker->several_jobs_failed = true;
-	}
-	worker->failures++;
-	if (worker->failures < FAILURES_BEFORE_PAUSE)
-		return;
-	pause_ms = (int64_t)FAILURE_PAUSE_MS * worker->failures;
-	if (worker->several_jobs_failed)
-		worker->paused_until_ms = now_ms + pause_ms;
-	else
-		worker->job_paused_until_ms = now_ms + pause_ms;
-	fleet_add_pause_event(fleet, worker, pause_ms);
-}
-
 static void
 apply_end(struct fleet *fleet, struct fleet_worker *worker,
     const struct fleet_reported_end *end, int64_t now_ms)
@@ -59,11 +29,12 @@
 		return;
 	switch (end->outcome) {
 	case FLEET_END_DONE:
-		worker->failures = 0;
+		fleet_note_done_run(worker, task->occurrence->job);
 		fleet_complete_task(fleet, task, now_ms);
 		break;
 	case FLEET_END_FAILED:
-		count_failure(fleet, worker, task->occurrence->job, now_ms);
+		fleet_note_failed_run(
+		    fleet, worker, task->occurrence->job, now_ms);
 		fleet_fail_task(fleet, task, now_ms);
 		break;
 	case FLEET_END_STOPPED:
@@ -134,7 +105,7 @@
     struct fleet *fleet, struct fleet_task *task, int64_t now_ms)
 {
 	if (task->state == TASK_SENT) {
-		task->worker->paused_until_ms = now_ms + UNANSWERED_PAUSE_MS;
+		fleet_pause_worker(task->worker, now_ms + UNANSWERED_PAUSE_MS);
 		fleet_stop_gang_or_task(
 		    fleet, task, "no answer to the start", now_ms);
 	} else {
@@ -321,6 +292,14 @@
 	fleet_audit_report(fleet, worker, report, now_ms);
 }
 
+static void
+requeue_refused_task(
+    struct fleet *fleet, struct fleet_task *task, int64_t now_ms)
+{
+	if (task->state == TASK_SENT || task->state == TASK_STOPPING)
+		fleet_requeue_task(fleet, task, "refused", NULL, now_ms);
+}
+
 void
 fleet_handle_start_answer(struct fleet *fleet, struct fleet_worker *worker,
     const struct fleet_task_id *id, uint64_t run,
@@ -342,10 +321,13 @@
 		}
 		break;
 	case FLEET_START_REFUSED:
-		worker->paused_until_ms = now_ms + REFUSED_PAUSE_MS;
-		if (task->state == TASK_SENT || task->state == TASK_STOPPING)
-			fleet_requeue_task(
-			    fleet, task, "refused", NULL, now_ms);
+		fleet_pause_worker(worker, now_ms + REFUSED_PAUSE_MS);
+		requeue_refused_task(fleet, task, now_ms);
+		break;
+	case FLEET_START_INVALID:
+		fleet_pause_worker_for_job(
+		    worker, task->occurrence->job, now_ms + REFUSED_PAUSE_MS);
+		requeue_refused_task(fleet, task, now_ms);
 		break;
 	case FLEET_START_UNKNOWN:
 		task->start_unanswered = task->last_poll == 0;
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -239,9 +239,7 @@
 	worker->last_reported_end = 0;
 	worker->last_acked_end = 0;
 	worker->reported_generation = 0;
-	worker->failures = 0;
-	worker->paused_until_ms = 0;
-	worker->job_paused_until_ms = 0;
+	fleet_end_pauses(worker);
 	worker->reports_resources = false;
 	worker->resources_unconfirmed = false;
 }
@@ -618,16 +616,6 @@
 	return false;
 }
 
-int64_t
-fleet_worker_paused_until_ms(
-    const struct fleet_worker *worker, const struct fleet_job *job)
-{
-	if (worker->job_paused_until_ms > worker->paused_until_ms &&
-	    strcmp(worker->failed_job, job->id) == 0)
-		return worker->job_paused_until_ms;
-	return worker->paused_until_ms;
-}
-
 bool
 fleet_worker_usable(const struct fleet_worker *worker,
     const struct fleet_job *job, const Ibis__JobStep *step, int64_t now_ms)
