Hold names, labels and zones whole, or refuse them

Texts of the configuration, of jobs and of workers' entries now have any length; ids of workers and names of instances have the 200 bytes of a key of the store.

--- a/bench/bench_fleet.c
+++ b/bench/bench_fleet.c
@@ -96,16 +96,20 @@
 add_workers(struct site *site)
 {
 	for (size_t i = 0; i < site->workers_count; i++) {
+		char id[32];
+		char rack[32];
 		struct fleet_worker_entry entry = {
+		    .id = id,
+		    .rack = rack,
 		    .service = "planner",
 		    .address = "10.0.0.1:80",
 		    .zone = "a",
 		    .resources = {CPU_MILLI, MEMORY_MB, ACCELERATORS},
 		};
 
-		(void)snprintf(entry.id, sizeof(entry.id), "w%06zu", i);
-		(void)snprintf(entry.rack, sizeof(entry.rack), "r%zu",
-		    i / WORKERS_PER_RACK);
+		(void)snprintf(id, sizeof(id), "w%06zu", i);
+		(void)snprintf(
+		    rack, sizeof(rack), "r%zu", i / WORKERS_PER_RACK);
 		(void)fleet_set_worker(site->fleet, &entry, site->now_ms);
 	}
 }
--- a/fakes/workers/worker_pool.c
+++ b/fakes/workers/worker_pool.c
@@ -344,7 +344,7 @@
 	struct request_faults faults;
 
 	if (length < sizeof(id) && strcmp(path + length, ANSWER_SUFFIX) == 0)
-		string_copy(id, length + 1, path);
+		(void)string_copy_part(id, sizeof(id), path, length);
 	(void)pthread_mutex_lock(&pool->lock);
 	faults = worker_fault_for_request(worker, request);
 	task = fake_worker_find(&worker->model, id);
--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -18,7 +18,8 @@
 	routes_free(platform_config_parse(text, length, &status));
 	platform_report_free(platform_report_parse(text, length, &status));
 	platform_store_reply_free(platform_store_reply_parse(text, length));
-	(void)platform_worker_parse("i-1", text, length, &entry, &status);
+	if (platform_worker_parse("i-1", text, length, &entry, &status))
+		fleet_free_worker_entry(&entry);
 	(void)platform_settings_parse(text, length, &settings, &status);
 	return 0;
 }
--- a/src/agent/agent_config.c
+++ b/src/agent/agent_config.c
@@ -152,6 +152,11 @@
 	routes_free(config->routes);
 	config->routes = routes;
 	config->revision = item->revision;
+	if (routes->unusable > 0)
+		log_event(LOG_ERROR, "config_entries_unusable", "version",
+		    log_number((int64_t)routes->version), "entries",
+		    log_number((int64_t)routes->unusable), "first",
+		    status.message, NULL);
 	pass_config_to_fleet(agent);
 	log_version(agent, clock_now_ms() - begun_ms);
 }
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -112,7 +112,7 @@
 	int64_t next_poll_ms;
 	int64_t poll_sent_ms;
 	/* Why the last poll had no report; empty: it had one. */
-	char poll_failure[FLEET_NAME_BYTES];
+	char poll_failure[64];
 };
 
 struct record_batch;
--- a/src/agent/agent_view.c
+++ b/src/agent/agent_view.c
@@ -191,9 +191,8 @@
 	    .revision = item->revision,
 	    .lease = item->lease,
 	};
-	if (!item->deleted)
-		string_copy(key->holder, sizeof(key->holder),
-		    item->value == NULL ? "" : item->value);
+	if (!item->deleted && !STRING_COPY(key->holder, item->value))
+		agent_watch_log_unreadable(item, "not the name of an instance");
 	gauge_set(GAUGE_EPOCH, (int64_t)key->revision);
 	log_event(LOG_INFO, "lead_seen", "holder", key->holder, "epoch",
 	    log_number((int64_t)key->revision), NULL);
--- a/src/agent/agent_watch.c
+++ b/src/agent/agent_watch.c
@@ -32,7 +32,7 @@
 	uint64_t revision;
 	uint64_t listing; /* number of the last one that contained it */
 	size_t value_length;
-	char key[PLATFORM_KEY_BYTES];
+	char key[];
 };
 
 /* Context of the call in flight, which may outlive the watch. */
@@ -47,7 +47,7 @@
 	struct watch_call *call; /* in flight, or NULL */
 	bool listing;		 /* in progress, or due */
 	bool loaded;		 /* listed completely at least once */
-	char page_after[PLATFORM_KEY_BYTES]; /* last key of the last page */
+	char *page_after;	 /* owned; last key of the last page, or NULL */
 	uint64_t listing_number;
 	size_t values_length; /* of all keys */
 	/* The store's revision at the last page of a listing, and the one up to
@@ -92,6 +92,7 @@
 	for (size_t i = 0; i < watch->keys.count; i++)
 		mem_free(watch->keys.items[i].item);
 	name_index_free(&watch->keys);
+	mem_free(watch->page_after);
 	mem_free(watch);
 }
 
@@ -167,9 +168,10 @@
 static struct watched_key *
 add_key(struct agent_watch *watch, const char *key)
 {
-	struct watched_key *known = mem_calloc(1, sizeof(*known));
+	size_t bytes = strlen(key) + 1;
+	struct watched_key *known = mem_calloc(1, sizeof(*known) + bytes);
 
-	STRING_COPY(known->key, key);
+	memcpy(known->key, key, bytes);
 	known->listing = watch->listing_number;
 	(void)name_index_add(&watch->keys, known->key, known);
 	return known;
@@ -245,11 +247,19 @@
 	    : answer->sent_ms;
 }
 
+/* Sets where the next page begins; NULL: with the first key. */
+static void
+set_page_after(struct agent_watch *watch, const char *key)
+{
+	mem_free(watch->page_after);
+	watch->page_after = mem_strdup(key);
+}
+
 static void
 handle_listing(
     struct agent_watch *watch, const struct platform_store_answer *answer)
 {
-	if (watch->page_after[0] == '\0') {
+	if (watch->page_after == NULL) {
 		watch->reported_revision = answer->store_revision;
 		watch->resume_revision = answer->store_revision;
 		watch->next_resume_revision = answer->store_revision;
@@ -260,8 +270,8 @@
 	for (size_t i = 0; i < answer->items_count; i++)
 		apply_item(watch, &answer->items[i]);
 	if (answer->more && answer->items_count > 0) {
-		STRING_COPY(watch->page_after,
-		    answer->items[answer->items_count - 1].key);
+		set_page_after(
+		    watch, answer->items[answer->items_count - 1].key);
 		return;
 	}
 	report_deleted_keys(watch);
@@ -301,7 +311,7 @@
 {
 	watch->listing = true;
 	watch->listing_number++;
-	watch->page_after[0] = '\0';
+	set_page_after(watch, NULL);
 }
 
 void
@@ -484,7 +494,8 @@
 	watch->call->watch = watch;
 	if (watch->listing)
 		platform_store_list(watch->store, watch->config.prefix,
-		    watch->page_after, handle_answer, watch->call);
+		    watch->page_after == NULL ? "" : watch->page_after,
+		    handle_answer, watch->call);
 	else
 		send_watch(watch);
 	return INT64_MAX;
--- a/src/agent/agent_workers.c
+++ b/src/agent/agent_workers.c
@@ -194,9 +194,10 @@
 	struct agent *agent = call->agent;
 	struct agent_worker *state = get_worker_state(agent, call->worker);
 
-	if (strcmp(state->poll_failure, reason) == 0)
+	if (strncmp(state->poll_failure, reason,
+		sizeof(state->poll_failure) - 1) == 0)
 		return;
-	STRING_COPY(state->poll_failure, reason);
+	STRING_SHORTEN(state->poll_failure, reason);
 	log_event(LOG_INFO, "poll_failed", "worker", call->worker, "reason",
 	    reason, "took_ms", log_number(clock_now_ms() - call->sent_ms),
 	    "epoch", log_number((int64_t)agent->lead.epoch), NULL);
@@ -563,11 +564,14 @@
 apply_worker_item(void *context, const struct platform_store_item *item)
 {
 	struct agent *agent = context;
-	const char *id = item->key + strlen(PLATFORM_WORKERS_PREFIX);
+	const char *id =
+	    agent_watch_key_suffix(item->key, PLATFORM_WORKERS_PREFIX);
 	struct ibis_status status = {0};
 	struct fleet_worker_entry entry;
 	int64_t now_ms = clock_now_ms();
 
+	if (id == NULL)
+		return;
 	if (item->deleted) {
 		log_event(LOG_INFO, "worker_unlisted", "worker", id, NULL);
 		fleet_unlist_worker(agent->fleet, id, now_ms);
@@ -576,6 +580,7 @@
 	if (platform_worker_parse(
 		id, item->value, item->value_length, &entry, &status)) {
 		(void)fleet_set_worker(agent->fleet, &entry, now_ms);
+		fleet_free_worker_entry(&entry);
 		return;
 	}
 	log_event(LOG_WARN, "worker_entry_unusable", "worker", id, "message",
--- a/src/connection/address.c
+++ b/src/connection/address.c
@@ -34,7 +34,7 @@
 	}
 	if (length == 0 || length >= ADDRESS_TEXT_BYTES)
 		return false;
-	string_copy(host, length + 1, text);
+	(void)string_copy_part(host, ADDRESS_TEXT_BYTES, text, length);
 	*port = colon + 1;
 	return true;
 }
--- a/src/connection/api.c
+++ b/src/connection/api.c
@@ -75,7 +75,7 @@
 		length = strcspn(path, "/");
 		if (length == 0 || length >= PATH_SEGMENT_BYTES)
 			return false;
-		string_copy(name, length + 1, path);
+		(void)string_copy_part(name, PATH_SEGMENT_BYTES, path, length);
 		path += length;
 	}
 	return *path == '\0';
--- a/src/connection/http_client.c
+++ b/src/connection/http_client.c
@@ -64,7 +64,8 @@
 	value = strtoul(colon + 1, &end, DECIMAL);
 	if (end == colon + 1 || *end != '\0' || value == 0 || value > MAX_PORT)
 		return false;
-	string_copy(host, (size_t)(colon - address) + 1, address);
+	(void)string_copy_part(
+	    host, HOST_BYTES, address, (size_t)(colon - address));
 	*port = (unsigned int)value;
 	return true;
 }
@@ -110,7 +111,7 @@
 	unsigned int port;
 
 	(void)pthread_once(&once, S_init_sockets);
-	STRING_COPY(client->peer, address);
+	STRING_SHORTEN(client->peer, address);
 	client->timeout_ms = timeout_ms;
 	if (!parse_address(address, host, &port))
 		return client;
--- a/src/connection/store_client.c
+++ b/src/connection/store_client.c
@@ -192,7 +192,7 @@
 	STRING_COPY(result->key, pending->call.key);
 	result->owner = pending->call.owner;
 	result->token = pending->call.token;
-	STRING_COPY(result->status.peer, pending->address);
+	STRING_SHORTEN(result->status.peer, pending->address);
 	result->sent_ms = clock_now_ms();
 	if (cancelled)
 		result->code = ibis_status_set(&result->status,
--- a/src/connection/worker_client.c
+++ b/src/connection/worker_client.c
@@ -125,8 +125,8 @@
 {
 	char host[ADDRESS_BYTES];
 
-	STRING_COPY(host, call->address);
-	host[strcspn(host, "/")] = '\0';
+	(void)string_copy_part(
+	    host, sizeof(host), call->address, strcspn(call->address, "/"));
 	return http_client_new(host, call->timeout_ms);
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -26,8 +26,9 @@
 
 enum {
 	FLEET_ID_BYTES = 17, /* of a job: 16 hexadecimal digits and NUL */
-	FLEET_NAME_BYTES = 64,
-	FLEET_MAX_LABELS = 8, /* maximum per worker; further ones are ignored */
+	/* Of the id of a worker or the name of an instance, each of which ends
+	 * a key of the store, of at most 200 bytes. */
+	FLEET_NAME_BYTES = 201,
 	/* Of a job. */
 	FLEET_MAX_STEPS = 256,
 	FLEET_MAX_TASKS = 65536, /* of one occurrence, over all steps */
@@ -79,14 +80,15 @@
 	uint32_t index; /* within the step */
 };
 
-/* A worker's entry in the store, which the worker writes itself. */
+/* A worker's entry in the store, which the worker writes itself. Its texts have
+ * any length, but for the id; NULL is taken for an empty one. */
 struct fleet_worker_entry {
-	char id[FLEET_NAME_BYTES];
-	char service[FLEET_NAME_BYTES];
-	char address[FLEET_NAME_BYTES]; /* IP:PORT */
-	char zone[FLEET_NAME_BYTES];
-	char rack[FLEET_NAME_BYTES];
-	char labels[FLEET_MAX_LABELS][FLEET_NAME_BYTES];
+	const char *id; /* shorter than FLEET_NAME_BYTES */
+	const char *service;
+	const char *address; /* IP:PORT */
+	const char *zone;
+	const char *rack;
+	const char *const *labels;
 	uint32_t labels_count;
 	struct fleet_resources resources; /* in total */
 	int64_t incarnation_wall_ms; /* start of this incarnation; 0: unknown */
@@ -268,8 +270,14 @@
  * Workers group.
  */
 
+/* Copies an entry with its texts; free the copy with fleet_free_worker_entry.
+ * An empty entry may be freed too. */
+void fleet_copy_worker_entry(
+    struct fleet_worker_entry *copy, const struct fleet_worker_entry *entry);
+void fleet_free_worker_entry(struct fleet_worker_entry *entry);
+
 /* Adds a worker, or updates it when its entry in the store has changed. The
- * entry is copied. */
+ * entry is copied with its texts. */
 struct fleet_worker *fleet_set_worker(struct fleet *fleet,
     const struct fleet_worker_entry *entry, int64_t now_ms);
 
--- a/src/fleet/fleet_checks.c
+++ b/src/fleet/fleet_checks.c
@@ -107,7 +107,7 @@
 		    status, "run of a task: expected at most 2^53");
 	if (strlen(task->worker) >= FLEET_NAME_BYTES)
 		return set_invalid(
-		    status, "worker of a task: expected at most 63 bytes");
+		    status, "worker of a task: expected at most 200 bytes");
 	if (!fleet_time_valid(task->incarnation_wall_ms))
 		return set_invalid(
 		    status, "incarnation of a worker: expected 0 to 2^43 ms");
--- a/src/fleet/fleet_jobs.c
+++ b/src/fleet/fleet_jobs.c
@@ -204,9 +204,8 @@
 		return;
 	worker = fleet_find_worker(fleet, progress->worker);
 	if (worker == NULL) {
-		struct fleet_worker_entry entry = {0};
+		struct fleet_worker_entry entry = {.id = progress->worker};
 
-		STRING_COPY(entry.id, progress->worker);
 		worker = fleet_set_worker(fleet, &entry, now_ms);
 		worker->listed = false;
 	}
@@ -426,7 +425,7 @@
 	progress->sole_crashes = task->sole_crashes;
 	progress->done = task->state == TASK_DONE;
 	if (task->worker != NULL) {
-		progress->worker = task->worker->entry.id;
+		progress->worker = (char *)task->worker->entry.id;
 		progress->incarnation_wall_ms =
 		    task->placed_incarnation_wall_ms;
 	}
--- a/src/fleet/fleet_model.h
+++ b/src/fleet/fleet_model.h
@@ -182,7 +182,7 @@
 };
 
 struct fleet_worker {
-	struct fleet_worker_entry entry;
+	struct fleet_worker_entry entry;  /* a copy; its id never changes */
 	struct fleet_resources resources; /* see the capacity group */
 	bool reports_resources;		  /* in its answers to polls */
 	bool resources_unconfirmed; /* its entry has changed since the last */
@@ -253,7 +253,7 @@
 
 /* A workspace that has jobs, a guarantee or a quota. */
 struct fleet_workspace {
-	char name[FLEET_NAME_BYTES];
+	char *name;	    /* owned */
 	int64_t guaranteed; /* accelerators for its urgent jobs */
 	struct fleet_quota quota;
 	/* See the quota group in fleet_quota.h. */
@@ -328,10 +328,8 @@
 	bool placements_held;
 	int64_t next_wakeup_ms;
 	int64_t next_placement_ms; /* even if nothing has changed */
-	char (*zones_out_of_service)[FLEET_NAME_BYTES];
-	size_t zones_out_of_service_count;
-	size_t zones_out_of_service_capacity;
-	struct fleet_workspace **workspaces; /* owned */
+	struct name_index zones_out_of_service; /* owns the names */
+	struct fleet_workspace **workspaces;	/* owned */
 	/* Of listed workers, in the current round of placement. */
 	struct fleet_resources capacity;
 	/* Most that runs of unknown jobs may use, in the current decision. */
--- a/src/fleet/fleet_quota.c
+++ b/src/fleet/fleet_quota.c
@@ -22,7 +22,7 @@
 	    mem_grow(fleet->workspaces, &fleet->workspaces_capacity,
 		fleet->workspaces_count + 1, sizeof(struct fleet_workspace *));
 	workspace = mem_calloc(1, sizeof(*workspace));
-	STRING_COPY(workspace->name, name);
+	workspace->name = mem_strdup(name);
 	fleet->workspaces[fleet->workspaces_count++] = workspace;
 	return workspace;
 }
--- a/src/fleet/fleet_workers.c
+++ b/src/fleet/fleet_workers.c
@@ -30,6 +30,51 @@
 	return fleet;
 }
 
+static char *
+copy_text(const char *text)
+{
+	return mem_strdup(text == NULL ? "" : text);
+}
+
+void
+fleet_copy_worker_entry(
+    struct fleet_worker_entry *copy, const struct fleet_worker_entry *entry)
+{
+	const char **labels =
+	    mem_calloc(entry->labels_count + 1, sizeof(*labels));
+
+	for (uint32_t i = 0; i < entry->labels_count; i++)
+		labels[i] = copy_text(entry->labels[i]);
+	*copy = *entry;
+	copy->id = copy_text(entry->id);
+	copy->service = copy_text(entry->service);
+	copy->address = copy_text(entry->address);
+	copy->zone = copy_text(entry->zone);
+	copy->rack = copy_text(entry->rack);
+	copy->labels = labels;
+}
+
+void
+fleet_free_worker_entry(struct fleet_worker_entry *entry)
+{
+	for (uint32_t i = 0; i < entry->labels_count; i++)
+		mem_free((char *)entry->labels[i]);
+	mem_free((const char **)entry->labels);
+	mem_free((char *)entry->id);
+	mem_free((char *)entry->service);
+	mem_free((char *)entry->address);
+	mem_free((char *)entry->zone);
+	mem_free((char *)entry->rack);
+	*entry = (struct fleet_worker_entry){0};
+}
+
+static void
+free_worker(struct fleet_worker *worker)
+{
+	fleet_free_worker_entry(&worker->entry);
+	mem_free(worker);
+}
+
 void
 fleet_free(struct fleet *fleet)
 {
@@ -40,12 +85,16 @@
 	while (fleet->jobs.count > 0)
 		fleet_remove_job(fleet, fleet->jobs.items[0].item);
 	for (size_t i = 0; i < fleet->workers.count; i++)
-		mem_free(fleet->workers.items[i].item);
+		free_worker(fleet->workers.items[i].item);
 	name_index_free(&fleet->jobs);
 	name_index_free(&fleet->workers);
-	mem_free(fleet->zones_out_of_service);
-	for (size_t i = 0; i < fleet->workspaces_count; i++)
+	for (size_t i = 0; i < fleet->zones_out_of_service.count; i++)
+		mem_free(fleet->zones_out_of_service.items[i].item);
+	name_index_free(&fleet->zones_out_of_service);
+	for (size_t i = 0; i < fleet->workspaces_count; i++) {
+		mem_free(fleet->workspaces[i]->name);
 		mem_free(fleet->workspaces[i]);
+	}
 	mem_free(fleet->workspaces);
 	mem_free(fleet->preempt_plan.victims);
 	mem_free(fleet->candidates);
@@ -82,11 +131,7 @@
 static bool
 zone_is_out_of_service(const struct fleet *fleet, const char *zone)
 {
-	for (size_t i = 0; i < fleet->zones_out_of_service_count; i++) {
-		if (strcmp(fleet->zones_out_of_service[i], zone) == 0)
-			return true;
-	}
-	return false;
+	return name_index_get(&fleet->zones_out_of_service, zone) != NULL;
 }
 
 /* Returns the time by which the longest lease that a worker accepts has expired
@@ -256,6 +301,40 @@
 	    entry->incarnation_wall_ms != worker->incarnation_wall_ms;
 }
 
+static struct fleet_worker *
+add_worker(
+    struct fleet *fleet, const struct fleet_worker_entry *entry, int64_t now_ms)
+{
+	struct fleet_worker *worker = mem_calloc(1, sizeof(*worker));
+
+	fleet_copy_worker_entry(&worker->entry, entry);
+	worker->resources = entry->resources;
+	worker->fence = fleet->first_fence;
+	CDS_INIT_LIST_HEAD(&worker->tasks);
+	(void)name_index_add(&fleet->workers, worker->entry.id, worker);
+	/* A previous lead may continue to renew the worker's lease for
+	 * previous_lead_renew_ms. */
+	worker->lease_until_ms = now_ms + fleet->config.previous_lead_renew_ms +
+	    (int64_t)(fleet->config.lease_ms * FLEET_MAX_CLOCK_DRIFT);
+	fleet->changed = true;
+	return worker;
+}
+
+/* Replaces a worker's entry by a copy of another one with the same id, which is
+ * kept as the index refers to it. */
+static void
+replace_entry(
+    struct fleet_worker *worker, const struct fleet_worker_entry *entry)
+{
+	struct fleet_worker_entry old = worker->entry;
+
+	fleet_copy_worker_entry(&worker->entry, entry);
+	mem_free((char *)worker->entry.id);
+	worker->entry.id = old.id;
+	old.id = NULL;
+	fleet_free_worker_entry(&old);
+}
+
 struct fleet_worker *
 fleet_set_worker(
     struct fleet *fleet, const struct fleet_worker_entry *entry, int64_t now_ms)
@@ -263,25 +342,14 @@
 	struct fleet_worker *worker = fleet_find_worker(fleet, entry->id);
 	bool restarted;
 
-	if (worker == NULL) {
-		worker = mem_calloc(1, sizeof(*worker));
-		worker->entry = *entry;
-		worker->resources = entry->resources;
-		worker->fence = fleet->first_fence;
-		CDS_INIT_LIST_HEAD(&worker->tasks);
-		(void)name_index_add(&fleet->workers, worker->entry.id, worker);
-		/* A previous lead may continue to renew the worker's lease
-		 * for previous_lead_renew_ms. */
-		worker->lease_until_ms = now_ms +
-		    fleet->config.previous_lead_renew_ms +
-		    (int64_t)(fleet->config.lease_ms * FLEET_MAX_CLOCK_DRIFT);
-		fleet->changed = true;
-	}
+	if (worker == NULL)
+		worker = add_worker(fleet, entry, now_ms);
 	restarted =
 	    worker->entry.incarnation_wall_ms != entry->incarnation_wall_ms;
 	if (!worker->listed || restarted ||
 	    worker->entry.draining != entry->draining ||
-	    strcmp(worker->entry.address, entry->address) != 0) {
+	    strcmp(worker->entry.address,
+		entry->address == NULL ? "" : entry->address) != 0) {
 		fleet->changed = true;
 		fleet_wake_at(fleet, now_ms);
 	}
@@ -290,10 +358,10 @@
 	fleet_note_leaving(fleet, worker, entry, now_ms);
 	fleet_note_listed_resources(
 	    fleet, worker, &entry->resources, !restarted, now_ms);
-	worker->entry = *entry;
+	replace_entry(worker, entry);
 	worker->listed = true;
 	worker->zone_out_of_service =
-	    zone_is_out_of_service(fleet, entry->zone);
+	    zone_is_out_of_service(fleet, worker->entry.zone);
 	if (entry->draining || restarted)
 		fleet_withdraw_placed(fleet, worker, now_ms);
 	return worker;
@@ -325,7 +393,7 @@
 	if (worker->fence >= fleet->first_fence)
 		fleet->first_fence = worker->fence + 1;
 	(void)name_index_remove(&fleet->workers, worker->entry.id);
-	mem_free(worker);
+	free_worker(worker);
 }
 
 /* Removes the workers that are gone: neither tasks nor orphans are on them. */
@@ -562,22 +630,14 @@
 void
 fleet_set_zone(struct fleet *fleet, const char *zone, bool in_service)
 {
-	size_t kept = 0;
+	struct name_index *zones = &fleet->zones_out_of_service;
 
-	for (size_t i = 0; i < fleet->zones_out_of_service_count; i++) {
-		if (strcmp(fleet->zones_out_of_service[i], zone) != 0)
-			memmove(fleet->zones_out_of_service[kept++],
-			    fleet->zones_out_of_service[i], FLEET_NAME_BYTES);
-	}
-	fleet->zones_out_of_service_count = kept;
-	if (!in_service) {
-		fleet->zones_out_of_service =
-		    mem_grow(fleet->zones_out_of_service,
-			&fleet->zones_out_of_service_capacity, kept + 1,
-			FLEET_NAME_BYTES);
-		string_copy(fleet->zones_out_of_service
-				[fleet->zones_out_of_service_count++],
-		    FLEET_NAME_BYTES, zone);
+	if (in_service) {
+		mem_free(name_index_remove(zones, zone));
+	} else if (name_index_get(zones, zone) == NULL) {
+		char *name = mem_strdup(zone);
+
+		(void)name_index_add(zones, name, name);
 	}
 	for (size_t i = 0; i < fleet->workers.count; i++) {
 		struct fleet_worker *worker = fleet->workers.items[i].item;
--- a/src/process/alloc.c
+++ b/src/process/alloc.c
@@ -114,15 +114,28 @@
 	return array;
 }
 
-void
+bool
 string_copy(char *target, size_t bytes, const char *string)
 {
-	size_t length;
+	return string_copy_part(target, bytes, string, SIZE_MAX);
+}
 
-	if (bytes == 0)
-		return;
-	length = string == NULL ? 0 : strnlen(string, bytes - 1);
-	if (length > 0)
-		memcpy(target, string, length);
-	target[length] = '\0';
+bool
+string_copy_part(char *target, size_t bytes, const char *string, size_t length)
+{
+	size_t available = string == NULL ? 0 : strnlen(string, length);
+
+	target[0] = '\0';
+	if (available >= bytes)
+		return false;
+	if (available > 0)
+		memcpy(target, string, available);
+	target[available] = '\0';
+	return true;
+}
+
+void
+string_shorten(char *target, size_t bytes, const char *string)
+{
+	(void)string_copy_part(target, bytes, string, bytes - 1);
 }
--- a/src/process/alloc.h
+++ b/src/process/alloc.h
@@ -6,6 +6,7 @@
 #ifndef IBIS_ALLOC_H
 #define IBIS_ALLOC_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 #ifdef __cplusplus
@@ -45,10 +46,24 @@
  */
 void *mem_grow(void *array, size_t *capacity, size_t needed, size_t bytes);
 
-/* Copies a string into a fixed array, truncated to fit and NUL-terminated. A
- * NULL string counts as "". */
+/* Copies a whole string into a fixed array of at least one byte. Returns false,
+ * and leaves the array empty, when it doesn't fit: a part of a name is another
+ * name. A NULL string counts as "". */
 #define STRING_COPY(array, string) string_copy((array), sizeof(array), (string))
-void string_copy(char *target, size_t bytes, const char *string);
+bool string_copy(char *target, size_t bytes, const char *string);
+
+/* Does the same for the first length bytes of a string, or all of a shorter
+ * one. */
+bool string_copy_part(
+    char *target, size_t bytes, const char *string, size_t length);
+
+/* Copies as much of a string as fits, for texts that people read. */
+#define STRING_SHORTEN(array, string) \
+	string_shorten((array), sizeof(array), (string))
+void string_shorten(char *target, size_t bytes, const char *string);
+
+/* Returns whether a string fits into a fixed array. */
+#define STRING_FITS(array, string) (strlen(string) < sizeof(array))
 
 #ifdef __cplusplus
 }
--- a/src/process/log.c
+++ b/src/process/log.c
@@ -54,7 +54,7 @@
 log_configure(const struct log_config *config)
 {
 	lowest_level = config->lowest;
-	STRING_COPY(instance_name, config->name);
+	STRING_SHORTEN(instance_name, config->name);
 	if (config->event_lines_per_s > 0)
 		event_limit = (uint32_t)config->event_lines_per_s;
 	drop_when_full = config->to_stdout;
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -297,9 +297,9 @@
 
 	if (colon == NULL || !is_port(colon + 1))
 		return false;
-	STRING_COPY(host, text);
 	length = (size_t)(colon - text);
-	host[length] = '\0';
+	if (!string_copy_part(host, sizeof(host), text, length))
+		return false;
 	if (host[0] != '[')
 		return inet_pton(AF_INET, host, &binary) == 1;
 	if (length < 2 || host[length - 1] != ']')
--- a/src/process/status.c
+++ b/src/process/status.c
@@ -40,8 +40,8 @@
 	if (status == NULL)
 		return code;
 	status->code = code;
-	STRING_COPY(status->step, step);
-	STRING_COPY(status->peer, peer);
+	STRING_SHORTEN(status->step, step);
+	STRING_SHORTEN(status->peer, peer);
 	va_start(arguments, format);
 	(void)vsnprintf(
 	    status->message, sizeof(status->message), format, arguments);
--- a/src/request/cli_load.c
+++ b/src/request/cli_load.c
@@ -56,9 +56,13 @@
 		return false;
 	mix->jobs = (uint32_t)jobs;
 	mix->seed = (uint32_t)seed;
-	if (prefix != NULL)
-		STRING_COPY(mix->key_prefix, prefix);
-	else
+	if (prefix != NULL && !STRING_COPY(mix->key_prefix, prefix)) {
+		(void)cli_usage_error(cli,
+		    "--key-prefix: expected at most %d bytes",
+		    LOAD_PREFIX_BYTES - 1);
+		return false;
+	}
+	if (prefix == NULL)
 		(void)snprintf(mix->key_prefix, sizeof(mix->key_prefix),
 		    "load-%" PRId64, clock_now_us());
 	return true;
--- a/src/request/gang.c
+++ b/src/request/gang.c
@@ -150,7 +150,7 @@
 		return;
 	gang->result = result;
 	STRING_COPY(gang->failed_worker, failed_worker);
-	STRING_COPY(gang->reason, reason);
+	STRING_SHORTEN(gang->reason, reason);
 	set_phase(gang, GANG_STOP, now_ms);
 	send_stops(gang, sink);
 }
@@ -454,7 +454,7 @@
 	gang->checkpointing = true;
 	gang->checkpoint_deadline_ms =
 	    now_ms + gang->config.checkpoint_grace_ms;
-	STRING_COPY(gang->reason, reason);
+	STRING_SHORTEN(gang->reason, reason);
 	set_phase(gang, GANG_STOP, now_ms);
 	send_checkpoints(gang, sink);
 }
@@ -671,7 +671,7 @@
 	char id[JOB_ID_BYTES];
 	uint64_t number;
 
-	STRING_COPY(id, text);
+	(void)string_copy_part(id, sizeof(id), text, JOB_ID_BYTES - 1);
 	if (!job_id_parse(id, job) || text[JOB_ID_BYTES - 1] != '.')
 		return false;
 	text = parse_number(text + JOB_ID_BYTES, '.', UINT64_MAX, attempt);
--- a/src/request/load_run.c
+++ b/src/request/load_run.c
@@ -116,12 +116,12 @@
 	if (outcome == LOAD_OUTCOMES)
 		return false;
 	result->outcome = outcome;
-	STRING_COPY(result->message, client_string(job_json, "reason", ""));
+	STRING_SHORTEN(result->message, client_string(job_json, "reason", ""));
 	if (outcome == LOAD_FINISHED &&
 	    (answer_check_parts(job_json, &status) != IBIS_OK ||
 		check_content(job, job_json, &status) != IBIS_OK)) {
 		result->wrong_answer = true;
-		STRING_COPY(result->message, status.message);
+		STRING_SHORTEN(result->message, status.message);
 	}
 	return true;
 }
@@ -152,7 +152,7 @@
 	result->outcome = code == IBIS_UNKNOWN || code == IBIS_INTERNAL
 	    ? LOAD_UNKNOWN
 	    : LOAD_NOT_RUN;
-	STRING_COPY(result->message, status.message);
+	STRING_SHORTEN(result->message, status.message);
 	return true;
 }
 
@@ -171,7 +171,7 @@
 
 		if (client_get(caller->client, path.data, &answer, &status) !=
 		    IBIS_OK) {
-			STRING_COPY(result->message, status.message);
+			STRING_SHORTEN(result->message, status.message);
 			sleep_until(clock_now_ms() + POLL_RETRY_MS);
 			continue;
 		}
--- a/src/version/routes.c
+++ b/src/version/routes.c
@@ -18,12 +18,25 @@
 	return routes;
 }
 
+static void
+free_route(struct route *route)
+{
+	mem_free(route->name);
+	mem_free(route->host);
+	mem_free(route->prefix);
+	mem_free(route->service);
+}
+
 void
 routes_free(struct routes *routes)
 {
 	if (routes == NULL)
 		return;
+	for (size_t i = 0; i < routes->routes_count; i++)
+		free_route(&routes->routes[i]);
 	mem_free(routes->routes);
+	for (size_t i = 0; i < routes->workspaces_count; i++)
+		mem_free(routes->workspaces[i].name);
 	mem_free(routes->workspaces);
 	for (size_t i = 0; i < routes->keys_count; i++)
 		mem_free(routes->keys[i].key);
--- a/src/version/routes.h
+++ b/src/version/routes.h
@@ -14,12 +14,6 @@
 extern "C" {
 #endif
 
-enum {
-	ROUTES_NAME_BYTES = 64,
-	ROUTES_HOST_BYTES = 128,
-	ROUTES_PREFIX_BYTES = 256
-};
-
 /* A route's use of the advice service. Only needed is used so far; the times
  * are DecisionMs, PerWorkerMs and ValidMs of the configuration. */
 struct route_advice {
@@ -30,13 +24,13 @@
 };
 
 /* A route; the jobs submitted through it get its priority, attempts and
- * objective. */
+ * objective. It owns its texts, which have any length. */
 struct route {
-	char name[ROUTES_NAME_BYTES];
-	char host[ROUTES_HOST_BYTES];
-	char prefix[ROUTES_PREFIX_BYTES];
-	char service[ROUTES_NAME_BYTES]; /* whose workers run the jobs */
-	uint32_t priority;		 /* 0 comes first */
+	char *name;
+	char *host;
+	char *prefix;
+	char *service;		/* whose workers run the jobs */
+	uint32_t priority;	/* 0 comes first */
 	uint32_t attempts;	/* failed runs of a task that end its job */
 	uint32_t stretch_milli; /* ratio of objective to work, in thousandths */
 	int64_t target_ms;	/* the objective's fixed part */
@@ -52,7 +46,7 @@
 
 /* A workspace of the configuration. */
 struct routes_workspace {
-	char name[ROUTES_NAME_BYTES];
+	char *name; /* owned */
 	int64_t guaranteed_accelerators;
 	/* Most that its jobs may have running; 0: no limit. */
 	int64_t cap_cpu_milli;
@@ -70,6 +64,7 @@
 	size_t workspaces_count;
 	struct routes_key *keys;
 	size_t keys_count;
+	size_t unusable; /* entries of the configuration that were left out */
 	const struct route **by_name; /* NULL before routes_index */
 };
 
--- a/tests/common_fleet_job.c
+++ b/tests/common_fleet_job.c
@@ -77,6 +77,7 @@
 void
 fleet_job_open(struct fleet_job_fixture *fixture)
 {
+	static const char *const ids[FLEET_JOB_WORKERS] = {"w0", "w1", "w2"};
 	struct fleet_config config = {
 	    .lease_ms = LEASE_MS,
 	    .max_lease_ms = LEASE_MS,
@@ -93,11 +94,11 @@
 		struct fleet_worker_entry *entry = &fixture->entries[i];
 
 		*entry = (struct fleet_worker_entry){
+		    .id = ids[i],
 		    .service = "s",
 		    .address = "10.0.0.1:80",
 		    .resources = {.accelerators = ACCELERATORS},
 		};
-		(void)snprintf(entry->id, sizeof(entry->id), "w%zu", i);
 		(void)fleet_set_worker(fixture->fleet, entry, START_MS);
 		fleet_job_report(fixture, i, -1);
 	}
--- a/tests/common_fleet_sim.c
+++ b/tests/common_fleet_sim.c
@@ -414,13 +414,16 @@
 		struct sim_worker *worker = &sim->workers[i];
 		struct fleet_worker_entry *entry = &worker->entry;
 
-		(void)snprintf(entry->id, sizeof(entry->id), "w%zu", i);
+		(void)snprintf(worker->id, sizeof(worker->id), "w%zu", i);
 		(void)snprintf(
-		    entry->rack, sizeof(entry->rack), "r%zu", i / per_rack);
-		STRING_COPY(entry->service, "s");
-		(void)snprintf(entry->address, sizeof(entry->address),
+		    worker->rack, sizeof(worker->rack), "r%zu", i / per_rack);
+		(void)snprintf(worker->address, sizeof(worker->address),
 		    "10.0.0.1:%zu", i + 1);
-		STRING_COPY(entry->zone, i % 2 == 0 ? "z0" : "z1");
+		entry->id = worker->id;
+		entry->service = "s";
+		entry->address = worker->address;
+		entry->zone = i % 2 == 0 ? "z0" : "z1";
+		entry->rack = worker->rack;
 		entry->resources =
 		    (struct fleet_resources){.cpu_milli = CPU_MILLI,
 			.memory_mb = MEMORY_MB,
--- a/tests/common_fleet_sim.h
+++ b/tests/common_fleet_sim.h
@@ -30,7 +30,8 @@
 	SIM_HELD_REPORTS = 16,
 	SIM_DONE_TASKS = 4096,
 	SIM_CRASHING_TASKS = 256,
-	SIM_MESSAGE_BYTES = 256
+	SIM_MESSAGE_BYTES = 256,
+	SIM_TEXT_BYTES = 32
 };
 
 struct sim_run {
@@ -55,7 +56,10 @@
 };
 
 struct sim_worker {
-	struct fleet_worker_entry entry;
+	struct fleet_worker_entry entry; /* refers to the texts below */
+	char id[FLEET_NAME_BYTES];
+	char rack[SIM_TEXT_BYTES];
+	char address[SIM_TEXT_BYTES];
 	int64_t clock_offset_ms;
 	int64_t incarnation_wall_ms; /* start of the incarnation */
 	uint64_t fencing_token;	     /* highest seen */
--- a/tests/common_fleet_sim_crash.c
+++ b/tests/common_fleet_sim_crash.c
@@ -130,10 +130,10 @@
 static void
 rename_worker(struct sim *sim, struct sim_worker *worker)
 {
-	STRING_COPY(worker->former_id, worker->entry.id);
+	STRING_COPY(worker->former_id, worker->id);
 	worker->former_unlisted_ms =
 	    worker->back_ms - sim->back_ms + UNLISTED_AFTER_MS;
-	(void)snprintf(worker->entry.id, sizeof(worker->entry.id), "w%zu-%u",
+	(void)snprintf(worker->id, sizeof(worker->id), "w%zu-%u",
 	    (size_t)(worker - sim->workers), sim->worker_crashes);
 }
 
--- a/tests/test_agent_config.c
+++ b/tests/test_agent_config.c
@@ -209,6 +209,33 @@
 	CU_ASSERT_STRING_EQUAL(service_of_job(&fixture), "newer");
 }
 
+#define LONG_NAME                                                  \
+	"a-queue-of-a-name-that-is-longer-than-sixty-three-bytes/" \
+	"same-day/"
+
+/* Guards against jobs of a queue that go to another one's service: names of 64
+ * bytes and more were dropped, so that a new queue took the place of each. */
+static void
+test_queue_with_a_long_name_keeps_its_service(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+	static const char config[] =
+	    "{\"Version\":7,\"Routes\":[{\"Name\":\"" LONG_NAME "2\",\"Host\":"
+	    "\"h\",\"Prefix\":\"/b/"
+	    "\",\"Service\":\"other\"},{\"Name\":\"" LONG_NAME
+	    "1\",\"Host\":\"h\",\"Prefix\":\"/a/\",\"Service\":\"own\"}]}";
+	struct agent *agent = &fixture.agent;
+
+	open_fixture(&fixture);
+	answer_config(&fixture, clock_now_ms(), config);
+	CU_ASSERT_STRING_EQUAL(
+	    agent_config_service(agent, LONG_NAME "1"), "own");
+	CU_ASSERT_STRING_EQUAL(
+	    agent_config_service(agent, LONG_NAME "2"), "other");
+	CU_ASSERT_PTR_NULL(agent_config_service(agent, ""));
+	CU_ASSERT_PTR_NULL(agent_config_service(agent, LONG_NAME));
+}
+
 static size_t
 workspaces_with_guarantee(const struct fleet *fleet)
 {
@@ -246,6 +273,8 @@
 		test_unconfirmed_is_usable_only_without_the_store},
 	    {"new lead uses current service",
 		test_new_lead_uses_current_service},
+	    {"queue with a long name keeps its service",
+		test_queue_with_a_long_name_keeps_its_service},
 	    {"removed workspace has no guarantee",
 		test_removed_workspace_has_no_guarantee},
 	    CU_TEST_INFO_NULL,
--- a/tests/test_agent_peers.c
+++ b/tests/test_agent_peers.c
@@ -13,10 +13,11 @@
 #define WAIT_MS		  4000
 #define QUIET_MS	  1500
 #define MAX_REQUEST_BYTES 4096
-#define LONG_NAME                                                      \
-	"n23456789-123456789-123456789-123456789-123456789-123456789-" \
-	"123456789"
-#define OK_RESPONSE "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+#define FIFTY_BYTES	  "123456789-123456789-123456789-123456789-123456789-"
+/* As long as a name can be, as it ends a key of the store, and longer. */
+#define LONGEST_NAME FIFTY_BYTES FIFTY_BYTES FIFTY_BYTES FIFTY_BYTES
+#define LONG_NAME    LONGEST_NAME "x"
+#define OK_RESPONSE  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 /* An instance whose only peer is the test. */
 struct fixture {
@@ -154,12 +155,42 @@
 	CU_ASSERT_EQUAL(agent->peers.capacities.count, 0);
 }
 
+/* Guards against two instances that are taken for one, as their names differ in
+ * the last byte only. */
+static void
+test_longest_names_are_told_apart(void)
+{
+	CLEANUP(close_fixture) struct fixture fixture;
+	struct agent *agent = &fixture.agent;
+	static const char *const names[] = {LONGEST_NAME, FIFTY_BYTES,
+	    FIFTY_BYTES "1", FIFTY_BYTES FIFTY_BYTES "1",
+	    FIFTY_BYTES FIFTY_BYTES "2"};
+	struct platform_store_item item = {
+	    .key = "ibis/instance/x",
+	    .value = "127.0.0.1:1",
+	    .value_length = strlen("127.0.0.1:1"),
+	};
+
+	open_fixture(&fixture);
+	for (size_t i = 0; i < COUNT_OF(names); i++)
+		agent_peers_apply_item(agent, names[i], &item);
+	CU_ASSERT_EQUAL(agent->peers.index.count, COUNT_OF(names));
+	for (size_t i = 0; i < COUNT_OF(names); i++) {
+		const struct agent_peer *peer =
+		    name_index_get(&agent->peers.index, names[i]);
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(peer);
+		CU_ASSERT_STRING_EQUAL(peer->name, names[i]);
+	}
+}
+
 int
 main(void)
 {
 	CU_TestInfo tests[] = {
 	    {"lost hello is repeated", test_lost_hello_is_repeated},
 	    {"odd entries are no peers", test_odd_entries_are_no_peers},
+	    {"longest names are told apart", test_longest_names_are_told_apart},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/test_fleet_checks.c
+++ b/tests/test_fleet_checks.c
@@ -5,9 +5,10 @@
 #include "fleet/fleet.h"
 #include "process/alloc.h"
 
-#define LONG_NAME                                                      \
-	"n23456789-123456789-123456789-123456789-123456789-123456789-" \
-	"123456789"
+#define FIFTY_BYTES "123456789-123456789-123456789-123456789-123456789-"
+/* As long as a name can be, as it ends a key of the store, and longer. */
+#define LONGEST_NAME FIFTY_BYTES FIFTY_BYTES FIFTY_BYTES FIFTY_BYTES
+#define LONG_NAME    LONGEST_NAME "x"
 
 /* A job of two steps with three tasks each, which is done three times, and its
  * progress in two occurrences. */
@@ -126,6 +127,7 @@
 	EXPECT(progress, tasks[1].number, 6, IBIS_INVALID);
 	EXPECT(progress, tasks[1].run, FLEET_MAX_NUMBER, IBIS_OK);
 	EXPECT(progress, tasks[1].run, UINT64_MAX, IBIS_INVALID);
+	EXPECT(progress, tasks[1].worker, (char *)LONGEST_NAME, IBIS_OK);
 	EXPECT(progress, tasks[1].worker, (char *)LONG_NAME, IBIS_INVALID);
 	EXPECT(progress, tasks[1].incarnation_wall_ms, -1, IBIS_INVALID);
 	EXPECT(progress, progress.phase, (Ibis__StepJobPhase)5, IBIS_INVALID);
--- a/tests/test_fleet_load.c
+++ b/tests/test_fleet_load.c
@@ -61,14 +61,16 @@
 	*fixture = (struct fixture){.now_ms = START_MS};
 	fixture->fleet = fleet_new(&config, START_MS);
 	for (int i = 0; i < WORKERS; i++) {
+		char id[8];
 		struct fleet_worker_entry entry = {
+		    .id = id,
 		    .service = "s",
 		    .address = "10.0.0.1:80",
 		    .rack = "r",
 		    .resources = {CPU_MILLI, MEMORY_MB, ACCELERATORS},
 		};
 
-		(void)snprintf(entry.id, sizeof(entry.id), "w%02d", i);
+		(void)snprintf(id, sizeof(id), "w%02d", i);
 		report_idle(fixture,
 		    fleet_set_worker(fixture->fleet, &entry, START_MS));
 	}
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -320,6 +320,7 @@
 	CU_ASSERT_TRUE(entry.draining);
 	CU_ASSERT_EQUAL(entry.resources.accelerators, 8);
 	CU_ASSERT_EQUAL(entry.incarnation_wall_ms, 77);
+	fleet_free_worker_entry(&entry);
 }
 
 /* Guards against a process that ends because of a number out of range: a time
@@ -345,6 +346,7 @@
 		CU_ASSERT_TRUE(platform_worker_parse("i-1", entries[i].text,
 		    strlen(entries[i].text), &entry, &status));
 		CU_ASSERT_EQUAL(entry.remaining_ms, entries[i].remaining_ms);
+		fleet_free_worker_entry(&entry);
 	}
 }
 
@@ -397,6 +399,7 @@
 		CU_ASSERT_EQUAL(platform_worker_parse(entries[i].id, text.data,
 				    text.length, &entry, &status),
 		    entries[i].usable);
+		fleet_free_worker_entry(&entry);
 	}
 }
 
@@ -535,7 +538,8 @@
 	struct ibis_status status = {0};
 	struct http_pool *pool = http_pool_new(&status);
 	struct fleet *fleet = fleet_new(&config, 0);
-	struct fleet_worker_entry entry = {.id = "w"};
+	char address[ADDRESS_TEXT_BYTES];
+	struct fleet_worker_entry entry = {.id = "w", .address = address};
 	struct fleet_order order = {.run = 1, .reason = ""};
 	struct order_answer answer = {0};
 	int listener = address_listen("127.0.0.1:0", 1, &status);
@@ -543,7 +547,7 @@
 	int fd;
 
 	CU_ASSERT_TRUE_FATAL(listener >= 0);
-	address_of_socket(listener, entry.address);
+	address_of_socket(listener, address);
 	order.worker = fleet_set_worker(fleet, &entry, 0);
 	platform_stop_run(
 	    pool, &order, 1, ORDER_TIMEOUT_MS, record_order_answer, &answer);
