Refuse long names from peers and from the platform's list

A peer with a longer name was added anew with each heartbeat, and a zone could be held under another one's name. Such entries are now left out and logged, a hello is refused.

--- a/src/connection/peer_session.c
+++ b/src/connection/peer_session.c
@@ -266,7 +266,12 @@
 		peer_session_close(loop, connection, "protocol version");
 		return;
 	}
-	STRING_COPY(connection->name, hello->name);
+	if (!STRING_COPY(connection->name, hello->name)) {
+		log_event(LOG_WARN, "link_refused", "peer", hello->name,
+		    "message", "the name is too long", NULL);
+		peer_session_close(loop, connection, "name");
+		return;
+	}
 	connection->incarnation = hello->incarnation;
 	connection->established = true;
 	for (size_t i = 0; i < loop->peers_count; i++) {
--- a/src/process/control_peers.c
+++ b/src/process/control_peers.c
@@ -57,21 +57,38 @@
 	mem_free(addresses);
 }
 
+/* Reads an entry of the platform's list. Returns false when a text of it is too
+ * long to be held. */
+static bool
+read_instance(struct json_object *item, struct membership_entry *entry)
+{
+	return STRING_COPY(entry->name, json_text(item, "name")) &&
+	    STRING_COPY(entry->address, json_text(item, "peer")) &&
+	    STRING_COPY(entry->caller_address, json_text(item, "caller")) &&
+	    STRING_COPY(entry->zone, json_text(item, "availability_zone"));
+}
+
+static void
+log_unusable(const char *list, const char *name)
+{
+	log_event(LOG_ERROR, "list_entry_unusable", "list", list, "name", name,
+	    "message", "a text is too long", NULL);
+}
+
 static void
 update_instances(struct control *control, struct json_object *list)
 {
-	size_t count = json_object_array_length(list);
-	struct membership_entry *entries = mem_calloc(count, sizeof(*entries));
+	size_t listed = json_object_array_length(list);
+	struct membership_entry *entries = mem_calloc(listed, sizeof(*entries));
+	size_t count = 0;
 
-	for (size_t i = 0; i < count; i++) {
+	for (size_t i = 0; i < listed; i++) {
 		struct json_object *item = json_object_array_get_idx(list, i);
 
-		STRING_COPY(entries[i].name, json_text(item, "name"));
-		STRING_COPY(entries[i].address, json_text(item, "peer"));
-		STRING_COPY(
-		    entries[i].caller_address, json_text(item, "caller"));
-		STRING_COPY(
-		    entries[i].zone, json_text(item, "availability_zone"));
+		if (read_instance(item, &entries[count]))
+			count++;
+		else
+			log_unusable("instances", json_text(item, "name"));
 	}
 	membership_set_list(control->members, entries, count, control->now_ms);
 	mem_free(entries);
@@ -87,13 +104,20 @@
 		control->workers.sessions[i].listed_leaving = true;
 	for (size_t i = 0; i < count; i++) {
 		struct json_object *item = json_object_array_get_idx(list, i);
-		struct worker_session *session =
-		    worker_table_add(&control->workers, json_text(item, "name"),
-			control->now_ms);
+		const char *name = json_text(item, "name");
+		const char *address = json_text(item, "address");
+		struct worker_session *session;
 
+		if (!STRING_FITS(session->name, name) ||
+		    !STRING_FITS(session->address, address)) {
+			log_unusable("workers", name);
+			continue;
+		}
+		session =
+		    worker_table_add(&control->workers, name, control->now_ms);
 		session->listed_leaving =
 		    strcmp(json_text(item, "state"), "leaving") == 0;
-		STRING_COPY(session->address, json_text(item, "address"));
+		STRING_COPY(session->address, address);
 	}
 }
 
--- a/src/process/lead_lease.c
+++ b/src/process/lead_lease.c
@@ -59,12 +59,15 @@
 
 	lease->revision = revision;
 	lease->key_absent = false;
+	/* An invalid value counts as no holder; it is overwritten. */
 	if (message == NULL) {
-		/* An invalid value counts as no holder; it is overwritten. */
 		lease->holder[0] = '\0';
 		return false;
 	}
-	STRING_COPY(lease->holder, message->holder);
+	if (!STRING_COPY(lease->holder, message->holder)) {
+		proto_free(&message->base);
+		return false;
+	}
 	lease->holder_epoch = message->epoch;
 	ours = strcmp(message->holder, lease->name) == 0 &&
 	    message->incarnation == lease->incarnation;
--- a/src/process/membership.c
+++ b/src/process/membership.c
@@ -123,7 +123,11 @@
 {
 	struct member *member;
 
-	if (strcmp(heartbeat->name, membership->own_name) == 0)
+	if (strcmp(heartbeat->name, membership->own_name) == 0 ||
+	    !STRING_FITS(member->name, heartbeat->name) ||
+	    !STRING_FITS(member->lead, heartbeat->lead) ||
+	    !STRING_FITS(member->caller_address, heartbeat->caller_address) ||
+	    !STRING_FITS(member->zone, heartbeat->zone))
 		return false;
 	member = add_member(membership, heartbeat->name);
 	if (heartbeat->incarnation < member->incarnation)
--- a/src/process/slo_burn.c
+++ b/src/process/slo_burn.c
@@ -281,6 +281,8 @@
 		const Ibis__ClassBurn *message = heartbeat->burn[i];
 		struct peer_counts *peer;
 
+		if (!STRING_FITS(peer->request_class, message->request_class))
+			continue;
 		burn->peers = mem_grow(burn->peers, &burn->peers_capacity,
 		    burn->peers_count + 1, sizeof(*burn->peers));
 		peer = &burn->peers[burn->peers_count++];
--- a/src/version/holds.c
+++ b/src/version/holds.c
@@ -23,6 +23,9 @@
 {
 	struct hold *hold = find_hold(holds, zone, order);
 
+	if (!STRING_FITS(hold->zone, zone) || !STRING_FITS(hold->order, order))
+		return false;
+
 	if (hold != NULL) {
 		if (settled_version <= hold->settled_version)
 			return false;
--- a/tests/test_holds.c
+++ b/tests/test_holds.c
@@ -3,6 +3,10 @@
 #include "process/alloc.h"
 #include "version/holds.h"
 
+/* Of as many bytes as a zone's name can have. */
+#define LONG_NAME \
+	"n23456789-123456789-123456789-123456789-123456789-123456789-123"
+
 static struct head *
 empty_head(uint64_t version)
 {
@@ -28,6 +32,18 @@
 	CU_ASSERT_FALSE(holds_forbid(&holds, "south"));
 }
 
+/* Guards against a hold on another zone whose name begins alike. */
+static void
+test_long_names(void)
+{
+	CLEANUP(holds_free) struct holds holds = {0};
+
+	CU_ASSERT_FALSE(holds_add(&holds, LONG_NAME "4", "o1", 0, 10));
+	CU_ASSERT_TRUE(holds_add(&holds, LONG_NAME, "o1", 0, 10));
+	CU_ASSERT_EQUAL(holds.count, 1);
+	CU_ASSERT_FALSE(holds_forbid(&holds, LONG_NAME "4"));
+}
+
 static void
 test_head_replaces_holds_of_its_orders_only(void)
 {
@@ -70,6 +86,7 @@
 		test_head_replaces_holds_of_its_orders_only},
 	    {"settled hold waits for its version",
 		test_settled_hold_waits_for_its_version},
+	    {"long names", test_long_names},
 	    CU_TEST_INFO_NULL,
 	};
 
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -6,6 +6,9 @@
 
 #define TIMEOUT_MS 1000
 #define NOW_MS	   5000
+/* Of as many bytes as a name can have. */
+#define LONG_NAME \
+	"n23456789-123456789-123456789-123456789-123456789-123456789-123"
 
 static const struct membership_entry listed[] = {
     {.name = "a", .address = "127.0.0.1:1", .zone = "z1"},
@@ -27,9 +30,8 @@
     uint64_t incarnation, uint64_t lead_epoch, int64_t now_ms)
 {
 	Ibis__Heartbeat heartbeat = IBIS__HEARTBEAT__INIT;
-	char text[JOB_NAME_BYTES];
+	CLEANUP(mem_free_string) char *text = mem_strdup(name);
 
-	STRING_COPY(text, name);
 	heartbeat.name = text;
 	heartbeat.incarnation = incarnation;
 	heartbeat.state = IBIS__INSTANCE_STATE__INSTANCE_SERVING;
@@ -57,6 +59,23 @@
 	membership_free(membership);
 }
 
+/* Guards against instances that are taken for one, and that are added anew with
+ * each heartbeat: longer names were cut. */
+static void
+test_long_names(void)
+{
+	struct membership *membership = new_listed_membership();
+	size_t count = membership_count(membership);
+
+	CU_ASSERT_TRUE(receive_heartbeat(membership, LONG_NAME, 1, 0, NOW_MS));
+	for (int i = 0; i < 3; i++)
+		CU_ASSERT_FALSE(
+		    receive_heartbeat(membership, LONG_NAME "4", 1, 0, NOW_MS));
+	CU_ASSERT_EQUAL(membership_count(membership), count + 1);
+	CU_ASSERT_PTR_NULL(membership_find(membership, LONG_NAME "4"));
+	membership_free(membership);
+}
+
 static void
 test_alive_within_timeout(void)
 {
@@ -150,6 +169,7 @@
 		test_lead_is_linked_alive_and_newest},
 	    {"departed members are dropped", test_departed_members_are_dropped},
 	    {"JSON", test_json},
+	    {"long names", test_long_names},
 	    CU_TEST_INFO_NULL,
 	};
 
