Say only what was run, and submit unplaceable jobs in one place

Two tests of test_fleet_load had the same loop, which is a function now, and its comment named times that were not measured.

--- a/tests/test_fleet_load.c
+++ b/tests/test_fleet_load.c
@@ -17,8 +17,8 @@
 #define INCARNATION  1
 #define ROUND_MS     100
 #define WORK_MS	     3000
-/* A lead's lease is 1 s, on a quarter of a core: a decision has to be a small
- * part of that, whatever waits. Visits take some 50 ns, orders 20 us each. */
+/* A lead's lease is 1 s, also on a quarter of a core: a decision has to be a
+ * small part of that, whatever waits. */
 #define VISITS_MOST    500000
 #define ORDERS_MOST    512
 #define OVERDUE_MOST   256
@@ -323,6 +323,19 @@
 	CU_ASSERT_EQUAL(ordered, 1 + (WORKERS - 1) * ACCELERATORS);
 }
 
+/* Adds many jobs that no worker may run, and that are searched for one by one.
+ */
+static void
+submit_unplaceable(struct fixture *fixture)
+{
+	for (int i = 0; i < DISTINCT_NEEDS; i++) {
+		Ibis__JobStep *step = submit(fixture, 1, 1, 1);
+
+		proto_set_string(&step->label, "none has it");
+		step->max_per_worker = 1;
+	}
+}
+
 /* Guards against a decision that takes longer than the lead's lease, and
  * against work that no decision comes to: each job is searched for, and only
  * the last one has workers. */
@@ -334,12 +347,7 @@
 	int decisions = 0;
 
 	open_fixture(&fixture);
-	for (int i = 0; i < DISTINCT_NEEDS; i++) {
-		Ibis__JobStep *step = submit(&fixture, 1, 1, 1);
-
-		proto_set_string(&step->label, "none has it");
-		step->max_per_worker = 1;
-	}
+	submit_unplaceable(&fixture);
 	fixture.now_ms++;
 	(void)submit(&fixture, 1, 1, 1);
 	while (usage(&fixture).placed_tasks == 0 && decisions < 10) {
@@ -366,12 +374,7 @@
 	int decisions = 0;
 
 	open_fixture(&fixture);
-	for (int i = 0; i < DISTINCT_NEEDS; i++) {
-		Ibis__JobStep *step = submit(&fixture, 1, 1, 1);
-
-		proto_set_string(&step->label, "none has it");
-		step->max_per_worker = 1;
-	}
+	submit_unplaceable(&fixture);
 	do {
 		(void)decide(&fixture);
 		decisions++;
