--- a/review/common-3/site.h
+++ b/review/common-3/site.h
@@ -17,7 +17,7 @@
 
 enum {
 	SITE_INSTANCES = 2,
-	SITE_MAX_WORKERS = 10,
+	SITE_MAX_WORKERS = 16,
 	SITE_MAX_ITEMS = 4096,
 	SITE_MAX_CHANGES = 65536,
 	SITE_MAX_LEASES = 256,
@@ -94,6 +94,7 @@
 	bool cut;	      /* from the system's machines */
 	bool unhealthy;	      /* answers starts with 503 */
 	bool failing;	      /* fails all that it starts */
+	int64_t leaves_ms;    /* when it leaves; 0: it stays */
 	bool next_start_late; /* the next start gets no answer */
 	int64_t late_ms;      /* and is carried out after this time */
 	struct site_late late[SITE_MAX_LATE];
@@ -165,8 +166,12 @@
 void site_crash(struct site *site, struct site_worker *worker);
 void site_restart(struct site *site, struct site_worker *worker);
 
+/* A worker says that it leaves, and leaves after this time. */
+void site_drain(struct site *site, struct site_worker *worker, int64_t left_ms);
+
 /* Functions of the store and the workers. The caller holds the lock. */
 void site_put(struct site *site, const char *key, const char *text);
+void site_remove(struct site *site, const char *key);
 void site_expire_leases(struct site *site);
 void site_advance(struct site_worker *worker);
 void site_beat(struct site_worker *worker);
--- a/review/common-3/store.c
+++ b/review/common-3/store.c
@@ -110,6 +110,13 @@
 	ne_free(value);
 }
 
+void
+site_remove(struct site *site, const char *key)
+{
+	site->store.revision++;
+	remove_item(&site->store, key);
+}
+
 static void
 end_lease(struct site_store *store, struct site_lease *lease)
 {
--- a/review/common-3/worker.c
+++ b/review/common-3/worker.c
@@ -191,6 +191,66 @@
 	}
 }
 
+static void
+format_key(const struct site_worker *worker, char key[KEY_BYTES])
+{
+	(void)snprintf(key, KEY_BYTES, "servers/%s", worker->id);
+}
+
+/* Appends what only a worker that leaves says. */
+static void
+append_leaving(const struct site_worker *worker, struct buffer *text)
+{
+	int64_t left_ms = worker->leaves_ms - clock_now_ms();
+
+	if (worker->leaves_ms != 0)
+		buffer_printf(text, ",\"RemainingMs\":%" PRId64,
+		    left_ms > 0 ? left_ms : 0);
+}
+
+void
+site_beat(struct site_worker *worker)
+{
+	CLEANUP(buffer_free) struct buffer text = {0};
+	char key[KEY_BYTES];
+
+	if (worker->down || clock_now_ms() < worker->next_beat_ms)
+		return;
+	worker->next_beat_ms = clock_now_ms() + HEARTBEAT_MS;
+	format_key(worker, key);
+	buffer_printf(&text,
+	    "{\"Service\":\"s\",\"Address\":\"%s\",\"Zone\":\"z\","
+	    "\"Version\":\"v1\",\"Slots\":8,\"State\":\"%s\","
+	    "\"ColdRemainingMs\":0,\"Capacity\":{\"Cpu\":128000,"
+	    "\"MemMb\":262144,\"Gpus\":8},\"Labels\":[\"%s\",\"%s\"],"
+	    "\"ClockMs\":%" PRId64 ",\"Sequence\":%" PRId64
+	    ",\"born\":%" PRId64,
+	    fake_server_address(worker->server),
+	    worker->leaves_ms == 0 ? "ready" : "draining", worker->kind,
+	    worker->rack, clock_of(worker), ++worker->sequence,
+	    worker->born_wall_ms);
+	append_leaving(worker, &text);
+	buffer_puts(&text, "}");
+	site_put(worker->site, key, buffer_string(&text));
+}
+
+/* What runs on a worker that leaves terminates, and its entry goes. */
+static void
+leave(struct site_worker *worker)
+{
+	struct site *site = worker->site;
+	char key[KEY_BYTES];
+
+	site_note(site, "worker %s: has left", worker->id);
+	worker->down = true;
+	for (size_t i = 0; i < site->runs_count; i++) {
+		if (is_present(&site->runs[i], worker))
+			end_run(&site->runs[i], "lost", false);
+	}
+	format_key(worker, key);
+	site_remove(site, key);
+}
+
 void
 site_advance(struct site_worker *worker)
 {
@@ -198,6 +258,10 @@
 
 	if (worker->down)
 		return;
+	if (worker->leaves_ms != 0 && clock_now_ms() >= worker->leaves_ms) {
+		leave(worker);
+		return;
+	}
 	start_late(worker);
 	for (size_t i = 0; i < site->runs_count; i++) {
 		struct site_run *run = &site->runs[i];
@@ -219,25 +283,14 @@
 }
 
 void
-site_beat(struct site_worker *worker)
+site_drain(struct site *site, struct site_worker *worker, int64_t left_ms)
 {
-	CLEANUP(buffer_free) struct buffer text = {0};
-	char key[KEY_BYTES];
-
-	if (worker->down || clock_now_ms() < worker->next_beat_ms)
-		return;
-	worker->next_beat_ms = clock_now_ms() + HEARTBEAT_MS;
-	(void)snprintf(key, sizeof(key), "servers/%s", worker->id);
-	buffer_printf(&text,
-	    "{\"Service\":\"s\",\"Address\":\"%s\",\"Zone\":\"z\","
-	    "\"Version\":\"v1\",\"Slots\":8,\"State\":\"ready\","
-	    "\"ColdRemainingMs\":0,\"Capacity\":{\"Cpu\":128000,"
-	    "\"MemMb\":262144,\"Gpus\":8},\"Labels\":[\"%s\",\"%s\"],"
-	    "\"ClockMs\":%" PRId64 ",\"Sequence\":%" PRId64 ",\"born\":%" PRId64
-	    "}",
-	    fake_server_address(worker->server), worker->kind, worker->rack,
-	    clock_of(worker), ++worker->sequence, worker->born_wall_ms);
-	site_put(worker->site, key, buffer_string(&text));
+	(void)pthread_mutex_lock(&site->lock);
+	site_note(site, "worker %s: drains", worker->id);
+	worker->leaves_ms = clock_now_ms() + left_ms;
+	worker->next_beat_ms = 0;
+	site_beat(worker);
+	(void)pthread_mutex_unlock(&site->lock);
 }
 
 /* Removes the comma after the last row of a list. */
@@ -281,6 +334,7 @@
 			    run->checkpoint);
 	}
 	end_list(body);
+	append_leaving(worker, body);
 	buffer_puts(body, "}");
 }
 
