--- a/review/common-3/site.c
+++ b/review/common-3/site.c
@@ -2,6 +2,7 @@
 #include <arpa/inet.h>
 #include <curl/curl.h>
 #include <inttypes.h>
+#include <ne_string.h>
 #include <poll.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -343,6 +344,32 @@
 	return status;
 }
 
+int
+site_lead(struct site *site)
+{
+	unsigned char *name = NULL;
+	size_t length = 0;
+	const char *value;
+	int lead = -1;
+
+	(void)pthread_mutex_lock(&site->lock);
+	value = site_value(site, "ibis/lead");
+	if (value != NULL)
+		length = ne_unbase64(value, &name);
+	(void)pthread_mutex_unlock(&site->lock);
+	if (length > 0)
+		lead = name[length - 1] - '0';
+	ne_free(name);
+	return lead;
+}
+
+void
+site_kill(struct site *site, uint32_t instance)
+{
+	site_note(site, "instance %u is killed", (unsigned int)instance);
+	(void)kill(site->instances[instance].pid, SIGKILL);
+}
+
 bool
 site_state_is(struct site *site, const char *id, const char *state)
 {
@@ -352,7 +379,8 @@
 
 	(void)snprintf(path, sizeof(path), "/q/%s", id);
 	(void)snprintf(wanted, sizeof(wanted), "{\"State\":\"%s\"}", state);
-	return site_call(site, 0, "GET", path, NULL, &answer) == STATUS_OK &&
+	return site_call(site, site->asked, "GET", path, NULL, &answer) ==
+	    STATUS_OK &&
 	    strcmp(buffer_string(&answer), wanted) == 0;
 }
 
--- a/review/common-3/site.h
+++ b/review/common-3/site.h
@@ -133,6 +133,7 @@
 	 * was up. */
 	uint32_t twice;
 	uint32_t refused_starts;
+	uint32_t asked; /* the instance that is asked for states */
 };
 
 /* Starts the store, the workers and the instances, and waits until these are
@@ -151,6 +152,12 @@
 int site_call(struct site *site, uint32_t instance, const char *method,
     const char *path, const char *body, struct buffer *answer);
 
+/* Returns the instance that holds the lead's key, or -1. */
+int site_lead(struct site *site);
+
+/* Ends an instance by SIGKILL. */
+void site_kill(struct site *site, uint32_t instance);
+
 /* Returns whether the state of a job is as given. */
 bool site_state_is(struct site *site, const char *id, const char *state);
 
@@ -172,6 +179,7 @@
 /* Functions of the store and the workers. The caller holds the lock. */
 void site_put(struct site *site, const char *key, const char *text);
 void site_remove(struct site *site, const char *key);
+const char *site_value(struct site *site, const char *key); /* base64 */
 void site_expire_leases(struct site *site);
 void site_advance(struct site_worker *worker);
 void site_beat(struct site_worker *worker);
--- a/review/common-3/store.c
+++ b/review/common-3/store.c
@@ -110,6 +110,14 @@
 	ne_free(value);
 }
 
+const char *
+site_value(struct site *site, const char *key)
+{
+	const struct site_item *item = find_item(&site->store, key);
+
+	return item == NULL ? NULL : item->value;
+}
+
 void
 site_remove(struct site *site, const char *key)
 {
--- a/review/common-3/worker.c
+++ b/review/common-3/worker.c
@@ -117,7 +117,7 @@
 
 	if (reason != NULL || present)
 		return reason;
-	if (worker->lease_until <= clock_of(worker))
+	if (fake_json_number(body, "HoldUntilMs", 0) <= clock_of(worker))
 		return "late";
 	run = add_run(worker, task, number);
 	if (run == NULL)
