review: case 11, long checkpoints of large jobs stop the whole site

Seen: exit 1 each time: a small job has not begun 57 s after its acceptance, beside eight idle workers, while the store refuses the records of four large jobs. The stand-ins give tasks checkpoints and run times that differ, and the instances a standard output.

--- a/review/common-3/site.c
+++ b/review/common-3/site.c
@@ -190,7 +190,7 @@
 	instance->pid = fork();
 	if (instance->pid == 0) {
 		(void)setenv("IBISTRESTLE_CONFIG", instance->settings, 1);
-		if (freopen(instance->log, "we", stdout) == NULL ||
+		if (freopen(instance->log, "w", stdout) == NULL ||
 		    dup2(STDOUT_FILENO, STDERR_FILENO) < 0)
 			_exit(1);
 		(void)execl(PROGRAM, PROGRAM, "--platform", (char *)NULL);
@@ -272,6 +272,8 @@
 	bool started = true;
 
 	site->options = *options;
+	site->checkpoint = mem_calloc(options->checkpoint_bytes + 1, 1);
+	memset(site->checkpoint, 'c', options->checkpoint_bytes);
 	site->began_ms = clock_now_ms();
 	site->record = fopen(getenv("RECORD"), "we");
 	if (site->record == NULL)
--- a/review/common-3/site.h
+++ b/review/common-3/site.h
@@ -65,7 +65,7 @@
 	int64_t ended_ms;     /* 0: it runs */
 	int64_t end_number;   /* 0: not listed as ended */
 	const char *how;
-	char checkpoint[20];
+	bool saved; /* it has a checkpoint */
 };
 
 /* A start that was received and not answered, and is carried out later. */
@@ -110,10 +110,11 @@
 /* What a case asks of its deployment. */
 struct site_options {
 	uint32_t workers;
-	const char *id_prefix; /* of workers */
-	const char *last_kind; /* of the last worker; the others are "a" */
-	int64_t run_ms;	       /* run time of a task */
-	bool checkpoints;
+	const char *id_prefix;	 /* of workers */
+	const char *last_kind;	 /* of the last worker; the others are "a" */
+	int64_t run_ms;		 /* run time of a task */
+	int64_t spread_ms;	 /* some tasks run for up to this much longer */
+	size_t checkpoint_bytes; /* of a task's checkpoint; 0: it has none */
 };
 
 struct site {
@@ -133,7 +134,8 @@
 	 * was up. */
 	uint32_t twice;
 	uint32_t refused_starts;
-	uint32_t asked; /* the instance that is asked for states */
+	char *checkpoint; /* of each run that has one */
+	uint32_t asked;	  /* the instance that is asked for states */
 };
 
 /* Starts the store, the workers and the instances, and waits until these are
--- a/review/common-3/worker.c
+++ b/review/common-3/worker.c
@@ -19,6 +19,7 @@
 #define CHECKPOINT_MS	   500
 #define FAIL_MS		   100 /* from the start of a run that fails */
 #define FULL_PERCENT	   100
+#define SPREAD_STEP_MS	   37
 #define KEY_BYTES	   128
 
 static int64_t
@@ -106,6 +107,19 @@
 	}
 }
 
+/* Returns how long a run works if nothing ends it. */
+static int64_t
+run_ms_of(const struct site_run *run)
+{
+	const struct site *site = run->worker->site;
+	int64_t number = run - site->runs;
+
+	if (site->options.spread_ms == 0)
+		return site->options.run_ms;
+	return site->options.run_ms +
+	    number * SPREAD_STEP_MS % site->options.spread_ms;
+}
+
 static const char *
 start_run(struct site_worker *worker, struct json_object *body)
 {
@@ -123,7 +137,7 @@
 	if (run == NULL)
 		return "room";
 	run->began_ms = clock_now_ms();
-	run->work_ends_ms = run->began_ms + worker->site->options.run_ms;
+	run->work_ends_ms = run->began_ms + run_ms_of(run);
 	site_note(worker->site, "worker %s: begins run %" PRId64 " of %s",
 	    worker->id, number, task);
 	judge_start(worker->site, run);
@@ -275,10 +289,9 @@
 			end_run(run, "done", true);
 		else if (clock_of(worker) >= worker->lease_until)
 			end_run(run, "lapsed", true);
-		else if (site->options.checkpoints &&
+		else if (site->options.checkpoint_bytes > 0 &&
 		    clock_now_ms() - run->began_ms > CHECKPOINT_MS)
-			(void)snprintf(run->checkpoint, sizeof(run->checkpoint),
-			    "%016" PRIx64, (uint64_t)(run - site->runs) + 1);
+			run->saved = true;
 	}
 }
 
@@ -317,7 +330,8 @@
 		if (is_present(run, worker))
 			buffer_printf(body,
 			    "[\"%s\",%" PRId64 ",\"%s\",%" PRId64 ",1000],",
-			    run->task, run->run, run->checkpoint,
+			    run->task, run->run,
+			    run->saved ? site->checkpoint : "",
 			    done_ms * FULL_PERCENT / site->options.run_ms);
 	}
 	end_list(body);
@@ -331,7 +345,7 @@
 			buffer_printf(body,
 			    "[%" PRId64 ",\"%s\",%" PRId64 ",\"%s\",\"%s\"],",
 			    run->end_number, run->task, run->run, run->how,
-			    run->checkpoint);
+			    run->saved ? site->checkpoint : "");
 	}
 	end_list(body);
 	append_leaving(worker, body);
